--- /dev/null
+++ b/crates/caller/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP server towards callers.
--- /dev/null
+++ b/crates/decision/src/lib.rs
@@ -0,0 +1,22 @@
+//! Decision logic of samphiretrail: plain values driven by `(now, event) -> actions`.
+//!
+//! Nothing here opens a socket, reads a clock, sleeps or starts a thread. Randomness is seeded by
+//! the embedder.
+
+pub mod clock;
+pub mod config;
+pub mod control;
+pub mod name;
+pub mod object;
+pub mod operator;
+pub mod peer;
+pub mod piece;
+pub mod place;
+pub mod request;
+pub mod resource;
+pub mod step;
+pub mod table;
+pub mod ticket;
+pub mod timeline;
+pub mod vm;
+pub mod worker;
--- /dev/null
+++ b/crates/decision/src/resource.rs
@@ -0,0 +1,95 @@
+//! Amounts of processors, memory and accelerators.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// An amount of each resource of a worker.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Size {
+    /// Processor time in thousandths of a core.
+    pub millicores: u32,
+    /// Memory in MB.
+    pub memory_mb: u32,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+/// One dimension of a [`Size`].
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum Dimension {
+    /// Processor time.
+    Processors,
+    /// Memory.
+    Memory,
+    /// Accelerators.
+    Accelerators,
+}
+
+impl Size {
+    /// No resources.
+    pub const ZERO: Self = Self {
+        millicores: 0,
+        memory_mb: 0,
+        accelerators: 0,
+    };
+
+    /// Whether every dimension is within `room`.
+    #[must_use]
+    pub const fn fits(self, room: Self) -> bool {
+        self.lacking(room).is_none()
+    }
+
+    /// The first dimension in which `self` exceeds `room`.
+    #[must_use]
+    pub const fn lacking(self, room: Self) -> Option<Dimension> {
+        if self.accelerators > room.accelerators {
+            Some(Dimension::Accelerators)
+        } else if self.memory_mb > room.memory_mb {
+            Some(Dimension::Memory)
+        } else if self.millicores > room.millicores {
+            Some(Dimension::Processors)
+        } else {
+            None
+        }
+    }
+
+    /// The sum of both amounts.
+    #[must_use]
+    pub const fn plus(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_add(other.millicores),
+            memory_mb: self.memory_mb.saturating_add(other.memory_mb),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
+        }
+    }
+
+    /// What remains after taking `other`, with a floor of zero in each dimension.
+    #[must_use]
+    pub const fn minus(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.saturating_sub(other.millicores),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+            accelerators: self.accelerators.saturating_sub(other.accelerators),
+        }
+    }
+
+    /// The larger amount in each dimension.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
+    /// The smaller amount in each dimension.
+    #[must_use]
+    pub fn min(self, other: Self) -> Self {
+        Self {
+            millicores: self.millicores.min(other.millicores),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/src/ticket.rs
@@ -0,0 +1,63 @@
+//! Tickets: idempotency keys that only their issuer may run, at most once.
+
+use std::fmt;
+
+use quick_error::quick_error;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::name::Name;
+
+quick_error! {
+    /// Why a raw string is not a ticket.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum Error {
+        /// The string does not have the form `entry/incarnation/sequence/nonce`.
+        Form {
+            display("a ticket has the form entry/incarnation/sequence/nonce")
+        }
+    }
+}
+
+/// The key of one request that must run at most once.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Ticket {
+    /// The issuing entry.
+    pub issuer: Name,
+    /// The issuing process, unique for all time.
+    pub incarnation: u64,
+    /// The number within the incarnation.
+    pub sequence: u64,
+    /// Makes guessing hopeless.
+    pub nonce: u64,
+}
+
+impl fmt::Display for Ticket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            issuer,
+            incarnation,
+            sequence,
+            nonce,
+        } = self;
+        write!(f, "{issuer}/{incarnation:x}/{sequence:x}/{nonce:x}")
+    }
+}
+
+impl TryFrom<&str> for Ticket {
+    type Error = Error;
+
+    fn try_from(raw: &str) -> Result<Self, Error> {
+        let parts: Vec<&str> = raw.split('/').collect();
+        let [issuer, incarnation, sequence, nonce] = parts[..] else {
+            return Err(Error::Form);
+        };
+        let number = |digits| u64::from_str_radix(digits, 16).ok().ok_or(Error::Form);
+        Ok(Self {
+            issuer: Name::try_from(issuer).ok().ok_or(Error::Form)?,
+            incarnation: number(incarnation)?,
+            sequence: number(sequence)?,
+            nonce: number(nonce)?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/main.rs
@@ -0,0 +1,3 @@
+//! Measures the decision logic in virtual time.
+
+fn main() {}
--- /dev/null
+++ b/crates/history/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checks recorded histories against the promises.
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,1 @@
+//! gRPC server and client for operators.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Transport between entries.
--- /dev/null
+++ b/crates/schema/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' schema and its generated code.
--- /dev/null
+++ b/crates/target/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP client towards targets.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The samphiretrail binary.
+
+fn main() {}
