Add the request path's state machine

Cause: the daemon has an interface of the request path but nothing behind it.

Change: ticket::Ledger (issue, claim, release, settle, book, adopt), route::Table (exact slots, choice by load and slowdown), queue::Queue (bounded, fair between teams), classify::Classes, budget::Budget, health::Health, and request::Machine, which composes them. Ending::Refused is new: a peer's refusal must be told apart from a peer that was not reached, because only the first says that a ticket was not used.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -3,17 +3,22 @@
 //! Nothing here opens a socket, reads a clock, sleeps or starts a thread. Randomness is seeded by
 //! the embedder.
 
+pub mod budget;
+pub mod classify;
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod health;
 pub mod name;
 pub mod object;
 pub mod operator;
 pub mod peer;
 pub mod piece;
 pub mod place;
+pub mod queue;
 pub mod request;
 pub mod resource;
+pub mod route;
 pub mod step;
 pub mod table;
 pub mod ticket;
--- a/crates/decision/src/request.rs
+++ b/crates/decision/src/request.rs
@@ -1,11 +1,17 @@
 //! The request path: from a caller's request to one target and the whole answer back.
 
+mod flow;
+mod machine;
+mod peers;
+mod work;
+
 use std::sync::Arc;
 
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::machine::Machine;
 use crate::clock::Ms;
 use crate::config::Checked;
 use crate::name::Name;
@@ -86,6 +92,8 @@
     Answered(Answer),
     /// It did not reach the target or the peer, or the receiver vouched that it did not run.
     NotRun,
+    /// The peer refused it, and vouched that it did not run.
+    Refused(Refusal),
     /// It may have run: the connection broke, was silent too long, or the answer was cut short.
     Unknown,
 }
@@ -182,8 +190,8 @@
         /// When the attempt has failed.
         timeout: Ms,
     },
-    /// Sends a request to a peer; ends with [`Event::Finished`] or [`Event::Finished`] with
-    /// `NotRun` when the peer refused it.
+    /// Sends a request to a peer; ends with [`Event::Finished`], with [`Ending::Refused`] when the
+    /// peer refused it.
     Forward {
         /// The attempt.
         attempt: Attempt,
--- /dev/null
+++ b/crates/decision/src/request/machine.rs
@@ -0,0 +1,488 @@
+//! The request path's state machine.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::Action;
+use super::Attempt;
+use super::Book;
+use super::Call;
+use super::Event;
+use super::Outcome;
+use super::Peer;
+use super::Refusal;
+use super::peers::Peers;
+use super::work::Due;
+use super::work::InFlight;
+use super::work::Key;
+use super::work::Request;
+use super::work::Route;
+use super::work::Timers;
+use super::work::Waiter;
+use crate::budget::Budget;
+use crate::classify::Class;
+use crate::classify::Classes;
+use crate::clock::Ms;
+use crate::config::Checked;
+use crate::control::Identity;
+use crate::name::Name;
+use crate::queue::Item;
+use crate::queue::Queue;
+use crate::route::Table;
+use crate::step::Step;
+use crate::ticket::Claim;
+use crate::ticket::Ledger;
+use crate::ticket::Ticket;
+use crate::timeline::Kind;
+use crate::timeline::Note;
+
+/// Slots in use by former owners are counted this long where no service is configured.
+const DEFAULT_HOLD: Ms = Ms(10_000);
+/// How much later than its timeout an attempt without news has certainly ended.
+pub(super) const MARGIN: Ms = Ms(200);
+/// The bound of long work holds for this time after the last short request.
+const SHORT_MEMORY: Ms = Ms(10_000);
+
+/// The request path of one entry.
+#[derive(Debug)]
+pub struct Machine {
+    pub(super) entry: Name,
+    pub(super) incarnation: u64,
+    pub(super) config: Option<Arc<Checked>>,
+    pub(super) table: Table,
+    pub(super) peers: Peers,
+    pub(super) requests: HashMap<u64, Request>,
+    /// Calls that joined a request of another call.
+    pub(super) joined: HashMap<u64, u64>,
+    pub(super) flights: HashMap<Attempt, InFlight>,
+    pub(super) queues: BTreeMap<Name, Queue>,
+    pub(super) classes: Classes,
+    pub(super) retries: Budget,
+    pub(super) hedges: Budget,
+    pub(super) timers: Timers,
+    pub(super) attempts: u64,
+    pub(super) actions: Vec<Action>,
+    tickets: Ledger,
+    adopted: BTreeMap<(Name, u64), Ledger>,
+    short_until: Ms,
+    stopping: bool,
+    handed_over: bool,
+}
+
+impl Machine {
+    /// The request path of a new process, without configuration, targets or peers.
+    #[must_use]
+    pub fn new(identity: &Identity) -> Self {
+        let secret = StdRng::seed_from_u64(identity.seed ^ identity.incarnation).next_u64();
+        Self {
+            entry: identity.entry.clone(),
+            incarnation: identity.incarnation,
+            config: None,
+            table: Table::new(identity.domain.clone()),
+            peers: Peers::default(),
+            requests: HashMap::new(),
+            joined: HashMap::new(),
+            flights: HashMap::new(),
+            queues: BTreeMap::new(),
+            classes: Classes::default(),
+            retries: Budget::default(),
+            hedges: Budget::default(),
+            timers: Timers::default(),
+            attempts: 0,
+            actions: Vec::new(),
+            tickets: Ledger::new(identity.entry.clone(), identity.incarnation, secret),
+            adopted: BTreeMap::new(),
+            short_until: Ms::ZERO,
+            stopping: false,
+            handed_over: false,
+        }
+    }
+
+    /// Issues tickets; none after the book was handed over.
+    pub fn mint(&mut self, now: Ms, count: usize) -> Vec<Ticket> {
+        if self.handed_over {
+            return Vec::new();
+        }
+        self.tickets.mint(now, count)
+    }
+
+    /// What peers should know of this entry.
+    #[must_use]
+    pub fn summary(&self, _now: Ms) -> Peer {
+        let waiting: usize = self.queues.values().map(Queue::len).sum();
+        Peer {
+            entry: self.entry.clone(),
+            incarnation: self.incarnation,
+            free: self.table.free(),
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+            stopping: self.stopping,
+            adopted: self.adopted.keys().cloned().collect(),
+        }
+    }
+
+    /// The ticket book for the successor. From then on this entry runs no request with a ticket of
+    /// its own, but forwards it to the successor.
+    pub fn book(&mut self, now: Ms) -> Book {
+        self.handed_over = true;
+        self.tickets.book(now)
+    }
+
+    /// Whether no request is in progress and no attempt is in flight.
+    #[must_use]
+    pub fn idle(&self) -> bool {
+        self.requests.is_empty() && !self.flights.values().any(|flight| flight.live)
+    }
+
+    /// When the next event falls due by itself.
+    #[must_use]
+    pub fn next(&self) -> Option<Ms> {
+        self.timers.next()
+    }
+
+    fn arrive(&mut self, now: Ms, call: Call) {
+        if self.requests.contains_key(&call.id) || self.joined.contains_key(&call.id) {
+            return;
+        }
+        if call.repeatable {
+            self.admit(now, call, None);
+            return;
+        }
+        let Some(ticket) = call.ticket.clone() else {
+            // A peer that forwards for capacity keeps the ticket and vouches for the request.
+            if call.forwarded {
+                self.admit(now, call, None);
+            } else {
+                self.refuse(call.id, Refusal::TicketNeeded);
+            }
+            return;
+        };
+        self.arrive_with(now, call, &ticket);
+    }
+
+    fn arrive_with(&mut self, now: Ms, call: Call, ticket: &Ticket) {
+        let own = self.tickets.covers(ticket);
+        if own && self.handed_over {
+            let successor = self
+                .peers
+                .adopter(&ticket.issuer, ticket.incarnation)
+                .cloned();
+            self.forward_to_issuer(now, call, successor);
+            return;
+        }
+        let issuer = (!own).then(|| (ticket.issuer.clone(), ticket.incarnation));
+        let Some(ledger) = self.ledger(issuer.as_ref()) else {
+            let peer = self.peers.responsible(ticket).cloned();
+            // A request that a peer sent here by mistake makes no second hop.
+            let peer = peer.filter(|_| !call.forwarded);
+            self.forward_to_issuer(now, call, peer);
+            return;
+        };
+        match ledger.claim(now, ticket, call.id) {
+            Claim::Spent => {
+                let number = ticket.sequence;
+                self.admit(now, call, Some(Key { issuer, number }));
+            }
+            Claim::Running(leader) => self.join(now, &call, leader),
+            Claim::Retained(outcome) => self.reply(call.id, outcome),
+            Claim::Expired => self.refuse(call.id, Refusal::TicketExpired),
+            Claim::Forgotten => self.reply(call.id, Outcome::Unknown),
+        }
+    }
+
+    /// Sends a request to the peer that answers for its ticket.
+    fn forward_to_issuer(&mut self, now: Ms, call: Call, peer: Option<Name>) {
+        let Some(peer) = peer.filter(|_| call.deadline > now) else {
+            self.reply(call.id, Outcome::Unknown);
+            return;
+        };
+        let id = self.insert(now, call, None, Route::Issuer);
+        self.forward(now, id, peer);
+    }
+
+    fn join(&mut self, now: Ms, call: &Call, leader: u64) {
+        let request = self.requests.get_mut(&leader);
+        let Some(request) = request.filter(|_| call.deadline > now) else {
+            self.reply(call.id, Outcome::Unknown);
+            return;
+        };
+        request.waiters.push(Waiter {
+            call: call.id,
+            deadline: call.deadline,
+        });
+        self.joined.insert(call.id, leader);
+        self.timers.set(call.deadline, Due::Deadline(leader));
+    }
+
+    /// Takes in a request that is to be served here or by a peer with capacity.
+    fn admit(&mut self, now: Ms, call: Call, key: Option<Key>) {
+        if let Some(refusal) = self.check(now, &call) {
+            if let Some(key) = &key {
+                self.release(key);
+            }
+            self.refuse(call.id, refusal);
+            return;
+        }
+        let id = self.insert(now, call, key, Route::Serve);
+        self.retries.earn();
+        self.hedges.earn();
+        let request = &self.requests[&id];
+        let class = request.class;
+        if class == Class::Short {
+            self.short_until = now + SHORT_MEMORY;
+        }
+        let service = request.call.service.clone();
+        let idle = self
+            .queues
+            .get(&service)
+            .is_none_or(|queue| queue.waiting(class) == 0);
+        if idle && self.start(now, id) || self.offload(now, id) {
+            return;
+        }
+        if let Some(refusal) = self.admission(now, id) {
+            self.finish(now, id, Outcome::Refused(refusal));
+            return;
+        }
+        self.enqueue(id);
+    }
+
+    fn check(&self, now: Ms, call: &Call) -> Option<Refusal> {
+        let config = self.config.as_ref().filter(|_| !self.stopping);
+        let Some(config) = config else {
+            return Some(Refusal::Stopping);
+        };
+        if config.service(&call.service).is_none() {
+            return Some(Refusal::Missing);
+        }
+        (call.deadline <= now).then_some(Refusal::Late)
+    }
+
+    fn insert(&mut self, now: Ms, call: Call, key: Option<Key>, route: Route) -> u64 {
+        let id = call.id;
+        let waiter = Waiter {
+            call: id,
+            deadline: call.deadline,
+        };
+        self.timers.set(call.deadline, Due::Deadline(id));
+        let request = Request {
+            class: self.classes.class(&call.service, &call.kind),
+            call: Arc::new(call),
+            waiters: vec![waiter],
+            key,
+            route,
+            arrived: now,
+            place: None,
+            flights: Vec::new(),
+            tried: Vec::new(),
+            sends: 0,
+            ran: false,
+            failed: None,
+            refusal: None,
+        };
+        self.requests.insert(id, request);
+        id
+    }
+
+    /// Why a request cannot wait, after making room for it if a heavier team fills the queue.
+    fn admission(&mut self, now: Ms, id: u64) -> Option<Refusal> {
+        let request = &self.requests[&id];
+        let team = &request.call.team;
+        let weight = self.weight(team);
+        let queue = self.queues.get(&request.call.service)?;
+        let remaining = request.deadline().since(now);
+        let mean = self.classes.mean(&request.call.service).unwrap_or(Ms::ZERO);
+        let ahead = queue.ahead(now, team, weight) as u64;
+        let slots = u64::from(self.table.capacity());
+        if slots > 0 && ahead * mean.0 / slots > remaining.0 {
+            return Some(Refusal::Late);
+        }
+        if !queue.is_full() {
+            return None;
+        }
+        let Some(victim) = queue.victim(now, team, weight) else {
+            return Some(Refusal::Full);
+        };
+        self.give_up(now, victim, Refusal::Full);
+        None
+    }
+
+    /// Puts a request into the queue of its service.
+    pub(super) fn enqueue(&mut self, id: u64) {
+        let request = &self.requests[&id];
+        let call = Arc::clone(&request.call);
+        let item = Item {
+            call: id,
+            team: call.team.clone(),
+            weight: self.weight(&call.team),
+            class: request.class,
+            arrived: request.arrived,
+            deadline: request.deadline(),
+            cost: self.classes.mean(&call.service).unwrap_or(Ms(1)),
+        };
+        let bound = self.bound(&call.service);
+        let queue = self
+            .queues
+            .entry(call.service.clone())
+            .or_insert_with(|| Queue::new(bound));
+        let place = queue.push(item);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.place = Some(place);
+        }
+    }
+
+    fn weight(&self, team: &Name) -> u32 {
+        let config = self.config.as_ref();
+        let team = config.and_then(|config| config.team(team));
+        team.map_or(1, |team| team.weight)
+    }
+
+    fn bound(&self, service: &Name) -> usize {
+        let config = self.config.as_ref();
+        let service = config.and_then(|config| config.service(service));
+        service.map_or(0, |service| service.queue as usize)
+    }
+
+    /// Whether the share of long work is bounded now.
+    pub(super) fn bounded(&self, now: Ms) -> bool {
+        now < self.short_until
+            || self
+                .queues
+                .values()
+                .any(|queue| queue.waiting(Class::Short) > 0)
+    }
+
+    fn configure(&mut self, config: Arc<Checked>) {
+        let limits = &config.document().limits;
+        self.retries.set(limits.retries);
+        self.hedges.set(limits.hedges);
+        for service in &config.document().services {
+            if let Some(queue) = self.queues.get_mut(&service.name) {
+                queue.set_bound(service.queue as usize);
+            }
+        }
+        self.config = Some(config);
+    }
+
+    /// How long requests of former owners may still hold slots of an adopted target.
+    fn hold(&self) -> Ms {
+        let services = self
+            .config
+            .iter()
+            .flat_map(|config| &config.document().services);
+        let longest = services.map(|service| service.attempt).max();
+        longest.unwrap_or(DEFAULT_HOLD) + MARGIN
+    }
+
+    fn adopt(&mut self, now: Ms, book: Book) {
+        let key = (book.issuer.clone(), book.incarnation);
+        if key.0 == self.entry && key.1 == self.incarnation {
+            return;
+        }
+        // A repeated book is older than what was done under the first.
+        self.adopted
+            .entry(key)
+            .or_insert_with(|| Ledger::adopt(now, book));
+    }
+
+    fn ledger(&mut self, issuer: Option<&(Name, u64)>) -> Option<&mut Ledger> {
+        match issuer {
+            None => Some(&mut self.tickets),
+            Some(issuer) => self.adopted.get_mut(issuer),
+        }
+    }
+
+    pub(super) fn release(&mut self, key: &Key) {
+        if let Some(ledger) = self.ledger(key.issuer.as_ref()) {
+            ledger.release(key.number);
+        }
+    }
+
+    pub(super) fn settle(&mut self, now: Ms, key: &Key, outcome: Outcome) {
+        if let Some(ledger) = self.ledger(key.issuer.as_ref()) {
+            ledger.settle(now, key.number, outcome);
+        }
+    }
+
+    pub(super) fn refuse(&mut self, call: u64, refusal: Refusal) {
+        self.reply(call, Outcome::Refused(refusal));
+    }
+
+    pub(super) fn reply(&mut self, call: u64, outcome: Outcome) {
+        match &outcome {
+            Outcome::Answered(_) => {}
+            Outcome::Refused(why) => {
+                self.note(Kind::RequestRefused, call, None, format!("{why:?}"))
+            }
+            Outcome::Unknown => self.note(Kind::RequestUnknown, call, None, String::new()),
+        }
+        self.actions.push(Action::Reply { call, outcome });
+    }
+
+    pub(super) fn note(&mut self, kind: Kind, call: u64, vm: Option<Name>, cause: String) {
+        self.actions.push(Action::Note(Note {
+            kind,
+            subject: call.to_string(),
+            vm,
+            epoch: None,
+            cause,
+        }));
+    }
+
+    fn advance(&mut self, now: Ms) {
+        self.table.advance(now);
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Deadline(id) => self.expire(now, id),
+                Due::Expiry(attempt) => self.time_out(now, attempt),
+                Due::Slow(attempt) => self.slow(attempt),
+                Due::Hedge(attempt) => self.hedge(now, attempt),
+            }
+        }
+    }
+
+    fn update(&mut self, now: Ms, targets: Vec<super::Target>) {
+        let hold = self.hold();
+        for vm in self.table.update(now, targets, hold) {
+            self.actions.push(Action::Note(Note {
+                kind: Kind::Leaving,
+                subject: vm.to_string(),
+                vm: Some(vm),
+                epoch: None,
+                cause: "marked as leaving by its owner".into(),
+            }));
+        }
+    }
+
+    fn tick(&mut self, now: Ms) {
+        self.tickets.advance(now);
+        for ledger in self.adopted.values_mut() {
+            ledger.advance(now);
+        }
+    }
+}
+
+impl Step for Machine {
+    type Event = Event;
+    type Action = Action;
+
+    fn step(&mut self, now: Ms, event: Event) -> Vec<Action> {
+        self.advance(now);
+        match event {
+            Event::Arrived(call) => self.arrive(now, call),
+            Event::Withdrawn(call) => self.withdraw(now, call),
+            Event::Finished(attempt, ending) => self.end(now, attempt, ending),
+            Event::Tick => self.tick(now),
+            Event::Targets(targets) => self.update(now, targets),
+            Event::Peers(peers) => self.peers.update(peers),
+            Event::Config(config) => self.configure(config),
+            Event::Adopt(book) => self.adopt(now, book),
+            Event::Stopping => self.stopping = true,
+        }
+        self.dispatch(now);
+        std::mem::take(&mut self.actions)
+    }
+}
--- /dev/null
+++ b/crates/decision/src/request/peers.rs
@@ -0,0 +1,115 @@
+//! The peers as the request path sees them.
+
+use crate::name::Name;
+use crate::request::Peer;
+use crate::ticket::Ticket;
+
+#[derive(Debug)]
+struct Entry {
+    peer: Peer,
+    /// Requests forwarded since the peer last told its load.
+    sent: u32,
+}
+
+impl Entry {
+    const fn free(&self) -> u32 {
+        self.peer.free.saturating_sub(self.sent)
+    }
+}
+
+/// The live peers.
+#[derive(Debug, Default)]
+pub struct Peers {
+    entries: Vec<Entry>,
+}
+
+impl Peers {
+    /// Takes in the live peers, all of them.
+    pub fn update(&mut self, peers: Vec<Peer>) {
+        let mut former = std::mem::take(&mut self.entries);
+        self.entries = peers
+            .into_iter()
+            .map(|peer| {
+                // An unchanged summary is old news, to which the count still applies.
+                let same = former.iter_mut().find(|entry| entry.peer == peer);
+                let sent = same.map_or(0, |entry| entry.sent);
+                Entry { peer, sent }
+            })
+            .collect();
+    }
+
+    /// The peer that answers for a ticket: the adopter of its issuer, or the issuer itself.
+    #[must_use]
+    pub fn responsible(&self, ticket: &Ticket) -> Option<&Name> {
+        self.adopter(&ticket.issuer, ticket.incarnation)
+            .or_else(|| {
+                self.entries
+                    .iter()
+                    .map(|entry| &entry.peer)
+                    .find(|peer| {
+                        peer.entry == ticket.issuer && peer.incarnation == ticket.incarnation
+                    })
+                    .map(|peer| &peer.entry)
+            })
+    }
+
+    /// The peer that took over the tickets of an incarnation.
+    #[must_use]
+    pub fn adopter(&self, issuer: &Name, incarnation: u64) -> Option<&Name> {
+        let adopted = |peer: &Peer| {
+            peer.adopted
+                .iter()
+                .any(|(entry, process)| entry == issuer && *process == incarnation)
+        };
+        self.entries
+            .iter()
+            .map(|entry| &entry.peer)
+            .find(|peer| adopted(peer))
+            .map(|peer| &peer.entry)
+    }
+
+    /// The peer with the most free slots.
+    #[must_use]
+    pub fn freest(&self) -> Option<&Name> {
+        self.takers()
+            .filter(|entry| entry.free() > 0)
+            .max_by_key(|entry| entry.free())
+            .map(|entry| &entry.peer.entry)
+    }
+
+    /// The peer to send to when this entry cannot serve at all: the one with the most free slots,
+    /// then with the fewest waiting requests.
+    #[must_use]
+    pub fn least_loaded(&self) -> Option<&Name> {
+        self.takers()
+            .max_by_key(|entry| {
+                let waiting = entry.peer.waiting.saturating_add(entry.sent);
+                (entry.free(), std::cmp::Reverse(waiting))
+            })
+            .map(|entry| &entry.peer.entry)
+    }
+
+    /// Counts a request forwarded to a peer.
+    pub fn count(&mut self, entry: &Name) {
+        if let Some(entry) = self.find(entry) {
+            entry.sent = entry.sent.saturating_add(1);
+        }
+    }
+
+    /// A peer refused a request: it has no free slot until it tells so.
+    pub fn refused(&mut self, entry: &Name) {
+        if let Some(entry) = self.find(entry) {
+            entry.sent = entry.sent.max(entry.peer.free);
+        }
+    }
+
+    fn takers(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.iter().filter(|entry| !entry.peer.stopping)
+    }
+
+    fn find(&mut self, name: &Name) -> Option<&mut Entry> {
+        self.entries
+            .iter_mut()
+            .find(|entry| entry.peer.entry == *name)
+    }
+}
--- /dev/null
+++ b/crates/decision/src/request/work.rs
@@ -0,0 +1,131 @@
+//! Requests and attempts in progress.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+
+use super::Answer;
+use super::Attempt;
+use super::Call;
+use super::Refusal;
+use crate::classify::Class;
+use crate::clock::Ms;
+use crate::name::Name;
+use crate::queue::Place;
+use crate::route;
+
+/// A caller that waits for the outcome of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Waiter {
+    pub call: u64,
+    pub deadline: Ms,
+}
+
+/// Where a request may go.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Route {
+    /// To an owned target, or once to a peer with free slots.
+    Serve,
+    /// To the peer that answers for its ticket.
+    Issuer,
+}
+
+/// The ticket that a request has spent.
+#[derive(Clone, Debug)]
+pub struct Key {
+    /// The adopted issuer, or `None` for our own tickets.
+    pub issuer: Option<(Name, u64)>,
+    pub number: u64,
+}
+
+/// A request in progress, with everyone who waits for it.
+#[derive(Debug)]
+pub struct Request {
+    pub call: Arc<Call>,
+    pub waiters: Vec<Waiter>,
+    pub key: Option<Key>,
+    pub route: Route,
+    pub class: Class,
+    pub arrived: Ms,
+    pub place: Option<Place>,
+    /// Attempts in flight.
+    pub flights: Vec<Attempt>,
+    /// Targets that failed it.
+    pub tried: Vec<route::Id>,
+    pub sends: u32,
+    /// Whether an attempt may have run.
+    pub ran: bool,
+    /// The answer of a target that failed.
+    pub failed: Option<Answer>,
+    pub refusal: Option<Refusal>,
+}
+
+impl Request {
+    /// When the last waiter gives up.
+    pub fn deadline(&self) -> Ms {
+        let deadlines = self.waiters.iter().map(|waiter| waiter.deadline);
+        deadlines.max().unwrap_or(Ms::ZERO)
+    }
+
+    /// Whether it may go to a peer for capacity: once, and not when it came from a peer for that.
+    /// A request that came for its ticket may.
+    pub fn may_forward(&self) -> bool {
+        self.route == Route::Serve && (!self.call.forwarded || self.key.is_some())
+    }
+}
+
+/// Where an attempt went.
+#[derive(Clone, Debug)]
+pub enum To {
+    Target(route::Choice),
+    Peer(Name),
+}
+
+/// An attempt in flight, or one whose slot is still booked.
+#[derive(Clone, Debug)]
+pub struct InFlight {
+    pub request: u64,
+    pub service: Name,
+    pub kind: Name,
+    pub to: To,
+    pub sent: Ms,
+    /// When the slot is given back without news.
+    pub expires: Ms,
+    pub long: bool,
+    /// Whether its ending still counts for the request.
+    pub live: bool,
+}
+
+/// What falls due.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Due {
+    /// The deadline of a waiter of this request.
+    Deadline(u64),
+    /// The end of an attempt without news.
+    Expiry(Attempt),
+    /// The time after which a short request counts as long.
+    Slow(Attempt),
+    /// The time after which a hedge is worth sending.
+    Hedge(Attempt),
+}
+
+/// What falls due, in order.
+#[derive(Debug, Default)]
+pub struct Timers(BinaryHeap<Reverse<(Ms, Due)>>);
+
+impl Timers {
+    pub fn set(&mut self, at: Ms, due: Due) {
+        self.0.push(Reverse((at, due)));
+    }
+
+    pub fn next(&self) -> Option<Ms> {
+        self.0.peek().map(|Reverse((at, _))| *at)
+    }
+
+    pub fn pop(&mut self, now: Ms) -> Option<Due> {
+        if self.next()? > now {
+            return None;
+        }
+        self.0.pop().map(|Reverse((_, due))| due)
+    }
+}
--- /dev/null
+++ b/crates/decision/src/route.rs
@@ -0,0 +1,431 @@
+//! The owned targets with their slots, and the choice among them.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use crate::clock::Ms;
+use crate::health::Change;
+use crate::health::Health;
+use crate::name::Name;
+use crate::request::Target;
+use crate::worker::Epoch;
+
+/// The cost of a target in another failure domain, in percent of one request in progress.
+const FAR: u64 = 25;
+/// Long requests may hold this part of a target's slots, in eighths.
+const LONG_EIGHTHS: u32 = 3;
+/// Long requests may hold this part of the entry's slots, in percent.
+const LONG_PERCENT: u32 = 40;
+
+/// Long requests that hold less than this fraction of the slots go first.
+const SCARCE: u32 = 10;
+
+/// Refers to a target while it has requests or is owned.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Id(u32);
+
+/// What a request needs of its target.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Ask<'a> {
+    /// Whether the share of long requests must be kept.
+    pub bounded: bool,
+    /// Whether it may run more than once, which makes it the first choice for probes.
+    pub repeatable: bool,
+    /// Targets that it does not go to.
+    pub tried: &'a [Id],
+}
+
+/// A chosen target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// The target.
+    pub id: Id,
+    /// Whether the request probes a quarantined target.
+    pub probe: bool,
+}
+
+/// Orders targets by load times slowdown, then by the time of last use.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Rank {
+    cost: u64,
+    stamp: u64,
+    id: Id,
+}
+
+#[derive(Debug)]
+struct Entry {
+    target: Target,
+    owned: bool,
+    near: bool,
+    /// Our own requests.
+    busy: u32,
+    /// Those of them that are long.
+    long: u32,
+    /// Slots counted for requests of former owners, until `inherited_until`.
+    inherited: u32,
+    inherited_until: Ms,
+    stamp: u64,
+    health: Health,
+    rank: Option<Rank>,
+    probe_at: Option<Ms>,
+    /// What this target contributes to the totals.
+    capacity: u32,
+    free: u32,
+}
+
+impl Entry {
+    fn capacity(&self) -> u32 {
+        if !self.owned || self.target.leaving {
+            return 0;
+        }
+        self.health.limit(self.target.slots)
+    }
+
+    /// Free slots under the health limit, never more than the target has free.
+    fn free(&self) -> u32 {
+        let limit = self.capacity().saturating_sub(self.busy);
+        limit.min(self.vacant())
+    }
+
+    /// Slots that nobody uses.
+    fn vacant(&self) -> u32 {
+        self.target.slots.saturating_sub(self.busy + self.inherited)
+    }
+
+    fn long_limit(&self) -> u32 {
+        (self.target.slots * LONG_EIGHTHS / 8).max(1)
+    }
+
+    fn rank(&self, id: Id) -> Rank {
+        let slots = u64::from(self.target.slots.max(1));
+        let slowdown = u64::from(self.target.slowdown.clamp(1, 10_000));
+        let load =
+            u64::from(self.busy + self.inherited + 1) * 100 + if self.near { 0 } else { FAR };
+        Rank {
+            cost: load * slowdown * 8 / slots,
+            stamp: self.stamp,
+            id,
+        }
+    }
+}
+
+/// The owned targets.
+#[derive(Debug)]
+pub struct Table {
+    domain: Name,
+    ids: HashMap<Name, Id>,
+    entries: Vec<Entry>,
+    unused: Vec<Id>,
+    /// Targets with a free slot, best first.
+    open: BTreeSet<Rank>,
+    /// Those of them that may take another long request.
+    open_long: BTreeSet<Rank>,
+    probes: BTreeSet<(Ms, Id)>,
+    inherited: BTreeSet<(Ms, Id)>,
+    stamp: u64,
+    capacity: u32,
+    free: u32,
+    long: u32,
+    /// Targets with capacity.
+    usable: usize,
+}
+
+impl Table {
+    /// A table without targets, seen from a failure domain.
+    #[must_use]
+    pub fn new(domain: Name) -> Self {
+        Self {
+            domain,
+            ids: HashMap::new(),
+            entries: Vec::new(),
+            unused: Vec::new(),
+            open: BTreeSet::new(),
+            open_long: BTreeSet::new(),
+            probes: BTreeSet::new(),
+            inherited: BTreeSet::new(),
+            stamp: 0,
+            capacity: 0,
+            free: 0,
+            long: 0,
+            usable: 0,
+        }
+    }
+
+    /// Takes in the owned targets, all of them. Slots in use by former owners are counted for
+    /// `hold`, after which those requests have ended. Returns the targets that began to leave.
+    pub fn update(&mut self, now: Ms, targets: Vec<Target>, hold: Ms) -> Vec<Name> {
+        let mut leaving = Vec::new();
+        let present: HashSet<Name> = targets.iter().map(|target| target.vm.clone()).collect();
+        let gone: Vec<Id> = self
+            .ids
+            .iter()
+            .filter(|(vm, _)| !present.contains(*vm))
+            .map(|(_, id)| *id)
+            .collect();
+        for id in gone {
+            self.entry(id).owned = false;
+            self.refresh(id);
+        }
+        for target in targets {
+            if target.leaving && self.begins_to_leave(&target) {
+                leaving.push(target.vm.clone());
+            }
+            self.put(now, target, hold);
+        }
+        leaving
+    }
+
+    /// The best target with a free slot.
+    #[must_use]
+    pub fn choose(&self, now: Ms, ask: &Ask<'_>) -> Option<Choice> {
+        if ask.bounded && self.long * 100 >= self.capacity * LONG_PERCENT {
+            return None;
+        }
+        if let Some(id) = self.choose_probe(now, ask) {
+            return Some(Choice { id, probe: true });
+        }
+        let open = if ask.bounded {
+            &self.open_long
+        } else {
+            &self.open
+        };
+        let rank = open.iter().find(|rank| !ask.tried.contains(&rank.id))?;
+        Some(Choice {
+            id: rank.id,
+            probe: false,
+        })
+    }
+
+    /// Books a slot of a chosen target.
+    pub fn take(&mut self, choice: Choice, long: bool) {
+        self.stamp += 1;
+        let stamp = self.stamp;
+        let entry = self.entry(choice.id);
+        assert!(
+            entry.vacant() > 0,
+            "a slot is booked only where one is free"
+        );
+        entry.busy += 1;
+        entry.stamp = stamp;
+        if choice.probe {
+            entry.health.probe();
+        }
+        self.count_long(choice.id, long);
+        self.refresh(choice.id);
+    }
+
+    /// A request turned out to be long.
+    pub fn lengthen(&mut self, id: Id) {
+        self.count_long(id, true);
+        self.refresh(id);
+    }
+
+    /// Gives back a slot.
+    pub fn release(&mut self, id: Id, long: bool) {
+        let entry = self.entry(id);
+        assert!(entry.busy > 0, "a slot is given back only once");
+        entry.busy -= 1;
+        if long {
+            entry.long -= 1;
+            self.long -= 1;
+        }
+        self.refresh(id);
+    }
+
+    /// Takes in a result for the target's health.
+    pub fn record(&mut self, now: Ms, choice: Choice, failed: bool) -> Change {
+        let change = self
+            .entry(choice.id)
+            .health
+            .record(now, failed, choice.probe);
+        self.refresh(choice.id);
+        change
+    }
+
+    /// A request ended without telling anything about the target.
+    pub fn skip(&mut self, choice: Choice) {
+        if choice.probe {
+            self.entry(choice.id).health.unprobe();
+            self.refresh(choice.id);
+        }
+    }
+
+    /// Releases the slots whose former owners' requests have ended.
+    pub fn advance(&mut self, now: Ms) {
+        while let Some((until, id)) = self.inherited.first().copied() {
+            if until > now {
+                return;
+            }
+            self.inherited.pop_first();
+            self.entry(id).inherited = 0;
+            self.refresh(id);
+        }
+    }
+
+    /// The target's VM.
+    #[must_use]
+    pub fn vm(&self, id: Id) -> &Name {
+        &self.entries[id.0 as usize].target.vm
+    }
+
+    /// The epoch to send with requests.
+    #[must_use]
+    pub fn epoch(&self, id: Id) -> Epoch {
+        self.entries[id.0 as usize].target.epoch
+    }
+
+    /// Slots that may be used now.
+    #[must_use]
+    pub const fn free(&self) -> u32 {
+        self.free
+    }
+
+    /// How many targets may be used at all.
+    #[must_use]
+    pub const fn usable(&self) -> usize {
+        self.usable
+    }
+
+    /// Whether long requests hold less than a tenth of the slots. They are then served before short
+    /// ones, which could keep them waiting for ever.
+    #[must_use]
+    pub const fn long_scarce(&self) -> bool {
+        self.long * SCARCE < self.capacity
+    }
+
+    /// Slots that may be used at all.
+    #[must_use]
+    pub const fn capacity(&self) -> u32 {
+        self.capacity
+    }
+
+    fn choose_probe(&self, now: Ms, ask: &Ask<'_>) -> Option<Id> {
+        let due = self.probes.iter().take_while(|(at, _)| *at <= now);
+        due.map(|(at, id)| (*at, *id))
+            .filter(|(_, id)| !ask.tried.contains(id))
+            .find(|(at, id)| {
+                let entry = &self.entries[id.0 as usize];
+                let patient = *at + entry.health.interval() <= now;
+                entry.vacant() > 0 && (ask.repeatable || patient)
+            })
+            .map(|(_, id)| id)
+    }
+
+    fn begins_to_leave(&self, target: &Target) -> bool {
+        self.ids
+            .get(&target.vm)
+            .is_some_and(|id| !self.entries[id.0 as usize].target.leaving)
+    }
+
+    fn put(&mut self, now: Ms, target: Target, hold: Ms) {
+        let Some(id) = self.ids.get(&target.vm).copied() else {
+            self.add(now, target, hold);
+            return;
+        };
+        let near = target.domain == self.domain;
+        let entry = self.entry(id);
+        let adopted = entry.target.epoch != target.epoch;
+        entry.owned = true;
+        entry.near = near;
+        entry.target = target;
+        if adopted {
+            self.inherit(now, id, hold);
+        }
+        self.refresh(id);
+    }
+
+    fn add(&mut self, now: Ms, target: Target, hold: Ms) {
+        let vm = target.vm.clone();
+        let entry = Entry {
+            near: target.domain == self.domain,
+            target,
+            owned: true,
+            busy: 0,
+            long: 0,
+            inherited: 0,
+            inherited_until: Ms::ZERO,
+            stamp: self.stamp,
+            health: Health::default(),
+            rank: None,
+            probe_at: None,
+            capacity: 0,
+            free: 0,
+        };
+        let id = match self.unused.pop() {
+            Some(id) => {
+                *self.entry(id) = entry;
+                id
+            }
+            None => {
+                let index = u32::try_from(self.entries.len());
+                self.entries.push(entry);
+                Id(index.expect("fewer than 2^32 targets are owned"))
+            }
+        };
+        self.ids.insert(vm, id);
+        self.inherit(now, id, hold);
+        self.refresh(id);
+    }
+
+    /// Counts the slots in use by former owners. A report under a new epoch may include our own
+    /// requests; counting them twice for a while is safe, counting too few is not.
+    fn inherit(&mut self, now: Ms, id: Id, hold: Ms) {
+        let entry = &mut self.entries[id.0 as usize];
+        self.inherited.remove(&(entry.inherited_until, id));
+        entry.inherited = entry
+            .inherited
+            .max(entry.target.busy)
+            .min(entry.target.slots);
+        entry.inherited_until = now + hold;
+        if entry.inherited > 0 {
+            self.inherited.insert((entry.inherited_until, id));
+        }
+    }
+
+    fn count_long(&mut self, id: Id, long: bool) {
+        if long {
+            self.entry(id).long += 1;
+            self.long += 1;
+        }
+    }
+
+    fn entry(&mut self, id: Id) -> &mut Entry {
+        &mut self.entries[id.0 as usize]
+    }
+
+    /// Brings the indexes and totals in line with the target's state.
+    fn refresh(&mut self, id: Id) {
+        let entry = &mut self.entries[id.0 as usize];
+        if let Some(rank) = entry.rank.take() {
+            self.open.remove(&rank);
+            self.open_long.remove(&rank);
+        }
+        if let Some(at) = entry.probe_at.take() {
+            self.probes.remove(&(at, id));
+        }
+        self.capacity = self.capacity - entry.capacity + entry.capacity();
+        self.free = self.free - entry.free + entry.free();
+        self.usable -= usize::from(entry.capacity > 0);
+        entry.capacity = entry.capacity();
+        self.usable += usize::from(entry.capacity > 0);
+        entry.free = entry.free();
+        if entry.free > 0 {
+            let rank = entry.rank(id);
+            entry.rank = Some(rank);
+            self.open.insert(rank);
+            if entry.long < entry.long_limit() {
+                self.open_long.insert(rank);
+            }
+        }
+        if entry.owned && !entry.target.leaving {
+            entry.probe_at = entry.health.probe_at();
+            self.probes.extend(entry.probe_at.map(|at| (at, id)));
+        }
+        if !entry.owned && entry.busy == 0 && self.ids.get(&entry.target.vm) == Some(&id) {
+            self.inherited.remove(&(entry.inherited_until, id));
+            self.ids.remove(&entry.target.vm);
+            self.unused.push(id);
+        }
+    }
+}
--- a/crates/decision/src/ticket.rs
+++ b/crates/decision/src/ticket.rs
@@ -1,11 +1,17 @@
 //! Tickets: idempotency keys that only their issuer may run, at most once.
 
+mod bits;
+mod ledger;
+
 use std::fmt;
 
 use quick_error::quick_error;
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::ledger::Claim;
+pub use self::ledger::LIFE;
+pub use self::ledger::Ledger;
 use crate::name::Name;
 
 quick_error! {
--- /dev/null
+++ b/crates/decision/src/ticket/ledger.rs
@@ -0,0 +1,287 @@
+//! What an entry remembers of the tickets of one incarnation.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::Ticket;
+use super::bits::Bits;
+use crate::clock::Ms;
+use crate::name::Name;
+use crate::request::Book;
+use crate::request::Outcome;
+
+/// An unused ticket expires after this time, and an answer is kept for it.
+pub const LIFE: Ms = Ms(120_000);
+/// Tickets issued within this time share one expiry, which bounds the number of marks.
+const MARK: Ms = Ms(100);
+/// Bodies of retained answers; beyond this the oldest are forgotten.
+const MAX_RETAINED_BYTES: usize = 32 << 20;
+/// Leaves room for the envelope in the 1 MiB limit of peer messages.
+const MAX_BOOK_BYTES: usize = 900 << 10;
+/// Upper bound of the encoded size of one used ticket without its answer.
+const SPENT_BYTES: usize = 12;
+/// Upper bound of the encoded size of an answer without its body.
+const OUTCOME_BYTES: usize = 64;
+
+/// What a presented ticket allows.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Claim {
+    /// Never used; now spent by the caller of [`Ledger::claim`].
+    Spent,
+    /// In use by this request.
+    Running(u64),
+    /// Used; here is the outcome.
+    Retained(Outcome),
+    /// Not usable and never used: it expired or was not issued.
+    Expired,
+    /// It may have been used; its outcome is not kept.
+    Forgotten,
+}
+
+#[derive(Debug)]
+enum State {
+    Running(u64),
+    Retained(Outcome),
+}
+
+/// Numbers below `below` that are unused at `at` have expired.
+#[derive(Debug)]
+struct Mark {
+    below: u64,
+    at: Ms,
+}
+
+/// The tickets of one incarnation: issued, in use, and used with their outcomes.
+#[derive(Debug)]
+pub struct Ledger {
+    issuer: Name,
+    incarnation: u64,
+    secret: u64,
+    next: u64,
+    /// Unused numbers below this have expired. It never falls.
+    floor: u64,
+    marks: VecDeque<Mark>,
+    used: Bits,
+    states: HashMap<u64, State>,
+    retained: VecDeque<(Ms, u64)>,
+    retained_bytes: usize,
+}
+
+impl Ledger {
+    /// An empty ledger of a new incarnation.
+    #[must_use]
+    pub fn new(issuer: Name, incarnation: u64, secret: u64) -> Self {
+        Self {
+            issuer,
+            incarnation,
+            secret,
+            next: 0,
+            floor: 0,
+            marks: VecDeque::new(),
+            used: Bits::default(),
+            states: HashMap::new(),
+            retained: VecDeque::new(),
+            retained_bytes: 0,
+        }
+    }
+
+    /// The ledger that continues a book handed over.
+    #[must_use]
+    pub fn adopt(now: Ms, book: Book) -> Self {
+        let mut ledger = Self::new(book.issuer, book.incarnation, book.secret);
+        ledger.next = book.next;
+        for (below, age) in book.issued {
+            let at = now + LIFE.since(age);
+            ledger.marks.push_back(Mark { below, at });
+        }
+        // Everything in the book was issued before it was adopted.
+        let mark = Mark {
+            below: book.next,
+            at: now + LIFE,
+        };
+        ledger.marks.push_back(mark);
+        let horizon = ledger.marks.front().map_or(0, |mark| mark.below);
+        let first = book.spent.iter().map(|(number, _)| *number).min();
+        ledger
+            .used
+            .forget_below(horizon.min(first.unwrap_or(horizon)));
+        for (number, outcome) in book.spent {
+            ledger.used.set(number);
+            if let Some(outcome) = outcome {
+                ledger.retain(now, number, outcome);
+            }
+        }
+        ledger.used.forget_below(horizon);
+        ledger.advance(now);
+        ledger
+    }
+
+    /// Whether the ticket names this ledger's incarnation.
+    #[must_use]
+    pub fn covers(&self, ticket: &Ticket) -> bool {
+        ticket.incarnation == self.incarnation && ticket.issuer == self.issuer
+    }
+
+    /// Issues tickets.
+    pub fn mint(&mut self, now: Ms, count: usize) -> Vec<Ticket> {
+        let first = self.next;
+        self.next += count as u64;
+        match self.marks.back_mut() {
+            Some(mark) if mark.at > now + LIFE => mark.below = self.next,
+            _ => self.marks.push_back(Mark {
+                below: self.next,
+                at: now + LIFE + MARK,
+            }),
+        }
+        (first..self.next)
+            .map(|sequence| self.ticket(sequence))
+            .collect()
+    }
+
+    /// Says what the ticket allows, and spends it for `call` if it was never used.
+    pub fn claim(&mut self, now: Ms, ticket: &Ticket, call: u64) -> Claim {
+        self.advance(now);
+        let number = ticket.sequence;
+        let genuine =
+            self.covers(ticket) && number < self.next && ticket.nonce == self.nonce(number);
+        if !genuine {
+            return Claim::Expired;
+        }
+        match self.states.get(&number) {
+            Some(State::Running(call)) => return Claim::Running(*call),
+            Some(State::Retained(outcome)) => return Claim::Retained(outcome.clone()),
+            None => {}
+        }
+        match self.used.get(number) {
+            Some(false) if number >= self.floor => {
+                self.used.set(number);
+                self.states.insert(number, State::Running(call));
+                Claim::Spent
+            }
+            Some(false) => Claim::Expired,
+            Some(true) | None => Claim::Forgotten,
+        }
+    }
+
+    /// Takes back a spent ticket whose request was refused before it could run.
+    pub fn release(&mut self, number: u64) {
+        if let Some(State::Running(_)) = self.states.get(&number) {
+            self.states.remove(&number);
+            self.used.clear(number);
+        }
+    }
+
+    /// Keeps the outcome of a spent ticket.
+    pub fn settle(&mut self, now: Ms, number: u64, outcome: Outcome) {
+        if let Some(State::Running(_)) = self.states.get(&number) {
+            self.retain(now, number, outcome);
+        }
+    }
+
+    /// Forgets what has outlived its time.
+    pub fn advance(&mut self, now: Ms) {
+        while let Some(mark) = self.marks.front().filter(|mark| mark.at <= now) {
+            self.floor = mark.below;
+            self.marks.pop_front();
+        }
+        while let Some((until, _)) = self.retained.front() {
+            if *until > now && self.retained_bytes <= MAX_RETAINED_BYTES {
+                break;
+            }
+            self.forget_oldest();
+        }
+    }
+
+    /// The book for a successor; the ledger must not be used after it.
+    #[must_use]
+    pub fn book(&self, now: Ms) -> Book {
+        let mut issued: Vec<(u64, Ms)> = self
+            .marks
+            .iter()
+            .map(|mark| (mark.below, (LIFE + MARK).since(mark.at.since(now))))
+            .collect();
+        let mut spent = Vec::new();
+        let mut room = MAX_BOOK_BYTES - issued.len().min(MAX_BOOK_BYTES / 64) * SPENT_BYTES;
+        let mut horizon = self.used.start();
+        for number in self
+            .used
+            .iter_down()
+            .take_while(|number| *number < self.next)
+        {
+            if room < SPENT_BYTES {
+                horizon = number + 1;
+                break;
+            }
+            room -= SPENT_BYTES;
+            let outcome = match self.states.get(&number) {
+                Some(State::Retained(outcome)) if size(outcome) + OUTCOME_BYTES <= room => {
+                    room -= size(outcome) + OUTCOME_BYTES;
+                    Some(outcome.clone())
+                }
+                _ => None,
+            };
+            spent.push((number, outcome));
+        }
+        spent.reverse();
+        // The first entry bounds what is remembered: the fate of unlisted numbers below it is
+        // unknown to the successor.
+        issued.retain(|(below, _)| *below > horizon.max(self.floor));
+        if self.floor > horizon {
+            issued.insert(0, (self.floor, LIFE));
+        }
+        issued.insert(0, (horizon, LIFE));
+        Book {
+            issuer: self.issuer.clone(),
+            incarnation: self.incarnation,
+            secret: self.secret,
+            next: self.next,
+            issued,
+            spent,
+        }
+    }
+
+    fn ticket(&self, sequence: u64) -> Ticket {
+        Ticket {
+            issuer: self.issuer.clone(),
+            incarnation: self.incarnation,
+            sequence,
+            nonce: self.nonce(sequence),
+        }
+    }
+
+    /// The first output of a stream cipher keyed with the secret and the number, so that nonces
+    /// seen reveal nothing about others.
+    fn nonce(&self, sequence: u64) -> u64 {
+        let mut key = [0; 32];
+        key[..8].copy_from_slice(&self.secret.to_le_bytes());
+        key[8..16].copy_from_slice(&self.incarnation.to_le_bytes());
+        key[16..24].copy_from_slice(&sequence.to_le_bytes());
+        StdRng::from_seed(key).next_u64()
+    }
+
+    fn retain(&mut self, now: Ms, number: u64, outcome: Outcome) {
+        self.retained_bytes += size(&outcome);
+        self.retained.push_back((now + LIFE, number));
+        self.states.insert(number, State::Retained(outcome));
+    }
+
+    fn forget_oldest(&mut self) {
+        let Some((_, number)) = self.retained.pop_front() else {
+            return;
+        };
+        if let Some(State::Retained(outcome)) = self.states.remove(&number) {
+            self.retained_bytes -= size(&outcome);
+        }
+    }
+}
+
+const fn size(outcome: &Outcome) -> usize {
+    match outcome {
+        Outcome::Answered(answer) => answer.body.len(),
+        Outcome::Refused(_) | Outcome::Unknown => 0,
+    }
+}
--- /dev/null
+++ b/crates/decision/tests/request/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the request path's state machine.
+
+mod basics;
+mod fixture;
