Check the request path against a model and a naive baseline

Cause: table tests alone do not cover orders of events. The first property run found one fault: slots of former owners were capped by the target's slots when adopted, and forgotten when the target was not listed for a moment, so a later list with more slots let too many requests through.

Change: naive::request::Machine; a model of callers, targets and peers that checks repeated orders, untrue refusals, replies, slots and leaving targets for both versions, and that both agree when nothing fails. Slots of former owners are kept as told until their time is over.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config;
 pub mod control;
 pub mod health;
+pub mod naive;
 pub mod name;
 pub mod object;
 pub mod operator;
--- /dev/null
+++ b/crates/decision/src/naive.rs
@@ -0,0 +1,3 @@
+//! The baselines that the current decisions are compared with.
+
+pub mod request;
--- a/crates/decision/src/route.rs
+++ b/crates/decision/src/route.rs
@@ -90,7 +90,9 @@
 
     /// Slots that nobody uses.
     fn vacant(&self) -> u32 {
-        self.target.slots.saturating_sub(self.busy + self.inherited)
+        self.target
+            .slots
+            .saturating_sub(self.busy.saturating_add(self.inherited))
     }
 
     fn long_limit(&self) -> u32 {
@@ -100,8 +102,8 @@
     fn rank(&self, id: Id) -> Rank {
         let slots = u64::from(self.target.slots.max(1));
         let slowdown = u64::from(self.target.slowdown.clamp(1, 10_000));
-        let load =
-            u64::from(self.busy + self.inherited + 1) * 100 + if self.near { 0 } else { FAR };
+        let load = (u64::from(self.busy) + u64::from(self.inherited) + 1) * 100
+            + if self.near { 0 } else { FAR };
         Rank {
             cost: load * slowdown * 8 / slots,
             stamp: self.stamp,
@@ -373,10 +375,7 @@
     fn inherit(&mut self, now: Ms, id: Id, hold: Ms) {
         let entry = &mut self.entries[id.0 as usize];
         self.inherited.remove(&(entry.inherited_until, id));
-        entry.inherited = entry
-            .inherited
-            .max(entry.target.busy)
-            .min(entry.target.slots);
+        entry.inherited = entry.inherited.max(entry.target.busy);
         entry.inherited_until = now + hold;
         if entry.inherited > 0 {
             self.inherited.insert((entry.inherited_until, id));
@@ -422,8 +421,8 @@
             entry.probe_at = entry.health.probe_at();
             self.probes.extend(entry.probe_at.map(|at| (at, id)));
         }
-        if !entry.owned && entry.busy == 0 && self.ids.get(&entry.target.vm) == Some(&id) {
-            self.inherited.remove(&(entry.inherited_until, id));
+        let unused = !entry.owned && entry.busy + entry.inherited == 0;
+        if unused && self.ids.get(&entry.target.vm) == Some(&id) {
             self.ids.remove(&entry.target.vm);
             self.unused.push(id);
         }
--- a/crates/decision/tests/request/main.rs
+++ b/crates/decision/tests/request/main.rs
@@ -2,3 +2,5 @@
 
 mod basics;
 mod fixture;
+mod model;
+mod properties;
--- /dev/null
+++ b/crates/decision/tests/request/model.rs
@@ -0,0 +1,439 @@
+//! A model of targets, peers and callers that drives a request path and checks its rules.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use decision::clock::Ms;
+use decision::naive;
+use decision::request::Action;
+use decision::request::Answer;
+use decision::request::Attempt;
+use decision::request::Call;
+use decision::request::Ending;
+use decision::request::Event;
+use decision::request::Machine;
+use decision::request::Outcome;
+use decision::request::Refusal;
+use decision::request::Target;
+use decision::step::Step;
+use decision::ticket::Ticket;
+use decision::worker::Epoch;
+
+use crate::fixture;
+
+/// What the fixture's configuration gives an attempt.
+const ATTEMPT: Ms = Ms(500);
+
+/// A request path under test.
+pub trait Subject: Step<Event = Event, Action = Action> {
+    fn mint(&mut self, now: Ms, count: usize) -> Vec<Ticket>;
+    fn idle(&self) -> bool;
+}
+
+impl Subject for Machine {
+    fn mint(&mut self, now: Ms, count: usize) -> Vec<Ticket> {
+        self.mint(now, count)
+    }
+    fn idle(&self) -> bool {
+        self.idle()
+    }
+}
+
+impl Subject for naive::request::Machine {
+    fn mint(&mut self, now: Ms, count: usize) -> Vec<Ticket> {
+        self.mint(now, count)
+    }
+    fn idle(&self) -> bool {
+        self.idle()
+    }
+}
+
+/// What becomes of an attempt.
+#[derive(Clone, Debug)]
+pub enum Fate {
+    /// It runs and is answered after a while.
+    Answer(u64, u16),
+    /// It does not run, and that is known after a while.
+    NotRun(u64),
+    /// It runs, and the connection breaks after a while.
+    Broken(u64),
+    /// It runs, and nothing is ever heard.
+    Silent,
+    /// It runs long past its timeout, when it is given up.
+    Late,
+}
+
+/// Which ticket an order carries.
+#[derive(Clone, Copy, Debug)]
+pub enum Key {
+    Repeatable,
+    Fresh,
+    /// One that was used before, if any.
+    Used(usize),
+    Foreign(u64),
+    Missing,
+    /// None, as a peer forwards it for capacity.
+    Vouched,
+}
+
+/// One step of a scenario.
+#[derive(Clone, Debug)]
+pub enum Op {
+    Call {
+        key: Key,
+        kind: bool,
+        stock: bool,
+        time: u64,
+    },
+    Withdraw(usize),
+    /// States of the targets: absent, leaving, or owned with slots, busy slots and epoch.
+    Targets(Vec<Option<(bool, u32, u32, u64)>>),
+    Peers(Vec<u32>),
+    /// An ending that was delivered before comes again.
+    Repeat(usize),
+    Wait(u64),
+    Stop,
+}
+
+#[derive(Debug)]
+struct Sent {
+    call: Call,
+    vm: Option<String>,
+    ends: Ms,
+    over: bool,
+    not_run: bool,
+    refused: bool,
+}
+
+/// The model with what it observed.
+#[derive(Debug)]
+pub struct World<S> {
+    pub subject: S,
+    now: Ms,
+    fates: Vec<Fate>,
+    next_call: u64,
+    calls: BTreeMap<u64, Call>,
+    pub outcomes: BTreeMap<u64, Outcome>,
+    sent: BTreeMap<Attempt, Sent>,
+    pending: BTreeSet<(Ms, Attempt, u16)>,
+    delivered: Vec<(Attempt, Ending)>,
+    targets: BTreeMap<String, Target>,
+    inherited: BTreeMap<(String, Epoch), (u32, Ms)>,
+    used: Vec<Ticket>,
+    /// Whether slots are checked; the naive version counts them by itself.
+    pub check_slots: bool,
+}
+
+const BROKEN: u16 = 0;
+const NOT_RUN: u16 = 1;
+
+impl<S: Subject> World<S> {
+    pub fn new(subject: S, fates: Vec<Fate>) -> Self {
+        let mut world = Self {
+            subject,
+            now: Ms::ZERO,
+            fates,
+            next_call: 0,
+            calls: BTreeMap::new(),
+            outcomes: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            pending: BTreeSet::new(),
+            delivered: Vec::new(),
+            targets: BTreeMap::new(),
+            inherited: BTreeMap::new(),
+            used: Vec::new(),
+            check_slots: true,
+        };
+        world.step(fixture::config(6));
+        world
+    }
+
+    pub fn run(&mut self, ops: &[Op]) {
+        for op in ops {
+            self.apply(op);
+        }
+        self.wait(5_000);
+        let open: Vec<&u64> = self
+            .calls
+            .keys()
+            .filter(|id| !self.outcomes.contains_key(id))
+            .collect();
+        assert!(open.is_empty(), "calls without a reply: {open:?}");
+        assert!(self.subject.idle(), "nothing is in progress at the end");
+    }
+
+    fn apply(&mut self, op: &Op) {
+        match op {
+            Op::Call {
+                key,
+                kind,
+                stock,
+                time,
+            } => self.call(*key, *kind, *stock, *time),
+            Op::Withdraw(index) => {
+                let open = self
+                    .calls
+                    .keys()
+                    .filter(|id| !self.outcomes.contains_key(id));
+                let open: Vec<u64> = open.copied().collect();
+                if let Some(id) = index.checked_rem(open.len()).map(|index| open[index]) {
+                    self.step(Event::Withdrawn(id));
+                }
+            }
+            Op::Targets(states) => self.own(states),
+            Op::Peers(free) => {
+                let peers = free.iter().enumerate();
+                let peers = peers.map(|(index, free)| fixture::peer(&format!("p{index}"), *free));
+                self.step(Event::Peers(peers.collect()));
+            }
+            Op::Repeat(index) => {
+                if let Some(index) = index.checked_rem(self.delivered.len()) {
+                    let (attempt, ending) = self.delivered[index].clone();
+                    self.step(Event::Finished(attempt, ending));
+                }
+            }
+            Op::Wait(time) => self.wait(*time),
+            Op::Stop => self.step(Event::Stopping),
+        }
+    }
+
+    fn call(&mut self, key: Key, kind: bool, stock: bool, time: u64) {
+        self.next_call += 1;
+        let mut call = Call {
+            kind: fixture::name(if kind { "preview" } else { "report" }),
+            team: fixture::name(if stock { "stock" } else { "shop" }),
+            deadline: self.now + Ms(time),
+            ..fixture::call(self.next_call)
+        };
+        call.repeatable = matches!(key, Key::Repeatable);
+        call.forwarded = matches!(key, Key::Vouched);
+        call.ticket = match key {
+            Key::Used(index) if !self.used.is_empty() => {
+                Some(self.used[index % self.used.len()].clone())
+            }
+            Key::Fresh | Key::Used(_) => self.subject.mint(self.now, 1).pop(),
+            Key::Foreign(sequence) => Some(Ticket {
+                issuer: fixture::name("p0"),
+                incarnation: 7,
+                sequence,
+                nonce: 0,
+            }),
+            Key::Repeatable | Key::Missing | Key::Vouched => None,
+        };
+        self.used.extend(
+            call.ticket
+                .iter()
+                .filter(|ticket| &*ticket.issuer == "e1")
+                .cloned(),
+        );
+        call.body = Bytes::from(subject_of(&call));
+        self.calls.insert(call.id, call.clone());
+        self.step(Event::Arrived(call));
+    }
+
+    fn own(&mut self, states: &[Option<(bool, u32, u32, u64)>]) {
+        self.targets.clear();
+        for (index, state) in states.iter().enumerate() {
+            let Some((leaving, slots, busy, row)) = *state else {
+                continue;
+            };
+            let vm = format!("v{index}");
+            let target = Target {
+                epoch: Epoch { row, step: 0 },
+                slots,
+                busy,
+                leaving,
+                ..fixture::target(&vm)
+            };
+            let until = (busy, self.now + ATTEMPT);
+            self.inherited
+                .entry((vm.clone(), target.epoch))
+                .or_insert(until);
+            self.targets.insert(vm, target);
+        }
+        self.step(Event::Targets(self.targets.values().cloned().collect()));
+    }
+
+    fn wait(&mut self, time: u64) {
+        let end = self.now + Ms(time);
+        while self.now < end {
+            let tick = Ms((self.now.0 / 10 + 1) * 10).min(end);
+            let next = self
+                .pending
+                .first()
+                .map_or(tick, |(at, ..)| (*at).min(tick));
+            self.now = next.max(self.now);
+            while let Some((at, attempt, kind)) = self.pending.first().copied() {
+                if at > self.now {
+                    break;
+                }
+                self.pending.pop_first();
+                self.deliver(attempt, kind);
+            }
+            if self.now == tick {
+                self.step(Event::Tick);
+            }
+        }
+    }
+
+    fn deliver(&mut self, attempt: Attempt, kind: u16) {
+        let sent = self.sent.get_mut(&attempt).expect("it was sent");
+        sent.over = true;
+        sent.not_run = kind == NOT_RUN;
+        sent.refused = sent.not_run && sent.vm.is_none();
+        let ending = match kind {
+            BROKEN => Ending::Unknown,
+            NOT_RUN if sent.refused => Ending::Refused(Refusal::Full),
+            NOT_RUN => Ending::NotRun,
+            status => Ending::Answered(Answer {
+                status,
+                body: sent.call.body.clone(),
+            }),
+        };
+        self.delivered.push((attempt, ending.clone()));
+        self.step(Event::Finished(attempt, ending));
+    }
+
+    fn step(&mut self, event: Event) {
+        let actions = self.subject.step(self.now, event);
+        for action in actions {
+            match action {
+                Action::Send {
+                    attempt,
+                    vm,
+                    epoch,
+                    call,
+                    timeout,
+                } => {
+                    self.check_target(&vm, epoch);
+                    self.send(attempt, &call, Some(vm.to_string()), timeout);
+                }
+                Action::Forward {
+                    attempt,
+                    call,
+                    timeout,
+                    ..
+                } => {
+                    self.send(attempt, &call, None, timeout);
+                }
+                Action::Reply { call, outcome } => self.reply(call, outcome),
+                Action::Abandon(attempt) => {
+                    let sent = &self.sent[&attempt];
+                    assert!(sent.call.repeatable, "an order is never cancelled");
+                }
+                Action::Measured { .. } | Action::Note(_) => {}
+            }
+        }
+    }
+
+    /// Guards against requests to targets that are leaving, not owned, or full.
+    fn check_target(&self, vm: &str, epoch: Epoch) {
+        let target = self
+            .targets
+            .get(vm)
+            .expect("only owned targets are sent to");
+        assert!(!target.leaving, "{vm} is leaving");
+        assert_eq!(target.epoch, epoch);
+        let own = self
+            .sent
+            .values()
+            .filter(|sent| sent.vm.as_deref() == Some(vm) && !sent.over && self.now < sent.ends);
+        let inherited = self.inherited.iter();
+        let inherited = inherited
+            .filter(|((name, _), (_, until))| name == vm && self.now < *until)
+            .map(|(_, (busy, _))| *busy as usize);
+        let busy = own.count() + inherited.max().unwrap_or(0);
+        assert!(
+            !self.check_slots || busy < target.slots as usize,
+            "{vm} has {} slots, {busy} in use",
+            target.slots
+        );
+    }
+
+    fn send(&mut self, attempt: Attempt, call: &Call, vm: Option<String>, timeout: Ms) {
+        self.check_repeat(call);
+        assert!(
+            !call.repeatable || !self.outcomes.contains_key(&call.id),
+            "call {} is sent after its reply",
+            call.id
+        );
+        let fate = self.fates.pop().unwrap_or(Fate::Answer(10, 200));
+        let (ends, kind) = match fate {
+            Fate::Answer(time, status) => (self.now + Ms(time), Some(status)),
+            Fate::NotRun(time) => (self.now + Ms(time), Some(NOT_RUN)),
+            Fate::Broken(time) => (self.now + Ms(time), Some(BROKEN)),
+            Fate::Silent => (timeout, None),
+            Fate::Late => (timeout, Some(BROKEN)),
+        };
+        if let Some(kind) = kind {
+            self.pending.insert((
+                ends.min(timeout),
+                attempt,
+                if ends <= timeout { kind } else { BROKEN },
+            ));
+        }
+        let sent = Sent {
+            call: call.clone(),
+            vm,
+            ends: timeout,
+            over: false,
+            not_run: false,
+            refused: false,
+        };
+        assert!(
+            self.sent.insert(attempt, sent).is_none(),
+            "attempts are unique"
+        );
+    }
+
+    /// Guards against an order that is sent again although it may have run.
+    fn check_repeat(&self, call: &Call) {
+        if call.repeatable {
+            return;
+        }
+        let may_have_run = self.attempts_of(call).find(|(_, sent)| !sent.not_run);
+        assert!(may_have_run.is_none(), "{call:?} after {may_have_run:?}");
+    }
+
+    /// Attempts of the same order: with the same ticket of ours, else of the same call.
+    fn attempts_of<'a>(&'a self, call: &'a Call) -> impl Iterator<Item = (&'a Attempt, &'a Sent)> {
+        let subject = subject_of(call);
+        let subject = if call.body.is_empty() {
+            subject
+        } else {
+            String::from_utf8_lossy(&call.body).into()
+        };
+        self.sent
+            .iter()
+            .filter(move |(_, sent)| sent.call.body == subject.as_bytes())
+    }
+
+    fn reply(&mut self, id: u64, outcome: Outcome) {
+        let call = self.calls[&id].clone();
+        match &outcome {
+            Outcome::Answered(answer) => assert_eq!(answer.body, call.body, "another's answer"),
+            Outcome::Refused(refusal) => {
+                let ran = self.attempts_of(&call).find(|(_, sent)| !sent.not_run);
+                assert!(ran.is_none(), "{refusal:?} of {call:?} is untrue: {ran:?}");
+                let foreign = call
+                    .ticket
+                    .as_ref()
+                    .is_some_and(|ticket| &*ticket.issuer != "e1");
+                let refused = self.attempts_of(&call).any(|(_, sent)| sent.refused);
+                assert!(!foreign || refused, "only its issuer refuses a ticket");
+            }
+            Outcome::Unknown => {}
+        }
+        let twice = self.outcomes.insert(id, outcome);
+        assert!(twice.is_none(), "call {id} is answered twice");
+    }
+}
+
+/// What identifies the request of a call: its ticket if we issued it, else the call.
+fn subject_of(call: &Call) -> String {
+    match &call.ticket {
+        Some(ticket) if &*ticket.issuer == "e1" => format!("ticket {}", ticket.sequence),
+        _ => format!("call {}", call.id),
+    }
+}
--- /dev/null
+++ b/crates/decision/tests/request/properties.rs
@@ -0,0 +1,144 @@
+//! Rules that hold in any order of events.
+
+use decision::naive;
+use decision::request::Machine;
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop_oneof;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+
+use crate::fixture::identity;
+use crate::model::Fate;
+use crate::model::Key;
+use crate::model::Op;
+use crate::model::World;
+
+const CASES: u32 = 400;
+
+fn runner() -> TestRunner {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+fn fate() -> impl Strategy<Value = Fate> {
+    prop_oneof![
+        6 => (0..60_u64).prop_map(|time| Fate::Answer(time, 200)),
+        1 => (60..900_u64).prop_map(|time| Fate::Answer(time, 200)),
+        2 => (0..20_u64).prop_map(|time| Fate::Answer(time, 503)),
+        2 => (0..20_u64).prop_map(Fate::NotRun),
+        2 => (0..80_u64).prop_map(Fate::Broken),
+        1 => Just(Fate::Silent),
+        1 => Just(Fate::Late),
+    ]
+}
+
+fn key() -> impl Strategy<Value = Key> {
+    prop_oneof![
+        6 => Just(Key::Repeatable),
+        4 => Just(Key::Fresh),
+        3 => any::<usize>().prop_map(Key::Used),
+        1 => (0..5_u64).prop_map(Key::Foreign),
+        1 => Just(Key::Missing),
+        1 => Just(Key::Vouched),
+    ]
+}
+
+fn call() -> impl Strategy<Value = Op> {
+    let parts = (key(), any::<bool>(), any::<bool>(), 1..600_u64);
+    parts.prop_map(|(key, kind, stock, time)| Op::Call {
+        key,
+        kind,
+        stock,
+        time,
+    })
+}
+
+fn targets() -> impl Strategy<Value = Op> {
+    let state = (proptest::bool::weighted(0.2), 1..4_u32, 0..3_u32, 1..3_u64);
+    vec(option::weighted(0.8, state), 3).prop_map(Op::Targets)
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    prop_oneof![
+        20 => call(),
+        10 => (1..120_u64).prop_map(Op::Wait),
+        2 => any::<usize>().prop_map(Op::Withdraw),
+        2 => any::<usize>().prop_map(Op::Repeat),
+        2 => targets(),
+        1 => vec(0..4_u32, 0..3).prop_map(Op::Peers),
+    ]
+}
+
+fn scenario() -> impl Strategy<Value = (Vec<Op>, Vec<Fate>)> {
+    let ops = (targets(), vec(op(), 1..80), any::<bool>(), vec(op(), 0..20));
+    let ops = ops.prop_map(|(first, mut ops, stop, rest)| {
+        ops.insert(0, first);
+        ops.extend(stop.then_some(Op::Stop));
+        ops.extend(rest);
+        ops
+    });
+    (ops, vec(fate(), 0..120))
+}
+
+/// Guards against repeated orders, untrue refusals, missing or second replies, exceeded slots and
+/// requests to leaving targets under failures of every kind.
+#[test]
+fn the_rules_hold_whatever_fails() {
+    let checked = runner().run(&scenario(), |(ops, fates)| {
+        World::new(Machine::new(&identity("e1")), fates).run(&ops);
+        Ok(())
+    });
+    checked.expect("every scenario keeps the rules");
+}
+
+/// Guards against a baseline that wins by breaking a promise about outcomes.
+#[test]
+fn the_naive_version_keeps_the_rules_of_outcomes() {
+    let checked = runner().run(&scenario(), |(ops, fates)| {
+        let mut world = World::new(naive::request::Machine::new(&identity("e1")), fates);
+        world.check_slots = false;
+        world.run(&ops);
+        Ok(())
+    });
+    checked.expect("every scenario keeps the rules");
+}
+
+/// Guards against decisions that change outcomes where nothing fails and nothing is scarce.
+#[test]
+fn naive_and_current_agree_when_nothing_fails() {
+    let calm = || {
+        let call = (key(), any::<bool>(), any::<bool>(), 200..600_u64);
+        let call = call.prop_map(|(key, kind, stock, time)| Op::Call {
+            key,
+            kind,
+            stock,
+            time,
+        });
+        let ops = vec(prop_oneof![call, (20..60_u64).prop_map(Op::Wait)], 1..60);
+        let fates = vec((1..20_u64).prop_map(|time| Fate::Answer(time, 200)), 60);
+        (ops, fates)
+    };
+    let checked = runner().run(&calm(), |(mut ops, fates)| {
+        let all = Some((false, 8, 0, 1));
+        ops.insert(0, Op::Targets(vec![all; 8]));
+        ops.insert(0, Op::Peers(vec![0]));
+        let identity = identity("e1");
+        let mut current = World::new(Machine::new(&identity), fates.clone());
+        current.run(&ops);
+        let mut naive = World::new(naive::request::Machine::new(&identity), fates);
+        naive.run(&ops);
+        proptest::prop_assert_eq!(current.outcomes, naive.outcomes);
+        Ok(())
+    });
+    checked.expect("outcomes agree");
+}
