--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -1,1 +1,15 @@
-//! The operators' schema and its generated code.
+//! The operators' schema: code generated from `samphiretrail.proto`.
+
+/// Messages, server and client of package `samphiretrail.v1`.
+#[path = "generated/samphiretrail.v1.rs"]
+#[rustfmt::skip]
+#[allow(
+    missing_debug_implementations,
+    missing_docs,
+    clippy::all,
+    clippy::allow_attributes_without_reason,
+    clippy::clone_on_ref_ptr,
+    clippy::use_self,
+    reason = "generated code is not edited"
+)]
+pub mod v1;
