Add a filter and text form of timeline events

Cause: the operator and peer packages both select and print events. Change: timeline::Filter, Display and TryFrom for timeline::Kind. Conclusion: additive; no existing interface changed.

--- a/crates/decision/src/timeline.rs
+++ b/crates/decision/src/timeline.rs
@@ -1,7 +1,12 @@
 //! The time line: every decision and life-cycle event with its cause.
 
+use std::fmt;
+
+use quick_error::quick_error;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::IntoDeserializer;
+use serde::de::value;
 
 use crate::clock::Ms;
 use crate::name::Name;
@@ -87,3 +92,55 @@
     /// The store answers again.
     StoreBack,
 }
+
+quick_error! {
+    /// Why a raw string is not a kind.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum Error {
+        /// There is no such kind.
+        Kind(reason: String) {
+            display("{}", reason)
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.serialize(f)
+    }
+}
+
+impl TryFrom<&str> for Kind {
+    type Error = Error;
+
+    fn try_from(raw: &str) -> Result<Self, Error> {
+        Self::deserialize(raw.into_deserializer())
+            .map_err(|error: value::Error| Error::Kind(error.to_string()))
+    }
+}
+
+/// Selects events; an empty filter selects all.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Filter {
+    /// Events whose subject is this request or job, or a task of this job.
+    pub subject: Option<String>,
+    /// Events on this VM.
+    pub vm: Option<Name>,
+    /// Events of this kind.
+    pub kind: Option<Kind>,
+}
+
+impl Filter {
+    /// Whether the filter selects the event.
+    #[must_use]
+    pub fn selects(&self, event: &Event) -> bool {
+        let note = &event.note;
+        let subject = |wanted: &String| {
+            let rest = note.subject.strip_prefix(wanted.as_str());
+            rest.is_some_and(|rest| rest.is_empty() || rest.starts_with('#'))
+        };
+        self.subject.as_ref().is_none_or(subject)
+            && self.kind.is_none_or(|kind| kind == note.kind)
+            && (self.vm.is_none() || self.vm == note.vm)
+    }
+}
