--- /dev/null
+++ b/crates/link/src/server.rs
@@ -0,0 +1,225 @@
+//! An accept loop with bounds and an orderly end.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::server::conn::auto::Builder;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+use smol::future::FutureExt;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolExecutor;
+use smol_hyper::rt::SmolTimer;
+
+use crate::Spawner;
+
+/// The pause after a failed accept, which is mostly a lack of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Connections at once; further ones are closed on accept.
+    pub connections: usize,
+    /// The longest request head in bytes.
+    pub head: usize,
+    /// Concurrent HTTP/2 streams on a connection.
+    pub streams: u32,
+    /// The time to send a request head.
+    pub head_time: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4_096,
+            head: 16 << 10,
+            streams: 256,
+            head_time: Duration::from_millis(10_000),
+        }
+    }
+}
+
+/// A running server for HTTP/1.1 and HTTP/2.
+pub struct Server {
+    address: SocketAddr,
+    stop: Sender<()>,
+    kill: Sender<()>,
+    ended: Receiver<()>,
+}
+
+impl fmt::Debug for Server {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Server")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+/// What each connection task needs.
+struct Context<H> {
+    handler: H,
+    builder: Builder<SmolExecutor<Spawner>>,
+    stop: Receiver<()>,
+    kill: Receiver<()>,
+    running: Sender<()>,
+}
+
+impl Server {
+    /// Serves `listener` with `handler` until [`Self::stop`] or [`Self::kill`].
+    ///
+    /// # Errors
+    ///
+    /// When the listener has no local address.
+    pub fn start<H, F, B>(
+        spawner: &Spawner,
+        listener: TcpListener,
+        limits: Limits,
+        handler: H,
+    ) -> io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body<Data: Send, Error: std::error::Error + Send + Sync> + Send + 'static,
+    {
+        let (stop, stopped) = smol::channel::bounded(1);
+        let (kill, killed) = smol::channel::bounded(1);
+        let (running, ended) = smol::channel::bounded(1);
+        let server = Self {
+            address: listener.local_addr()?,
+            stop,
+            kill,
+            ended,
+        };
+        let context = Arc::new(Context {
+            handler,
+            builder: builder(spawner, limits),
+            stop: stopped,
+            kill: killed,
+            running,
+        });
+        let loop_spawner = Arc::clone(spawner);
+        spawner
+            .spawn(accept(loop_spawner, listener, limits.connections, context))
+            .detach();
+        Ok(server)
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Accepts nothing more, lets requests in flight finish and waits for the end of all
+    /// connections.
+    pub async fn stop(&self) {
+        self.stop.close();
+        // The channel carries no message; it ends with the last connection task.
+        let _ = self.ended.recv().await;
+    }
+
+    /// Closes all connections at once and waits for their end.
+    pub async fn kill(&self) {
+        self.kill.close();
+        self.stop().await;
+    }
+}
+
+fn builder(spawner: &Spawner, limits: Limits) -> Builder<SmolExecutor<Spawner>> {
+    let mut builder = Builder::new(SmolExecutor::new(Arc::clone(spawner)));
+    builder
+        .http1()
+        .timer(SmolTimer::new())
+        .header_read_timeout(limits.head_time)
+        .max_buf_size(limits.head);
+    builder
+        .http2()
+        .timer(SmolTimer::new())
+        .keep_alive_interval(limits.head_time)
+        .max_concurrent_streams(limits.streams)
+        .max_header_list_size(u32::try_from(limits.head).unwrap_or(u32::MAX));
+    builder
+}
+
+async fn accept<H, F, B>(
+    spawner: Spawner,
+    listener: TcpListener,
+    connections: usize,
+    context: Arc<Context<H>>,
+) where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data: Send, Error: std::error::Error + Send + Sync> + Send + 'static,
+{
+    let stop = context.stop.clone();
+    let incoming = async {
+        loop {
+            match listener.accept().await {
+                // The accept loop itself holds one sender.
+                Ok((stream, _)) if context.running.sender_count() <= connections => {
+                    let context = Arc::clone(&context);
+                    let running = context.running.clone();
+                    spawner.spawn(serve(stream, context, running)).detach();
+                }
+                Ok(_) => {}
+                Err(_) => drop(smol::Timer::after(ACCEPT_PAUSE).await),
+            }
+        }
+    };
+    let stopped = async {
+        let _ = stop.recv().await;
+    };
+    incoming.or(stopped).await;
+}
+
+/// Serves one connection. Its errors end nothing else.
+async fn serve<H, F, B>(stream: TcpStream, context: Arc<Context<H>>, running: Sender<()>)
+where
+    H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data: Send, Error: std::error::Error + Send + Sync> + Send + 'static,
+{
+    drop(stream.set_nodelay(true));
+    let service = service_fn(|request| {
+        let response = (context.handler)(request);
+        async move { Ok::<_, Infallible>(response.await) }
+    });
+    let mut connection = pin!(
+        context
+            .builder
+            .serve_connection(FuturesIo::new(stream), service)
+    );
+    let stop = context.stop.recv();
+    let killed = async {
+        let _ = context.kill.recv().await;
+    };
+    let served = async {
+        let ended = async {
+            drop(connection.as_mut().await);
+            true
+        };
+        let stopped = async {
+            let _ = stop.await;
+            false
+        };
+        if !ended.or(stopped).await {
+            connection.as_mut().graceful_shutdown();
+            drop(connection.await);
+        }
+    };
+    served.or(killed).await;
+    drop(running);
+}
