--- /dev/null
+++ b/crates/caller/src/server.rs
@@ -0,0 +1,105 @@
+//! Serves callers over HTTP/1.1 and HTTP/2.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decision::ticket::Ticket;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use link::Spawner;
+use link::server::Limits;
+use link::server::Server;
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::net::TcpListener;
+
+use crate::reply;
+use crate::reply::Reply;
+use crate::request::Error;
+use crate::request::MAX_BODY;
+use crate::request::Request;
+use crate::request::Route;
+
+/// The time to send a body; a slower caller holds a connection for nothing.
+const BODY_TIME: Duration = Duration::from_millis(30_000);
+
+/// What the embedder does for callers.
+pub trait Handler: Send + Sync + 'static {
+    /// Runs a request. The future is dropped when the caller hangs up, which withdraws the
+    /// request.
+    fn call(&self, request: Request) -> impl Future<Output = Reply> + Send;
+    /// Issues tickets; none while not ready.
+    fn tickets(&self, count: u32) -> Vec<Ticket>;
+    /// Whether new requests are taken.
+    fn ready(&self) -> bool;
+    /// The metrics in Prometheus text format.
+    fn metrics(&self) -> String;
+}
+
+/// Serves `listener` with `handler`.
+///
+/// # Errors
+///
+/// When the listener has no local address.
+pub fn start<H: Handler>(
+    spawner: &Spawner,
+    listener: TcpListener,
+    limits: Limits,
+    handler: Arc<H>,
+) -> io::Result<Server> {
+    Server::start(spawner, listener, limits, move |request| {
+        let handler = Arc::clone(&handler);
+        async move { answer(&*handler, request).await }
+    })
+}
+
+async fn answer<H: Handler>(
+    handler: &H,
+    request: http::Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let (head, body) = request.into_parts();
+    match Route::try_from(&head) {
+        Ok(Route::Call(request)) => match read(body).await {
+            Ok(body) => handler.call(Request { body, ..request }).await.into(),
+            Err(error) => reply::error(&error),
+        },
+        Ok(Route::Tickets(count)) => reply::tickets(&handler.tickets(count)),
+        Ok(Route::Healthy) => reply::text(StatusCode::OK, "ok\n".into()),
+        Ok(Route::Ready) if handler.ready() => reply::text(StatusCode::OK, "ready\n".into()),
+        Ok(Route::Ready) => reply::text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        Ok(Route::Metrics) => reply::text(StatusCode::OK, handler.metrics()),
+        Err(error) => reply::error(&error),
+    }
+}
+
+async fn read(body: Incoming) -> Result<Bytes, Error> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if body.size_hint().lower() > MAX_BODY as u64 {
+        return Err(Error::Long);
+    }
+    let whole = async {
+        let collected = Limited::new(body, MAX_BODY).collect().await;
+        collected.map_err(|error| {
+            if error.is::<LengthLimitError>() {
+                Error::Long
+            } else {
+                Error::Body(error.to_string())
+            }
+        })
+    };
+    let late = async {
+        Timer::after(BODY_TIME).await;
+        Err(Error::Body("timed out".into()))
+    };
+    Ok(whole.or(late).await?.to_bytes())
+}
--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,95 @@
+//! Asks other entries.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use link::Spawner;
+use link::pool;
+use link::pool::Pool;
+use quick_error::quick_error;
+
+use crate::frame;
+use crate::frame::Frame;
+
+quick_error! {
+    /// Why an entry gave no answer.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The frame cannot be sent or the answer cannot be read.
+        Frame(error: frame::Error) {
+            from()
+            display("{}", error)
+        }
+        /// The frame did not arrive.
+        Unsent(cause: String) {
+            display("not sent: {}", cause)
+        }
+        /// The frame may have arrived, but no answer came.
+        Broken(cause: String) {
+            display("no answer: {}", cause)
+        }
+        /// The receiver refused the frame.
+        Refused(error: frame::Error) {
+            display("refused: {}", error)
+        }
+    }
+}
+
+/// Sends frames over kept connections.
+#[derive(Debug)]
+pub struct Client {
+    pool: Pool,
+}
+
+impl Client {
+    /// A client whose connections run on `spawner`.
+    #[must_use]
+    pub fn new(spawner: &Spawner, connect: Duration) -> Self {
+        let limits = pool::Limits {
+            connect,
+            kept: 16,
+            answer: frame::MAX_BYTES,
+            ..pool::Limits::default()
+        };
+        Self {
+            pool: Pool::new(spawner, limits),
+        }
+    }
+
+    /// Sends a frame and waits for the answer, both within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// When no answer came; [`Error::Unsent`] only when the frame cannot have arrived.
+    pub async fn ask(
+        &self,
+        to: SocketAddr,
+        frame: &Frame,
+        limit: Duration,
+    ) -> Result<Frame, Error> {
+        let body = Full::new(frame::encode(frame)?.into());
+        let request = Request::post("/peer")
+            .header(http::header::HOST, "entry")
+            .body(body)
+            .map_err(|error| Error::Unsent(error.to_string()))?;
+        let response = self.pool.send(to, request, limit).await;
+        let response = response.map_err(|error| match error {
+            pool::Error::Unsent(cause) => Error::Unsent(cause),
+            pool::Error::Broken(cause) => Error::Broken(cause),
+        })?;
+        match response.status() {
+            StatusCode::OK => Ok(frame::decode(response.body())?),
+            StatusCode::BAD_REQUEST => Err(rmp_serde::from_slice(response.body())
+                .map_or_else(|error| Error::Broken(error.to_string()), Error::Refused)),
+            status => Err(Error::Broken(format!("{to}: status {status}"))),
+        }
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.pool.clear();
+    }
+}
--- /dev/null
+++ b/crates/target/src/attempt.rs
@@ -0,0 +1,114 @@
+//! Attempts of requests at targets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decision::name::Name;
+use decision::request::Answer;
+use decision::request::Ending;
+use decision::worker::Epoch;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use link::Spawner;
+use link::pool;
+use link::pool::Pool;
+
+use crate::EPOCH;
+use crate::OUTCOME;
+use crate::REFUSED;
+use crate::REQUEST;
+
+/// The id of an attempt, unique for all time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Id {
+    /// The sending entry.
+    pub entry: Name,
+    /// The sending process.
+    pub incarnation: u64,
+    /// The attempt within the process.
+    pub attempt: u64,
+}
+
+impl std::fmt::Display for Id {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}/{:x}/{}", self.entry, self.incarnation, self.attempt)
+    }
+}
+
+/// One attempt.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Identifies it.
+    pub id: Id,
+    /// The epoch of the target's owner.
+    pub epoch: Epoch,
+    /// The service asked.
+    pub service: Name,
+    /// The kind.
+    pub kind: Name,
+    /// The contents.
+    pub body: Bytes,
+}
+
+/// Sends attempts, each on a connection of its own.
+#[derive(Debug)]
+pub struct Client {
+    pool: Pool,
+}
+
+impl Client {
+    /// A client whose connections run on `spawner`.
+    #[must_use]
+    pub fn new(spawner: &Spawner, limits: pool::Limits) -> Self {
+        Self {
+            pool: Pool::new(spawner, limits),
+        }
+    }
+
+    /// Runs an attempt within `limit`. Dropping the future closes the connection.
+    pub async fn run(&self, to: SocketAddr, attempt: Attempt, limit: Duration) -> Ending {
+        let id = attempt.id.to_string();
+        let Ok(request) = build(attempt, &id) else {
+            return Ending::NotRun;
+        };
+        match self.pool.send(to, request, limit).await {
+            Ok(response) => ending(response, &id),
+            Err(pool::Error::Unsent(_)) => Ending::NotRun,
+            Err(pool::Error::Broken(_)) => Ending::Unknown,
+        }
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.pool.clear();
+    }
+}
+
+fn build(attempt: Attempt, id: &str) -> Result<Request<Full<Bytes>>, http::Error> {
+    Request::post(format!("/run/{}/{}", attempt.service, attempt.kind))
+        .header(http::header::HOST, "target")
+        .header(REQUEST, id)
+        .header(EPOCH, attempt.epoch.to_string())
+        .body(Full::new(attempt.body))
+}
+
+fn ending(response: Response<Bytes>, id: &str) -> Ending {
+    let header = |name| {
+        let value = response.headers().get(name)?;
+        Some(value.as_bytes())
+    };
+    if header(REQUEST) != Some(id.as_bytes()) {
+        return Ending::Unknown;
+    }
+    let refused = header(OUTCOME) == Some(REFUSED.as_bytes());
+    if refused && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return Ending::NotRun;
+    }
+    Ending::Answered(Answer {
+        status: response.status().as_u16(),
+        body: response.into_body(),
+    })
+}
--- /dev/null
+++ b/crates/target/src/command.rs
@@ -0,0 +1,91 @@
+//! Commands to workers, one at a time for each worker.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use decision::worker::Command;
+use decision::worker::Outcome;
+use decision::worker::Reply;
+use http::Request;
+use http::StatusCode;
+use http_body_util::Full;
+use link::Spawner;
+use link::pool;
+use link::pool::Pool;
+use smol::Timer;
+use smol::future::FutureExt;
+
+/// The longest reply in bytes; a report holds every task of a worker.
+const MAX_REPLY: usize = 1 << 20;
+
+/// Sends commands over one connection for each worker, in the order of the calls.
+#[derive(Debug)]
+pub struct Client {
+    pool: Pool,
+    turns: Mutex<HashMap<SocketAddr, Arc<smol::lock::Mutex<()>>>>,
+}
+
+impl Client {
+    /// A client whose connections run on `spawner`.
+    #[must_use]
+    pub fn new(spawner: &Spawner, connect: Duration) -> Self {
+        let limits = pool::Limits {
+            connect,
+            // Renewals come every 2 s, so the connection survives one that is missing.
+            idle: Duration::from_millis(5_000),
+            kept: 1,
+            answer: MAX_REPLY,
+        };
+        Self {
+            pool: Pool::new(spawner, limits),
+            turns: Mutex::default(),
+        }
+    }
+
+    /// Sends a command within `limit`, waiting for its turn included.
+    pub async fn run(&self, to: SocketAddr, command: &Command, limit: Duration) -> Outcome {
+        let end = Instant::now() + limit;
+        let turn = self.turn(to);
+        let taken = async { Some(turn.lock_arc().await) };
+        let late = async {
+            Timer::at(end).await;
+            None
+        };
+        let Some(_guard) = taken.or(late).await else {
+            return Outcome::Unsent;
+        };
+        let Some(request) = build(command) else {
+            return Outcome::Unsent;
+        };
+        let left = end.saturating_duration_since(Instant::now());
+        match self.pool.send(to, request, left).await {
+            Ok(response) if response.status() == StatusCode::OK => {
+                match rmp_serde::from_slice::<Reply>(response.body()) {
+                    Ok(reply) => Outcome::Answered(reply),
+                    Err(_) => Outcome::Unknown,
+                }
+            }
+            Ok(_) | Err(pool::Error::Broken(_)) => Outcome::Unknown,
+            Err(pool::Error::Unsent(_)) => Outcome::Unsent,
+        }
+    }
+
+    fn turn(&self, to: SocketAddr) -> Arc<smol::lock::Mutex<()>> {
+        let mut turns = self.turns.lock().expect("no holder of this lock panics");
+        turns.retain(|address, turn| *address == to || Arc::strong_count(turn) > 1);
+        Arc::clone(turns.entry(to).or_default())
+    }
+}
+
+fn build(command: &Command) -> Option<Request<Full<Bytes>>> {
+    let body = rmp_serde::to_vec(command).ok()?;
+    Request::post("/command")
+        .header(http::header::HOST, "worker")
+        .body(Full::new(body.into()))
+        .ok()
+}
