Check recorded histories against the promises

Change: history::Log merges the records of all observers on one time axis and history::check returns, for each broken promise, the events that break it. Targets of a checked run answer with history::answer(body), so a mixed-up or truncated answer is recognised.

Measured: 35 bad histories are rejected, each by the named check, and 16 good ones pass all ten checks (cargo test -p history, 2 table tests).

--- /dev/null
+++ b/crates/history/src/capacity.rs
@@ -0,0 +1,107 @@
+//! No VM is assigned more work than it can hold.
+
+use std::collections::BTreeMap;
+
+use decision::name::Name;
+use decision::resource::Size;
+
+use crate::Check;
+use crate::Event;
+use crate::Fact;
+use crate::Log;
+use crate::Violation;
+
+#[derive(Default)]
+struct Load<'a> {
+    room: Size,
+    slots: usize,
+    tasks: BTreeMap<(&'a Name, u32), (Size, &'a Event)>,
+    runs: BTreeMap<&'a str, &'a Event>,
+}
+
+impl<'a> Load<'a> {
+    fn over(&self) -> Option<Violation> {
+        let sum = |pick: fn(Size) -> u32| -> u64 {
+            let sizes = self.tasks.values().map(|(size, _)| u64::from(pick(*size)));
+            sizes.sum()
+        };
+        let held = |pick: fn(Size) -> u32| sum(pick) <= u64::from(pick(self.room));
+        let fits = held(|s| s.millicores) && held(|s| s.memory_mb) && held(|s| s.accelerators);
+        let events = self.tasks.values().map(|(_, event)| *event);
+        (!fits).then(|| Violation::new(Check::Capacity, "grants exceed the capacity", events))
+    }
+
+    fn crowded(&self) -> Option<Violation> {
+        let events = self.runs.values().copied();
+        let reason = "more requests than slots";
+        (self.runs.len() > self.slots).then(|| Violation::new(Check::Capacity, reason, events))
+    }
+
+    fn take(&mut self, event: &'a Event) -> Option<Violation> {
+        match &event.fact {
+            Fact::Worker {
+                capacity,
+                reserved,
+                slots,
+                ..
+            } => {
+                self.room = capacity.minus(*reserved);
+                self.slots = *slots as usize;
+                None
+            }
+            Fact::WorkerCrashed { .. } => {
+                self.tasks.clear();
+                self.runs.clear();
+                None
+            }
+            Fact::Overfull { .. } => {
+                let reason = "work was sent to a worker without room";
+                Some(Violation::new(Check::Capacity, reason, [event]))
+            }
+            Fact::TaskStarted {
+                task,
+                attempt,
+                grant,
+                ..
+            } => {
+                self.tasks.insert((task, *attempt), (*grant, event));
+                self.over()
+            }
+            Fact::TaskEnded { task, attempt, .. } => {
+                self.tasks.remove(&(task, *attempt));
+                None
+            }
+            Fact::RunStarted { id, .. } => {
+                self.runs.insert(id, event);
+                self.crowded()
+            }
+            Fact::RunEnded { id, .. } => {
+                self.runs.remove(id.as_str());
+                None
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Replays what each worker held and ran at every moment.
+pub fn capacity(log: &Log) -> Vec<Violation> {
+    let mut loads: BTreeMap<&Name, Load<'_>> = BTreeMap::new();
+    let events = log.events().iter();
+    events
+        .filter_map(|event| loads.entry(vm(&event.fact)?).or_default().take(event))
+        .collect()
+}
+
+const fn vm(fact: &Fact) -> Option<&Name> {
+    match fact {
+        Fact::Worker { vm, .. }
+        | Fact::WorkerCrashed { vm }
+        | Fact::Overfull { vm, .. }
+        | Fact::TaskStarted { vm, .. }
+        | Fact::TaskEnded { vm, .. }
+        | Fact::RunStarted { vm, .. }
+        | Fact::RunEnded { vm, .. } => Some(vm),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/history/src/config.rs
@@ -0,0 +1,172 @@
+//! Configuration versions that the table accepted, against those in force at entries.
+
+use std::collections::BTreeMap;
+
+use decision::clock::Ms;
+use decision::config::Version;
+use decision::name::Name;
+use decision::operator::Reply;
+
+use crate::Check;
+use crate::Event;
+use crate::Fact;
+use crate::Log;
+use crate::Violation;
+use crate::fact::Life;
+
+/// An accepted configuration is in force everywhere after this time.
+const IN_FORCE: Ms = Ms(3_000);
+
+/// Versions only rise, an accepted one is stored and accepted once, and it is in force within 3 s
+/// at every entry that runs undisturbed with a healthy store during that time.
+pub fn config(log: &Log) -> Vec<Violation> {
+    let mut found = reverted(log);
+    found.extend(unstored(log));
+    found.extend(late(log));
+    found
+}
+
+fn reverted(log: &Log) -> Vec<Violation> {
+    let mut stored: Option<(Version, &Event)> = None;
+    let mut forced: BTreeMap<&Name, (Version, &Event)> = BTreeMap::new();
+    let mut found = Vec::new();
+    let reason = "a configuration version went back";
+    for event in log.events() {
+        let (version, before) = match &event.fact {
+            Fact::Stored { version } => (*version, stored.replace((*version, event))),
+            Fact::InForce { entry, version } => (*version, forced.insert(entry, (*version, event))),
+            Fact::Entry {
+                entry,
+                life: Life::Started,
+            } => {
+                forced.remove(entry);
+                continue;
+            }
+            _ => continue,
+        };
+        if let Some((_, other)) = before.filter(|(other, _)| *other > version) {
+            found.push(Violation::new(Check::Config, reason, [other, event]));
+        }
+    }
+    found
+}
+
+fn unstored(log: &Log) -> Vec<Violation> {
+    let mut stored = BTreeMap::new();
+    let mut accepted: BTreeMap<Version, (&Name, &Event)> = BTreeMap::new();
+    let mut found = Vec::new();
+    for event in log.events() {
+        match &event.fact {
+            Fact::Stored { version } => {
+                if let Some(other) = stored.insert(*version, event) {
+                    let reason = "a configuration version was stored twice";
+                    found.push(Violation::new(Check::Config, reason, [other, event]));
+                }
+            }
+            Fact::Replied {
+                call,
+                reply: Reply::Configured { version, .. },
+            } => {
+                if !stored.contains_key(version) {
+                    let reason = "an accepted configuration is not stored";
+                    found.push(Violation::new(Check::Config, reason, [event]));
+                }
+                let before = accepted.insert(*version, (call, event));
+                if let Some((_, other)) = before.filter(|(other, _)| *other != call) {
+                    let reason = "two changes were accepted as the same version";
+                    found.push(Violation::new(Check::Config, reason, [other, event]));
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+/// The versions that wait to be in force at one entry, oldest first.
+#[derive(Default)]
+struct Entry<'a> {
+    running: bool,
+    version: Version,
+    waiting: Vec<(Version, Ms, &'a Event)>,
+}
+
+impl<'a> Entry<'a> {
+    fn overdue(&mut self, now: Ms) -> Option<&'a Event> {
+        let version = self.version;
+        self.waiting.retain(|(waiting, ..)| *waiting > version);
+        let late = self.waiting.iter().position(|(_, due, _)| now > *due)?;
+        Some(self.waiting.remove(late).2)
+    }
+
+    fn disturb(&mut self) {
+        self.waiting.clear();
+    }
+}
+
+/// Time restarts for what is not in force yet when the store becomes healthy again, because the
+/// accepting entry's push may have been lost and the poll did not work until then.
+#[derive(Default)]
+struct Fleet<'a> {
+    entries: BTreeMap<&'a Name, Entry<'a>>,
+    healthy: bool,
+    stored: Option<(Version, &'a Event)>,
+}
+
+impl<'a> Fleet<'a> {
+    fn await_newest(&mut self, now: Ms) {
+        let Some((version, event)) = self.stored.filter(|_| self.healthy) else {
+            return;
+        };
+        for entry in self.entries.values_mut() {
+            let known = |(waiting, ..): &(Version, Ms, &Event)| *waiting == version;
+            if entry.running && entry.version < version && !entry.waiting.iter().any(known) {
+                entry.waiting.push((version, now + IN_FORCE, event));
+            }
+        }
+    }
+
+    fn live(&mut self, name: &'a Name, life: Life) {
+        let entry = self.entries.entry(name).or_default();
+        entry.disturb();
+        entry.running = matches!(life, Life::Started | Life::Resumed);
+        if life == Life::Started {
+            entry.version = Version::default();
+        }
+    }
+
+    fn take(&mut self, event: &'a Event) {
+        match &event.fact {
+            Fact::Store { healthy } => {
+                self.healthy = *healthy;
+                self.entries.values_mut().for_each(Entry::disturb);
+            }
+            Fact::Stored { version } => self.stored = Some((*version, event)),
+            Fact::Entry { entry, life } => self.live(entry, *life),
+            Fact::InForce { entry, version } => {
+                self.entries.entry(entry).or_default().version = *version;
+                return;
+            }
+            _ => return,
+        }
+        self.await_newest(event.at);
+    }
+}
+
+fn late(log: &Log) -> Vec<Violation> {
+    let mut fleet = Fleet {
+        healthy: true,
+        ..Fleet::default()
+    };
+    let mut found = Vec::new();
+    for event in log.events() {
+        for (name, entry) in &mut fleet.entries {
+            if let Some(stored) = entry.overdue(event.at) {
+                let reason = format!("the configuration is not in force at {name} in time");
+                found.push(Violation::new(Check::Config, &reason, [stored, event]));
+            }
+        }
+        fleet.take(event);
+    }
+    found
+}
--- /dev/null
+++ b/crates/history/src/request.rs
@@ -0,0 +1,167 @@
+//! What callers were told, against what targets ran.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use decision::clock::Ms;
+use decision::request::Outcome;
+
+use crate::Check;
+use crate::Event;
+use crate::Fact;
+use crate::Log;
+use crate::Violation;
+use crate::answer;
+
+/// A caller waits this much longer than its deadline for an outcome.
+const PATIENCE: Ms = Ms(5_000);
+
+struct Sending<'a> {
+    sent: &'a Event,
+    body: &'a Bytes,
+    repeatable: bool,
+    deadline: Ms,
+    received: Option<(&'a Event, &'a Option<Outcome>)>,
+}
+
+#[derive(Default)]
+struct Request<'a> {
+    sendings: BTreeMap<u32, Sending<'a>>,
+    runs: Vec<&'a Event>,
+}
+
+fn gather(log: &Log) -> BTreeMap<u64, Request<'_>> {
+    let mut requests: BTreeMap<u64, Request<'_>> = BTreeMap::new();
+    let mut bodies: BTreeMap<&Bytes, u64> = BTreeMap::new();
+    for event in log.events() {
+        if let Fact::Sent {
+            request,
+            sending,
+            repeatable,
+            deadline,
+            body,
+            ..
+        } = &event.fact
+        {
+            bodies.insert(body, *request);
+            let sending_of = Sending {
+                sent: event,
+                body,
+                repeatable: *repeatable,
+                deadline: *deadline,
+                received: None,
+            };
+            let known = requests.entry(*request).or_default();
+            known.sendings.insert(*sending, sending_of);
+        }
+    }
+    for event in log.events() {
+        match &event.fact {
+            Fact::Received {
+                request,
+                sending,
+                outcome,
+            } => {
+                let known = requests.entry(*request).or_default();
+                if let Some(sending) = known.sendings.get_mut(sending) {
+                    sending.received = Some((event, outcome));
+                }
+            }
+            Fact::RunStarted { body, .. } => {
+                let known = bodies.get(body).and_then(|id| requests.get_mut(id));
+                known.into_iter().for_each(|known| known.runs.push(event));
+            }
+            _ => {}
+        }
+    }
+    requests
+}
+
+/// Every sending ends with an outcome, and an answer is the whole answer to the own request.
+pub fn whole_answer(log: &Log) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for request in gather(log).values() {
+        let bodies = request.sendings.values().map(|sending| sending.body);
+        let answers: BTreeSet<Bytes> = bodies.map(|body| answer(body)).collect();
+        for sending in request.sendings.values() {
+            found.extend(wrong_answer(request, sending, &answers));
+            found.extend(no_answer(sending, log.end()));
+        }
+    }
+    found
+}
+
+fn wrong_answer(
+    request: &Request<'_>,
+    sending: &Sending<'_>,
+    answers: &BTreeSet<Bytes>,
+) -> Option<Violation> {
+    let (event, Some(Outcome::Answered(answered))) = sending.received? else {
+        return None;
+    };
+    if !answers.contains(&answered.body) {
+        let reason = "the answer belongs to another request or is not whole";
+        return Some(Violation::new(
+            Check::WholeAnswer,
+            reason,
+            [sending.sent, event],
+        ));
+    }
+    let ran = request.runs.iter().any(|run| run.at <= event.at);
+    let reason = "the answer came without a run";
+    (!ran).then(|| Violation::new(Check::WholeAnswer, reason, [sending.sent, event]))
+}
+
+fn no_answer(sending: &Sending<'_>, end: Ms) -> Option<Violation> {
+    let until = sending.sent.at + sending.deadline + PATIENCE;
+    let reason = "no outcome came";
+    (sending.received.is_none() && end > until)
+        .then(|| Violation::new(Check::WholeAnswer, reason, [sending.sent]))
+}
+
+/// A refused sending did not run and does not run later. A refused request that must not be
+/// repeated was not run by an earlier sending either, because its caller would take it as not run.
+pub fn true_refusal(log: &Log) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for request in gather(log).values() {
+        for (number, sending) in &request.sendings {
+            let Some((event, Some(Outcome::Refused(_)))) = sending.received else {
+                continue;
+            };
+            let later = request.sendings.range(number + 1..);
+            let next = later
+                .filter(|(_, later)| later.body == sending.body)
+                .map(|(_, later)| later.sent.at)
+                .next();
+            let false_run = |run: &&&Event| {
+                let own = is_of(run, sending.body)
+                    && run.at >= sending.sent.at
+                    && next.is_none_or(|next| run.at < next);
+                own || (!sending.repeatable && run.at < event.at)
+            };
+            if let Some(run) = request.runs.iter().find(false_run) {
+                let reason = "refused as not run, but it ran";
+                let events = [sending.sent, run, event];
+                found.push(Violation::new(Check::TrueRefusal, reason, events));
+            }
+        }
+    }
+    found
+}
+
+fn is_of(run: &Event, of: &Bytes) -> bool {
+    matches!(&run.fact, Fact::RunStarted { body, .. } if body == of)
+}
+
+/// A request that must not be repeated runs at most once over all its sendings.
+pub fn at_most_once(log: &Log) -> Vec<Violation> {
+    let requests = gather(log);
+    let once = |request: &&Request<'_>| request.sendings.values().any(|sent| !sent.repeatable);
+    let twice = |request: &&Request<'_>| request.runs.len() > 1;
+    let found = requests.values().filter(once).filter(twice);
+    let reason = "a request that must not be repeated ran more than once";
+    found
+        .map(|request| Violation::new(Check::AtMostOnce, reason, request.runs.iter().copied()))
+        .collect()
+}
--- /dev/null
+++ b/crates/history/src/task.rs
@@ -0,0 +1,261 @@
+//! Where tasks ran, from what they resumed and how they ended.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use decision::name::Name;
+use decision::operator::Action;
+use decision::operator::Call;
+use decision::operator::Job;
+use decision::operator::Reply;
+
+use crate::Check;
+use crate::Event;
+use crate::Fact;
+use crate::Log;
+use crate::Violation;
+use crate::fact::Ending;
+
+/// No two workers run attempts of one task at the same time.
+pub fn single_place(log: &Log) -> Vec<Violation> {
+    let mut running: BTreeMap<&Name, Vec<(&Name, u32, &Event)>> = BTreeMap::new();
+    let mut found = Vec::new();
+    for event in log.events() {
+        match &event.fact {
+            Fact::TaskStarted {
+                vm, task, attempt, ..
+            } => {
+                let places = running.entry(task).or_default();
+                places.push((vm, *attempt, event));
+                if places.len() > 1 {
+                    let events = places.iter().map(|(_, _, event)| *event);
+                    let reason = "a task runs twice at once";
+                    found.push(Violation::new(Check::SinglePlace, reason, events));
+                }
+            }
+            Fact::TaskEnded {
+                vm, task, attempt, ..
+            } => {
+                let places = running.entry(task).or_default();
+                places.retain(|(at, number, _)| (*at, number) != (vm, attempt));
+            }
+            Fact::WorkerCrashed { vm } => {
+                for places in running.values_mut() {
+                    places.retain(|(at, ..)| *at != vm);
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
+
+#[derive(Default)]
+struct Life<'a> {
+    attempts: BTreeMap<u32, &'a Event>,
+    keys: BTreeSet<&'a str>,
+    stopped: Option<&'a Event>,
+}
+
+impl<'a> Life<'a> {
+    fn start(&mut self, attempt: u32, from: Option<&str>, event: &'a Event) -> Option<Violation> {
+        let broken = |reason, other: Option<&'a Event>| {
+            let events = other.into_iter().chain([event]);
+            Some(Violation::new(Check::ResumeOnce, reason, events))
+        };
+        if let Some(other) = self.attempts.insert(attempt, event) {
+            return broken("an attempt was started twice", Some(other));
+        }
+        let newest = self.attempts.last_key_value();
+        if let Some((_, other)) = newest.filter(|(newest, _)| **newest > attempt) {
+            return broken(
+                "an older attempt was started after a newer one",
+                Some(other),
+            );
+        }
+        let evicted = self.stopped.take();
+        let Some(key) = from else {
+            let lost = evicted.filter(|_| !self.keys.is_empty());
+            return lost.and_then(|stop| broken("evicted work began anew", Some(stop)));
+        };
+        if self.keys.contains(key) {
+            None
+        } else {
+            broken("resumed from a checkpoint that is not the task's", evicted)
+        }
+    }
+}
+
+/// Evicted work resumes exactly once: each attempt starts once, attempts rise, evicted work with
+/// a checkpoint resumes from one of its own, and in a settled log none is left stopped.
+pub fn resume_once(log: &Log) -> Vec<Violation> {
+    let mut lives: BTreeMap<&Name, Life<'_>> = BTreeMap::new();
+    let mut found = Vec::new();
+    for event in log.events() {
+        match &event.fact {
+            Fact::TaskStarted {
+                task,
+                attempt,
+                from,
+                ..
+            } => {
+                let life = lives.entry(task).or_default();
+                found.extend(life.start(*attempt, from.as_deref(), event));
+            }
+            Fact::Checkpointed { task, key, .. } => {
+                lives.entry(task).or_default().keys.insert(key);
+            }
+            Fact::TaskEnded { task, ending, .. } => {
+                let stopped = (*ending == Ending::Stopped).then_some(event);
+                lives.entry(task).or_default().stopped = stopped;
+            }
+            _ => {}
+        }
+    }
+    if log.settled() {
+        let jobs = Jobs::of(log);
+        let left = lives.iter().filter(|(task, _)| !jobs.cancelled(task));
+        let stopped = left.filter_map(|(_, life)| life.stopped);
+        let reason = "evicted work did not resume";
+        found.extend(stopped.map(|event| Violation::new(Check::ResumeOnce, reason, [event])));
+    }
+    found
+}
+
+/// What operators were told about jobs.
+#[derive(Default)]
+struct Jobs<'a> {
+    accepted: Vec<(&'a Job, &'a Event)>,
+    cancelled: BTreeSet<&'a str>,
+}
+
+impl<'a> Jobs<'a> {
+    fn of(log: &'a Log) -> Self {
+        let mut calls: BTreeMap<&Name, &Call> = BTreeMap::new();
+        let mut jobs = Self::default();
+        for event in log.events() {
+            match &event.fact {
+                Fact::Called { call } => {
+                    calls.insert(&call.id, call);
+                    // A cancellation without a known outcome may have taken effect.
+                    if let Action::Cancel { job } = &call.action {
+                        jobs.cancelled.insert(job);
+                    }
+                }
+                Fact::Replied {
+                    call,
+                    reply: Reply::Accepted,
+                } => {
+                    if let Some(Action::Submit(job)) = calls.get(call).map(|call| &call.action) {
+                        jobs.accept(job, event);
+                    }
+                }
+                _ => {}
+            }
+        }
+        jobs
+    }
+
+    fn accept(&mut self, job: &'a Job, event: &'a Event) {
+        if self
+            .accepted
+            .iter()
+            .all(|(known, _)| known.name != job.name)
+        {
+            self.accepted.push((job, event));
+        }
+    }
+
+    fn cancelled(&self, task: &Name) -> bool {
+        let job = task.split('#').next().unwrap_or_default();
+        self.cancelled.contains(job)
+    }
+}
+
+#[derive(Default)]
+struct Fate<'a> {
+    completed: Vec<(&'a Name, &'a Event)>,
+    acknowledged: bool,
+    recorded: Option<(Ending, &'a Event)>,
+}
+
+impl<'a> Fate<'a> {
+    fn start(&self, event: &'a Event) -> Option<Violation> {
+        let (_, done) = self.completed.last()?;
+        let reason = "a completed task was started again";
+        Some(Violation::new(Check::NothingLost, reason, [*done, event]))
+    }
+
+    fn record(&mut self, ending: Ending, event: &'a Event) -> Option<Violation> {
+        let before = self.recorded.replace((ending, event));
+        if let Some((_, other)) = before.filter(|(other, _)| *other != ending) {
+            let reason = "the stored outcome of a task changed";
+            return Some(Violation::new(Check::NothingLost, reason, [other, event]));
+        }
+        let done = self.acknowledged || !self.completed.is_empty();
+        let reason = "a task is stored as done that no worker completed";
+        (ending == Ending::Completed && !done)
+            .then(|| Violation::new(Check::NothingLost, reason, [event]))
+    }
+
+    /// A completion that no owner had stored is lost with its VM, and the task has to run again.
+    fn crash(&mut self, vm: &Name) {
+        if !self.acknowledged && self.recorded.is_none() {
+            self.completed.retain(|(at, _)| *at != vm);
+        }
+    }
+}
+
+/// No task is executed twice, and in a settled log every accepted task has an outcome.
+pub fn nothing_lost(log: &Log) -> Vec<Violation> {
+    let mut fates: BTreeMap<&str, Fate<'_>> = BTreeMap::new();
+    let mut found = Vec::new();
+    for event in log.events() {
+        match &event.fact {
+            Fact::TaskStarted { task, .. } => {
+                found.extend(fates.entry(task).or_default().start(event));
+            }
+            Fact::TaskEnded {
+                vm,
+                task,
+                ending: Ending::Completed,
+                ..
+            } => {
+                let fate = fates.entry(task).or_default();
+                fate.completed.push((vm, event));
+            }
+            Fact::Acknowledged { task, .. } => {
+                fates.entry(task).or_default().acknowledged = true;
+            }
+            Fact::Recorded { task, ending } => {
+                found.extend(fates.entry(task).or_default().record(*ending, event));
+            }
+            Fact::WorkerCrashed { vm } => fates.values_mut().for_each(|fate| fate.crash(vm)),
+            _ => {}
+        }
+    }
+    if log.settled() {
+        found.extend(unfinished(&Jobs::of(log), &fates));
+    }
+    found
+}
+
+fn unfinished(jobs: &Jobs<'_>, fates: &BTreeMap<&str, Fate<'_>>) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for (job, event) in &jobs.accepted {
+        if jobs.cancelled.contains(&*job.name) {
+            continue;
+        }
+        for index in 0..job.tasks {
+            let name = format!("{}#{index}", job.name);
+            let fate = fates.get(name.as_str());
+            let ended =
+                fate.is_some_and(|fate| !fate.completed.is_empty() || fate.recorded.is_some());
+            if !ended {
+                let reason = format!("accepted task {name} has no outcome");
+                found.push(Violation::new(Check::NothingLost, &reason, [*event]));
+            }
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/history/tests/checks/kept.rs
@@ -0,0 +1,191 @@
+//! Guards against a check that rejects a kept promise.
+
+use decision::operator::Reply;
+use history::Ending;
+use history::Fact;
+use history::Life;
+use history::check;
+
+use crate::facts::History;
+use crate::facts::answered;
+use crate::facts::cancel;
+use crate::facts::checkpoint;
+use crate::facts::configured;
+use crate::facts::crashed;
+use crate::facts::end;
+use crate::facts::entry;
+use crate::facts::in_force;
+use crate::facts::listed;
+use crate::facts::log;
+use crate::facts::received;
+use crate::facts::reconfigure;
+use crate::facts::recorded;
+use crate::facts::refused;
+use crate::facts::replied;
+use crate::facts::run;
+use crate::facts::run_end;
+use crate::facts::sent;
+use crate::facts::start;
+use crate::facts::store;
+use crate::facts::stored;
+use crate::facts::submit;
+use crate::facts::worker;
+
+fn good_tasks() -> Vec<History> {
+    vec![
+        vec![
+            (0, worker("w1")),
+            (0, worker("w2")),
+            (0, submit()),
+            (1, replied("submit", Reply::Accepted)),
+            (2, start("w1", 1, None)),
+            (3, checkpoint("w1", 1, "k")),
+            (4, end("w1", 1, Ending::Stopped)),
+            (5, start("w2", 2, Some("k"))),
+            (6, end("w2", 2, Ending::Completed)),
+            (7, recorded(Ending::Completed)),
+            (9, Fact::Settled),
+        ],
+        // The completion was never stored, so the task has to run again after the crash.
+        vec![
+            (0, worker("w1")),
+            (0, worker("w2")),
+            (1, start("w1", 1, None)),
+            (2, end("w1", 1, Ending::Completed)),
+            (3, crashed("w1")),
+            (4, start("w2", 2, None)),
+        ],
+        vec![
+            (0, worker("w1")),
+            (0, worker("w2")),
+            (1, start("w1", 1, None)),
+            (3, crashed("w1")),
+            (4, start("w2", 2, None)),
+        ],
+        vec![
+            (0, worker("w1")),
+            (0, submit()),
+            (1, replied("submit", Reply::Accepted)),
+            (2, start("w1", 1, None)),
+            (3, cancel()),
+            (4, end("w1", 1, Ending::Stopped)),
+            (9, Fact::Settled),
+        ],
+    ]
+}
+
+fn good_requests() -> Vec<History> {
+    vec![
+        vec![
+            (0, worker("w1")),
+            (0, sent(1, 0, false)),
+            (1, run("a", "1/0")),
+            (2, run_end("a")),
+            (3, received(1, 0, None)),
+            (4, sent(1, 1, false)),
+            (5, received(1, 1, answered(b"1/0"))),
+            (9_000, Fact::Settled),
+        ],
+        // A refused sending is followed by one that runs.
+        vec![
+            (0, worker("w1")),
+            (0, sent(1, 0, false)),
+            (1, received(1, 0, refused())),
+            (2, sent(1, 1, false)),
+            (3, run("a", "1/1")),
+            (4, run_end("a")),
+            (5, received(1, 1, answered(b"1/1"))),
+        ],
+        // Repeatable requests may run more than once, and a refused retry says nothing about
+        // earlier sendings.
+        vec![
+            (0, worker("w1")),
+            (0, sent(1, 0, true)),
+            (1, run("a", "1/0")),
+            (2, run_end("a")),
+            (3, received(1, 0, None)),
+            (4, sent(1, 1, true)),
+            (5, received(1, 1, refused())),
+        ],
+    ]
+}
+
+fn good_fleet() -> Vec<History> {
+    vec![
+        vec![(0, worker("w1")), (1, listed(true)), (3_001, run("a", "x"))],
+        vec![
+            (0, worker("w1")),
+            (1, listed(true)),
+            (2, listed(false)),
+            (9_001, run("a", "x")),
+        ],
+        vec![
+            (0, entry(Life::Started)),
+            (1, sent(1, 0, true)),
+            (2, entry(Life::Stopping)),
+            (3, entry(Life::Crashed)),
+            (4, received(1, 0, None)),
+        ],
+        vec![
+            (0, entry(Life::Started)),
+            (1, sent(1, 0, true)),
+            (2, entry(Life::Stopping)),
+            (3, received(1, 0, refused())),
+            (4, entry(Life::Exited)),
+        ],
+    ]
+}
+
+fn good_config() -> Vec<History> {
+    let up = || (0, entry(Life::Started));
+    vec![
+        vec![
+            up(),
+            (0, reconfigure("a")),
+            (1, stored(2)),
+            (2, in_force(2)),
+            (3, replied("a", configured(2))),
+            (9_000, Fact::Settled),
+        ],
+        vec![
+            up(),
+            (1, stored(2)),
+            (2, entry(Life::Crashed)),
+            (9_000, Fact::Settled),
+        ],
+        vec![
+            up(),
+            (1, store(false)),
+            (2, stored(2)),
+            (9_000, Fact::Settled),
+        ],
+        vec![
+            up(),
+            (1, stored(2)),
+            (2, entry(Life::Paused)),
+            (8_000, entry(Life::Resumed)),
+            (8_500, in_force(2)),
+            (19_000, Fact::Settled),
+        ],
+        // A new process starts without a configuration.
+        vec![
+            up(),
+            (1, stored(2)),
+            (2, in_force(2)),
+            (3, entry(Life::Crashed)),
+            (4, entry(Life::Started)),
+            (5, in_force(1)),
+            (6, in_force(2)),
+            (9_000, Fact::Settled),
+        ],
+    ]
+}
+
+#[test]
+fn kept_promises_are_accepted() {
+    let cases = [good_tasks(), good_requests(), good_fleet(), good_config()];
+    for (index, history) in cases.into_iter().flatten().enumerate() {
+        let found = check(&log(history.clone()));
+        assert!(found.is_empty(), "case {index}: {history:#?}: {found:#?}");
+    }
+}
--- /dev/null
+++ b/crates/history/tests/checks/main.rs
@@ -0,0 +1,5 @@
+//! Every check against good and bad histories.
+
+mod broken;
+mod facts;
+mod kept;
