Add stand-ins of table, object store, VM list and workers

Cause: daemon, demo and experiment need a platform with outages, slowness, lost answers, lagging lists, leases and epochs. Change: plain models driven by time, and a small HTTP server that puts them on loopback.

--- /dev/null
+++ b/crates/standin/src/object.rs
@@ -0,0 +1,51 @@
+//! Model of the object store.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use decision::object::Operation;
+use decision::object::Outcome;
+
+use crate::fault::Fault;
+use crate::fault::Loss;
+
+/// The store's contents and faults.
+#[derive(Debug, Default)]
+pub struct Model {
+    objects: BTreeMap<String, Bytes>,
+    loss: Loss,
+    /// What currently goes wrong.
+    pub fault: Fault,
+}
+
+impl Model {
+    /// Applies one operation. [`Outcome::Unknown`] means that the answer is lost after the effect.
+    pub fn apply(&mut self, operation: &Operation) -> Outcome {
+        if self.fault.outage {
+            return Outcome::Unavailable;
+        }
+        match operation {
+            Operation::Put { key, value } => {
+                self.objects.insert(key.clone(), value.clone());
+                self.changed()
+            }
+            Operation::Get(key) => self
+                .objects
+                .get(key)
+                .cloned()
+                .map_or(Outcome::Missing, Outcome::Found),
+            Operation::Delete(key) => {
+                self.objects.remove(key);
+                self.changed()
+            }
+        }
+    }
+
+    fn changed(&mut self) -> Outcome {
+        if self.loss.next(self.fault) {
+            Outcome::Unknown
+        } else {
+            Outcome::Done
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/serve.rs
@@ -0,0 +1,101 @@
+//! A small HTTP server for stand-ins.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol::Task;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+use smol_hyper::rt::FuturesIo;
+
+/// Answers whole requests.
+pub trait Handle: Send + Sync + 'static {
+    /// Answers one request, or closes its connection without an answer.
+    fn handle(
+        self: Arc<Self>,
+        request: Request<Bytes>,
+    ) -> impl Future<Output = Option<Response<Full<Bytes>>>> + Send;
+}
+
+/// A running server; it stops when dropped.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    _task: Task<()>,
+}
+
+impl Server {
+    /// Listens on a free port of the loopback address.
+    ///
+    /// # Errors
+    ///
+    /// When no port can be bound.
+    pub async fn start<H: Handle>(handler: Arc<H>) -> std::io::Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let task = smol::spawn(accept(listener, handler));
+        Ok(Self {
+            address,
+            _task: task,
+        })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+async fn accept<H: Handle>(listener: TcpListener, handler: Arc<H>) {
+    let mut open: Vec<Task<()>> = Vec::new();
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            open.retain(|task| !task.is_finished());
+            open.push(smol::spawn(converse(stream, Arc::clone(&handler))));
+        }
+    }
+}
+
+async fn converse<H: Handle>(stream: TcpStream, handler: Arc<H>) {
+    let service = service_fn(move |request| answer(Arc::clone(&handler), request));
+    let connection = http1::Builder::new().serve_connection(FuturesIo::new(stream), service);
+    // A client that goes away ends its connection with an error, which concerns nobody else.
+    drop(connection.await);
+}
+
+/// Answers one request; an error closes the connection.
+async fn answer<H: Handle>(
+    handler: Arc<H>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, std::io::Error> {
+    let (head, body) = request.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map_err(std::io::Error::other)?
+        .to_bytes();
+    let request = Request::from_parts(head, body);
+    handler
+        .handle(request)
+        .await
+        .ok_or_else(|| std::io::Error::other("closed on purpose"))
+}
+
+/// A response of this status with this body.
+#[must_use]
+pub fn respond(status: StatusCode, body: impl Into<Bytes>) -> Option<Response<Full<Bytes>>> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    Some(response)
+}
--- /dev/null
+++ b/crates/standin/src/worker.rs
@@ -0,0 +1,363 @@
+//! Model of a worker: request slots, tasks under leases, epochs, checkpoints.
+
+use std::collections::BTreeMap;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::resource::Size;
+use decision::vm::Vm;
+use decision::worker::Command;
+use decision::worker::Epoch;
+use decision::worker::Fault;
+use decision::worker::Refusal;
+use decision::worker::Reply;
+use decision::worker::Report;
+use decision::worker::State;
+use decision::worker::Task;
+use decision::worker::Verb;
+
+use crate::checkpoint;
+
+/// How long an owner must have been silent before a caretaker is accepted.
+const SILENCE: Ms = Ms(5_000);
+
+/// What a task really needs, which its declaration may miss.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Need {
+    /// Run time at full speed from start to end.
+    pub work: Ms,
+    /// Resources used.
+    pub size: Size,
+}
+
+/// Something that happened to a task, for the history.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// An attempt started, from this much earlier work.
+    Started(Task, Ms),
+    /// An attempt ended; its state says how.
+    Ended(Task),
+    /// A checkpoint was written.
+    Saved(Task, String),
+}
+
+#[derive(Debug)]
+struct Slot {
+    task: Task,
+    need: Need,
+    lease: Ms,
+}
+
+/// A worker in real or virtual time.
+#[derive(Debug)]
+pub struct Model {
+    vm: Vm,
+    epoch: Epoch,
+    owner: Option<Name>,
+    heard: Ms,
+    clock: Ms,
+    tasks: BTreeMap<Name, Slot>,
+    changes: Vec<Change>,
+    busy: u32,
+    /// Whether every task and request fails at once.
+    pub broken: bool,
+    /// Speed of tasks in percent, as slowed by whatever else runs.
+    pub speed: u32,
+    /// Used by services when last measured.
+    pub service: Size,
+}
+
+impl Model {
+    /// An idle worker.
+    #[must_use]
+    pub const fn new(vm: Vm, now: Ms) -> Self {
+        Self {
+            vm,
+            epoch: Epoch { row: 0, step: 0 },
+            owner: None,
+            heard: now,
+            clock: now,
+            tasks: BTreeMap::new(),
+            changes: Vec::new(),
+            busy: 0,
+            broken: false,
+            speed: 100,
+            service: Size::ZERO,
+        }
+    }
+
+    /// The VM that it runs on.
+    #[must_use]
+    pub const fn vm(&self) -> &Vm {
+        &self.vm
+    }
+
+    /// Tasks present.
+    pub fn tasks(&self) -> impl Iterator<Item = &Task> {
+        self.tasks.values().map(|slot| &slot.task)
+    }
+
+    /// What happened to tasks since the last call.
+    pub fn changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Requests in progress.
+    #[must_use]
+    pub const fn busy(&self) -> u32 {
+        self.busy
+    }
+
+    /// Takes a slot for a request sent under `epoch`, or refuses it as not run.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, when the epoch is old or all slots are taken.
+    pub fn begin(&mut self, epoch: Epoch) -> Result<(), Refusal> {
+        if epoch < self.epoch {
+            return Err(Refusal::Stale(self.epoch));
+        }
+        if self.busy >= self.vm.slots {
+            return Err(Refusal::Full);
+        }
+        self.busy += 1;
+        Ok(())
+    }
+
+    /// Frees the slot of a request.
+    pub fn finish(&mut self) {
+        self.busy = self.busy.saturating_sub(1);
+    }
+
+    /// Carries out a command. `need` tells what a task really needs.
+    pub fn command(
+        &mut self,
+        now: Ms,
+        command: &Command,
+        objects: &mut checkpoint::Store<'_>,
+        need: impl Fn(&Name, &Name) -> Need,
+    ) -> Reply {
+        self.advance(now);
+        if let Some(refusal) = self.fence(now, command) {
+            return Reply::Refused(refusal);
+        }
+        self.heard = now;
+        match self.obey(now, &command.verb, objects, need) {
+            Ok(()) => Reply::Done(self.report()),
+            Err(refusal) => Reply::Refused(refusal),
+        }
+    }
+
+    /// Lets time pass: tasks progress, end, or lose their lease.
+    pub fn advance(&mut self, now: Ms) {
+        let passed = now.since(self.clock).0;
+        self.clock = self.clock.max(now);
+        for slot in self
+            .tasks
+            .values_mut()
+            .filter(|slot| slot.task.state == State::Running)
+        {
+            let share = u64::from(slot.task.throttle) * u64::from(self.speed);
+            slot.task.progress += Ms(passed * share / 10_000);
+            slot.task.used = slot.need.size.min(slot.task.grant);
+            slot.task.state = slot.outcome(now, self.broken);
+            if slot.task.state != State::Running {
+                self.changes.push(Change::Ended(slot.task.clone()));
+            }
+        }
+    }
+
+    /// The worker's state.
+    #[must_use]
+    pub fn report(&self) -> Report {
+        Report {
+            vm: self.vm.name.clone(),
+            epoch: self.epoch,
+            capacity: self.vm.capacity,
+            busy: self.busy,
+            service: self.service,
+            tasks: self.tasks.values().map(|slot| slot.task.clone()).collect(),
+        }
+    }
+
+    fn fence(&mut self, now: Ms, command: &Command) -> Option<Refusal> {
+        let same = self.owner.as_ref() == Some(&command.owner);
+        if command.epoch < self.epoch || (command.epoch == self.epoch && !same) {
+            return Some(Refusal::Stale(self.epoch));
+        }
+        let caretaker = matches!(command.verb, Verb::Adopt { caretaker: true });
+        if caretaker && !same && now.since(self.heard) < SILENCE {
+            return Some(Refusal::Owned);
+        }
+        self.epoch = command.epoch;
+        self.owner = Some(command.owner.clone());
+        None
+    }
+
+    fn obey(
+        &mut self,
+        now: Ms,
+        verb: &Verb,
+        objects: &mut checkpoint::Store<'_>,
+        need: impl Fn(&Name, &Name) -> Need,
+    ) -> Result<(), Refusal> {
+        match verb {
+            Verb::Adopt { .. } => Ok(()),
+            Verb::Renew { lease } => {
+                self.tasks
+                    .values_mut()
+                    .for_each(|slot| slot.lease = now + *lease);
+                Ok(())
+            }
+            Verb::Start {
+                task,
+                attempt,
+                kind,
+                grant,
+                from,
+                lease,
+            } => {
+                let fresh = Task {
+                    name: task.clone(),
+                    attempt: *attempt,
+                    kind: kind.clone(),
+                    grant: *grant,
+                    used: Size::ZERO,
+                    progress: Ms::ZERO,
+                    saved: Ms::ZERO,
+                    throttle: 100,
+                    state: State::Running,
+                };
+                let need = need(kind, task);
+                self.start(
+                    Slot {
+                        task: fresh,
+                        need,
+                        lease: now + *lease,
+                    },
+                    from,
+                    objects,
+                )
+            }
+            Verb::Stop {
+                task,
+                attempt,
+                checkpoint,
+            } => self.stop(task, *attempt, checkpoint.as_ref(), objects),
+            Verb::Throttle { task, share } => {
+                let slot = self.tasks.get_mut(task).ok_or(Refusal::Missing)?;
+                slot.task.throttle = (*share).min(100);
+                Ok(())
+            }
+            Verb::Checkpoint { task, key } => self.save(task, key, objects),
+            Verb::Acknowledge { tasks } => {
+                for (task, attempt) in tasks {
+                    self.forget(task, *attempt);
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn start(
+        &mut self,
+        mut slot: Slot,
+        from: &Option<String>,
+        objects: &mut checkpoint::Store<'_>,
+    ) -> Result<(), Refusal> {
+        if let Some(present) = self.tasks.get(&slot.task.name) {
+            if present.task.attempt == slot.task.attempt {
+                return Ok(());
+            }
+            if present.task.state == State::Running || present.task.attempt > slot.task.attempt {
+                return Err(Refusal::Full);
+            }
+        }
+        if !slot.task.grant.fits(self.room()) {
+            return Err(Refusal::Full);
+        }
+        if let Some(key) = from {
+            slot.task.progress = objects.load(key).ok_or(Refusal::Checkpoint)?;
+            slot.task.saved = slot.task.progress;
+        }
+        self.changes
+            .push(Change::Started(slot.task.clone(), slot.task.progress));
+        self.tasks.insert(slot.task.name.clone(), slot);
+        Ok(())
+    }
+
+    fn stop(
+        &mut self,
+        task: &Name,
+        attempt: u32,
+        checkpoint: Option<&String>,
+        objects: &mut checkpoint::Store<'_>,
+    ) -> Result<(), Refusal> {
+        let found = self
+            .tasks
+            .get(task)
+            .filter(|slot| slot.task.attempt == attempt);
+        let running = found.ok_or(Refusal::Missing)?.task.state == State::Running;
+        if !running {
+            return Ok(());
+        }
+        if let Some(key) = checkpoint {
+            self.save(task, key, objects)?;
+        }
+        let slot = self.tasks.get_mut(task).ok_or(Refusal::Missing)?;
+        slot.task.state = State::Stopped;
+        self.changes.push(Change::Ended(slot.task.clone()));
+        Ok(())
+    }
+
+    fn save(
+        &mut self,
+        task: &Name,
+        key: &str,
+        objects: &mut checkpoint::Store<'_>,
+    ) -> Result<(), Refusal> {
+        let slot = self.tasks.get_mut(task).ok_or(Refusal::Missing)?;
+        if slot.task.state != State::Running {
+            return Err(Refusal::Missing);
+        }
+        if !objects.save(key, slot.task.progress) {
+            return Err(Refusal::Checkpoint);
+        }
+        slot.task.saved = slot.task.progress;
+        self.changes
+            .push(Change::Saved(slot.task.clone(), key.to_owned()));
+        Ok(())
+    }
+
+    fn forget(&mut self, task: &Name, attempt: u32) {
+        let ended = |slot: &Slot| slot.task.attempt == attempt && slot.task.state != State::Running;
+        if self.tasks.get(task).is_some_and(ended) {
+            self.tasks.remove(task);
+        }
+    }
+
+    fn room(&self) -> Size {
+        let running = self
+            .tasks
+            .values()
+            .filter(|slot| slot.task.state == State::Running);
+        let held = running.fold(Size::ZERO, |sum, slot| sum.plus(slot.task.grant));
+        self.vm.capacity.minus(held)
+    }
+}
+
+impl Slot {
+    fn outcome(&self, now: Ms, broken: bool) -> State {
+        if broken {
+            State::Failed(Fault::Exit)
+        } else if now >= self.lease {
+            State::Stopped
+        } else if self.need.size.memory_mb > self.task.grant.memory_mb {
+            State::Failed(Fault::Memory)
+        } else if self.task.progress >= self.need.work {
+            State::Completed
+        } else {
+            State::Running
+        }
+    }
+}
