Record overfull starts and acknowledgements at the worker stand-in

Cause: the capacity and nothing-lost checks need what the worker itself saw. Change: the models report refused starts, refused requests and acknowledged attempts.

--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -47,6 +47,11 @@
         /// The answer.
         answer: Bytes,
     },
+    /// A request under a valid epoch was refused, because all slots were taken.
+    Overfull {
+        /// The id of the attempt.
+        request: String,
+    },
     /// Something happened to a task.
     Task(Change),
 }
@@ -150,6 +155,10 @@
     ) -> Option<Response<Full<Bytes>>> {
         let began = self.model().begin(epoch);
         if let Err(refusal) = began {
+            if refusal == Refusal::Full {
+                self.behaviour
+                    .see(&self.name, self.platform.now(), Seen::Overfull { request });
+            }
             return refuse(refusal);
         }
         let (time, answer) = self.behaviour.serve(&kind, &body);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -33,12 +33,16 @@
 /// Something that happened to a task, for the history.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// An attempt started, from this much earlier work.
-    Started(Task, Ms),
+    /// An attempt started, from this checkpoint.
+    Started(Task, Option<String>),
     /// An attempt ended; its state says how.
     Ended(Task),
     /// A checkpoint was written.
     Saved(Task, String),
+    /// An ended attempt was acknowledged and is forgotten.
+    Acknowledged(Task),
+    /// A start was refused for want of room.
+    Overfull(Name),
 }
 
 #[derive(Debug)]
@@ -274,6 +278,7 @@
             }
         }
         if !slot.task.grant.fits(self.room()) {
+            self.changes.push(Change::Overfull(slot.task.name.clone()));
             return Err(Refusal::Full);
         }
         if let Some(key) = from {
@@ -281,7 +286,7 @@
             slot.task.saved = slot.task.progress;
         }
         self.changes
-            .push(Change::Started(slot.task.clone(), slot.task.progress));
+            .push(Change::Started(slot.task.clone(), from.clone()));
         self.tasks.insert(slot.task.name.clone(), slot);
         Ok(())
     }
@@ -331,8 +336,10 @@
 
     fn forget(&mut self, task: &Name, attempt: u32) {
         let ended = |slot: &Slot| slot.task.attempt == attempt && slot.task.state != State::Running;
-        if self.tasks.get(task).is_some_and(ended) {
-            self.tasks.remove(task);
+        if self.tasks.get(task).is_some_and(ended)
+            && let Some(slot) = self.tasks.remove(task)
+        {
+            self.changes.push(Change::Acknowledged(slot.task));
         }
     }
 
