--- a/crates/decision/src/route.rs
+++ b/crates/decision/src/route.rs
@@ -21,6 +21,9 @@
 /// Long requests that hold less than this fraction of the slots go first.
 const SCARCE: u32 = 10;
 
+/// Due probes looked at in one choice, which bounds its cost when many targets are quarantined.
+const MAX_PROBES_SEEN: usize = 4;
+
 /// Refers to a target while it has requests or is owned.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Id(u32);
@@ -304,7 +307,8 @@
 
     fn choose_probe(&self, now: Ms, ask: &Ask<'_>) -> Option<Id> {
         let due = self.probes.iter().take_while(|(at, _)| *at <= now);
-        due.map(|(at, id)| (*at, *id))
+        due.take(MAX_PROBES_SEEN)
+            .map(|(at, id)| (*at, *id))
             .filter(|(_, id)| !ask.tried.contains(id))
             .find(|(at, id)| {
                 let entry = &self.entries[id.0 as usize];
