--- /dev/null
+++ b/crates/decision/src/commit.rs
@@ -0,0 +1,379 @@
+//! Commits within a write budget, and ambiguous ones settled by reading back.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use rand::RngExt;
+use rand::rngs::StdRng;
+
+use crate::clock::Ms;
+use crate::control::Id;
+use crate::table::Condition;
+use crate::table::Operation;
+use crate::table::Outcome;
+use crate::table::Row;
+use crate::table::Token;
+use crate::table::Version;
+use crate::table::Write;
+
+/// Rows per second that all entries together may write, of the several hundred that the table
+/// sustains.
+pub const ROWS_PER_S: u64 = 280;
+
+const FIRST_BACKOFF: Ms = Ms(100);
+const LAST_BACKOFF: Ms = Ms(5_000);
+const MAX_FLIGHTS: usize = 4;
+const MILLI: u64 = 1_000;
+
+/// The rows that one entry may write per time, as a token bucket of one second's depth.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    milli_rows: i64,
+    rate: u64,
+    at: Ms,
+}
+
+impl Budget {
+    /// A full budget for one of `entries` entries.
+    #[must_use]
+    pub fn new(now: Ms, entries: usize) -> Self {
+        let rate = rate(entries);
+        Self {
+            milli_rows: i64::try_from(rate * MILLI).unwrap_or(i64::MAX),
+            rate,
+            at: now,
+        }
+    }
+
+    /// Adapts to the number of live entries.
+    pub fn share(&mut self, now: Ms, entries: usize) {
+        self.fill(now);
+        self.rate = rate(entries);
+    }
+
+    /// Takes `rows` if the balance is positive. A large transaction may overdraw it, and later
+    /// ones wait until the debt is paid.
+    pub fn take(&mut self, now: Ms, rows: usize) -> bool {
+        self.fill(now);
+        if self.milli_rows < i64::try_from(MILLI).unwrap_or(i64::MAX) {
+            return false;
+        }
+        self.milli_rows -= i64::try_from(rows as u64 * MILLI).unwrap_or(i64::MAX);
+        true
+    }
+
+    /// Whole rows that can be written without debt.
+    pub fn rows(&mut self, now: Ms) -> usize {
+        self.fill(now);
+        usize::try_from(self.milli_rows / 1_000).unwrap_or(0)
+    }
+
+    fn fill(&mut self, now: Ms) {
+        let gain = i64::try_from(now.since(self.at).0 * self.rate).unwrap_or(i64::MAX);
+        let depth = i64::try_from(self.rate * MILLI).unwrap_or(i64::MAX);
+        self.milli_rows = self.milli_rows.saturating_add(gain).min(depth);
+        self.at = now;
+    }
+}
+
+fn rate(entries: usize) -> u64 {
+    (ROWS_PER_S / entries.max(1) as u64).max(1)
+}
+
+/// Randomised exponential backoff with full jitter.
+#[derive(Clone, Debug, Default)]
+pub struct Backoff {
+    failures: u32,
+    until: Ms,
+    since: Option<Ms>,
+}
+
+impl Backoff {
+    /// Whether an attempt may be made.
+    #[must_use]
+    pub fn ready(&self, now: Ms) -> bool {
+        now >= self.until
+    }
+
+    /// Since when every attempt has failed.
+    #[must_use]
+    pub const fn down_since(&self) -> Option<Ms> {
+        self.since
+    }
+
+    /// An attempt failed. Returns whether it is the first after a success.
+    pub fn fail(&mut self, now: Ms, random: &mut StdRng) -> bool {
+        let ceiling = (FIRST_BACKOFF.0 << self.failures.min(10)).min(LAST_BACKOFF.0);
+        self.failures = self.failures.saturating_add(1);
+        self.until = now + Ms(random.random_range(0..=ceiling));
+        let first = self.since.is_none();
+        self.since.get_or_insert(now);
+        first
+    }
+
+    /// An attempt succeeded. Returns whether attempts had failed before.
+    pub fn succeed(&mut self) -> bool {
+        let failed = self.since.is_some();
+        *self = Self::default();
+        failed
+    }
+}
+
+/// Rows that change together.
+#[derive(Clone, Debug, Default)]
+pub struct Transaction {
+    /// Required versions.
+    pub conditions: Vec<Condition>,
+    /// Changes.
+    pub writes: Vec<Write>,
+}
+
+impl Transaction {
+    /// Adds a row that must have this version.
+    pub fn require(&mut self, key: impl Into<String>, version: Version) {
+        self.conditions.push(Condition {
+            key: key.into(),
+            version,
+        });
+    }
+
+    /// Adds a change of a row that must have this version. The condition keeps a delayed copy of
+    /// the commit from overwriting a later one.
+    pub fn replace(
+        &mut self,
+        key: impl Into<String>,
+        version: Version,
+        value: Option<bytes::Bytes>,
+    ) {
+        let key = key.into();
+        self.require(key.clone(), version);
+        self.writes.push(Write { key, value });
+    }
+}
+
+/// How a transaction ended for good.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Settled {
+    /// It took effect; new versions in the order of its writes.
+    Done(Vec<Version>),
+    /// It had no effect and never will, because this row has another version.
+    Conflict(Condition),
+    /// It had no effect, because the table cannot be reached.
+    Unavailable,
+}
+
+#[derive(Debug)]
+enum Stage {
+    Sent(Id),
+    Doubtful,
+    Reading(Id),
+    Again,
+}
+
+#[derive(Debug)]
+struct Flight<P> {
+    purpose: P,
+    transaction: Transaction,
+    token: Token,
+    stage: Stage,
+    doubtful: bool,
+}
+
+/// Sends transactions one per call and follows each until it is settled.
+#[derive(Debug)]
+pub struct Writer<P> {
+    prefix: u128,
+    count: u32,
+    queue: VecDeque<(P, Transaction)>,
+    flights: BTreeMap<Token, Flight<P>>,
+    locked: BTreeSet<String>,
+    budget: Budget,
+}
+
+impl<P> Writer<P> {
+    /// A writer whose tokens start with the process's incarnation and a hash of the entry.
+    #[must_use]
+    pub fn new(entry: &str, incarnation: u64) -> Self {
+        let hash = crc32fast::hash(entry.as_bytes());
+        Self {
+            prefix: (u128::from(incarnation) << 64) | (u128::from(hash) << 32),
+            count: 0,
+            queue: VecDeque::new(),
+            flights: BTreeMap::new(),
+            locked: BTreeSet::new(),
+            budget: Budget::new(Ms::ZERO, 1),
+        }
+    }
+
+    /// The budget.
+    pub const fn budget(&mut self) -> &mut Budget {
+        &mut self.budget
+    }
+
+    /// Whether a transaction on this row is queued or not settled yet.
+    #[must_use]
+    pub fn locked(&self, key: &str) -> bool {
+        self.locked.contains(key)
+    }
+
+    /// Whether a row whose key starts with this is locked.
+    #[must_use]
+    pub fn locked_under(&self, prefix: &str) -> bool {
+        let mut from = self.locked.range(prefix.to_owned()..);
+        from.next().is_some_and(|key| key.starts_with(prefix))
+    }
+
+    /// Whether nothing is queued or unsettled.
+    #[must_use]
+    pub fn idle(&self) -> bool {
+        self.queue.is_empty() && self.flights.is_empty()
+    }
+
+    /// The purposes of all transactions that are not settled.
+    pub fn purposes(&self) -> impl Iterator<Item = &P> {
+        let queued = self.queue.iter().map(|(purpose, _)| purpose);
+        queued.chain(self.flights.values().map(|flight| &flight.purpose))
+    }
+
+    /// Queues a transaction. Its rows must not be locked.
+    pub fn push(&mut self, purpose: P, transaction: Transaction) {
+        for write in &transaction.writes {
+            self.locked.insert(write.key.clone());
+        }
+        self.queue.push_back((purpose, transaction));
+    }
+
+    /// Takes back every queued transaction, none of which was sent.
+    pub fn withdraw(&mut self) -> Vec<P> {
+        let queue = std::mem::take(&mut self.queue);
+        let unlock = |(purpose, transaction): (P, Transaction)| {
+            for write in &transaction.writes {
+                self.locked.remove(&write.key);
+            }
+            purpose
+        };
+        queue.into_iter().map(unlock).collect()
+    }
+
+    /// The next operation to send, if the budget allows one.
+    pub fn next(&mut self, now: Ms, id: Id) -> Option<Operation> {
+        self.settle(id)
+            .or_else(|| self.again(now, id))
+            .or_else(|| self.start(now, id))
+    }
+
+    fn settle(&mut self, id: Id) -> Option<Operation> {
+        let mut flights = self.flights.values_mut();
+        let flight = flights.find(|flight| matches!(flight.stage, Stage::Doubtful))?;
+        flight.stage = Stage::Reading(id);
+        let conditions = flight.transaction.conditions.iter().map(|one| &one.key);
+        let writes = flight.transaction.writes.iter().map(|one| &one.key);
+        let keys = conditions.chain(writes).cloned().collect::<BTreeSet<_>>();
+        Some(Operation::Read(keys.into_iter().collect()))
+    }
+
+    fn again(&mut self, now: Ms, id: Id) -> Option<Operation> {
+        let mut flights = self.flights.values_mut();
+        let flight = flights.find(|flight| matches!(flight.stage, Stage::Again))?;
+        if !self.budget.take(now, flight.transaction.writes.len()) {
+            return None;
+        }
+        flight.stage = Stage::Sent(id);
+        Some(commit(flight))
+    }
+
+    fn start(&mut self, now: Ms, id: Id) -> Option<Operation> {
+        let rows = self.queue.front()?.1.writes.len();
+        if self.flights.len() >= MAX_FLIGHTS || !self.budget.take(now, rows) {
+            return None;
+        }
+        let (purpose, transaction) = self.queue.pop_front()?;
+        self.count += 1;
+        let token = Token(self.prefix | u128::from(self.count));
+        let flight = Flight {
+            purpose,
+            transaction,
+            token,
+            stage: Stage::Sent(id),
+            doubtful: false,
+        };
+        let operation = commit(&flight);
+        self.flights.insert(token, flight);
+        Some(operation)
+    }
+
+    /// Takes in the outcome of an operation, and gives back the transaction that it settles.
+    pub fn ended(&mut self, id: Id, outcome: &Outcome) -> Option<(P, Transaction, Settled)> {
+        let mut flights = self.flights.values_mut();
+        let flight = flights.find(|flight| match flight.stage {
+            Stage::Sent(sent) | Stage::Reading(sent) => sent == id,
+            Stage::Doubtful | Stage::Again => false,
+        })?;
+        let settled = match flight.stage {
+            Stage::Reading(_) => read_back(flight, outcome),
+            _ => sent(flight, outcome),
+        }?;
+        let token = flight.token;
+        let flight = self.flights.remove(&token)?;
+        for write in &flight.transaction.writes {
+            self.locked.remove(&write.key);
+        }
+        Some((flight.purpose, flight.transaction, settled))
+    }
+
+    /// Whether this operation belongs to a transaction.
+    #[must_use]
+    pub fn waits(&self, id: Id) -> bool {
+        self.flights.values().any(|flight| match flight.stage {
+            Stage::Sent(sent) | Stage::Reading(sent) => sent == id,
+            Stage::Doubtful | Stage::Again => false,
+        })
+    }
+}
+
+fn commit<P>(flight: &Flight<P>) -> Operation {
+    Operation::Commit {
+        token: flight.token,
+        conditions: flight.transaction.conditions.clone(),
+        writes: flight.transaction.writes.clone(),
+    }
+}
+
+/// A failure of a repeated commit does not tell whether the first copy took effect, so it is
+/// read back like a lost answer.
+fn sent<P>(flight: &mut Flight<P>, outcome: &Outcome) -> Option<Settled> {
+    match outcome {
+        Outcome::Committed(versions) => return Some(Settled::Done(versions.clone())),
+        Outcome::Conflict(condition) if !flight.doubtful => {
+            return Some(Settled::Conflict(condition.clone()));
+        }
+        Outcome::Unavailable if !flight.doubtful => return Some(Settled::Unavailable),
+        _ => {}
+    }
+    flight.doubtful = true;
+    flight.stage = Stage::Doubtful;
+    None
+}
+
+fn read_back<P>(flight: &mut Flight<P>, outcome: &Outcome) -> Option<Settled> {
+    let Outcome::Rows(rows) = outcome else {
+        flight.stage = Stage::Doubtful;
+        return None;
+    };
+    let find = |key: &str| rows.iter().find(|row| row.key == key);
+    let version = |row: Option<&Row>| row.map_or(Version(0), |row| row.version);
+    if rows.iter().any(|row| row.token == flight.token) {
+        let writes = flight.transaction.writes.iter();
+        let versions = writes.map(|write| version(find(&write.key))).collect();
+        return Some(Settled::Done(versions));
+    }
+    let mut conditions = flight.transaction.conditions.iter();
+    match conditions.find(|one| version(find(&one.key)) != one.version) {
+        Some(broken) => Some(Settled::Conflict(broken.clone())),
+        None => {
+            flight.stage = Stage::Again;
+            None
+        }
+    }
+}
--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -1,7 +1,22 @@
 //! The control path: membership, ownership, placement, protection of services, configuration.
 
+mod adopt;
+mod call;
+mod drive;
+mod exchange;
+mod flush;
+mod handover;
+mod machine;
+mod own;
+mod scan;
+mod status;
+mod store;
+mod submit;
+mod surplus;
+
 use std::sync::Arc;
 
+pub use self::machine::Machine;
 use crate::clock::Ms;
 use crate::config::Checked;
 use crate::config::Version;
--- /dev/null
+++ b/crates/decision/src/control/call.rs
@@ -0,0 +1,317 @@
+//! Operators' calls: each is read, stored with its effect, and answered once.
+
+use super::Action;
+use super::Machine;
+use super::store::Purpose;
+use super::store::Reading;
+use super::submit::Effect;
+use crate::clock::Ms;
+use crate::commit::Settled;
+use crate::commit::Transaction;
+use crate::config::Version;
+use crate::name::Name;
+use crate::operator;
+use crate::operator::Refusal;
+use crate::operator::Reply;
+use crate::peer::Message;
+use crate::place;
+use crate::rollout;
+use crate::step::Step;
+use crate::table;
+use crate::table::Operation;
+use crate::table::Row;
+
+/// A call that is not settled by then is answered with what is known.
+const DEADLINE: Ms = Ms(8_000);
+const TRIES: u32 = 8;
+
+/// Where the answer goes.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Route {
+    /// To an operator.
+    Operator(u64),
+    /// To a peer that passed the call on.
+    Peer(u64),
+}
+
+#[derive(Clone, Debug)]
+enum Stage {
+    /// Its rows are to be read.
+    Waiting,
+    /// Its rows are being read.
+    Reading,
+    /// Its effect is being stored.
+    Writing(Effect),
+    /// The new configuration is spreading.
+    Spreading(Version, Ms),
+    /// The rows of the pieces of a job are being read.
+    Collecting,
+}
+
+/// A call under way.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    route: Route,
+    pub(super) call: operator::Call,
+    since: Ms,
+    stage: Stage,
+    tries: u32,
+    answered: bool,
+}
+
+impl<B> Machine<B>
+where
+    B: Step<Event = place::Event, Action = place::Order> + place::Read,
+{
+    pub(super) fn called(&mut self, route: Route, call: operator::Call) {
+        let ready = match &call.action {
+            operator::Action::Status { job: None } => Some(self.status()),
+            operator::Action::Status { job: Some(job) } if !self.store_up() => {
+                Some(self.known_job(job))
+            }
+            operator::Action::Reconfigure {
+                expected,
+                document,
+                dry_run: true,
+            } => Some(self.compare_config(*expected, document)),
+            _ => None,
+        };
+        if let Some(reply) = ready {
+            self.reply(route, reply);
+            return;
+        }
+        self.call_count += 1;
+        let call = Call {
+            route,
+            call,
+            since: self.now,
+            stage: Stage::Waiting,
+            tries: 0,
+            answered: false,
+        };
+        let number = self.call_count;
+        self.calls.insert(number, call);
+        self.read_call(number);
+    }
+
+    fn reply(&mut self, route: Route, reply: Reply) {
+        self.out.push(match route {
+            Route::Operator(number) => Action::Operated(number, reply),
+            Route::Peer(number) => Action::Respond(number, Message::Operated(reply)),
+        });
+    }
+
+    fn answer(&mut self, number: u64, reply: Reply) {
+        if let Some(call) = self.calls.remove(&number)
+            && !call.answered
+        {
+            self.reply(call.route, reply);
+        }
+    }
+
+    /// Reads the rows of a call, when nothing on them is unsettled here.
+    fn read_call(&mut self, number: u64) {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        let keys = Self::call_keys(&call.call);
+        if !self.rollout.ready() || keys.iter().any(|key| self.writer.locked(key)) {
+            return;
+        }
+        if self.backoff.down_since().is_some() {
+            self.answer(number, Reply::Refused(Refusal::Unavailable));
+            return;
+        }
+        call.stage = Stage::Reading;
+        call.tries += 1;
+        self.read(Reading::Call(number), Operation::Read(keys));
+    }
+
+    fn call_keys(call: &operator::Call) -> Vec<String> {
+        let subject = match &call.action {
+            operator::Action::Submit(job) => crate::job::index_key(&job.name),
+            operator::Action::Cancel { job } => crate::job::index_key(job),
+            operator::Action::Drain { vm, .. } => table::key("drain", vm),
+            operator::Action::Reconfigure { .. } => rollout::ROW.into(),
+            operator::Action::Status { job } => {
+                return Vec::from_iter(job.iter().map(|job| crate::job::index_key(job)));
+            }
+        };
+        vec![table::key("call", &call.id), subject]
+    }
+
+    /// The rows of a call were read, or could not be.
+    pub(super) fn call_read(&mut self, number: u64, rows: Option<&[Row]>) {
+        let Some(call) = self.calls.get(&number) else {
+            return;
+        };
+        let Some(rows) = rows else {
+            self.answer(number, Reply::Refused(Refusal::Unavailable));
+            return;
+        };
+        let request = call.call.clone();
+        if let operator::Action::Status { job: Some(job) } = &request.action {
+            return self.job_read(number, job, rows);
+        }
+        match self.prepare(&request, rows) {
+            Ok((transaction, effect)) => self.write_call(number, transaction, effect),
+            Err(Reply::Configured { version, .. }) => self.spread(number, version),
+            Err(reply) => self.answer(number, reply),
+        }
+    }
+
+    fn write_call(&mut self, number: u64, transaction: Transaction, effect: Effect) {
+        let mut writes = transaction.writes.iter();
+        let locked = writes.any(|write| self.writer.locked(&write.key));
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        if locked {
+            call.stage = Stage::Waiting;
+            return;
+        }
+        call.stage = Stage::Writing(effect);
+        self.writer.push(Purpose::Call(number), transaction);
+    }
+
+    pub(super) fn call_settled(&mut self, number: u64, settled: &Settled) {
+        let Some(call) = self.calls.get_mut(&number) else {
+            return;
+        };
+        match settled {
+            Settled::Done(_) => {
+                let stage = std::mem::replace(&mut call.stage, Stage::Waiting);
+                if let Stage::Writing(effect) = stage {
+                    self.take_effect(number, effect);
+                }
+            }
+            Settled::Conflict(_) if call.tries < TRIES && !call.answered => {
+                call.stage = Stage::Waiting;
+                self.read_call(number);
+            }
+            Settled::Conflict(_) | Settled::Unavailable => {
+                self.answer(number, Reply::Refused(Refusal::Unavailable));
+            }
+        }
+    }
+
+    fn take_effect(&mut self, number: u64, effect: Effect) {
+        match effect {
+            Effect::Job(job, groups, kind) => {
+                self.note(kind, &job, None, "stored with the operator's call");
+                for group in groups {
+                    self.notify(&group, &job);
+                }
+            }
+            Effect::Drain(vm, leave) => self.drain(vm, leave),
+            Effect::Config(version, document) => {
+                let changed = self.rollout.offer(version, document);
+                self.configured(changed);
+                self.spread(number, version);
+                return;
+            }
+        }
+        self.answer(number, Reply::Accepted);
+    }
+
+    fn drain(&mut self, vm: Name, leave: bool) {
+        if leave {
+            self.note(
+                crate::timeline::Kind::Leaving,
+                &vm,
+                None,
+                "drained by an operator",
+            );
+            self.fleet.drained.insert(vm);
+        } else {
+            self.fleet.drained.remove(&vm);
+        }
+        self.sync_workers();
+    }
+
+    /// Pushes a version, and waits a while for all live entries to confirm it.
+    fn spread(&mut self, number: u64, version: Version) {
+        let until = self.now + rollout::CONFIRM;
+        if let Some(call) = self.calls.get_mut(&number) {
+            call.stage = Stage::Spreading(version, until);
+        }
+        let peers = Vec::from_iter(self.roster.peers(self.now).map(|peer| peer.entry.clone()));
+        for peer in peers {
+            self.push_config(&peer);
+        }
+        self.check_spread(number);
+    }
+
+    fn check_spread(&mut self, number: u64) {
+        let Some(call) = self.calls.get(&number) else {
+            return;
+        };
+        let Stage::Spreading(version, until) = call.stage else {
+            return;
+        };
+        let mut in_force = Vec::new();
+        let mut pending = Vec::new();
+        let own = self.roster.own();
+        for member in self.roster.peers(self.now).chain([own]) {
+            if member.version >= version {
+                in_force.push(member.entry.clone());
+            } else {
+                pending.push(member.entry.clone());
+            }
+        }
+        if pending.is_empty() || self.now >= until {
+            in_force.sort_unstable();
+            pending.sort_unstable();
+            let reply = Reply::Configured {
+                version,
+                in_force,
+                pending,
+            };
+            self.answer(number, reply);
+        }
+    }
+
+    /// Continues calls that wait, and answers those past their deadline.
+    pub(super) fn advance_calls(&mut self) {
+        let numbers = Vec::from_iter(self.calls.keys().copied());
+        for number in numbers {
+            let Some(call) = self.calls.get_mut(&number) else {
+                continue;
+            };
+            let late = self.now.since(call.since) >= DEADLINE;
+            match call.stage {
+                Stage::Spreading(..) => self.check_spread(number),
+                Stage::Waiting if call.answered => self.answer(number, Reply::Unknown),
+                Stage::Waiting if !late => self.read_call(number),
+                Stage::Waiting | Stage::Reading | Stage::Collecting if late => {
+                    self.answer(number, Reply::Refused(Refusal::Unavailable));
+                }
+                Stage::Writing(_) if late && !call.answered => {
+                    call.answered = true;
+                    let route = call.route;
+                    self.reply(route, Reply::Unknown);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// The first read for a job's status found the index; the second one reads the pieces.
+    fn job_read(&mut self, number: u64, job: &Name, rows: &[Row]) {
+        let collecting = self.calls.get_mut(&number).is_some_and(|call| {
+            let before = std::mem::replace(&mut call.stage, Stage::Collecting);
+            matches!(before, Stage::Collecting)
+        });
+        if collecting {
+            let reply = self.job_status(job, rows);
+            self.answer(number, reply);
+            return;
+        }
+        match Self::piece_keys(job, rows) {
+            Some(keys) => {
+                self.read(Reading::Call(number), Operation::Read(keys));
+            }
+            None => self.answer(number, Reply::Refused(Refusal::Missing)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/src/control/exchange.rs
@@ -0,0 +1,286 @@
+//! News of members, of the platform's list and of the configuration.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use super::Action;
+use super::Id;
+use super::Machine;
+use super::store::PAGE;
+use super::store::Reading;
+use crate::clock::Ms;
+use crate::group::CLOCK_BOUND;
+use crate::group::LEASE;
+use crate::member;
+use crate::member::News;
+use crate::name::Name;
+use crate::peer::Envelope;
+use crate::peer::Member;
+use crate::peer::Message;
+use crate::place;
+use crate::resource::Size;
+use crate::step::Step;
+use crate::table::Row;
+use crate::timeline::Kind;
+use crate::vm::State;
+use crate::vm::Vm;
+
+const PUSH_AGAIN: Ms = Ms(1_000);
+
+/// All workers that the platform listed, and those that operators drained.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Fleet {
+    pub(super) list: Vec<Vm>,
+    pub(super) listed: bool,
+    pub(super) vms: BTreeMap<Name, Vm>,
+    pub(super) groups: BTreeMap<Name, BTreeSet<Name>>,
+    /// Workers that vanished from the list, until no lease on them can be in force.
+    pub(super) gone: BTreeMap<Name, (Vm, Ms)>,
+    pub(super) drained: BTreeSet<Name>,
+    /// Rises with every change of the set of groups.
+    pub(super) edition: u64,
+}
+
+impl Fleet {
+    pub(super) fn leaving(&self, vm: &Vm) -> bool {
+        vm.state == State::Leaving || self.drained.contains(&vm.name)
+    }
+
+    fn replace(&mut self, now: Ms, list: Vec<Vm>) {
+        let vms = list.iter().map(|vm| (vm.name.clone(), vm.clone()));
+        let vms = BTreeMap::from_iter(vms);
+        let before = std::mem::replace(&mut self.vms, vms);
+        self.gone.retain(|name, (_, since)| {
+            !self.vms.contains_key(name) && now.since(*since) <= LEASE + CLOCK_BOUND
+        });
+        for (name, vm) in before {
+            if !self.vms.contains_key(&name) {
+                self.gone.insert(name, (vm, now));
+            }
+        }
+        let mut groups = BTreeMap::<_, BTreeSet<_>>::new();
+        for vm in &list {
+            groups
+                .entry(vm.group.clone())
+                .or_default()
+                .insert(vm.name.clone());
+        }
+        if !groups.keys().eq(self.groups.keys()) {
+            self.edition += 1;
+        }
+        self.groups = groups;
+        self.list = list;
+        self.listed = true;
+    }
+}
+
+impl<B> Machine<B>
+where
+    B: Step<Event = place::Event, Action = place::Order> + place::Read,
+{
+    pub(super) fn send(&mut self, to: std::net::SocketAddr, message: Message) -> Id {
+        let id = self.id();
+        self.out.push(Action::Send { id, to, message });
+        id
+    }
+
+    /// Every 500 ms: digests out, the room that they tell, and what other entries' tasks hold.
+    pub(super) fn exchange(&mut self) {
+        if self.now < self.due.exchange {
+            return;
+        }
+        self.due.exchange = self.now + member::EXCHANGE;
+        self.summarise();
+        let digest = self.roster.digest(self.now);
+        for to in self.roster.partners(self.now, &mut self.random) {
+            self.send(to, Message::Digest(digest.clone()));
+        }
+    }
+
+    fn summarise(&mut self) {
+        let mut room = Vec::from_iter(self.held.keys().map(|group| (group.clone(), Size::ZERO)));
+        for worker in self.board.workers() {
+            let found = room.binary_search_by(|(group, _)| group.cmp(&worker.group));
+            if let (Ok(index), false) = (found, worker.quarantined) {
+                room[index].1 = room[index].1.plus(worker.room);
+            }
+        }
+        let held = self.board.held();
+        self.roster.work(room, held);
+        let mut others = BTreeMap::<Name, Size>::new();
+        for (team, size) in self.roster.peers(self.now).flat_map(|peer| &peer.held) {
+            let sum = others.entry(team.clone()).or_default();
+            *sum = sum.plus(*size);
+        }
+        self.drive(place::Event::Held(others.into_iter().collect()));
+    }
+
+    pub(super) fn told(&mut self, envelope: Envelope) {
+        match envelope.message {
+            Message::Digest(digest) => {
+                self.hear_digest(&digest);
+                self.push_config(&envelope.from);
+            }
+            Message::Done => self.acknowledged(&envelope.from),
+            Message::Config { version, document } => self.offered(version, document),
+            _ => {}
+        }
+    }
+
+    pub(super) fn asked(&mut self, number: u64, envelope: Envelope) {
+        let answer = match envelope.message {
+            Message::Digest(digest) => {
+                self.hear_digest(&digest);
+                Message::Digest(self.roster.digest(self.now))
+            }
+            Message::Config { version, document } => {
+                self.offered(version, document);
+                Message::Digest(self.roster.digest(self.now))
+            }
+            Message::HandOver(groups) => {
+                self.given(&groups);
+                Message::Done
+            }
+            Message::Job { group, .. } => {
+                if let Some(held) = self.held.get_mut(&group) {
+                    held.scan = self.now;
+                }
+                Message::Done
+            }
+            Message::Operate(call) => {
+                return self.called(super::call::Route::Peer(number), call);
+            }
+            // Requests and tickets belong to the request path.
+            Message::Forward(_)
+            | Message::Outcome(_)
+            | Message::Book(_)
+            | Message::Operated(_)
+            | Message::Done => return,
+        };
+        self.out.push(Action::Respond(number, answer));
+    }
+
+    fn hear_digest(&mut self, digest: &crate::peer::Digest) {
+        for (member, age) in &digest.others {
+            self.heard(member, *age);
+        }
+        self.heard(&digest.member, Ms::ZERO);
+    }
+
+    pub(super) fn heard(&mut self, member: &Member, age: Ms) {
+        let news = self.roster.hear(self.now, member, age);
+        if news == News::Old {
+            return;
+        }
+        self.repeer = true;
+        // What was on its way during a pause is delivered at once after it; a second later, news
+        // is news.
+        let recent = self.now.since(self.woke) > Ms(1_000) || self.woke == Ms::ZERO;
+        if member.version > self.rollout.version() {
+            self.rollout.hasten();
+        } else if recent && !self.store_up() {
+            self.rollout.compare(member.version);
+        }
+    }
+
+    fn offered(&mut self, version: crate::config::Version, document: crate::config::Document) {
+        if version <= self.rollout.version() && self.rollout.checked().is_some() {
+            return;
+        }
+        let changed = self.rollout.offer(version, document);
+        self.configured(changed);
+    }
+
+    /// Sends our configuration to a peer that has an older one.
+    pub(super) fn push_config(&mut self, to: &Name) {
+        let Some(checked) = self.rollout.checked() else {
+            return;
+        };
+        let version = self.rollout.version();
+        let Some(peer) = self.roster.get(to) else {
+            return;
+        };
+        let pushed = self.pushed.get(to);
+        let again = |(last, at): &(_, Ms)| *last < version || self.now.since(*at) >= PUSH_AGAIN;
+        if peer.version >= version || !pushed.is_none_or(again) {
+            return;
+        }
+        let document = checked.document().clone();
+        let address = peer.address;
+        self.pushed.insert(to.clone(), (version, self.now));
+        self.send(address, Message::Config { version, document });
+    }
+
+    /// Compares the live members with those of the last tick.
+    pub(super) fn watch_members(&mut self) {
+        self.roster.forget(self.now);
+        let live = self.roster.peers(self.now);
+        let live = BTreeSet::from_iter(live.map(|member| member.entry.clone()));
+        if live == self.live {
+            return;
+        }
+        let before = std::mem::replace(&mut self.live, live);
+        let joined = Vec::from_iter(self.live.difference(&before).cloned());
+        for name in joined {
+            self.note(Kind::MemberJoined, &name, None, "heard of");
+        }
+        let lost = Vec::from_iter(before.difference(&self.live).cloned());
+        for name in lost {
+            self.note(Kind::MemberLost, &name, None, "silent or stopping");
+        }
+        self.repeer = true;
+        let entries = self.roster.size(self.now);
+        self.writer.budget().share(self.now, entries);
+        self.due.rows = self.now;
+    }
+
+    pub(super) fn listed(&mut self, list: Vec<Vm>) {
+        if self.fleet.listed && self.fleet.list == list {
+            return;
+        }
+        self.fleet.replace(self.now, list);
+        self.sync_workers();
+    }
+
+    pub(super) fn read_drains(&mut self, mut before: Vec<Row>, rows: Vec<Row>) {
+        let more = rows.len() == PAGE as usize;
+        before.extend(rows);
+        if let (Some(last), true) = (before.last(), more) {
+            let after = last.key.clone();
+            self.scan(Reading::Drains(before), "drain/", &after);
+            return;
+        }
+        let names = before
+            .iter()
+            .filter_map(|row| row.key.strip_prefix("drain/"));
+        let drained = names.filter_map(|name| Name::try_from(name).ok()).collect();
+        if drained != self.fleet.drained {
+            self.fleet.drained = drained;
+            self.sync_workers();
+        }
+    }
+
+    /// Tells the request path which peers are live.
+    pub(super) fn emit_peers(&mut self) {
+        if !std::mem::take(&mut self.repeer) {
+            return;
+        }
+        let peers = self.roster.peers(self.now).map(|peer| peer.request.clone());
+        let peers = Vec::from_iter(peers);
+        if peers != self.peers {
+            self.peers.clone_from(&peers);
+            self.out.push(Action::Peers(peers));
+        }
+    }
+
+    /// Tells the request path which targets it may use.
+    pub(super) fn emit(&mut self) {
+        if std::mem::take(&mut self.retarget) {
+            let targets = self.targets();
+            if self.targets.as_ref() != Some(&targets) {
+                self.targets = Some(targets.clone());
+                self.out.push(Action::Targets(targets));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/src/control/flush.rs
@@ -0,0 +1,191 @@
+//! The group commit of changed pieces and of the heartbeat.
+
+use super::Action;
+use super::Machine;
+use super::store::Purpose;
+use crate::commit::Settled;
+use crate::commit::Transaction;
+use crate::group::Right;
+use crate::job;
+use crate::name::Name;
+use crate::piece::Piece;
+use crate::place;
+use crate::record;
+use crate::step::Step;
+use crate::table;
+use crate::table::Version;
+
+// Keeps a commit well under the size that one answer time allows.
+const MAX_ROWS: usize = 64;
+// Transactions of other purposes may start in the same tick as a group commit.
+const STARTS_PER_TICK: usize = 4;
+
+/// A piece that the board holds, as stored.
+#[derive(Clone, Debug)]
+pub(super) struct Stored {
+    pub(super) group: Name,
+    pub(super) job: Name,
+    pub(super) version: Version,
+    /// Whether it changed since the last commit of it was queued.
+    pub(super) dirty: bool,
+}
+
+impl<B> Machine<B>
+where
+    B: Step<Event = place::Event, Action = place::Order> + place::Read,
+{
+    pub(super) fn dirtied(&mut self, piece: &Name) {
+        if let Some(stored) = self.pieces.get_mut(piece)
+            && !std::mem::replace(&mut stored.dirty, true)
+        {
+            self.dirty.push_back(piece.clone());
+        }
+    }
+
+    /// Queues one group commit at most, and sends what the budget allows.
+    pub(super) fn flush(&mut self) {
+        if !self.store_up() {
+            return;
+        }
+        self.group_commit();
+        for _ in 0..STARTS_PER_TICK {
+            let id = self.id();
+            let Some(operation) = self.writer.next(self.now, id) else {
+                return;
+            };
+            self.out.push(Action::Table(id, operation));
+        }
+    }
+
+    fn group_commit(&mut self) {
+        let flushing = |purpose: &Purpose| matches!(purpose, Purpose::Flush(_));
+        if self.writer.purposes().any(flushing) {
+            return;
+        }
+        let mut transaction = Transaction::default();
+        let room = self.writer.budget().rows(self.now).min(MAX_ROWS);
+        if room == 0 {
+            return;
+        }
+        self.heartbeat(&mut transaction);
+        let pieces = self.add_dirty(&mut transaction, room);
+        if !transaction.writes.is_empty() {
+            self.writer.push(Purpose::Flush(pieces), transaction);
+        }
+    }
+
+    fn heartbeat(&mut self, transaction: &mut Transaction) {
+        if self.now < self.due.heartbeat || self.stopping.is_some() {
+            return;
+        }
+        self.due.heartbeat = self.now + self.roster.heartbeat(self.now);
+        let mut member = self.roster.beat();
+        // A row is read by every entry; the room of groups travels in digests only.
+        member.room.clear();
+        member.held.clear();
+        transaction.writes.push(table::Write {
+            key: table::key("member", &self.identity.entry),
+            value: Some(record::encode(&member)),
+        });
+    }
+
+    fn add_dirty(&mut self, transaction: &mut Transaction, room: usize) -> Vec<Name> {
+        let mut pieces = Vec::new();
+        let mut later = Vec::new();
+        while transaction.writes.len() < room {
+            let Some(name) = self.dirty.pop_front() else {
+                break;
+            };
+            let Some(stored) = self.pieces.get_mut(&name).filter(|one| one.dirty) else {
+                continue;
+            };
+            let key = job::key(&stored.group, &name);
+            if self.writer.locked(&key) {
+                later.push(name);
+                continue;
+            }
+            stored.dirty = false;
+            let held = self.held.get(&stored.group);
+            let Some(held) = held.filter(|held| held.right == Right::Row) else {
+                continue;
+            };
+            let Some(piece) = self.board.piece(&name) else {
+                continue;
+            };
+            let group = table::key("group", &stored.group);
+            if !transaction.conditions.iter().any(|one| one.key == group) {
+                transaction.require(group, Version(held.epoch.row));
+            }
+            store(transaction, key, stored.version, piece);
+            pieces.push(name);
+        }
+        self.dirty.extend(later);
+        pieces
+    }
+
+    pub(super) fn flushed(
+        &mut self,
+        pieces: &[Name],
+        transaction: &Transaction,
+        settled: &Settled,
+    ) {
+        match settled {
+            Settled::Done(versions) => {
+                let deleted = transaction.writes.iter().filter(|one| one.value.is_none());
+                let deleted = deleted.map(|write| (write.key.clone(), self.now));
+                self.removed.extend(deleted);
+                let rows = transaction.writes.iter().zip(versions);
+                let rows = rows.map(|(write, version)| (write.key.clone(), *version));
+                let rows = std::collections::BTreeMap::from_iter(rows);
+                for name in pieces {
+                    self.stored(name, &rows);
+                }
+            }
+            Settled::Conflict(condition) => {
+                let mut parts = condition.key.split('/').skip(1);
+                let group = parts.next().and_then(|group| Name::try_from(group).ok());
+                if let Some(group) = group {
+                    self.lose(&group, "a commit found its rows changed");
+                }
+                self.unsaved(pieces);
+            }
+            Settled::Unavailable => self.unsaved(pieces),
+        }
+    }
+
+    fn unsaved(&mut self, pieces: &[Name]) {
+        self.due.heartbeat = self.now;
+        for name in pieces {
+            self.dirtied(name);
+        }
+    }
+
+    fn stored(&mut self, name: &Name, rows: &std::collections::BTreeMap<String, Version>) {
+        let Some(stored) = self.pieces.get_mut(name) else {
+            return;
+        };
+        let version = rows.get(&job::key(&stored.group, name)).copied();
+        if rows.contains_key(&job::ended_key(name)) {
+            self.pieces.remove(name);
+            self.drive(place::Event::Stored(name.clone()));
+            return;
+        }
+        stored.version = version.unwrap_or(stored.version);
+        // A change since then is stored by the next commit, and only that one is reported.
+        if !stored.dirty {
+            self.drive(place::Event::Stored(name.clone()));
+        }
+    }
+}
+
+/// Writes a piece, or moves it to the rows of ended pieces, which owners do not scan.
+fn store(transaction: &mut Transaction, key: String, version: Version, piece: Piece) {
+    if job::ended(&piece) {
+        let ended = job::ended_key(&piece.name);
+        transaction.replace(key, version, None);
+        transaction.replace(ended, Version(0), Some(record::encode(&piece)));
+    } else {
+        let value = record::encode(&record::Work::Piece(piece));
+        transaction.replace(key, version, Some(value));
+    }
+}
--- /dev/null
+++ b/crates/decision/src/control/handover.rs
@@ -0,0 +1,231 @@
+//! Direct handover of groups: rebalancing, and the planned stop.
+
+use std::collections::BTreeMap;
+
+use super::Action;
+use super::Id;
+use super::Machine;
+use super::machine::STOP;
+use crate::clock::Ms;
+use crate::group;
+use crate::group::Held;
+use crate::group::Right;
+use crate::name::Name;
+use crate::peer::Group;
+use crate::peer::Message;
+use crate::place;
+use crate::step::Step;
+use crate::timeline::Kind;
+use crate::worker::Epoch;
+
+const BALANCE: Ms = Ms(1_000);
+// A share of the groups per second, so that a new member's arrival disturbs little at once.
+const SHARE_PER_S: usize = 8;
+const TRIES: u32 = 3;
+/// After this time the receiver must have written the row; otherwise the group is taken back.
+const SETTLE: Ms = Ms(5_000);
+
+/// Groups sent to a peer and not confirmed yet.
+#[derive(Clone, Debug)]
+pub(super) struct Handing {
+    groups: Vec<Group>,
+    id: Id,
+    tries: u32,
+}
+
+impl<B> Machine<B>
+where
+    B: Step<Event = place::Event, Action = place::Order> + place::Read,
+{
+    /// Hands over groups that another live entry should own; all of them when stopping.
+    pub(super) fn balance(&mut self) {
+        if self.now < self.due.balance {
+            return;
+        }
+        let stopping = self.stopping.is_some();
+        self.due.balance = self.now + if stopping { Ms::ZERO } else { BALANCE };
+        let owners = self.roster.owners(self.now);
+        let mut moves = BTreeMap::<Name, Vec<Name>>::new();
+        for (name, held) in &self.held {
+            let to = group::planned(name, &owners);
+            let Some(to) = to.filter(|to| **to != self.identity.entry) else {
+                continue;
+            };
+            if self.movable(name, held) && !self.busy_with(to) {
+                moves.entry(to.clone()).or_default().push(name.clone());
+            }
+        }
+        let share = self.held.len().div_ceil(SHARE_PER_S).max(1);
+        for (to, mut groups) in moves {
+            if !stopping {
+                groups.truncate(share);
+            }
+            self.hand_over(to, &groups);
+        }
+    }
+
+    /// A group just received is settled first, and one with old pieces still frozen is moved
+    /// only when it must be: its next owner would have to wait for the same workers again.
+    fn movable(&self, name: &Name, held: &Held) -> bool {
+        match held.right {
+            Right::Row => {
+                let prefix = format!("job/{name}/");
+                let waited = self
+                    .stopping
+                    .is_some_and(|at| self.now.since(at) > Ms(STOP.0 / 2));
+                let saving = self.writer.locked_under(&prefix);
+                (!saving || waited) && (!held.frozen || self.stopping.is_some())
+            }
+            Right::Given => !self.store_up() && self.stopping.is_some(),
+            Right::Caretaker => false,
+        }
+    }
+
+    // Answers do not name the message that they answer, so only one kind is under way at once.
+    fn busy_with(&self, peer: &Name) -> bool {
+        self.handing.contains_key(peer) || self.notices.values().any(|one| one == peer)
+    }
+
+    fn hand_over(&mut self, to: Name, names: &[Name]) {
+        let Some(address) = self.roster.get(&to).map(|peer| peer.address) else {
+            return;
+        };
+        let mut groups = Vec::new();
+        for name in names {
+            if let Some(held) = self.drop_group(name, "handed over") {
+                let epoch = Epoch {
+                    row: held.epoch.row,
+                    step: held.epoch.step + 1,
+                };
+                groups.push(Group {
+                    name: name.clone(),
+                    epoch,
+                });
+            }
+        }
+        let id = self.send(address, Message::HandOver(groups.clone()));
+        let handing = Handing {
+            groups,
+            id,
+            tries: 1,
+        };
+        self.handing.insert(to, handing);
+    }
+
+    /// A peer hands groups to this entry. The same message again has no effect.
+    pub(super) fn given(&mut self, groups: &[Group]) {
+        for group in groups {
+            let held = self.held.get(&group.name);
+            let known = held.is_some_and(|held| held.epoch >= group.epoch);
+            let seen = self.epochs.get(&group.name);
+            if known || seen.is_some_and(|seen| *seen >= group.epoch) {
+                continue;
+            }
+            if held.is_some() {
+                self.drop_group(&group.name, "handed over under a higher epoch");
+            }
+            self.hold(&group.name, group.epoch, Right::Given, false);
+        }
+        self.due.rows = self.now;
+    }
+
+    /// A peer confirmed the message under way to it.
+    pub(super) fn acknowledged(&mut self, from: &Name) {
+        if let Some(handing) = self.handing.remove(from) {
+            for group in handing.groups {
+                self.recheck.insert(group.name, self.now + SETTLE);
+            }
+            return;
+        }
+        let notice = self.notices.iter().find(|(_, peer)| *peer == from);
+        if let Some(id) = notice.map(|(id, _)| *id) {
+            self.notices.remove(&id);
+        }
+    }
+
+    /// A message was not answered. A handover is repeated, then taken back through the table.
+    pub(super) fn silent(&mut self, id: Id) {
+        self.notices.remove(&id);
+        let mut all = self.handing.iter();
+        let found = all.find(|(_, handing)| handing.id == id);
+        let Some(to) = found.map(|(to, _)| to.clone()) else {
+            return;
+        };
+        let Some(mut handing) = self.handing.remove(&to) else {
+            return;
+        };
+        let address = self.roster.get(&to).map(|peer| peer.address);
+        if let (Some(address), true) = (address, handing.tries < TRIES) {
+            handing.id = self.send(address, Message::HandOver(handing.groups.clone()));
+            handing.tries += 1;
+            self.handing.insert(to, handing);
+            return;
+        }
+        for group in handing.groups {
+            self.recheck.insert(group.name, self.now);
+        }
+        self.due.rows = self.now;
+    }
+
+    /// Tells the owner of a group that work was stored for it.
+    pub(super) fn notify(&mut self, group: &Name, job: &Name) {
+        if let Some(held) = self.held.get_mut(group) {
+            held.scan = self.now;
+            return;
+        }
+        let owns = |peer: &&crate::peer::Member| peer.room.iter().any(|(name, _)| name == group);
+        let owner = self.roster.peers(self.now).find(owns);
+        let Some((entry, address)) = owner.map(|peer| (peer.entry.clone(), peer.address)) else {
+            return;
+        };
+        // The owner scans its rows anyway; a lost notice only costs time.
+        if self.handing.contains_key(&entry) {
+            return;
+        }
+        let (group, job) = (group.clone(), job.clone());
+        let id = self.send(address, Message::Job { group, job });
+        self.notices.insert(id, entry);
+    }
+
+    pub(super) fn stop(&mut self) {
+        if self.stopping.is_some() {
+            return;
+        }
+        self.stopping = Some(self.now);
+        self.roster.stop();
+        self.due.exchange = self.now;
+        self.due.balance = self.now;
+        self.retarget = true;
+        let entry = self.identity.entry.clone();
+        self.note(Kind::EntryStopping, &entry, None, "asked to stop");
+        self.exchange();
+        self.balance();
+    }
+
+    /// When stopping, groups that nobody can receive are released through the table, and the
+    /// entry has stopped when it owns nothing and waits for nothing.
+    pub(super) fn finish(&mut self) {
+        let Some(since) = self.stopping else {
+            return;
+        };
+        if self.roster.owners(self.now).is_empty() && self.store_up() {
+            let names = Vec::from_iter(self.held.keys().cloned());
+            for name in names {
+                self.lose(&name, "no entry is left to receive it");
+            }
+        }
+        let owning = !self.held.is_empty() || !self.handing.is_empty();
+        let writing = !self.writer.idle() || !self.calls.is_empty();
+        let pending = self
+            .recheck
+            .values()
+            .any(|due| *due <= self.now + Ms(1_000));
+        let waits = owning || writing || pending;
+        if waits && self.now.since(since) < STOP {
+            return;
+        }
+        self.stopped = true;
+        self.targets = Some(Vec::new());
+        self.out.push(Action::Stopped);
+    }
+}
--- /dev/null
+++ b/crates/decision/src/control/machine.rs
@@ -0,0 +1,320 @@
+//! The state of the control path and its dispatch of events.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use super::Action;
+use super::Event;
+use super::Id;
+use super::Identity;
+use super::adopt::Sent;
+use super::call::Call;
+use super::exchange::Fleet;
+use super::flush::Stored;
+use super::handover::Handing;
+use super::own::Plan;
+use super::store::Purpose;
+use super::store::Reading;
+use crate::clock::Ms;
+use crate::commit::Backoff;
+use crate::commit::Writer;
+use crate::config::Version;
+use crate::group::Held;
+use crate::member::Roster;
+use crate::name::Name;
+use crate::peer::Member;
+use crate::place;
+use crate::request;
+use crate::rollout::Rollout;
+use crate::step::Step;
+use crate::timeline::Kind;
+use crate::timeline::Note;
+use crate::worker::Epoch;
+
+/// Ticks later than this put the entry's knowledge in doubt.
+pub const LATE: Ms = Ms(3_000);
+/// How long a stopping entry tries to hand over before it stops anyway.
+pub const STOP: Ms = Ms(8_000);
+
+/// When periodic work is next due.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Due {
+    pub(super) exchange: Ms,
+    pub(super) heartbeat: Ms,
+    pub(super) members: Ms,
+    pub(super) drains: Ms,
+    pub(super) rows: Ms,
+    pub(super) balance: Ms,
+    pub(super) surplus: Ms,
+}
+
+/// The control path of one entry, driving a board.
+#[derive(Debug)]
+pub struct Machine<B> {
+    pub(super) identity: Identity,
+    pub(super) board: B,
+    pub(super) now: Ms,
+    pub(super) started: Option<Ms>,
+    pub(super) ticked: Ms,
+    /// Operations with a lower id began before the last pause and prove nothing.
+    pub(super) floor: Id,
+    pub(super) woke: Ms,
+    pub(super) stopping: Option<Ms>,
+    pub(super) stopped: bool,
+    pub(super) due: Due,
+    pub(super) ids: u64,
+    pub(super) random: StdRng,
+    pub(super) roster: Roster,
+    pub(super) live: BTreeSet<Name>,
+    pub(super) rollout: Rollout,
+    pub(super) pushed: BTreeMap<Name, (Version, Ms)>,
+    pub(super) writer: Writer<Purpose>,
+    pub(super) backoff: Backoff,
+    pub(super) reads: BTreeMap<Id, Reading>,
+    pub(super) fleet: Fleet,
+    pub(super) plan: Plan,
+    pub(super) held: BTreeMap<Name, Held>,
+    /// The highest epoch at which each group was held.
+    pub(super) epochs: BTreeMap<Name, Epoch>,
+    /// Groups whose row is to be read although they are not planned here.
+    pub(super) recheck: BTreeMap<Name, Ms>,
+    pub(super) handing: BTreeMap<Name, Handing>,
+    pub(super) notices: BTreeMap<Id, Name>,
+    pub(super) commands: BTreeMap<Id, Sent>,
+    pub(super) pieces: BTreeMap<Name, Stored>,
+    /// Keys of deleted rows, which a scan that began earlier may still show.
+    pub(super) removed: BTreeMap<String, Ms>,
+    pub(super) dirty: VecDeque<Name>,
+    pub(super) surplus: VecDeque<Name>,
+    pub(super) damaged: BTreeMap<String, crate::record::Error>,
+    pub(super) slowdown: BTreeMap<Name, u32>,
+    pub(super) calls: BTreeMap<u64, Call>,
+    pub(super) call_count: u64,
+    pub(super) targets: Option<Vec<request::Target>>,
+    pub(super) retarget: bool,
+    pub(super) peers: Vec<request::Peer>,
+    pub(super) repeer: bool,
+    pub(super) out: Vec<Action>,
+}
+
+impl<B> Machine<B> {
+    /// A control path that has not joined yet.
+    #[must_use]
+    pub fn new(identity: Identity, board: B) -> Self {
+        let own = member(&identity);
+        Self {
+            board,
+            now: Ms::ZERO,
+            started: None,
+            ticked: Ms::ZERO,
+            floor: Id(0),
+            woke: Ms::ZERO,
+            stopping: None,
+            stopped: false,
+            due: Due::default(),
+            ids: 0,
+            random: StdRng::seed_from_u64(identity.seed),
+            roster: Roster::new(own, identity.seeds.clone()),
+            live: BTreeSet::new(),
+            rollout: Rollout::default(),
+            pushed: BTreeMap::new(),
+            writer: Writer::new(&identity.entry, identity.incarnation),
+            backoff: Backoff::default(),
+            reads: BTreeMap::new(),
+            fleet: Fleet::default(),
+            plan: Plan::default(),
+            held: BTreeMap::new(),
+            epochs: BTreeMap::new(),
+            recheck: BTreeMap::new(),
+            handing: BTreeMap::new(),
+            notices: BTreeMap::new(),
+            commands: BTreeMap::new(),
+            pieces: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            dirty: VecDeque::new(),
+            surplus: VecDeque::new(),
+            damaged: BTreeMap::new(),
+            slowdown: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            call_count: 0,
+            targets: None,
+            retarget: true,
+            peers: Vec::new(),
+            repeer: true,
+            out: Vec::new(),
+            identity,
+        }
+    }
+
+    /// The board that it drives.
+    #[must_use]
+    pub const fn board(&self) -> &B {
+        &self.board
+    }
+
+    /// The groups that it commands, with their epochs.
+    pub fn groups(&self) -> impl Iterator<Item = (&Name, Epoch)> {
+        self.held.iter().map(|(name, held)| (name, held.epoch))
+    }
+
+    /// Rows that could not be decoded and are left as they are.
+    #[must_use]
+    pub const fn damaged(&self) -> &BTreeMap<String, crate::record::Error> {
+        &self.damaged
+    }
+
+    /// The configuration version in force.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.rollout.version()
+    }
+
+    /// Whether the entry has a configuration and may let new work in.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.rollout.ready() && self.stopping.is_none()
+    }
+
+    pub(super) const fn id(&mut self) -> Id {
+        self.ids += 1;
+        Id(self.ids)
+    }
+
+    pub(super) fn note(
+        &mut self,
+        kind: Kind,
+        subject: &str,
+        epoch: Option<Epoch>,
+        cause: impl Into<String>,
+    ) {
+        self.out.push(Action::Note(Note {
+            kind,
+            subject: subject.into(),
+            vm: None,
+            epoch,
+            cause: cause.into(),
+        }));
+    }
+}
+
+fn member(identity: &Identity) -> Member {
+    Member {
+        entry: identity.entry.clone(),
+        incarnation: identity.incarnation,
+        address: identity.address,
+        domain: identity.domain.clone(),
+        beat: 0,
+        version: Version(0),
+        request: request::Peer {
+            entry: identity.entry.clone(),
+            incarnation: identity.incarnation,
+            free: 0,
+            waiting: 0,
+            stopping: false,
+            adopted: Vec::new(),
+        },
+        room: Vec::new(),
+        held: Vec::new(),
+    }
+}
+
+impl<B> Machine<B>
+where
+    B: Step<Event = place::Event, Action = place::Order> + place::Read,
+{
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Tick => self.tick(),
+            Event::Table(id, outcome) => self.table_ended(id, outcome),
+            // The control path names checkpoints but neither reads nor writes them.
+            Event::Object(..) => {}
+            Event::Worker(id, outcome) => self.worker_ended(id, outcome),
+            Event::Vms(list) => self.listed(list),
+            Event::Peer(envelope) => self.told(envelope),
+            Event::Asked(number, envelope) => self.asked(number, envelope),
+            Event::Silent(id) => self.silent(id),
+            Event::Operator(number, call) => {
+                self.called(super::call::Route::Operator(number), call)
+            }
+            Event::Load(peer) => self.roster.load(peer),
+            Event::Measured {
+                vm,
+                service,
+                kind,
+                time,
+            } => self.drive(place::Event::Measured {
+                vm,
+                service,
+                kind,
+                time,
+            }),
+            Event::Stopping => self.stop(),
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.started.is_none() {
+            self.started = Some(self.now);
+            let entry = self.identity.entry.clone();
+            self.note(Kind::EntryStarted, &entry, None, "first tick");
+        }
+        self.ticked = self.now;
+        self.watch_members();
+        self.exchange();
+        self.read_due();
+        self.own();
+        self.renew();
+        self.drive(place::Event::Tick);
+        self.move_surplus();
+        self.advance_calls();
+        self.balance();
+        self.flush();
+        self.emit_peers();
+        self.finish();
+    }
+
+    /// After a pause nothing known before counts as proof, and the silence of others during the
+    /// pause is not held against them.
+    fn watch_pause(&mut self) {
+        if self.started.is_none() || self.now.since(self.ticked) <= LATE {
+            return;
+        }
+        self.roster.excuse(self.now.since(self.ticked));
+        self.ticked = self.now;
+        self.woke = self.now;
+        self.floor = Id(self.ids + 1);
+        self.rollout.doubt();
+        for held in self.held.values_mut() {
+            held.proven = false;
+            for adoption in held.workers.values_mut() {
+                adoption.proven = false;
+                adoption.next = self.now;
+            }
+        }
+        self.due.rows = self.now;
+        self.retarget = true;
+    }
+}
+
+impl<B> Step for Machine<B>
+where
+    B: Step<Event = place::Event, Action = place::Order> + place::Read,
+{
+    type Event = Event;
+    type Action = Action;
+
+    fn step(&mut self, now: Ms, event: Event) -> Vec<Action> {
+        self.now = self.now.max(now);
+        if self.stopped {
+            return Vec::new();
+        }
+        self.watch_pause();
+        self.take(event);
+        self.emit();
+        std::mem::take(&mut self.out)
+    }
+}
--- /dev/null
+++ b/crates/decision/src/control/surplus.rs
@@ -0,0 +1,127 @@
+//! Moving waiting pieces to groups with room.
+
+use super::Machine;
+use super::store::Purpose;
+use super::store::Reading;
+use crate::clock::Ms;
+use crate::commit::Settled;
+use crate::commit::Transaction;
+use crate::group::Right;
+use crate::job;
+use crate::name::Name;
+use crate::place;
+use crate::record;
+use crate::step::Step;
+use crate::table;
+use crate::table::Operation;
+use crate::table::Row;
+
+const PACE: Ms = Ms(200);
+
+impl<B> Machine<B>
+where
+    B: Step<Event = place::Event, Action = place::Order> + place::Read,
+{
+    /// Starts to move one of the pieces that the board cannot start soon.
+    pub(super) fn move_surplus(&mut self) {
+        if self.now < self.due.surplus || !self.store_up() || self.stopping.is_some() {
+            return;
+        }
+        let Some(piece) = self.surplus.pop_front() else {
+            return;
+        };
+        self.due.surplus = self.now + PACE;
+        if !self.waits(&piece) {
+            return;
+        }
+        if let Some(to) = self.roomiest(&piece) {
+            let job = self.pieces[&piece].job.clone();
+            let keys = vec![job::index_key(&job)];
+            self.read(Reading::Move { piece, to }, Operation::Read(keys));
+        }
+    }
+
+    /// Whether no task of the piece runs, may run or is being stored.
+    fn waits(&self, piece: &Name) -> bool {
+        let Some(stored) = self.pieces.get(piece) else {
+            return false;
+        };
+        let Some(held) = self.held.get(&stored.group) else {
+            return false;
+        };
+        let running = self.board.progress(Some(&stored.job));
+        held.right == Right::Row
+            && held.proven
+            && !held.frozen
+            && !stored.dirty
+            && running.iter().all(|job| job.running == 0)
+            && !self.writer.locked(&job::key(&stored.group, piece))
+    }
+
+    fn roomiest(&self, piece: &Name) -> Option<Name> {
+        let from = &self.pieces.get(piece)?.group;
+        let size = self.board.piece(piece)?.job.size;
+        let groups = self.capacities(size, self.rollout.checked()?);
+        let best = groups.into_iter().max_by_key(|(_, one)| one.free)?;
+        (best.1.free > 0 && best.0 != *from).then_some(best.0)
+    }
+
+    pub(super) fn move_read(&mut self, piece: &Name, to: &Name, rows: &[Row]) {
+        let Some(row) = rows.first() else {
+            return;
+        };
+        let Ok(mut index) = record::decode::<record::Index>(&row.value) else {
+            return;
+        };
+        if !self.waits(piece) || index.cancelled || self.writer.locked(&row.key) {
+            return;
+        }
+        let (Some(content), Some(stored)) = (self.board.piece(piece), self.pieces.get(piece))
+        else {
+            return;
+        };
+        let from = stored.group.clone();
+        let Some(epoch) = self.held.get(&from).map(|held| held.epoch) else {
+            return;
+        };
+        let number = piece.rsplit('.').next().and_then(|one| one.parse().ok());
+        let Some(place) = number.and_then(|number: usize| index.groups.get_mut(number)) else {
+            return;
+        };
+        place.clone_from(to);
+        let job = stored.job.clone();
+        let mut transaction = Transaction::default();
+        transaction.require(table::key("group", &from), table::Version(epoch.row));
+        transaction.replace(row.key.clone(), row.version, Some(record::encode(&index)));
+        transaction.replace(job::key(&from, piece), stored.version, None);
+        let value = record::encode(&record::Work::Piece(content));
+        transaction.replace(job::key(to, piece), table::Version(0), Some(value));
+        // The board forgets the piece first, so that none of its tasks starts meanwhile.
+        self.pieces.remove(piece);
+        self.drive(place::Event::Moved(piece.clone()));
+        let purpose = Purpose::Move {
+            piece: piece.clone(),
+            from,
+            to: to.clone(),
+            job,
+        };
+        self.writer.push(purpose, transaction);
+    }
+
+    /// A move was settled. If it failed, the next scan finds the piece where it was.
+    pub(super) fn moved(
+        &mut self,
+        piece: &Name,
+        from: &Name,
+        to: &Name,
+        job: &Name,
+        settled: &Settled,
+    ) {
+        if matches!(settled, Settled::Done(_)) {
+            self.removed.insert(job::key(from, piece), self.now);
+            self.notify(to, job);
+        } else if let Some(held) = self.held.get_mut(from) {
+            held.scan = self.now;
+        }
+    }
+}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -4,16 +4,22 @@
 //! the embedder.
 
 pub mod clock;
+pub mod commit;
 pub mod config;
 pub mod control;
+pub mod group;
+pub mod job;
+pub mod member;
 pub mod name;
 pub mod object;
 pub mod operator;
 pub mod peer;
 pub mod piece;
 pub mod place;
+pub mod record;
 pub mod request;
 pub mod resource;
+pub mod rollout;
 pub mod step;
 pub mod table;
 pub mod ticket;
--- /dev/null
+++ b/crates/decision/src/rollout.rs
@@ -0,0 +1,181 @@
+//! The configuration in force, its comparison with a new one and its spreading.
+
+use std::sync::Arc;
+
+use crate::clock::Ms;
+use crate::config::Checked;
+use crate::config::Document;
+use crate::config::Version;
+use crate::name::Name;
+use crate::record;
+
+/// The key of the row that holds the newest configuration.
+pub const ROW: &str = "config";
+/// Time between reads of the row.
+pub const READ: Ms = Ms(2_000);
+/// How long a call waits for entries to confirm a new version.
+pub const CONFIRM: Ms = Ms(2_500);
+
+/// The key of a version's history row. Numbers are padded so that rows sort by version.
+#[must_use]
+pub fn history(version: Version) -> String {
+    format!("config/{:020}", version.0)
+}
+
+/// The configuration in force at this entry. Its version only rises.
+#[derive(Clone, Debug, Default)]
+pub struct Rollout {
+    current: Option<(Version, Arc<Checked>)>,
+    due: Ms,
+    reading: bool,
+    stale: bool,
+    damage: Option<record::Error>,
+}
+
+impl Rollout {
+    /// The version in force, 0 before the first.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        self.current
+            .as_ref()
+            .map_or(Version(0), |(version, _)| *version)
+    }
+
+    /// The configuration in force.
+    #[must_use]
+    pub fn checked(&self) -> Option<&Arc<Checked>> {
+        self.current.as_ref().map(|(_, checked)| checked)
+    }
+
+    /// Why the row could not be decoded when it was last read.
+    #[must_use]
+    pub const fn damage(&self) -> Option<&record::Error> {
+        self.damage.as_ref()
+    }
+
+    /// Whether this entry may let new work in: it has a configuration and, after a pause, has
+    /// learnt again which one is the newest.
+    #[must_use]
+    pub const fn ready(&self) -> bool {
+        self.current.is_some() && !self.stale
+    }
+
+    /// Demands a new reading before new work is let in.
+    pub const fn doubt(&mut self) {
+        self.stale = true;
+        self.due = Ms::ZERO;
+        // A reading that began before the pause does not count.
+        self.reading = false;
+    }
+
+    /// Asks for a reading as soon as possible.
+    pub const fn hasten(&mut self) {
+        self.due = Ms::ZERO;
+    }
+
+    /// Whether the row is to be read now.
+    pub fn due(&mut self, now: Ms) -> bool {
+        let due = !self.reading && now >= self.due;
+        if due {
+            self.reading = true;
+            self.due = now + READ;
+        }
+        due
+    }
+
+    /// A reading failed.
+    pub const fn failed(&mut self) {
+        self.reading = false;
+        self.due = Ms::ZERO;
+    }
+
+    /// A reading found this row, or none. Returns whether the configuration in force changed.
+    pub fn read(&mut self, value: Option<&[u8]>) -> bool {
+        self.reading = false;
+        let Some(value) = value else {
+            self.damage = None;
+            self.stale = false;
+            return self.offer(Version(0), Document::default());
+        };
+        match record::decode::<record::Config>(value) {
+            Ok(found) => {
+                self.damage = None;
+                self.stale = false;
+                self.offer(found.version, found.document)
+            }
+            Err(error) => {
+                self.damage = Some(error);
+                false
+            }
+        }
+    }
+
+    /// Takes in a configuration from the row or a peer. Returns whether it came into force. What
+    /// a peer sends may have been delayed, so it does not end the doubt after a pause.
+    pub fn offer(&mut self, version: Version, document: Document) -> bool {
+        let Ok(checked) = Checked::try_from(document) else {
+            return false;
+        };
+        if self.current.is_some() && version <= self.version() {
+            return false;
+        }
+        self.current = Some((version, Arc::new(checked)));
+        true
+    }
+
+    /// A peer told its version after the last pause: if it is not newer, ours is taken as the
+    /// newest.
+    pub fn compare(&mut self, version: Version) {
+        if version > self.version() {
+            self.hasten();
+        } else if self.current.is_some() {
+            self.stale = false;
+        }
+    }
+}
+
+/// The names of the items in which two configurations differ.
+#[must_use]
+pub fn difference(old: &Document, new: &Document) -> Vec<String> {
+    let mut found = Vec::new();
+    changed(
+        "service",
+        &old.services,
+        &new.services,
+        |one| &one.name,
+        &mut found,
+    );
+    changed("team", &old.teams, &new.teams, |one| &one.name, &mut found);
+    let limits = [
+        ("retries", old.limits.retries, new.limits.retries),
+        ("hedges", old.limits.hedges, new.limits.hedges),
+        ("evictions", old.limits.evictions, new.limits.evictions),
+        ("slowdown", old.limits.slowdown, new.limits.slowdown),
+    ];
+    for (name, before, after) in limits {
+        if before != after {
+            found.push(format!("limit {name}: {before} -> {after}"));
+        }
+    }
+    found
+}
+
+fn changed<T: PartialEq>(
+    kind: &str,
+    old: &[T],
+    new: &[T],
+    name: impl Fn(&T) -> &Name,
+    found: &mut Vec<String>,
+) {
+    for one in new {
+        match old.iter().find(|other| name(other) == name(one)) {
+            None => found.push(format!("{kind} {}: added", name(one))),
+            Some(before) if before != one => found.push(format!("{kind} {}: changed", name(one))),
+            Some(_) => {}
+        }
+    }
+    let removed = old
+        .iter()
+        .filter(|one| !new.iter().any(|other| name(other) == name(one)));
+    found.extend(removed.map(|one| format!("{kind} {}: removed", name(one))));
+}
