Classify kinds by geometric means

Cause: a kind was long when its arithmetic mean exceeded four times the service's geometric mean. A few stragglers in a row could lift a short kind over that for a moment and bound it to the share of long work.

Change: both sides are geometric means; the newest time weighs 5% instead of 10%.

--- a/crates/decision/src/classify.rs
+++ b/crates/decision/src/classify.rs
@@ -6,12 +6,13 @@
 use crate::name::Name;
 
 /// Weight of the newest time in a kind's mean and deviation.
-const KIND_WEIGHT: f32 = 0.1;
+const KIND_WEIGHT: f32 = 0.05;
 /// Weight of the newest time in a service's means.
 const SERVICE_WEIGHT: f32 = 0.02;
 /// Nothing is concluded from fewer times.
 const MIN_TIMES: u32 = 5;
-/// A kind is long when its mean exceeds the service's geometric mean this many times.
+/// A kind is long when its geometric mean exceeds the service's this many times. A few stragglers
+/// hardly move a geometric mean, so that their kind does not become long.
 const LONG_FACTOR: f32 = 4.0;
 /// A short request is reclassified when it runs this many times its kind's mean.
 const SLOW_FACTOR: f32 = 8.0;
@@ -34,6 +35,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Kind {
     times: u32,
+    log_mean: f32,
     /// Times above `SLOW_FACTOR` means are counted as that, so that stragglers do not hide others.
     mean: f32,
     deviation: f32,
@@ -62,7 +64,7 @@
         };
         match service.kinds.get(kind) {
             Some(kind) if kind.times >= MIN_TIMES => {
-                if kind.mean > LONG_FACTOR * service.log_mean.exp() {
+                if kind.log_mean > service.log_mean + LONG_FACTOR.ln() {
                     Class::Long
                 } else {
                     Class::Short
@@ -127,12 +129,14 @@
     fn record(&mut self, time: f32) {
         self.times = self.times.saturating_add(1);
         if self.times == 1 {
+            self.log_mean = time.ln();
             self.mean = time;
             self.deviation = time / 2.0;
             return;
         }
-        let time = time.min(self.mean * SLOW_FACTOR);
         let weight = KIND_WEIGHT.max(1.0 / self.times as f32);
+        self.log_mean += weight * (time.ln() - self.log_mean);
+        let time = time.min(self.mean * SLOW_FACTOR);
         let error = time - self.mean;
         self.mean += weight * error;
         self.deviation += weight * (error.abs() - self.deviation);
