Spend capacity at a peak on requests that meet their deadline

Cause: in a scratch trial three things wasted capacity. A retry entered the queue with its first arrival time, so one timed-out request switched the whole queue to newest first, and older ones died that would have been served. Hedges doubled the work of requests that are slow by themselves. Waits up to the whole deadline gave late answers without giving more of them.

Change: the wait in the queue counts from entering it; hedges need a quarter of the slots free and shrink to a twentieth of their share while they do not win; a request is refused early when its expected wait exceeds 40% of its remaining time (named constant).

--- a/crates/decision/src/budget.rs
+++ b/crates/decision/src/budget.rs
@@ -4,6 +4,10 @@
 const COST: u32 = 100;
 /// Extra attempts that may be saved up.
 const MAX_SAVED: u32 = 20;
+/// Hedges are worth their cost when at least this share is answered first.
+const MIN_WON: f32 = 0.2;
+/// Weight of the newest hedge in the share of those answered first.
+const WON_WEIGHT: f32 = 0.1;
 
 /// A budget of extra attempts per hundred first attempts.
 #[derive(Clone, Copy, Debug, Default)]
@@ -37,4 +41,57 @@
         self.saved -= COST;
         true
     }
+
+    /// Pays with all that was saved up, if that is the most that can be.
+    const fn spend_all(&mut self) -> bool {
+        let full = self.percent > 0 && self.saved == MAX_SAVED * COST;
+        if full {
+            self.saved = 0;
+        }
+        full
+    }
+}
+
+/// The budget of hedges. Where requests are slow by themselves, a hedge only doubles their work;
+/// hedges that do not win are therefore sent at a twentieth of the configured share.
+#[derive(Clone, Copy, Debug)]
+pub struct Hedges {
+    budget: Budget,
+    /// The share of hedges that were answered first, exponentially weighted.
+    won: f32,
+}
+
+impl Default for Hedges {
+    fn default() -> Self {
+        Self {
+            budget: Budget::default(),
+            won: 1.0,
+        }
+    }
+}
+
+impl Hedges {
+    /// Sets the share, in hedges per hundred first attempts.
+    pub const fn set(&mut self, percent: u32) {
+        self.budget.set(percent);
+    }
+
+    /// Counts a first attempt.
+    pub fn earn(&mut self) {
+        self.budget.earn();
+    }
+
+    /// Pays for one hedge if the budget covers it.
+    pub fn spend(&mut self) -> bool {
+        if self.won < MIN_WON {
+            return self.budget.spend_all();
+        }
+        self.budget.spend()
+    }
+
+    /// Takes in whether a hedge was answered first.
+    pub fn record(&mut self, won: bool) {
+        let result = if won { 1.0 } else { 0.0 };
+        self.won += WON_WEIGHT * (result - self.won);
+    }
 }
--- a/crates/decision/src/queue.rs
+++ b/crates/decision/src/queue.rs
@@ -33,6 +33,8 @@
     pub class: Class,
     /// When it arrived at this entry.
     pub arrived: Ms,
+    /// When it entered the queue: later than it arrived, if it was sent in between and failed.
+    pub entered: Ms,
     /// When it is too late.
     pub deadline: Ms,
     /// The time it is expected to hold a slot.
@@ -206,7 +208,7 @@
     #[must_use]
     pub fn overloaded(&self, now: Ms) -> bool {
         self.items.first_key_value().is_some_and(|(_, item)| {
-            now.since(item.arrived).0 * 2 > item.deadline.since(item.arrived).0
+            now.since(item.entered).0 * 2 > item.deadline.since(item.entered).0
         })
     }
 
--- a/crates/decision/src/request/flow.rs
+++ b/crates/decision/src/request/flow.rs
@@ -25,6 +25,8 @@
 
 /// One request is sent at most so often, whatever the reason.
 const MAX_SENDS: u32 = 4;
+/// Hedges are sent while at least one in so many slots is free.
+const HEDGE_FREE: u32 = 4;
 /// A status from here on says that the target failed.
 const FAILED_STATUS: u16 = 500;
 
@@ -230,8 +232,9 @@
         };
         let queue = self.queues.get(&request.call.service);
         let crowded = queue.is_some_and(|queue| !queue.is_empty());
+        let scarce = self.table.free() * HEDGE_FREE < self.table.capacity();
         let alone = request.flights.len() == 1 && request.sends < MAX_SENDS;
-        if crowded || !alone || !self.hedges.covers() {
+        if crowded || scarce || !alone {
             return;
         }
         let tried = [&request.tried[..], &[choice.id]].concat();
@@ -243,8 +246,12 @@
         let Some(other) = self.table.choose(now, &ask) else {
             return;
         };
-        self.hedges.spend();
-        self.send(now, id, other);
+        if self.hedges.spend() {
+            self.send(now, id, other);
+            let request = self.requests.get_mut(&id);
+            let request = request.expect("a request that was sent is in progress");
+            request.hedge = request.flights.last().copied();
+        }
     }
 
     /// Takes in the ending of an attempt. Late and duplicate endings find no flight.
@@ -342,7 +349,12 @@
                 request.failed = Some(answer);
                 self.retry(now, id, true);
             }
-            Ending::Answered(answer) => self.finish(now, id, Outcome::Answered(answer)),
+            Ending::Answered(answer) => {
+                if let Some(hedge) = request.hedge {
+                    self.hedges.record(hedge == attempt);
+                }
+                self.finish(now, id, Outcome::Answered(answer));
+            }
             Ending::Refused(refusal) if request.route == Route::Issuer => {
                 self.finish(now, id, Outcome::Refused(refusal));
             }
@@ -375,7 +387,7 @@
         let vm = request.tried.last().map(|id| self.table.vm(*id).clone());
         if request.route == Route::Serve {
             self.note(Kind::AttemptFailed, id, vm, "sent again".into());
-            self.enqueue(id);
+            self.enqueue(now, id);
             return;
         }
         let ticket = request.call.ticket.as_ref();
--- a/crates/decision/src/request/machine.rs
+++ b/crates/decision/src/request/machine.rs
@@ -25,6 +25,7 @@
 use super::work::Timers;
 use super::work::Waiter;
 use crate::budget::Budget;
+use crate::budget::Hedges;
 use crate::classify::Class;
 use crate::classify::Classes;
 use crate::clock::Ms;
@@ -45,6 +46,10 @@
 const DEFAULT_HOLD: Ms = Ms(10_000);
 /// How much later than its timeout an attempt without news has certainly ended.
 pub(super) const MARGIN: Ms = Ms(200);
+/// A request is refused early when its expected wait exceeds this part of its remaining time. A
+/// higher part answers hardly more at a peak, because waiting adds no capacity, but each answer is
+/// later.
+const WAIT_PERCENT: u64 = 40;
 /// The bound of long work holds for this time after the last short request.
 const SHORT_MEMORY: Ms = Ms(10_000);
 
@@ -63,7 +68,7 @@
     pub(super) queues: BTreeMap<Name, Queue>,
     pub(super) classes: Classes,
     pub(super) retries: Budget,
-    pub(super) hedges: Budget,
+    pub(super) hedges: Hedges,
     pub(super) timers: Timers,
     pub(super) attempts: u64,
     pub(super) actions: Vec<Action>,
@@ -91,7 +96,7 @@
             queues: BTreeMap::new(),
             classes: Classes::default(),
             retries: Budget::default(),
-            hedges: Budget::default(),
+            hedges: Hedges::default(),
             timers: Timers::default(),
             attempts: 0,
             actions: Vec::new(),
@@ -247,7 +252,7 @@
             self.finish(now, id, Outcome::Refused(refusal));
             return;
         }
-        self.enqueue(id);
+        self.enqueue(now, id);
     }
 
     fn check(&self, now: Ms, call: &Call) -> Option<Refusal> {
@@ -277,6 +282,7 @@
             arrived: now,
             place: None,
             flights: Vec::new(),
+            hedge: None,
             tried: Vec::new(),
             sends: 0,
             ran: false,
@@ -297,7 +303,7 @@
         let mean = self.classes.mean(&request.call.service).unwrap_or(Ms::ZERO);
         let ahead = queue.ahead(now, team, weight) as u64;
         let slots = u64::from(self.table.capacity());
-        if slots > 0 && ahead * mean.0 / slots > remaining.0 {
+        if slots > 0 && ahead * mean.0 / slots > remaining.0 * WAIT_PERCENT / 100 {
             return Some(Refusal::Late);
         }
         if !queue.is_full() {
@@ -311,7 +317,7 @@
     }
 
     /// Puts a request into the queue of its service.
-    pub(super) fn enqueue(&mut self, id: u64) {
+    pub(super) fn enqueue(&mut self, now: Ms, id: u64) {
         let request = &self.requests[&id];
         let call = Arc::clone(&request.call);
         let item = Item {
@@ -320,6 +326,7 @@
             weight: self.weight(&call.team),
             class: request.class,
             arrived: request.arrived,
+            entered: now,
             deadline: request.deadline(),
             cost: self.classes.mean(&call.service).unwrap_or(Ms(1)),
         };
--- a/crates/decision/src/request/work.rs
+++ b/crates/decision/src/request/work.rs
@@ -50,6 +50,8 @@
     pub place: Option<Place>,
     /// Attempts in flight.
     pub flights: Vec<Attempt>,
+    /// The second attempt, sent while the first is in flight.
+    pub hedge: Option<Attempt>,
     /// Targets that failed it.
     pub tried: Vec<route::Id>,
     pub sends: u32,
