Place, track, cancel and resume batch tasks

Cause: the control path needs a board that decides where tasks run and stays correct when answers are lost.

Change: task life cycle as a typestate, a ledger of workers, pieces and bookings, an index of workers by free room, a queue by class, and place::Board on top. Every ambiguous answer keeps place and resources booked until a report, a confirmed stop, or the lapse of lease plus clock bound. Attempts of a taken-over record start at a number derived from the epoch, because the owner before may have used attempts that it never stored.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod resource;
 pub mod step;
 pub mod table;
+pub mod task;
 pub mod ticket;
 pub mod timeline;
 pub mod vm;
--- a/crates/decision/src/place.rs
+++ b/crates/decision/src/place.rs
@@ -1,7 +1,16 @@
 //! Placement of tasks on the workers of owned groups.
 
+mod answer;
+mod board;
+mod events;
+mod index;
+mod ledger;
+mod queue;
+mod report;
+
 use std::sync::Arc;
 
+pub use self::board::Board;
 use crate::clock::Ms;
 use crate::config::Checked;
 use crate::name::Name;
--- /dev/null
+++ b/crates/decision/src/place/events.rs
@@ -0,0 +1,363 @@
+//! Events that change which workers and pieces are held.
+
+use std::sync::Arc;
+
+use super::Event;
+use super::Summary;
+use super::ledger::Key;
+use super::ledger::Ledger;
+use super::ledger::Piece;
+use super::ledger::Signal;
+use crate::clock::Ms;
+use crate::config::Checked;
+use crate::name::Name;
+use crate::operator::Progress;
+use crate::piece;
+use crate::resource::Size;
+use crate::task::Any;
+use crate::task::LAPSE;
+use crate::task::Why;
+use crate::worker;
+
+/// Cancellations of running tasks processed in one tick, so that a wave does not delay placement.
+const MAX_CANCELS: usize = 500;
+
+impl Ledger {
+    /// Takes in an event. Events that concern only the policy have no effect.
+    pub fn take(&mut self, event: &Event) {
+        match event {
+            Event::Config(config) => self.configure(config),
+            Event::Adopted { vm, epoch, report } => self.adopted(vm.clone(), *epoch, report),
+            Event::Leaving(vm, leaving) => self.with_worker(vm, |ledger, index| {
+                ledger.worker_mut(index).leaving = *leaving;
+                ledger.signals.push(Signal::Room(index));
+            }),
+            Event::Gone(vm) => self.with_worker(vm, Self::vanish),
+            Event::Lost(group) => self.lose(group),
+            Event::Frozen(group, frozen) => {
+                let index = self.group(group);
+                self.groups[index as usize].frozen = *frozen;
+                self.wake(index);
+            }
+            Event::Fenced(vm) => self.with_worker(vm, Self::fence),
+            Event::Caretaker(group, only) => {
+                let index = self.group(group);
+                self.groups[index as usize].caretaker = *only;
+                self.wake(index);
+            }
+            Event::Piece { group, piece, old } => self.take_piece(group, piece, *old),
+            Event::Moved(name) => self.forget_piece(name),
+            Event::Cancel(job) => self.cancel(job),
+            Event::Stored(name) => self.stored(name),
+            Event::Ended(id, outcome) => self.ended(*id, outcome),
+            Event::Held(_) | Event::Measured { .. } => {}
+            Event::Tick => self.tick(),
+        }
+    }
+
+    fn with_worker(&mut self, vm: &Name, act: impl FnOnce(&mut Self, u32)) {
+        if let Some(&index) = self.vms.get(vm) {
+            act(self, index);
+        }
+    }
+
+    fn configure(&mut self, config: &Arc<Checked>) {
+        self.config = Arc::clone(config);
+        let services = config.document().services.iter();
+        self.reserve = services.fold(Size::ZERO, |sum, service| sum.plus(service.reserved));
+        for index in self.present() {
+            self.signals.push(Signal::Room(index));
+        }
+        for group in &mut self.groups {
+            group.version += 1;
+        }
+    }
+
+    /// The indices of all workers.
+    #[must_use]
+    pub fn present(&self) -> Vec<u32> {
+        let workers = self.workers.iter().enumerate();
+        let present = workers.filter(|(_, worker)| worker.is_some());
+        present
+            .filter_map(|(index, _)| u32::try_from(index).ok())
+            .collect()
+    }
+
+    /// The waiting tasks and the workers of a group have to be looked at again.
+    fn wake(&mut self, group: u32) {
+        let group = &self.groups[group as usize];
+        let mut workers: Vec<u32> = group.workers.iter().copied().collect();
+        let mut pieces: Vec<u32> = group.pieces.iter().copied().collect();
+        workers.sort_unstable();
+        pieces.sort_unstable();
+        self.signals.extend(workers.into_iter().map(Signal::Room));
+        for piece in pieces {
+            self.announce(piece);
+        }
+    }
+
+    fn announce(&mut self, piece: u32) {
+        if !self.startable(piece) {
+            return;
+        }
+        let tasks = self.piece(piece).tasks.iter().zip(0..);
+        let waiting = tasks.filter(|(task, _)| task.waits());
+        let signals: Vec<_> = waiting
+            .map(|(_, task)| Signal::Waiting(Key { piece, task }))
+            .collect();
+        self.signals.extend(signals);
+    }
+
+    fn vanish(&mut self, index: u32) {
+        let now = self.now;
+        let worker = self.worker_mut(index);
+        if worker.gone.is_none() {
+            worker.gone = Some(now);
+            self.gone.push(index);
+        }
+        let group = self.worker(index).group as usize;
+        self.groups[group].version += 1;
+        self.signals.push(Signal::Room(index));
+    }
+
+    fn lose(&mut self, group: &Name) {
+        let Some(&index) = self.group_names.get(group) else {
+            return;
+        };
+        let group = &self.groups[index as usize];
+        let mut pieces: Vec<Name> = group
+            .pieces
+            .iter()
+            .map(|&piece| self.piece(piece).name.clone())
+            .collect();
+        let mut workers: Vec<u32> = group.workers.iter().copied().collect();
+        pieces.sort_unstable();
+        workers.sort_unstable();
+        pieces.iter().for_each(|piece| self.forget_piece(piece));
+        workers.into_iter().for_each(|worker| self.remove(worker));
+        let group = &mut self.groups[index as usize];
+        group.frozen = false;
+        group.caretaker = false;
+    }
+
+    fn remove(&mut self, index: u32) {
+        self.signals.push(Signal::Removed(index));
+        if let Some(worker) = self.workers[index as usize].take() {
+            self.vms.remove(&worker.vm.name);
+            let group = &mut self.groups[worker.group as usize];
+            group.workers.remove(&index);
+            group.version += 1;
+        }
+        self.gone.retain(|&other| other != index);
+        self.calls.retain(|_, (worker, _)| *worker != index);
+    }
+
+    fn take_piece(&mut self, group: &Name, piece: &piece::Piece, old: bool) {
+        if let Some(&held) = self.named.get(&piece.name) {
+            if piece.cancelled {
+                self.cancel_piece(held);
+            }
+            return self.announce(held);
+        }
+        let group = self.group(group);
+        let index = u32::try_from(self.pieces.len()).expect("pieces fit in an index");
+        let records = piece.tasks.iter().cloned();
+        self.pieces.push(Some(Piece {
+            name: piece.name.clone(),
+            group,
+            job: piece.job.clone(),
+            first: piece.first,
+            tasks: records.map(Any::from).collect(),
+            cancelled: false,
+            old,
+            change: 0,
+            ordered: None,
+            queued: false,
+            stored: 0,
+            acks: Vec::new(),
+        }));
+        self.named.insert(piece.name.clone(), index);
+        let job = self.jobs.entry(piece.job.name.clone()).or_default();
+        job.push(index);
+        self.groups[group as usize].pieces.insert(index);
+        self.attach(group);
+        if piece.cancelled {
+            self.cancel_piece(index);
+        }
+        self.announce(index);
+    }
+
+    /// Forgets a piece. What its tasks hold stays booked on their workers.
+    fn forget_piece(&mut self, name: &Name) {
+        let Some(index) = self.named.remove(name) else {
+            return;
+        };
+        let tasks = self.piece(index).tasks.iter().zip(0..);
+        let booked: Vec<_> = tasks
+            .filter_map(|(task, at)| Some((at, task.booking()?, task.run().copied())))
+            .collect();
+        for (task, booking, run) in booked {
+            let key = Key { piece: index, task };
+            let name = self.task_name(key);
+            let kind = self.piece(index).job.kind.clone();
+            self.unbook(key, booking);
+            let worker = self.worker_mut(booking.worker);
+            worker.booked = worker.booked.plus(booking.grant);
+            worker.extra.push(worker::Task {
+                name,
+                attempt: booking.attempt,
+                kind,
+                grant: booking.grant,
+                used: Size::ZERO,
+                progress: run.map_or(Ms::ZERO, |run| run.progress),
+                saved: run.map_or(Ms::ZERO, |run| run.saved),
+                throttle: run.map_or(100, |run| run.share),
+                state: worker::State::Running,
+            });
+        }
+        if let Some(piece) = self.pieces[index as usize].take() {
+            self.groups[piece.group as usize].pieces.remove(&index);
+            if let Some(pieces) = self.jobs.get_mut(&piece.job.name) {
+                pieces.retain(|&other| other != index);
+                if pieces.is_empty() {
+                    self.jobs.remove(&piece.job.name);
+                }
+            }
+        }
+    }
+
+    fn cancel(&mut self, job: &Name) {
+        for index in self.jobs.get(job).cloned().unwrap_or_default() {
+            self.cancel_piece(index);
+        }
+    }
+
+    fn cancel_piece(&mut self, index: u32) {
+        let piece = self.piece_mut(index);
+        if piece.cancelled {
+            return;
+        }
+        piece.cancelled = true;
+        let open = piece.tasks.iter().zip(0..);
+        let keys: Vec<Key> = open
+            .filter(|(task, _)| !task.ended())
+            .map(|(_, task)| Key { piece: index, task })
+            .collect();
+        self.cancels.extend(keys);
+        self.changed(index);
+    }
+
+    fn tick(&mut self) {
+        let due = self.gone.iter().copied().filter(|&index| {
+            let gone = self.worker(index).gone.unwrap_or(self.now);
+            self.now >= self.last_doubt(index, gone) + LAPSE
+        });
+        for index in due.collect::<Vec<_>>() {
+            self.lapse(index);
+            self.remove(index);
+        }
+    }
+
+    /// Processes a part of the cancellations; called after placement.
+    pub(super) fn process_cancels(&mut self) {
+        for _ in 0..MAX_CANCELS.min(self.cancels.len()) {
+            if let Some(key) = self.cancels.pop_front()
+                && self.task(key).is_some()
+            {
+                self.cancel_task(key);
+            }
+        }
+    }
+
+    fn cancel_task(&mut self, key: Key) {
+        match self.copy(key) {
+            Any::Pending(_) | Any::Resuming(_) => self.put(key, Any::Cancelled),
+            Any::Running(_) => {
+                self.stop(key, Why::Cancelled);
+                // A worker that may not be commanded now is asked later.
+                if matches!(self.slot(key), Any::Running(_)) {
+                    self.cancels.push_back(key);
+                }
+            }
+            Any::Evicting(mut task) => {
+                task.state.why = Why::Cancelled;
+                self.put(key, Any::Evicting(task));
+            }
+            Any::Starting(_) | Any::Done | Any::Cancelled | Any::Failed => {}
+        }
+    }
+
+    /// Progress by job.
+    #[must_use]
+    pub fn progress(&self, job: Option<&Name>) -> Vec<Progress> {
+        let mut names: Vec<&Name> = match job {
+            Some(name) => self
+                .jobs
+                .get_key_value(name)
+                .map(|(k, _)| k)
+                .into_iter()
+                .collect(),
+            None => self.jobs.keys().collect(),
+        };
+        names.sort_unstable();
+        names.into_iter().map(|name| self.job(name)).collect()
+    }
+
+    fn job(&self, name: &Name) -> Progress {
+        let mut sum = Progress {
+            job: name.clone(),
+            pending: 0,
+            running: 0,
+            done: 0,
+            cancelled: 0,
+            failed: 0,
+        };
+        for &index in &self.jobs[name] {
+            for task in &self.piece(index).tasks {
+                match task {
+                    Any::Pending(_) | Any::Resuming(_) => sum.pending += 1,
+                    Any::Starting(_) | Any::Running(_) | Any::Evicting(_) => sum.running += 1,
+                    Any::Done => sum.done += 1,
+                    Any::Cancelled => sum.cancelled += 1,
+                    Any::Failed => sum.failed += 1,
+                }
+            }
+        }
+        sum
+    }
+
+    /// All workers, for status, digests and targets.
+    #[must_use]
+    pub fn summaries(&self, quarantined: impl Fn(u32) -> bool) -> Vec<Summary> {
+        let summary = |index: u32| {
+            let worker = self.worker(index);
+            let usable = self.placeable(index);
+            let extra = worker.extra.iter();
+            let running = extra.filter(|task| task.state == worker::State::Running);
+            let tasks = worker.tasks.len() + running.count();
+            Summary {
+                vm: worker.vm.name.clone(),
+                group: self.groups[worker.group as usize].name.clone(),
+                booked: worker.booked,
+                room: if usable {
+                    worker.room(self.reserve)
+                } else {
+                    Size::ZERO
+                },
+                tasks: u32::try_from(tasks).unwrap_or(u32::MAX),
+                quarantined: quarantined(index),
+            }
+        };
+        self.present().into_iter().map(summary).collect()
+    }
+
+    /// What the tasks of each team hold, in team order.
+    #[must_use]
+    pub fn team_holdings(&self) -> Vec<(Name, Size)> {
+        let holds = |(_, size): &(&Name, &Size)| **size != Size::ZERO;
+        let held = self.held.iter().filter(holds);
+        let mut held: Vec<_> = held.map(|(team, size)| (team.clone(), *size)).collect();
+        held.sort_unstable_by(|a, b| a.0.cmp(&b.0));
+        held
+    }
+}
--- /dev/null
+++ b/crates/decision/src/place/queue.rs
@@ -0,0 +1,157 @@
+//! Waiting tasks by class, with the classes of each team in arrival order.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use super::ledger::Key;
+use crate::clock::Ms;
+use crate::name::Name;
+use crate::resource::Size;
+
+/// What the tasks of a class have in common: where one cannot be placed, none can.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Shape {
+    /// The group's index.
+    pub group: u32,
+    /// The team.
+    pub team: Name,
+    /// Whether the tasks are urgent.
+    pub urgent: bool,
+    /// The kind.
+    pub kind: Name,
+    /// The declared size.
+    pub size: Size,
+    /// The least memory that an earlier attempt proved necessary, in MB.
+    pub memory_floor: u32,
+}
+
+/// Whether a class may be tried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// No task waits.
+    Empty,
+    /// The next task may be tried.
+    Ready,
+    /// The next task could not be placed.
+    Blocked,
+}
+
+/// The waiting tasks of one shape.
+#[derive(Debug)]
+pub struct Class {
+    /// What they have in common.
+    pub shape: Shape,
+    /// The tasks in the order in which they began to wait.
+    pub tasks: VecDeque<(Key, Ms)>,
+    /// Whether it may be tried.
+    pub state: State,
+    /// Its place among the classes of its team.
+    turn: u64,
+}
+
+/// All waiting tasks.
+#[derive(Debug, Default)]
+pub struct Queue {
+    classes: Vec<Class>,
+    shapes: HashMap<Shape, u32>,
+    ready: HashMap<(bool, Name), BTreeSet<(u64, u32)>>,
+    blocked: VecDeque<u32>,
+    turns: u64,
+}
+
+impl Queue {
+    /// Adds a waiting task.
+    pub fn push(&mut self, shape: Shape, key: Key, now: Ms) {
+        let index = self.class_of(shape);
+        self.classes[index as usize].tasks.push_back((key, now));
+        if self.classes[index as usize].state == State::Empty {
+            self.turns += 1;
+            self.classes[index as usize].turn = self.turns;
+            self.make_ready(index);
+        }
+    }
+
+    fn class_of(&mut self, shape: Shape) -> u32 {
+        if let Some(&index) = self.shapes.get(&shape) {
+            return index;
+        }
+        let index = u32::try_from(self.classes.len()).expect("classes fit in an index");
+        self.shapes.insert(shape.clone(), index);
+        self.classes.push(Class {
+            shape,
+            tasks: VecDeque::new(),
+            state: State::Empty,
+            turn: 0,
+        });
+        index
+    }
+
+    fn make_ready(&mut self, index: u32) {
+        let class = &mut self.classes[index as usize];
+        class.state = State::Ready;
+        let team = (class.shape.urgent, class.shape.team.clone());
+        let entry = (class.turn, index);
+        self.ready.entry(team).or_default().insert(entry);
+    }
+
+    fn unready(&mut self, index: u32, state: State) {
+        let class = &mut self.classes[index as usize];
+        class.state = state;
+        let team = (class.shape.urgent, class.shape.team.clone());
+        if let Some(ready) = self.ready.get_mut(&team) {
+            ready.remove(&(class.turn, index));
+            if ready.is_empty() {
+                self.ready.remove(&team);
+            }
+        }
+    }
+
+    /// The class to try next: urgent ones first, then of the team with the lowest `share`.
+    pub fn next(&self, mut share: impl FnMut(&Name) -> f64) -> Option<u32> {
+        let urgent = self.ready.keys().any(|(urgent, _)| *urgent);
+        let teams = self.ready.iter().filter(|((of, _), _)| *of == urgent);
+        let shares = teams.map(|((_, team), classes)| (share(team), team, classes));
+        let least = shares.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(b.1)))?;
+        least.2.first().map(|&(_, index)| index)
+    }
+
+    /// The class at an index.
+    #[must_use]
+    pub fn class(&self, index: u32) -> &Class {
+        &self.classes[index as usize]
+    }
+
+    /// Removes the first task of a class.
+    pub fn pop(&mut self, index: u32) {
+        let class = &mut self.classes[index as usize];
+        class.tasks.pop_front();
+        if class.tasks.is_empty() {
+            self.unready(index, State::Empty);
+            // A class that stays blocked while empty would not be found again.
+            self.blocked.retain(|&other| other != index);
+        }
+    }
+
+    /// Sets a class aside until [`Self::unblock`].
+    pub fn block(&mut self, index: u32) {
+        self.unready(index, State::Blocked);
+        self.blocked.push_back(index);
+    }
+
+    /// Lets up to `count` blocked classes that satisfy `which` be tried again.
+    pub fn unblock(&mut self, count: usize, mut which: impl FnMut(&Class) -> bool) {
+        let mut left = count;
+        for _ in 0..self.blocked.len() {
+            let Some(index) = self.blocked.pop_front() else {
+                return;
+            };
+            if left > 0 && which(&self.classes[index as usize]) {
+                left -= 1;
+                self.make_ready(index);
+            } else {
+                self.blocked.push_back(index);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/decision/tests/fake/check.rs
@@ -0,0 +1,98 @@
+//! What must hold at the workers and in the table.
+
+use std::collections::BTreeSet;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::piece::Record;
+use decision::place::Event;
+use decision::place::Order;
+use decision::place::Read;
+use decision::step::Step;
+use decision::worker::State;
+
+use super::World;
+use super::worker::Deed;
+
+impl<B: Step<Event = Event, Action = Order> + Read> World<B> {
+    /// Checks the promises at the workers after each change.
+    pub(super) fn check(&mut self) {
+        let mut deeds = Vec::new();
+        for worker in &mut self.workers {
+            deeds.append(&mut worker.deeds);
+        }
+        deeds.into_iter().for_each(|deed| self.check_deed(deed));
+        let mut places = BTreeSet::new();
+        for worker in self.workers.iter().filter(|worker| worker.alive) {
+            let total = worker.granted().plus(self.reserve);
+            assert!(
+                total.fits(worker.vm.capacity),
+                "{} is overcommitted at {}: {total:?}",
+                worker.vm.name,
+                self.now
+            );
+            for task in worker.running() {
+                let once = places.insert(task.name.clone());
+                assert!(once, "{} runs in two places at {}", task.name, self.now);
+            }
+        }
+    }
+
+    fn check_deed(&mut self, deed: Deed) {
+        match deed {
+            Deed::Started(task, attempt, from) => {
+                let starts = self.starts.entry(task.clone()).or_default();
+                let known = starts.iter().any(|(other, _)| *other >= attempt);
+                assert!(!known, "{task} attempt {attempt} starts after {starts:?}");
+                starts.push((attempt, from));
+            }
+            Deed::Ended(task, State::Completed) => {
+                *self.completions.entry(task).or_default() += 1;
+            }
+            Deed::Ended(_, State::Stopped) => self.stops += 1,
+            Deed::Ended(..) => {}
+            Deed::Forgot(task, attempt, state) => self.check_forgotten(&task, attempt, state),
+        }
+    }
+
+    /// An acknowledged attempt must have its outcome in the table. A completion that is heard of
+    /// only after the lease lapsed and the task was cancelled stays cancelled.
+    fn check_forgotten(&self, task: &Name, attempt: u32, state: State) {
+        let record = self.record(task);
+        let stored = match (state, record) {
+            (State::Completed, record) => !is_open(record),
+            (_, Record::Open { attempt: known, .. }) => *known >= attempt,
+            _ => true,
+        };
+        assert!(
+            stored,
+            "{task} attempt {attempt} {state:?} is forgotten, but stored is {record:?}"
+        );
+    }
+
+    pub fn record(&self, task: &Name) -> &Record {
+        let (job, index) = task.rsplit_once('#').expect("task names have an index");
+        let index: usize = index.parse().expect("the index is a number");
+        let mut pieces = self.table.values();
+        let piece = pieces.find(|piece| &*piece.job.name == job);
+        &piece.expect("the task's piece is stored").tasks[index]
+    }
+
+    /// All stored records.
+    pub fn records(&self) -> Vec<Record> {
+        let pieces = self.table.values();
+        pieces.flat_map(|piece| piece.tasks.clone()).collect()
+    }
+
+    /// Runs until every task has ended in the table, or the time is over.
+    pub fn settle(&mut self, time: Ms) {
+        let end = self.now + time;
+        while self.now < end && self.records().iter().any(is_open) {
+            self.run(Ms(1_000));
+        }
+    }
+}
+
+pub const fn is_open(record: &Record) -> bool {
+    matches!(record, Record::Open { .. })
+}
--- /dev/null
+++ b/crates/decision/tests/place_faults.rs
@@ -0,0 +1,130 @@
+//! Placement under faults: nothing is lost, doubled or overcommitted.
+
+mod fake;
+
+use decision::clock::Ms;
+use decision::piece::Record;
+use decision::place::Board;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+
+use self::fake::Faults;
+use self::fake::World;
+use self::fake::check::is_open;
+use self::fake::job;
+use self::fake::name;
+use self::fake::piece;
+use self::fake::size;
+use self::fake::worker::Need;
+
+const HOUR: Ms = Ms(3_600_000);
+
+#[test]
+fn tasks_run_once_without_faults() {
+    let mut world = world(1, 3);
+    let need = need(3_000, 500);
+    world.submit(piece(job("a", 50, size(1_000, 1_000, 0))), need);
+    world.settle(HOUR);
+    let done = |record: &Record| *record == Record::Done;
+    assert!(world.records().iter().all(done));
+    assert!(world.starts.values().all(|starts| starts.len() == 1));
+}
+
+/// What goes wrong at some point of a run.
+#[derive(Clone, Copy, Debug)]
+enum Blow {
+    Kill(usize),
+    Cut(usize),
+    Break(usize),
+    Restart,
+    Cancel(usize),
+    Objects,
+}
+
+fn blow() -> impl Strategy<Value = Blow> {
+    (0..6, 0..5usize).prop_map(|(kind, which)| match kind {
+        0 => Blow::Kill(which),
+        1 => Blow::Cut(which),
+        2 => Blow::Break(which),
+        3 => Blow::Restart,
+        4 => Blow::Cancel(which),
+        _ => Blow::Objects,
+    })
+}
+
+fn faults() -> impl Strategy<Value = Faults> {
+    (0..10u32, 0..10u32, 0..10u32, 0..10u32, 0..30u32, 0..50u32).prop_map(|chances| Faults {
+        unsent: chances.0,
+        lost_request: chances.1,
+        lost_answer: chances.2,
+        late_request: chances.3,
+        late_report: chances.4,
+        late_store: chances.5,
+    })
+}
+
+fn world(seed: u64, workers: usize) -> World<Board> {
+    let capacities = vec![size(8_000, 8_000, 0); workers];
+    World::new(Board::new(seed), seed, &capacities, size(1_000, 1_000, 0))
+}
+
+const fn need(work: u64, memory_mb: u32) -> Need {
+    Need {
+        work: Ms(work),
+        size: size(1_000, memory_mb, 0),
+        fails: false,
+    }
+}
+
+fn strike(world: &mut World<Board>, blow: Blow, seed: u64) {
+    match blow {
+        // One worker stays, so that the work can end.
+        Blow::Kill(which) if which > 0 => world.kill(which),
+        Blow::Kill(_) => {}
+        Blow::Cut(which) => world.cut_off(which),
+        Blow::Break(which) => world.workers[which].broken = true,
+        Blow::Restart => world.restart(Board::new(seed)),
+        Blow::Cancel(which) => world.cancel(&name(["a", "b", "c", "d", "e"][which])),
+        Blow::Objects => world.objects.up = !world.objects.up,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 96,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against lost and doubled tasks, overcommitted workers and outcomes acknowledged
+    /// before they are stored. The checks run inside the world.
+    #[test]
+    fn promises_hold_under_faults(
+        seed in any::<u64>(),
+        faults in faults(),
+        blows in proptest::collection::vec((1_000..20_000u64, blow()), 0..8),
+    ) {
+        let mut world = world(seed, 5);
+        world.faults = faults;
+        for (raw, work) in [("a", 1_000), ("b", 8_000), ("c", 30_000)] {
+            world.submit(piece(job(raw, 20, size(1_000, 1_000, 0))), need(work, 700));
+        }
+        for (after, blow) in blows {
+            world.run(Ms(after));
+            strike(&mut world, blow, seed);
+        }
+        world.run(Ms(10_000));
+        world.heal();
+        world.settle(HOUR);
+        let open = world.records().iter().filter(|record| is_open(record)).count();
+        assert_eq!(open, 0, "tasks are lost: {:?}", world.records());
+        for (task, count) in &world.completions {
+            let cut = world.starts[task].len() > 1;
+            assert!(*count == 1 || cut, "{task} completed {count} times");
+        }
+    }
+}
