--- a/crates/target/src/attempt.rs
+++ b/crates/target/src/attempt.rs
@@ -95,18 +95,22 @@
         .body(Full::new(attempt.body))
 }
 
+/// Reads an answer. A refusal may lack the id, as a target can refuse before it reads the request,
+/// but an answer with the id of another attempt says nothing about this one.
 fn ending(response: Response<Bytes>, id: &str) -> Ending {
     let header = |name| {
         let value = response.headers().get(name)?;
         Some(value.as_bytes())
     };
-    if header(REQUEST) != Some(id.as_bytes()) {
-        return Ending::Unknown;
-    }
-    let refused = header(OUTCOME) == Some(REFUSED.as_bytes());
-    if refused && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+    let known = header(REQUEST);
+    let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && header(OUTCOME) == Some(REFUSED.as_bytes());
+    if refused && known.is_none_or(|known| known == id.as_bytes()) {
         return Ending::NotRun;
     }
+    if known != Some(id.as_bytes()) {
+        return Ending::Unknown;
+    }
     Ending::Answered(Answer {
         status: response.status().as_u16(),
         body: response.into_body(),
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,44 @@
+//! Checks a settings file.
+
+use std::path::PathBuf;
+
+use lexopt::Parser;
+
+use super::Error;
+use super::Run;
+use super::print;
+use crate::cli;
+use crate::cli::Parsed;
+use crate::settings::Settings;
+
+/// Help on this command.
+pub const HELP: &str = "\
+Usage: samphiretrail check --settings FILE
+
+Checks a settings file and starts nothing. An error names file, line and key.
+
+Options:
+      --settings FILE  Settings in INI form; docs/example.ini shows all keys
+  -h, --help           Show this help
+";
+
+/// The command `check`.
+#[derive(Debug)]
+pub struct Check {
+    file: PathBuf,
+}
+
+/// Parses the options.
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+    Ok(match cli::settings_file(parser)? {
+        Some(file) => Parsed::Run(Box::new(Check { file })),
+        None => Parsed::Help(HELP),
+    })
+}
+
+impl Run for Check {
+    fn run(&self) -> Result<(), Error> {
+        let settings = Settings::load(&self.file)?;
+        print(&format!("ok entry={}\n", settings.entry.name))
+    }
+}
--- /dev/null
+++ b/src/cmd/drain.rs
@@ -0,0 +1,69 @@
+//! Takes a worker out of service, or back into it.
+
+use decision::name::Name;
+use decision::operator::Action;
+use lexopt::Arg;
+use lexopt::Parser;
+
+use super::Error;
+use super::Run;
+use super::Target;
+use crate::cli;
+use crate::cli::Common;
+use crate::cli::Parsed;
+
+/// Help on this command.
+pub const HELP: &str = "\
+Usage: samphiretrail drain --entry ADDR [OPTIONS] VM
+
+Takes a worker out of service: it receives no new work. With --return, it is
+taken back into service.
+
+Options:
+      --entry ADDR  Operator address of any entry
+      --call ID     Id of the call; repeating a call with its id is harmless
+      --return      Back into service
+  -h, --help        Show this help
+";
+
+/// The command `drain`.
+#[derive(Debug)]
+pub struct Drain {
+    target: Target,
+    vm: Name,
+    leave: bool,
+}
+
+/// Parses the options.
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+    let mut common = Common::default();
+    let mut vm = None;
+    let mut leave = true;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Parsed::Help(HELP)),
+            Arg::Value(raw) if vm.is_none() => vm = Some(cli::name("VM", raw)?),
+            Arg::Long("return") => leave = false,
+            Arg::Long(option) => {
+                let option = option.to_owned();
+                if !common.take(&option, parser)? {
+                    return Err(cli::Error::Usage(format!("no option --{option}")));
+                }
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Parsed::Run(Box::new(Drain {
+        target: common.finish()?,
+        vm: cli::required("VM", vm)?,
+        leave,
+    })))
+}
+
+impl Run for Drain {
+    fn run(&self) -> Result<(), Error> {
+        let vm = self.vm.clone();
+        let leave = self.leave;
+        self.target.call(Action::Drain { vm, leave })
+    }
+}
--- /dev/null
+++ b/src/cmd/reconfigure.rs
@@ -0,0 +1,94 @@
+//! Replaces the configuration.
+
+use std::fs;
+use std::path::PathBuf;
+
+use decision::config::Checked;
+use decision::config::Document;
+use decision::config::Version;
+use decision::operator::Action;
+use lexopt::Arg;
+use lexopt::Parser;
+
+use super::Error;
+use super::Run;
+use super::Target;
+use super::failed;
+use crate::cli;
+use crate::cli::Common;
+use crate::cli::Parsed;
+
+/// Help on this command.
+pub const HELP: &str = "\
+Usage: samphiretrail reconfigure --entry ADDR --expected N --file FILE [OPTIONS]
+
+Replaces the configuration, unless another version than N is in force.
+
+Options:
+      --entry ADDR  Operator address of any entry
+      --call ID     Id of the call; repeating a call with its id is harmless
+      --expected N  The version seen last; status shows it
+      --file FILE   The new configuration; docs/example.json shows all fields
+      --dry-run     Only check and show what would change
+  -h, --help        Show this help
+";
+
+/// The command `reconfigure`.
+#[derive(Debug)]
+pub struct Reconfigure {
+    target: Target,
+    expected: Version,
+    file: PathBuf,
+    dry_run: bool,
+}
+
+/// Parses the options.
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+    let mut common = Common::default();
+    let mut expected = None;
+    let mut file = None;
+    let mut dry_run = false;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Parsed::Help(HELP)),
+            Arg::Long("expected") => expected = Some(cli::value(parser, "expected")?),
+            Arg::Long("file") => file = Some(PathBuf::from(parser.value()?)),
+            Arg::Long("dry-run") => dry_run = true,
+            Arg::Long(option) => {
+                let option = option.to_owned();
+                if !common.take(&option, parser)? {
+                    return Err(cli::Error::Usage(format!("no option --{option}")));
+                }
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Parsed::Run(Box::new(Reconfigure {
+        target: common.finish()?,
+        expected: Version(cli::required("--expected N", expected)?),
+        file: cli::required("--file FILE", file)?,
+        dry_run,
+    })))
+}
+
+impl Run for Reconfigure {
+    fn run(&self) -> Result<(), Error> {
+        self.target.call(Action::Reconfigure {
+            expected: self.expected,
+            document: self.document()?,
+            dry_run: self.dry_run,
+        })
+    }
+}
+
+impl Reconfigure {
+    /// The document, checked here so that a wrong one is refused without a call.
+    fn document(&self) -> Result<Document, Error> {
+        let file = self.file.display().to_string();
+        let text = fs::read_to_string(&self.file).map_err(|error| failed(&file, &error))?;
+        let document: Document =
+            serde_json::from_str(&text).map_err(|error| failed(&file, &error))?;
+        let checked = Checked::try_from(document).map_err(|error| failed(&file, &error))?;
+        Ok(checked.document().clone())
+    }
+}
--- /dev/null
+++ b/src/cmd/submit.rs
@@ -0,0 +1,132 @@
+//! Submits a batch job.
+
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::operator::Action;
+use decision::operator::Job;
+use decision::resource::Size;
+use lexopt::Arg;
+use lexopt::Parser;
+
+use super::Error;
+use super::Run;
+use super::Target;
+use crate::cli;
+use crate::cli::Common;
+use crate::cli::Parsed;
+
+/// Help on this command.
+pub const HELP: &str = "\
+Usage: samphiretrail submit --entry ADDR --job NAME --team NAME --kind NAME
+                            --tasks N [OPTIONS]
+
+Submits a batch job: N independent tasks of one shape.
+
+Options:
+      --entry ADDR      Operator address of any entry
+      --call ID         Id of the call; repeating a call with its id is harmless
+      --job NAME        Name of the job, unique for all time
+      --team NAME       Team that the job counts against
+      --kind NAME       Kind of the tasks
+      --tasks N         Number of tasks
+      --millicores N    Processor time of a task in thousandths of a core [1000]
+      --memory-mb N     Memory of a task [256]
+      --accelerators N  Accelerators of a task [0]
+      --run-time-ms N   Declared run time of a task [60000]
+      --urgent          Goes before other work
+  -h, --help            Show this help
+";
+
+/// The command `submit`.
+#[derive(Debug)]
+pub struct Submit {
+    target: Target,
+    job: Job,
+}
+
+struct Options {
+    common: Common,
+    job: Option<Name>,
+    team: Option<Name>,
+    kind: Option<Name>,
+    tasks: Option<u32>,
+    size: Size,
+    run_time: Ms,
+    urgent: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            common: Common::default(),
+            job: None,
+            team: None,
+            kind: None,
+            tasks: None,
+            size: Size {
+                millicores: 1_000,
+                memory_mb: 256,
+                accelerators: 0,
+            },
+            run_time: Ms(60_000),
+            urgent: false,
+        }
+    }
+}
+
+impl Options {
+    fn take(&mut self, option: &str, parser: &mut Parser) -> Result<bool, cli::Error> {
+        match option {
+            "job" => self.job = Some(cli::name("--job", parser.value()?)?),
+            "team" => self.team = Some(cli::name("--team", parser.value()?)?),
+            "kind" => self.kind = Some(cli::name("--kind", parser.value()?)?),
+            "tasks" => self.tasks = Some(cli::value(parser, option)?),
+            "millicores" => self.size.millicores = cli::value(parser, option)?,
+            "memory-mb" => self.size.memory_mb = cli::value(parser, option)?,
+            "accelerators" => self.size.accelerators = cli::value(parser, option)?,
+            "run-time-ms" => self.run_time = Ms(cli::value(parser, option)?),
+            "urgent" => self.urgent = true,
+            other => return self.common.take(other, parser),
+        }
+        Ok(true)
+    }
+
+    fn finish(self) -> Result<Submit, cli::Error> {
+        Ok(Submit {
+            target: self.common.finish()?,
+            job: Job {
+                name: cli::required("--job NAME", self.job)?,
+                team: cli::required("--team NAME", self.team)?,
+                kind: cli::required("--kind NAME", self.kind)?,
+                tasks: cli::required("--tasks N", self.tasks)?,
+                size: self.size,
+                run_time: self.run_time,
+                urgent: self.urgent,
+            },
+        })
+    }
+}
+
+/// Parses the options.
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+    let mut options = Options::default();
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Short('h') | Arg::Long("help") => return Ok(Parsed::Help(HELP)),
+            Arg::Long(option) => {
+                let option = option.to_owned();
+                if !options.take(&option, parser)? {
+                    return Err(cli::Error::Usage(format!("no option --{option}")));
+                }
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    Ok(Parsed::Run(Box::new(options.finish()?)))
+}
+
+impl Run for Submit {
+    fn run(&self) -> Result<(), Error> {
+        self.target.call(Action::Submit(self.job.clone()))
+    }
+}
--- /dev/null
+++ b/src/daemon/control.rs
@@ -0,0 +1,105 @@
+//! Carries out the actions of the control path.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use decision::control::Action;
+use decision::control::Event;
+use decision::control::Id;
+use decision::name::Name;
+use decision::peer::Message;
+use decision::request;
+use decision::step::Step;
+use decision::worker;
+use peer::frame::Frame;
+
+use super::shell::Shell;
+use crate::logs;
+
+impl Shell {
+    /// Lets the control path take in an event and carries out its actions.
+    pub(super) fn control(self: &Arc<Self>, event: Event) {
+        let mut notes = Vec::new();
+        let mut machine = self.control.lock().expect("no holder of this lock panics");
+        // Read under the lock, so that time never decreases for the machine.
+        let now = self.clock.now();
+        for action in machine.step(now, event) {
+            // Nothing here waits: work is spawned and answers are passed on.
+            match action {
+                Action::Note(note) => notes.push(self.record(note)),
+                other => self.operate(other),
+            }
+        }
+        drop(machine);
+        notes.iter().for_each(logs::event);
+    }
+
+    fn operate(self: &Arc<Self>, action: Action) {
+        let shell = Arc::clone(self);
+        match action {
+            Action::Table(id, operation) => self.spawn(async move {
+                shell.metrics.table();
+                let outcome = shell.clients.table.run(operation).await;
+                shell.control(Event::Table(id, outcome));
+            }),
+            Action::Object(id, operation) => self.spawn(async move {
+                let outcome = shell.clients.objects.run(operation).await;
+                shell.control(Event::Object(id, outcome));
+            }),
+            Action::Worker { id, vm, command } => self.spawn(async move {
+                let outcome = shell.command(&vm, &command).await;
+                shell.control(Event::Worker(id, outcome));
+            }),
+            Action::Send { id, to, message } => self.spawn(async move {
+                let event = shell.send(id, to, message).await;
+                shell.control(event);
+            }),
+            Action::Respond(id, message) => self.asked.answer(id, message),
+            Action::Operated(id, reply) => self.operated.answer(id, reply),
+            Action::Targets(targets) => self.request(request::Event::Targets(targets)),
+            Action::Peers(peers) => {
+                self.directory.peers(&peers);
+                self.request(request::Event::Peers(peers));
+            }
+            Action::Config(_, config) => {
+                let mut current = self.config.lock().expect("no holder of this lock panics");
+                *current = Some(Arc::clone(&config));
+                drop(current);
+                self.request(request::Event::Config(config));
+            }
+            Action::Stopped => drop(self.stopped.0.close()),
+            Action::Note(note) => drop(self.record(note)),
+        }
+    }
+
+    fn spawn(&self, work: impl Future<Output = ()> + Send + 'static) {
+        let key = self.next_operation.fetch_add(1, Ordering::Relaxed);
+        self.operations.spawn(key, work);
+    }
+
+    async fn command(&self, vm: &Name, command: &worker::Command) -> worker::Outcome {
+        self.metrics.command();
+        let limit = self.settings.times.command;
+        match self.directory.worker(vm) {
+            Some(address) => self.clients.workers.run(address, command, limit).await,
+            None => worker::Outcome::Unsent,
+        }
+    }
+
+    async fn send(&self, id: Id, to: SocketAddr, message: Message) -> Event {
+        let frame = Frame::Message(Box::new(self.envelope(message)));
+        let limit = self.settings.times.peer;
+        match self.clients.peers.ask(to, &frame, limit).await {
+            Ok(Frame::Message(envelope)) => {
+                self.receive(&envelope);
+                Event::Peer(*envelope)
+            }
+            Ok(_) => Event::Silent(id),
+            Err(error) => {
+                log::debug!("entry={} peer={to} cause={error:?}", self.identity.entry);
+                Event::Silent(id)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/daemon/peers.rs
@@ -0,0 +1,101 @@
+//! Messages of peers.
+
+use std::sync::Arc;
+
+use decision::control;
+use decision::peer::Envelope;
+use decision::peer::Forward;
+use decision::peer::Message;
+use decision::request;
+use decision::request::Call;
+use decision::timeline::Event;
+use decision::timeline::Filter;
+use peer::frame;
+use peer::frame::Frame;
+use peer::server::Handler;
+use smol::Timer;
+use smol::future::FutureExt;
+
+use super::callers;
+use super::shell::Shell;
+
+/// The most timeline events sent to a peer at once.
+pub(super) const MAX_EVENTS: usize = 2_000;
+
+/// Answers peers.
+pub(super) struct Gate(pub(super) Arc<Shell>);
+
+impl Handler for Gate {
+    async fn ask(&self, frame: Frame) -> Frame {
+        match frame {
+            Frame::Message(envelope) => self.message(*envelope).await,
+            Frame::Timeline(filter) => Frame::Events(self.events(&filter)),
+            Frame::Events(_) | Frame::Silent => Frame::Silent,
+        }
+    }
+}
+
+impl Gate {
+    async fn message(&self, envelope: Envelope) -> Frame {
+        let shell = &self.0;
+        shell.receive(&envelope);
+        let answer = match envelope.message {
+            Message::Forward(forward) => Some(self.run(forward).await),
+            Message::Book(book) => {
+                shell.request(request::Event::Adopt(book));
+                Some(Message::Done)
+            }
+            Message::Outcome(_) | Message::Operated(_) | Message::Done => None,
+            message => {
+                self.ask_control(Envelope {
+                    message,
+                    ..envelope
+                })
+                .await
+            }
+        };
+        match answer {
+            Some(message) => Frame::Message(Box::new(shell.envelope(message))),
+            None => Frame::Silent,
+        }
+    }
+
+    async fn run(&self, forward: Forward) -> Message {
+        let shell = &self.0;
+        let call = Call {
+            id: 0,
+            service: forward.service,
+            kind: forward.kind,
+            team: forward.team,
+            repeatable: forward.repeatable,
+            ticket: forward.ticket,
+            deadline: shell.clock.now() + forward.remaining,
+            forwarded: true,
+            body: forward.body,
+        };
+        Message::Outcome(callers::arrive(shell, call).await)
+    }
+
+    async fn ask_control(&self, envelope: Envelope) -> Option<Message> {
+        let shell = &self.0;
+        let (id, answer) = shell.asked.open();
+        shell.control(control::Event::Asked(id, envelope));
+        let answer = async { answer.await.ok() };
+        let late = async {
+            Timer::after(shell.settings.times.peer).await;
+            None
+        };
+        let message = answer.or(late).await;
+        shell.asked.close(id);
+        message
+    }
+
+    /// The newest events that fit into a frame.
+    fn events(&self, filter: &Filter) -> Vec<Event> {
+        let mut events = self.0.journal.select(filter, MAX_EVENTS);
+        while frame::encode(&Frame::Events(events.clone())).is_err() {
+            events.drain(..events.len().div_ceil(2));
+        }
+        events
+    }
+}
--- /dev/null
+++ b/src/daemon/stop.rs
@@ -0,0 +1,93 @@
+//! Ends an entry.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use decision::control;
+use decision::peer::Message;
+use decision::request;
+use decision::timeline::Kind;
+use peer::client;
+use peer::frame::Frame;
+use smol::Timer;
+use smol::future::FutureExt;
+
+use super::Servers;
+use super::shell::Shell;
+
+/// How often the request path is asked whether it is idle.
+const POLL: Duration = Duration::from_millis(5);
+
+/// Lets requests in flight finish and hands over tickets and groups. Returns whether this was done
+/// within the settings' stop time.
+pub(super) async fn gracefully(shell: &Arc<Shell>, servers: &Servers) -> bool {
+    let end = Instant::now() + shell.settings.times.stop;
+    let work = async {
+        hand_over(shell, servers).await;
+        true
+    };
+    let late = async {
+        Timer::at(end).await;
+        false
+    };
+    work.or(late).await
+}
+
+async fn hand_over(shell: &Arc<Shell>, servers: &Servers) {
+    shell.stopping.store(true, Ordering::SeqCst);
+    shell.note(Kind::EntryStopping, "stop");
+    shell.request(request::Event::Stopping);
+    while !idle(shell) {
+        Timer::after(POLL).await;
+    }
+    servers.caller.stop().await;
+    send_book(shell).await;
+    shell.control(control::Event::Stopping);
+    let _ = shell.stopped.1.recv().await;
+    servers.operator.stop().await;
+    servers.peer.stop().await;
+}
+
+fn idle(shell: &Shell) -> bool {
+    let machine = shell.request.lock().expect("no holder of this lock panics");
+    machine.idle()
+}
+
+/// Sends the ticket book to one peer. Another is only tried when the book cannot have arrived, as
+/// two holders of a book could both run a ticket.
+async fn send_book(shell: &Arc<Shell>) {
+    let mut peers = shell.directory.live();
+    peers.retain(|(peer, _)| !peer.stopping);
+    peers.sort_by_key(|(peer, _)| std::cmp::Reverse(peer.free));
+    if peers.is_empty() {
+        return;
+    }
+    let message = Message::Book(shell.seal());
+    let frame = Frame::Message(Box::new(shell.envelope(message)));
+    let limit = shell.settings.times.peer;
+    for (peer, address) in peers {
+        let result = shell.clients.peers.ask(address, &frame, limit).await;
+        let log = |result: &str| {
+            let entry = &shell.identity.entry;
+            log::info!("entry={entry} successor={} book={result}", peer.entry);
+        };
+        match result {
+            Ok(_) => return log("taken"),
+            Err(client::Error::Unsent(_)) => log("unsent"),
+            Err(error) => return log(&format!("{:?}", error.to_string())),
+        }
+    }
+}
+
+/// Closes everything that is still open.
+pub(super) async fn close(shell: &Shell, servers: &Servers) {
+    servers.caller.kill().await;
+    servers.operator.kill().await;
+    servers.peer.kill().await;
+    shell.attempts.close();
+    shell.operations.close();
+    shell.clients.targets.clear();
+    shell.clients.peers.clear();
+}
--- /dev/null
+++ b/src/journal.rs
@@ -0,0 +1,107 @@
+//! The recent timeline of this entry, in memory.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::timeline::Event;
+use decision::timeline::Filter;
+use decision::timeline::Note;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+
+/// Events that may wait for a slow watcher, after which its stream ends.
+const WATCH_BACKLOG: usize = 1_024;
+
+/// A bounded buffer of events under a Lamport counter.
+#[derive(Debug)]
+pub struct Journal {
+    entry: Name,
+    kept: usize,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    lamport: u64,
+    events: VecDeque<Event>,
+    watchers: Vec<(Filter, Sender<Event>)>,
+}
+
+impl Journal {
+    /// An empty journal of `entry` that keeps the last `kept` events.
+    #[must_use]
+    pub fn new(entry: Name, kept: usize) -> Self {
+        Self {
+            entry,
+            kept,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Records an event and returns it.
+    pub fn record(&self, at: Ms, note: Note) -> Event {
+        let mut inner = self.lock();
+        inner.lamport += 1;
+        let event = Event {
+            entry: self.entry.clone(),
+            lamport: inner.lamport,
+            at,
+            note,
+        };
+        if inner.events.len() == self.kept {
+            inner.events.pop_front();
+        }
+        inner.events.push_back(event.clone());
+        inner.watchers.retain(|(filter, watcher)| {
+            !watcher.is_closed()
+                && (!filter.selects(&event) || watcher.try_send(event.clone()).is_ok())
+        });
+        event
+    }
+
+    /// The counter to send with a message.
+    pub fn tick(&self) -> u64 {
+        let mut inner = self.lock();
+        inner.lamport += 1;
+        inner.lamport
+    }
+
+    /// Jumps over a counter that came with a message.
+    pub fn witness(&self, lamport: u64) {
+        let mut inner = self.lock();
+        inner.lamport = inner.lamport.max(lamport);
+    }
+
+    /// The newest events that the filter selects, at most `most`, oldest first.
+    pub fn select(&self, filter: &Filter, most: usize) -> Vec<Event> {
+        let inner = self.lock();
+        let newest = inner.events.iter().rev();
+        let mut found: Vec<Event> = newest
+            .filter(|event| filter.selects(event))
+            .take(most)
+            .cloned()
+            .collect();
+        found.reverse();
+        found
+    }
+
+    /// A stream of the events to come that the filter selects.
+    pub fn watch(&self, filter: Filter) -> Receiver<Event> {
+        let (sender, receiver) = smol::channel::bounded(WATCH_BACKLOG);
+        self.lock().watchers.push((filter, sender));
+        receiver
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of this lock panics")
+    }
+}
+
+/// Puts the events of several entries into causal order.
+pub fn merge(events: &mut [Event]) {
+    // Sorting is stable, so events of one entry keep their sequence.
+    events.sort_by(|a, b| (a.lamport, &a.entry).cmp(&(b.lamport, &b.entry)));
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+//! The samphiretrail daemon and its command line.
+
+pub mod cli;
+pub mod cmd;
+pub mod daemon;
+pub mod journal;
+pub mod logs;
+pub mod metrics;
+pub mod settings;
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,138 @@
+//! Metrics in Prometheus text format.
+
+use std::time::Duration;
+
+use decision::request::Ending;
+use decision::request::Outcome;
+use decision::request::Peer;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use quick_error::quick_error;
+
+/// Upper bounds of the request time histogram, in ms.
+const TIME_BOUNDS: [f64; 10] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 250.0, 1_000.0, 5_000.0,
+];
+
+quick_error! {
+    /// Why metrics cannot be collected.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The exporter refused its configuration.
+        Start(reason: String) {
+            display("metrics: {}", reason)
+        }
+    }
+}
+
+/// The instruments of an entry.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    attempts: Counter<u64>,
+    table: Counter<u64>,
+    commands: Counter<u64>,
+    times: Histogram<f64>,
+    free: Gauge<u64>,
+    waiting: Gauge<u64>,
+    outcomes: [[KeyValue; 1]; 3],
+    endings: [[KeyValue; 1]; 3],
+}
+
+impl Metrics {
+    /// Fresh instruments.
+    ///
+    /// # Errors
+    ///
+    /// When the exporter refuses its configuration.
+    pub fn new() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|error| Error::Start(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("samphiretrail");
+        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
+        let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
+        Ok(Self {
+            requests: counter("requests", "Requests of callers by outcome"),
+            attempts: counter("attempts", "Attempts at targets and peers by ending"),
+            table: counter("table_operations", "Operations of the table service"),
+            commands: counter("worker_commands", "Commands sent to workers"),
+            times: meter
+                .f64_histogram("request_time_ms")
+                .with_description("Time from the arrival of a request to its outcome")
+                .with_boundaries(TIME_BOUNDS.into())
+                .build(),
+            free: gauge("free_slots", "Free request slots of owned targets"),
+            waiting: gauge("waiting_requests", "Requests in the queue"),
+            outcomes: labels("outcome", ["answered", "refused", "unknown"]),
+            endings: labels("ending", ["answered", "not-run", "unknown"]),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request.
+    pub fn request(&self, outcome: &Outcome, time: Duration) {
+        let index = match outcome {
+            Outcome::Answered(_) => 0,
+            Outcome::Refused(_) => 1,
+            Outcome::Unknown => 2,
+        };
+        self.requests.add(1, &self.outcomes[index]);
+        self.times.record(time.as_secs_f64() * 1_000.0, &[]);
+    }
+
+    /// Counts an attempt.
+    pub fn attempt(&self, ending: &Ending) {
+        let index = match ending {
+            Ending::Answered(_) => 0,
+            Ending::NotRun => 1,
+            Ending::Unknown => 2,
+        };
+        self.attempts.add(1, &self.endings[index]);
+    }
+
+    /// Counts an operation of the table service.
+    pub fn table(&self) {
+        self.table.add(1, &[]);
+    }
+
+    /// Counts a worker command.
+    pub fn command(&self) {
+        self.commands.add(1, &[]);
+    }
+
+    /// Sets the gauges of the request path.
+    pub fn load(&self, load: &Peer) {
+        self.free.record(load.free.into(), &[]);
+        self.waiting.record(load.waiting.into(), &[]);
+    }
+
+    /// All metrics in Prometheus text format.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
+        match encoded {
+            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+}
+
+fn labels(key: &'static str, values: [&'static str; 3]) -> [[KeyValue; 1]; 3] {
+    values.map(|value| [KeyValue::new(key, value)])
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,152 @@
+//! A fleet of stand-ins for tests of whole entries.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::resource::Size;
+use decision::vm::State;
+use decision::vm::Vm;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use link::Spawner;
+use link::pool;
+use link::pool::Pool;
+use samphiretrail::settings::Settings;
+use standin::backend::Backend;
+use standin::backend::Behaviour;
+use standin::backend::Seen;
+use standin::platform::Platform;
+use standin::serve::Server;
+use standin::worker::Need;
+
+/// The longest that any test waits for something that is due within seconds.
+pub const PATIENCE: Duration = Duration::from_millis(30_000);
+
+/// Answers every request with its contents; the kind `slow` takes 300 ms.
+#[derive(Debug)]
+pub struct Echo;
+
+impl Behaviour for Echo {
+    fn serve(&self, kind: &str, body: &Bytes) -> (Ms, Bytes) {
+        let time = if kind == "slow" { Ms(300) } else { Ms(1) };
+        (time, body.clone())
+    }
+
+    fn need(&self, _kind: &Name, _task: &Name) -> Need {
+        let size = Size {
+            millicores: 100,
+            memory_mb: 10,
+            accelerators: 0,
+        };
+        Need { work: Ms(50), size }
+    }
+
+    fn see(&self, _vm: &Name, _now: Ms, _seen: Seen) {}
+}
+
+/// The platform and some workers on loopback.
+pub struct Fleet {
+    platform_address: SocketAddr,
+    _servers: Vec<Server>,
+}
+
+impl Fleet {
+    /// Starts the platform and `count` workers.
+    pub fn start(count: u32) -> Self {
+        let platform = Arc::new(Platform::new(Ms(0), Vec::new()));
+        let server = smol::block_on(Server::start(Arc::clone(&platform))).expect("a free port");
+        let platform_address = server.address();
+        let mut servers = vec![server];
+        for index in 0..count {
+            servers.push(worker(&platform, index));
+        }
+        Self {
+            platform_address,
+            _servers: servers,
+        }
+    }
+
+    /// Settings of an entry on free ports.
+    pub fn settings(&self, name: &str) -> Settings {
+        let platform = self.platform_address;
+        let text = format!(
+            "[entry]\nname={name}\nfailure_domain=zone-a\n[listen]\ncaller=127.0.0.1:0\n\
+             operator=127.0.0.1:0\npeer=127.0.0.1:0\n[platform]\ntable={platform}\n\
+             objects={platform}\nvms={platform}\n[limits]\nthreads=2\n[times]\nvms_ms=100\n"
+        );
+        Settings::parse(name, &text).expect("the settings are valid")
+    }
+}
+
+fn worker(platform: &Arc<Platform>, index: u32) -> Server {
+    let name = format!("vm-{index}");
+    let mut vm = Vm {
+        name: Name::try_from(name.as_str()).expect("a valid name"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        group: Name::try_from(format!("rack-{}", index / 8).as_str()).expect("a valid name"),
+        domain: Name::try_from("zone-a").expect("a valid name"),
+        capacity: Size {
+            millicores: 32_000,
+            memory_mb: 125_000,
+            accelerators: 0,
+        },
+        slots: 8,
+        state: State::Live,
+    };
+    let backend = Backend::new(vm.clone(), Arc::clone(platform), Arc::new(Echo));
+    let server = smol::block_on(Server::start(Arc::new(backend))).expect("a free port");
+    vm.address = server.address();
+    platform.vms().add(platform.now(), vm);
+    server
+}
+
+/// A caller with its own connections.
+pub struct Caller {
+    spawner: Spawner,
+    pool: Pool,
+}
+
+impl Caller {
+    /// A caller without connections yet.
+    pub fn new() -> Self {
+        let spawner = Spawner::default();
+        let pool = Pool::new(&spawner, pool::Limits::default());
+        Self { spawner, pool }
+    }
+
+    /// Sends a request with headers and reads the whole answer.
+    pub fn send(
+        &self,
+        to: SocketAddr,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &'static str,
+    ) -> Result<Response<Bytes>, pool::Error> {
+        let mut request = Request::builder().method(method).uri(path);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let request = request
+            .header("host", "entry")
+            .body(Full::new(Bytes::from_static(body.as_bytes())))
+            .expect("a valid request");
+        let sent = self.pool.send(to, request, PATIENCE);
+        smol::block_on(self.spawner.run(sent))
+    }
+}
+
+/// Waits until `done` holds.
+pub fn wait(what: &str, mut done: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < end, "waited too long for {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
