Test the transports against bad input

Cause: the transports had no tests of their own. A frame that cannot be encoded is reported as unsent, not as unknown. Conclusion: bad input ends only its own connection in every case tried.

--- /dev/null
+++ b/crates/link/tests/server.rs
@@ -0,0 +1,115 @@
+//! Bounds and the end of a server.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Response;
+use http_body_util::Full;
+use link::Spawner;
+use link::server::Limits;
+use link::server::Server;
+use smol::Timer;
+use smol::channel::Receiver;
+use smol::future::FutureExt;
+use smol::net::TcpListener;
+
+const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: test\r\n\r\n";
+
+/// A server that answers after `delay` and tells when a request begins.
+fn start(limits: Limits, delay: Duration) -> (Server, Receiver<()>) {
+    let spawner = Spawner::default();
+    let (begins, begun) = smol::channel::unbounded();
+    let listener = smol::block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
+    let server = Server::start(&spawner, listener, limits, move |_request| {
+        let begins = begins.clone();
+        async move {
+            let _ = begins.send(()).await;
+            Timer::after(delay).await;
+            Response::new(Full::new(Bytes::from_static(b"whole")))
+        }
+    });
+    thread::spawn(move || smol::block_on(spawner.run(smol::future::pending::<()>())));
+    (server.expect("a server"), begun)
+}
+
+fn open(server: &Server) -> TcpStream {
+    let stream = TcpStream::connect(server.address()).expect("a connection");
+    let limit = Some(Duration::from_millis(10_000));
+    stream.set_read_timeout(limit).expect("a read timeout");
+    stream
+}
+
+fn read_all(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    drop(stream.read_to_end(&mut bytes));
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Guards against a planned stop that cuts off a request in flight.
+#[test]
+fn a_stop_lets_requests_finish_and_closes_idle_connections() {
+    let (server, begun) = start(Limits::default(), Duration::from_millis(200));
+    let mut idle = open(&server);
+    let mut busy = open(&server);
+    busy.write_all(REQUEST).expect("a request");
+    begun.recv_blocking().expect("the request begins");
+    smol::block_on(server.stop());
+    assert!(
+        read_all(&mut busy).ends_with("whole"),
+        "the answer is whole"
+    );
+    assert_eq!(read_all(&mut idle), "", "the idle connection is closed");
+    assert!(
+        TcpStream::connect(server.address()).is_err(),
+        "nothing listens"
+    );
+}
+
+/// Guards against a crash-like stop that waits for requests.
+#[test]
+fn a_kill_breaks_requests_off() {
+    let (server, begun) = start(Limits::default(), Duration::from_millis(600_000));
+    let mut busy = open(&server);
+    busy.write_all(REQUEST).expect("a request");
+    begun.recv_blocking().expect("the request begins");
+    let killed = async {
+        server.kill().await;
+        true
+    };
+    let late = async {
+        Timer::after(Duration::from_millis(10_000)).await;
+        false
+    };
+    assert!(smol::block_on(killed.or(late)), "the kill ends");
+    assert_eq!(read_all(&mut busy), "");
+}
+
+/// Guards against connections beyond the bound, and against a bound that never frees.
+#[test]
+fn connections_over_the_bound_are_closed() {
+    let limits = Limits {
+        connections: 2,
+        ..Limits::default()
+    };
+    let (server, begun) = start(limits, Duration::ZERO);
+    // An answer shows that the connection has been accepted.
+    let mut kept = [open(&server), open(&server)];
+    for stream in &mut kept {
+        stream.write_all(REQUEST).expect("a request");
+        begun.recv_blocking().expect("the request begins");
+    }
+    assert_eq!(read_all(&mut open(&server)), "", "the third is closed");
+    drop(kept);
+    let free = (0..100).any(|_| {
+        thread::sleep(Duration::from_millis(100));
+        let mut next = open(&server);
+        // A closed connection may refuse the request.
+        drop(next.write_all(b"GET / HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n"));
+        read_all(&mut next).ends_with("whole")
+    });
+    assert!(free, "a place is free again");
+}
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -18,10 +18,10 @@
     /// Why an entry gave no answer.
     #[derive(Debug)]
     pub enum Error {
-        /// The frame cannot be sent or the answer cannot be read.
-        Frame(error: frame::Error) {
+        /// The answer cannot be read; the frame has arrived.
+        Answer(error: frame::Error) {
             from()
-            display("{}", error)
+            display("answer: {}", error)
         }
         /// The frame did not arrive.
         Unsent(cause: String) {
@@ -70,7 +70,8 @@
         frame: &Frame,
         limit: Duration,
     ) -> Result<Frame, Error> {
-        let body = Full::new(frame::encode(frame)?.into());
+        let body = frame::encode(frame).map_err(|error| Error::Unsent(error.to_string()))?;
+        let body = Full::new(body.into());
         let request = Request::post("/peer")
             .header(http::header::HOST, "entry")
             .body(body)
--- /dev/null
+++ b/crates/peer/tests/transport.rs
@@ -0,0 +1,185 @@
+//! Frames between entries, good and bad.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::peer::Envelope;
+use decision::peer::Forward;
+use decision::peer::Message;
+use decision::timeline::Filter;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use link::Spawner;
+use link::pool;
+use link::pool::Pool;
+use link::server::Server;
+use peer::client;
+use peer::client::Client;
+use peer::frame;
+use peer::frame::Frame;
+use peer::frame::MAX_BYTES;
+use peer::server::Handler;
+use smol::Timer;
+use smol::net::TcpListener;
+
+const LIMIT: Duration = Duration::from_millis(10_000);
+
+/// Sends every frame back, but never answers a question for the timeline.
+struct Echo;
+
+impl Handler for Echo {
+    async fn ask(&self, frame: Frame) -> Frame {
+        if let Frame::Timeline(_) = frame {
+            Timer::never().await;
+        }
+        frame
+    }
+}
+
+fn start() -> (Server, Spawner) {
+    let spawner = Spawner::default();
+    let listener = smol::block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
+    let server = peer::server::start(&spawner, listener, Arc::new(Echo));
+    let running = Arc::clone(&spawner);
+    thread::spawn(move || smol::block_on(running.run(smol::future::pending::<()>())));
+    (server.expect("a server"), spawner)
+}
+
+fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("a valid name")
+}
+
+/// A forwarded request with a body of `bytes`.
+fn forward(bytes: usize) -> Frame {
+    let message = Message::Forward(Forward {
+        service: name("orders"),
+        kind: name("place"),
+        team: name("lamps"),
+        repeatable: false,
+        ticket: None,
+        remaining: Ms(1_000),
+        body: vec![7; bytes].into(),
+    });
+    Frame::Message(Box::new(Envelope {
+        from: name("entry-1"),
+        incarnation: 1,
+        lamport: 2,
+        message,
+    }))
+}
+
+fn post(to: SocketAddr, spawner: &Spawner, path: &str, body: Vec<u8>) -> Response<Bytes> {
+    let pool = Pool::new(spawner, pool::Limits::default());
+    let request = Request::post(path)
+        .header("host", "entry")
+        .body(Full::new(body.into()))
+        .expect("a valid request");
+    smol::block_on(pool.send(to, request, LIMIT)).expect("an answer")
+}
+
+/// Guards against a message changed on its way.
+#[test]
+fn a_frame_arrives_as_sent() {
+    let (server, spawner) = start();
+    let client = Client::new(&spawner, LIMIT);
+    for bytes in [0, 1, 1_000, 500_000] {
+        let sent = forward(bytes);
+        let answer = smol::block_on(client.ask(server.address(), &sent, LIMIT));
+        assert!(answer.expect("an answer") == sent, "{bytes} bytes");
+    }
+}
+
+/// Guards against bad frames that are taken in, or that get no typed error.
+#[test]
+fn bad_frames_are_refused() {
+    let good = frame::encode(&forward(3)).expect("a frame");
+    let with = |version| [&[version], &good[1..]].concat();
+    let cases = [
+        ("empty", Vec::new(), "the frame is empty"),
+        (
+            "version 0",
+            with(0),
+            "the frame has version 0, version 1 is spoken",
+        ),
+        (
+            "newer version",
+            with(2),
+            "the frame has version 2, version 1 is spoken",
+        ),
+        (
+            "absurd size",
+            vec![1; MAX_BYTES + 1],
+            "the frame has 1048577 bytes",
+        ),
+        (
+            "cut short",
+            good[..good.len() - 1].to_vec(),
+            "the frame cannot be read",
+        ),
+        ("only a version", vec![1], "the frame cannot be read"),
+        (
+            "garbage",
+            [b"\x01".as_slice(), &[0xc1; 40]].concat(),
+            "the frame cannot be read",
+        ),
+        (
+            "nested without end",
+            [b"\x01".as_slice(), &[0x91; 100_000]].concat(),
+            "the frame",
+        ),
+    ];
+    let (server, spawner) = start();
+    for (name, bytes, expected) in cases {
+        let answer = post(server.address(), &spawner, "/peer", bytes);
+        assert_eq!(answer.status(), 400, "{name}");
+        let error: frame::Error = rmp_serde::from_slice(answer.body()).expect("a typed error");
+        assert!(error.to_string().starts_with(expected), "{name}: {error}");
+    }
+    let missing = post(server.address(), &spawner, "/other", good);
+    assert_eq!(missing.status(), 404);
+}
+
+/// Guards against a name that was not checked because it came from a peer.
+#[test]
+fn an_invalid_name_in_a_frame_is_refused() {
+    let mut bytes = frame::encode(&forward(0)).expect("a frame");
+    let place = bytes.windows(6).position(|part| part == b"orders");
+    let place = place.expect("the service is in the frame");
+    bytes[place..place + 6].copy_from_slice(b"or ers");
+    let error = frame::decode(&bytes).expect_err("the name is refused");
+    assert!(matches!(error, frame::Error::Contents(_)), "{error}");
+    bytes[place..place + 6].copy_from_slice(b"or\xff\xfers");
+    let error = frame::decode(&bytes).expect_err("invalid UTF-8 is refused");
+    assert!(matches!(error, frame::Error::Contents(_)), "{error}");
+}
+
+/// Guards against a frame called unsent although it may have arrived, and the reverse.
+#[test]
+fn the_client_tells_unsent_from_broken() {
+    let (server, spawner) = start();
+    let client = Client::new(&spawner, LIMIT);
+    let ask = |to, frame, limit| smol::block_on(client.ask(to, &frame, limit));
+    let silent = Frame::Timeline(Filter::default());
+    let result = ask(server.address(), silent, Duration::from_millis(50));
+    assert!(
+        matches!(result, Err(client::Error::Broken(_))),
+        "{result:?}"
+    );
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr());
+    let result = ask(unused.expect("a free port"), Frame::Silent, LIMIT);
+    assert!(
+        matches!(result, Err(client::Error::Unsent(_))),
+        "{result:?}"
+    );
+    let result = ask(server.address(), forward(MAX_BYTES), LIMIT);
+    assert!(
+        matches!(result, Err(client::Error::Unsent(_))),
+        "{result:?}"
+    );
+}
--- /dev/null
+++ b/crates/target/tests/client.rs
@@ -0,0 +1,239 @@
+//! How attempts and commands end when a target misbehaves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use bytes::Bytes;
+use decision::name::Name;
+use decision::request::Answer;
+use decision::request::Ending;
+use decision::resource::Size;
+use decision::worker::Command;
+use decision::worker::Epoch;
+use decision::worker::Outcome;
+use decision::worker::Refusal;
+use decision::worker::Reply;
+use decision::worker::Report;
+use decision::worker::Verb;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use link::Spawner;
+use link::pool;
+use link::server::Limits;
+use link::server::Server;
+use smol::Timer;
+use smol::net::TcpListener;
+use target::attempt;
+use target::command;
+
+const LIMIT: Duration = Duration::from_millis(5_000);
+const ID: &str = "entry-1/a/7";
+
+/// A server that answers with `respond`, and the spawner of its thread.
+fn start<F>(respond: impl Fn(Request<Incoming>) -> F + Send + Sync + 'static) -> (Server, Spawner)
+where
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let spawner = Spawner::default();
+    let listener = smol::block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
+    let server = Server::start(&spawner, listener, Limits::default(), respond);
+    let running = Arc::clone(&spawner);
+    thread::spawn(move || smol::block_on(running.run(smol::future::pending::<()>())));
+    (server.expect("a server"), spawner)
+}
+
+fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("a valid name")
+}
+
+fn sample() -> attempt::Attempt {
+    attempt::Attempt {
+        id: attempt::Id {
+            entry: name("entry-1"),
+            incarnation: 10,
+            attempt: 7,
+        },
+        epoch: Epoch { row: 3, step: 1 },
+        service: name("orders"),
+        kind: name("place"),
+        body: Bytes::from_static(b"lamp"),
+    }
+}
+
+/// Guards against a late or foreign answer taken for our own, and against a run called not run.
+#[test]
+fn an_attempt_ends_as_the_answer_says() {
+    let answered = |status| {
+        Ending::Answered(Answer {
+            status,
+            body: Bytes::from_static(b"whole"),
+        })
+    };
+    type Case = (u16, Option<&'static str>, Option<&'static str>, Ending);
+    let cases: [Case; 9] = [
+        (200, Some(ID), None, answered(200)),
+        (500, Some(ID), None, answered(500)),
+        (503, Some(ID), None, answered(503)),
+        (503, Some(ID), Some("refused"), Ending::NotRun),
+        (503, None, Some("refused"), Ending::NotRun),
+        (503, Some("entry-1/a/8"), Some("refused"), Ending::Unknown),
+        (200, Some(ID), Some("refused"), answered(200)),
+        (200, Some("entry-1/a/8"), None, Ending::Unknown),
+        (200, None, None, Ending::Unknown),
+    ];
+    for (status, id, outcome, expected) in cases {
+        let (server, spawner) = start(move |_request| async move {
+            let mut response = Response::builder().status(status);
+            for (header, value) in [("x-request", id), ("x-outcome", outcome)] {
+                if let Some(value) = value {
+                    response = response.header(header, value);
+                }
+            }
+            response
+                .body(Full::new(Bytes::from_static(b"whole")))
+                .expect("a valid response")
+        });
+        let client = attempt::Client::new(&spawner, pool::Limits::default());
+        let ending = smol::block_on(client.run(server.address(), sample(), LIMIT));
+        assert_eq!(ending, expected, "{status} {id:?} {outcome:?}");
+    }
+}
+
+/// Guards against a request that reaches the target with other contents.
+#[test]
+fn an_attempt_arrives_as_sent() {
+    let (server, spawner) = start(|request: Request<Incoming>| async {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.expect("the whole body").to_bytes();
+        let epoch = head.headers["x-epoch"].to_str().expect("text").to_owned();
+        let id = head.headers["x-request"].clone();
+        let seen = format!("{} {epoch} {}", head.uri, body.escape_ascii());
+        let response = Response::builder().header("x-request", id);
+        response
+            .body(Full::new(seen.into()))
+            .expect("a valid response")
+    });
+    let client = attempt::Client::new(&spawner, pool::Limits::default());
+    let ending = smol::block_on(client.run(server.address(), sample(), LIMIT));
+    let seen = "/run/orders/place 3.1 lamp";
+    let body = Bytes::from_static(seen.as_bytes());
+    assert_eq!(ending, Ending::Answered(Answer { status: 200, body }));
+}
+
+/// Guards against calling a silent attempt not run, or an unconnected one unknown.
+#[test]
+fn silence_is_unknown_and_no_connection_is_not_run() {
+    let (server, spawner) = start(|_request| async {
+        Timer::never().await;
+        Response::default()
+    });
+    let client = attempt::Client::new(&spawner, pool::Limits::default());
+    let short = Duration::from_millis(50);
+    let silent = smol::block_on(client.run(server.address(), sample(), short));
+    assert_eq!(silent, Ending::Unknown);
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr());
+    let unused = unused.expect("a free port");
+    let refused = smol::block_on(client.run(unused, sample(), LIMIT));
+    assert_eq!(refused, Ending::NotRun);
+}
+
+fn renewal(row: u64) -> Command {
+    Command {
+        epoch: Epoch { row, step: 0 },
+        owner: name("entry-1"),
+        verb: Verb::Renew {
+            lease: decision::clock::Ms(20_000),
+        },
+    }
+}
+
+fn report(epoch: Epoch) -> Reply {
+    Reply::Done(Report {
+        vm: name("vm-1"),
+        epoch,
+        capacity: Size::ZERO,
+        busy: 0,
+        service: Size::ZERO,
+        tasks: Vec::new(),
+    })
+}
+
+fn command(to: SocketAddr, spawner: &Spawner, limit: Duration) -> Outcome {
+    let client = command::Client::new(spawner, LIMIT);
+    smol::block_on(client.run(to, &renewal(1), limit))
+}
+
+/// Guards against a reply that is misread, or garbage that is taken for a reply.
+#[test]
+fn a_command_ends_as_the_reply_says() {
+    let stale = Reply::Refused(Refusal::Stale(Epoch { row: 9, step: 0 }));
+    let done = report(Epoch { row: 1, step: 0 });
+    let encode = |reply: &Reply| rmp_serde::to_vec(reply).expect("a reply can be encoded");
+    let cases = [
+        (200, encode(&stale), Outcome::Answered(stale.clone())),
+        (200, encode(&done), Outcome::Answered(done.clone())),
+        (500, encode(&done), Outcome::Unknown),
+        (200, b"\xc1garbage".to_vec(), Outcome::Unknown),
+        (200, Vec::new(), Outcome::Unknown),
+        (200, vec![0; 2 << 20], Outcome::Unknown),
+    ];
+    for (status, body, expected) in cases {
+        let (server, spawner) = start(move |_request| {
+            let body = Full::new(Bytes::from(body.clone()));
+            async move {
+                Response::builder()
+                    .status(status)
+                    .body(body)
+                    .expect("a response")
+            }
+        });
+        assert_eq!(
+            command(server.address(), &spawner, LIMIT),
+            expected,
+            "{status}"
+        );
+    }
+}
+
+/// Guards against commands to one worker that overtake each other, and against calling a command
+/// that never had its turn unknown.
+#[test]
+fn commands_to_a_worker_take_turns() {
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let log = Arc::clone(&seen);
+    let (server, spawner) = start(move |request: Request<Incoming>| {
+        let log = Arc::clone(&log);
+        async move {
+            let body = request.into_body().collect().await.expect("the whole body");
+            let command: Command = rmp_serde::from_slice(&body.to_bytes()).expect("a command");
+            log.lock().expect("no panic").push(command.epoch.row);
+            Timer::after(Duration::from_millis(20)).await;
+            let reply = rmp_serde::to_vec(&report(command.epoch)).expect("a reply");
+            Response::new(Full::new(reply.into()))
+        }
+    });
+    let client = Arc::new(command::Client::new(&spawner, LIMIT));
+    let to = server.address();
+    let running: Vec<_> = (0..5)
+        .map(|row| {
+            let client = Arc::clone(&client);
+            let mut task = Box::pin(async move { client.run(to, &renewal(row), LIMIT).await });
+            // One poll takes a place in the order.
+            smol::block_on(smol::future::poll_once(&mut task));
+            task
+        })
+        .collect();
+    let late = smol::block_on(client.run(to, &renewal(9), Duration::ZERO));
+    assert_eq!(late, Outcome::Unsent);
+    for task in running {
+        let outcome = smol::block_on(task);
+        assert!(matches!(outcome, Outcome::Answered(_)), "{outcome:?}");
+    }
+    assert_eq!(*seen.lock().expect("no panic"), [0, 1, 2, 3, 4]);
+}
--- a/src/daemon/request.rs
+++ b/src/daemon/request.rs
@@ -145,10 +145,9 @@
     let frame = Frame::Message(Box::new(shell.envelope(message)));
     let answer = match shell.clients.peers.ask(to, &frame, limit).await {
         Ok(Frame::Message(envelope)) => envelope,
-        Ok(_) | Err(client::Error::Broken(_)) => return Ending::Unknown,
-        // A frame that cannot be sent or is refused as a frame was not taken in.
+        // A peer that refuses the frame itself has not taken in what it holds.
         Err(client::Error::Unsent(_) | client::Error::Refused(_)) => return Ending::NotRun,
-        Err(client::Error::Frame(_)) => return Ending::Unknown,
+        Ok(_) | Err(client::Error::Answer(_) | client::Error::Broken(_)) => return Ending::Unknown,
     };
     shell.receive(&answer);
     match answer.message {
