Drive the merged request and control machines

Cause: both state machines are merged. Change: the daemon runs them instead of the private stubs; readiness follows the control path, requests are held while a configuration is in doubt after a pause, and a stop no longer waits for silent HTTP/2 clients of operators. Conclusion: only placement still has a private stub.

--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -28,6 +28,10 @@
 /// The pause after a failed accept, which is mostly a lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// An HTTP/2 client that is silent is found out in this and the next time, also while stopping.
+const PING_INTERVAL: Duration = Duration::from_millis(2_000);
+const PING_TIMEOUT: Duration = Duration::from_millis(3_000);
+
 /// Bounds of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -148,7 +152,8 @@
     builder
         .http2()
         .timer(SmolTimer::new())
-        .keep_alive_interval(limits.head_time)
+        .keep_alive_interval(PING_INTERVAL)
+        .keep_alive_timeout(PING_TIMEOUT)
         .max_concurrent_streams(limits.streams)
         .max_header_list_size(u32::try_from(limits.head).unwrap_or(u32::MAX));
     builder
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -88,6 +88,7 @@
 pub struct Client {
     inner: OperatorClient<Channel>,
     limit: Duration,
+    _driver: smol::Task<()>,
 }
 
 impl fmt::Debug for Client {
@@ -118,17 +119,16 @@
             shaken.map_err(|error| failed(error.to_string()))
         };
         let (sender, driver) = within(limit, opened).await?;
-        spawner
-            .spawn(async move {
-                // The call in flight gets the same error from its sender.
-                drop(driver.await);
-            })
-            .detach();
+        let driver = spawner.spawn(async move {
+            // The call in flight gets the same error from its sender.
+            drop(driver.await);
+        });
         let origin =
             Uri::try_from(format!("http://{entry}")).map_err(|error| failed(error.to_string()))?;
         Ok(Self {
             inner: OperatorClient::with_origin(Channel(sender), origin),
             limit,
+            _driver: driver,
         })
     }
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -10,7 +10,6 @@
 use decision::control::Identity;
 use decision::timeline::Event;
 use decision::timeline::Filter;
-use decision::timeline::Kind;
 use link::Spawner;
 use link::server::Limits;
 use link::server::Server;
@@ -108,7 +107,6 @@
         let threads = (0..count)
             .map(|index| work(index, &spawner, &quitting))
             .collect::<Result<_, _>>()?;
-        shell.note(Kind::EntryStarted, "start");
         Ok(Self {
             shell,
             servers,
--- a/src/daemon/callers.rs
+++ b/src/daemon/callers.rs
@@ -1,6 +1,8 @@
 //! Requests of callers.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use caller::reply::Reply;
@@ -11,11 +13,14 @@
 use decision::request::Event;
 use decision::request::Outcome;
 use decision::ticket::Ticket;
+use smol::Timer;
 
 use super::shell::Shell;
 
 /// The deadline of a request to a service that is not configured; it is refused anyway.
 const DEFAULT_DEADLINE: Ms = Ms(10_000);
+/// How often a held request looks whether it may arrive.
+const HOLD_POLL: Duration = Duration::from_millis(10);
 
 /// Answers callers.
 pub(super) struct Front(pub(super) Arc<Shell>);
@@ -54,6 +59,8 @@
             .and_then(|config| config.service(&request.service));
         service.map_or(DEFAULT_DEADLINE, |service| service.deadline)
     });
+    let deadline = shell.clock.now() + remaining;
+    hold(shell, deadline).await;
     let call = Call {
         id: 0,
         service: request.service,
@@ -61,13 +68,23 @@
         team: request.team,
         repeatable: request.repeatable,
         ticket: request.ticket,
-        deadline: shell.clock.now() + remaining,
+        deadline,
         forwarded: false,
         body: request.body,
     };
     arrive(shell, call).await
 }
 
+/// Waits while the configuration in force may be outdated after a pause. The request path decides
+/// about requests that come earlier or later than that.
+async fn hold(shell: &Shell, deadline: Ms) {
+    let doubtful =
+        || shell.config().is_some() && !shell.sure() && !shell.stopping.load(Ordering::SeqCst);
+    while doubtful() && shell.clock.now() < deadline {
+        Timer::after(HOLD_POLL).await;
+    }
+}
+
 /// Lets a request arrive under a new id and waits for its outcome. Dropping the future withdraws
 /// the request.
 pub(super) async fn arrive(shell: &Arc<Shell>, call: Call) -> Outcome {
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -24,7 +24,9 @@
         let mut machine = self.control.lock().expect("no holder of this lock panics");
         // Read under the lock, so that time never decreases for the machine.
         let now = self.clock.now();
-        for action in machine.step(now, event) {
+        let actions = machine.step(now, event);
+        self.open.store(machine.ready(), Ordering::SeqCst);
+        for action in actions {
             // Nothing here waits: work is spawned and answers are passed on.
             match action {
                 Action::Note(note) => notes.push(self.record(note)),
--- a/src/daemon/request.rs
+++ b/src/daemon/request.rs
@@ -152,7 +152,7 @@
     shell.receive(&answer);
     match answer.message {
         Message::Outcome(Outcome::Answered(answer)) => Ending::Answered(answer),
-        Message::Outcome(Outcome::Refused(_)) => Ending::NotRun,
+        Message::Outcome(Outcome::Refused(refusal)) => Ending::Refused(refusal),
         _ => Ending::Unknown,
     }
 }
--- a/src/daemon/shell.rs
+++ b/src/daemon/shell.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use decision::clock::Ms;
 use decision::config::Checked;
 use decision::control;
 use decision::control::Identity;
@@ -18,7 +19,6 @@
 use decision::request::Outcome;
 use decision::ticket::Ticket;
 use decision::timeline::Event;
-use decision::timeline::Kind;
 use decision::timeline::Note;
 use link::Spawner;
 use link::pool;
@@ -32,10 +32,12 @@
 use super::tasks::Tasks;
 use super::waiting::Waiting;
 use crate::journal::Journal;
-use crate::logs;
 use crate::metrics::Metrics;
 use crate::settings::Settings;
 
+/// Control ticks later than this put the configuration in doubt, as in the control path itself.
+const LATE: Ms = Ms(3_000);
+
 /// Everything that the worker threads share. Lock order: `control` before `request`; all other
 /// locks are taken last and for a moment. No lock is held over I/O.
 pub(super) struct Shell {
@@ -47,8 +49,8 @@
     pub(super) metrics: Metrics,
     pub(super) directory: Directory,
     pub(super) clients: Clients,
-    pub(super) control: Mutex<stub::Control>,
-    pub(super) request: Mutex<stub::Request>,
+    pub(super) control: Mutex<control::Machine<stub::Board>>,
+    pub(super) request: Mutex<request::Machine>,
     /// Requests of callers and peers that wait for their outcome.
     pub(super) calls: Waiting<Outcome>,
     /// Messages of peers that wait for an answer.
@@ -65,8 +67,10 @@
     /// The configuration in force.
     pub(super) config: Mutex<Option<Arc<Checked>>>,
     pub(super) stopping: AtomicBool,
-    /// Set when the ticket book is sent; no ticket is issued afterwards.
-    pub(super) sealed: AtomicBool,
+    /// Whether the control path lets new work in, as of its last step.
+    pub(super) open: AtomicBool,
+    /// When the control path ticked last, in ms.
+    pub(super) ticked: AtomicU64,
     /// Closed when the control path has nothing left to do.
     pub(super) stopped: (Sender<()>, Receiver<()>),
 }
@@ -95,6 +99,7 @@
         identity: Identity,
         spawner: &Spawner,
     ) -> Result<Self, Error> {
+        let board = stub::Board::new(identity.seed);
         Ok(Self {
             spawner: Arc::clone(spawner),
             clock: Clock::new(),
@@ -102,8 +107,8 @@
             metrics: Metrics::new()?,
             directory: Directory::default(),
             clients: clients(&settings, spawner),
-            control: Mutex::new(stub::Control::new(identity.clone())),
-            request: Mutex::new(stub::Request::new(&identity)),
+            control: Mutex::new(control::Machine::new(identity.clone(), board)),
+            request: Mutex::new(request::Machine::new(&identity)),
             calls: Waiting::new(),
             asked: Waiting::new(),
             operated: Waiting::new(),
@@ -113,7 +118,8 @@
             measured: Mutex::default(),
             config: Mutex::default(),
             stopping: AtomicBool::new(false),
-            sealed: AtomicBool::new(false),
+            open: AtomicBool::new(false),
+            ticked: AtomicU64::new(0),
             stopped: smol::channel::bounded(1),
             settings,
             identity,
@@ -122,7 +128,14 @@
 
     /// Whether new requests are taken.
     pub(super) fn ready(&self) -> bool {
-        !self.stopping.load(Ordering::SeqCst) && self.config().is_some()
+        !self.stopping.load(Ordering::SeqCst) && self.sure()
+    }
+
+    /// Whether the configuration in force is certain to be current. It is not after a pause, until
+    /// the control path has read it again.
+    pub(super) fn sure(&self) -> bool {
+        let ticked = Ms(self.ticked.load(Ordering::SeqCst));
+        self.open.load(Ordering::SeqCst) && self.clock.now().since(ticked) <= LATE
     }
 
     /// The configuration in force.
@@ -131,19 +144,15 @@
         config.as_ref().map(Arc::clone)
     }
 
-    /// Issues tickets, unless the ticket book was sent to a successor.
+    /// Issues tickets; none after the ticket book was handed over.
     pub(super) fn mint(&self, count: u32) -> Vec<Ticket> {
         let mut machine = self.request.lock().expect("no holder of this lock panics");
-        if self.sealed.load(Ordering::SeqCst) {
-            return Vec::new();
-        }
-        machine.mint(self.clock.now(), count)
+        machine.mint(self.clock.now(), count as usize)
     }
 
     /// The ticket book for a successor, after which no ticket is issued.
-    pub(super) fn seal(&self) -> request::Book {
-        let machine = self.request.lock().expect("no holder of this lock panics");
-        self.sealed.store(true, Ordering::SeqCst);
+    pub(super) fn book(&self) -> request::Book {
+        let mut machine = self.request.lock().expect("no holder of this lock panics");
         machine.book(self.clock.now())
     }
 
@@ -163,18 +172,6 @@
         self.directory.learn(envelope);
     }
 
-    /// Records and logs an event of the entry itself.
-    pub(super) fn note(&self, kind: Kind, cause: &str) {
-        let note = Note {
-            kind,
-            subject: self.identity.entry.to_string(),
-            vm: None,
-            epoch: None,
-            cause: cause.into(),
-        };
-        logs::event(&self.record(note));
-    }
-
     /// Records an event; it is logged later, as no lock is held over I/O.
     pub(super) fn record(&self, note: Note) -> Event {
         self.journal.record(self.clock.now(), note)
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -8,10 +8,12 @@
 use decision::control;
 use decision::peer::Message;
 use decision::request;
-use decision::timeline::Kind;
+use decision::request::Outcome;
 use peer::client;
+use peer::frame;
 use peer::frame::Frame;
 use smol::Timer;
+use smol::future;
 use smol::future::FutureExt;
 
 use super::Servers;
@@ -19,6 +21,8 @@
 
 /// How often the request path is asked whether it is idle.
 const POLL: Duration = Duration::from_millis(5);
+/// The time for operators and peers to close their connections once nothing is in flight.
+const GRACE: Duration = Duration::from_millis(500);
 
 /// Lets requests in flight finish and hands over tickets and groups. Returns whether this was done
 /// within the settings' stop time.
@@ -37,17 +41,25 @@
 
 async fn hand_over(shell: &Arc<Shell>, servers: &Servers) {
     shell.stopping.store(true, Ordering::SeqCst);
-    shell.note(Kind::EntryStopping, "stop");
+    log::info!("entry={} state=stopping", shell.identity.entry);
     shell.request(request::Event::Stopping);
-    while !idle(shell) {
-        Timer::after(POLL).await;
-    }
-    servers.caller.stop().await;
-    send_book(shell).await;
-    shell.control(control::Event::Stopping);
-    let _ = shell.stopped.1.recv().await;
-    servers.operator.stop().await;
-    servers.peer.stop().await;
+    let part = async {
+        while !idle(shell) {
+            Timer::after(POLL).await;
+        }
+        send_book(shell).await;
+        shell.control(control::Event::Stopping);
+        let _ = shell.stopped.1.recv().await;
+    };
+    // Callers that read their answers slowly do not delay the others' takeover.
+    future::zip(servers.caller.stop(), part).await;
+    shell.journal.close();
+    let last = future::zip(servers.operator.stop(), servers.peer.stop());
+    let late = async {
+        Timer::after(GRACE).await;
+        ((), ())
+    };
+    last.or(late).await;
 }
 
 fn idle(shell: &Shell) -> bool {
@@ -64,8 +76,7 @@
     if peers.is_empty() {
         return;
     }
-    let message = Message::Book(shell.seal());
-    let frame = Frame::Message(Box::new(shell.envelope(message)));
+    let frame = book_frame(shell, shell.book());
     let limit = shell.settings.times.peer;
     for (peer, address) in peers {
         let result = shell.clients.peers.ask(address, &frame, limit).await;
@@ -81,6 +92,27 @@
     }
 }
 
+/// The frame of a ticket book. Retained answers that make it too long are left out, largest first;
+/// a retry of their requests then gets the outcome `unknown`.
+fn book_frame(shell: &Shell, mut book: request::Book) -> Frame {
+    let frame = |book| Frame::Message(Box::new(shell.envelope(Message::Book(book))));
+    let mut longest = frame::MAX_BYTES;
+    while longest > 0 && frame::encode(&frame(book.clone())).is_err() {
+        longest /= 2;
+        for (_, outcome) in &mut book.spent {
+            outcome.take_if(|outcome| size(outcome) >= longest);
+        }
+    }
+    frame(book)
+}
+
+fn size(outcome: &Outcome) -> usize {
+    match outcome {
+        Outcome::Answered(answer) => answer.body.len(),
+        Outcome::Refused(_) | Outcome::Unknown => 0,
+    }
+}
+
 /// Closes everything that is still open.
 pub(super) async fn close(shell: &Shell, servers: &Servers) {
     servers.caller.kill().await;
--- a/src/daemon/ticks.rs
+++ b/src/daemon/ticks.rs
@@ -2,6 +2,7 @@
 
 use std::mem;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -53,6 +54,7 @@
         shell.metrics.load(&load);
         shell.control(control::Event::Load(load));
         shell.control(control::Event::Tick);
+        shell.ticked.store(shell.clock.now().0, Ordering::SeqCst);
         // Ticks missed in a pause are not made up for.
         due = (due + CONTROL_TICK).max(Instant::now());
         Timer::at(due).await;
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -95,6 +95,11 @@
         receiver
     }
 
+    /// Ends all streams.
+    pub fn close(&self) {
+        self.lock().watchers.clear();
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().expect("no holder of this lock panics")
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -99,7 +99,7 @@
     pub fn attempt(&self, ending: &Ending) {
         let index = match ending {
             Ending::Answered(_) => 0,
-            Ending::NotRun => 1,
+            Ending::NotRun | Ending::Refused(_) => 1,
             Ending::Unknown => 2,
         };
         self.attempts.add(1, &self.endings[index]);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,7 +7,12 @@
 
 use bytes::Bytes;
 use decision::clock::Ms;
+use decision::config::Document;
+use decision::config::Version;
 use decision::name::Name;
+use decision::operator::Action;
+use decision::operator::Call;
+use decision::operator::Reply;
 use decision::resource::Size;
 use decision::vm::State;
 use decision::vm::Vm;
@@ -17,6 +22,8 @@
 use link::Spawner;
 use link::pool;
 use link::pool::Pool;
+use operator::client::Client;
+use samphiretrail::daemon::Daemon;
 use samphiretrail::settings::Settings;
 use standin::backend::Backend;
 use standin::backend::Behaviour;
@@ -106,6 +113,40 @@
     server
 }
 
+/// A configuration with the service `orders`, whose queue is `queue` long.
+pub fn document(queue: u32) -> Document {
+    let text = include_str!("../../docs/example.json");
+    let mut document: Document = serde_json::from_str(text).expect("a valid document");
+    document.services[0].queue = queue;
+    document
+}
+
+/// Makes an operator's call.
+pub fn operate(daemon: &Daemon, id: &str, action: Action) -> Reply {
+    let call = Call {
+        id: Name::try_from(id).expect("a valid name"),
+        action,
+    };
+    let spawner = Spawner::default();
+    let reply = async {
+        let mut client = Client::connect(&spawner, daemon.operator(), PATIENCE).await?;
+        client.call(&call).await
+    };
+    smol::block_on(spawner.run(reply)).expect("the entry answers")
+}
+
+/// Puts the first configuration in force.
+pub fn configure(daemon: &Daemon) {
+    wait("the configuration", || {
+        let action = Action::Reconfigure {
+            expected: Version(0),
+            document: document(100),
+            dry_run: false,
+        };
+        matches!(operate(daemon, "first", action), Reply::Configured { .. })
+    });
+}
+
 /// A caller with its own connections.
 pub struct Caller {
     spawner: Spawner,
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -4,6 +4,7 @@
 
 use self::common::Caller;
 use self::common::Fleet;
+use self::common::configure;
 use self::common::wait;
 
 mod common;
@@ -13,6 +14,7 @@
 fn a_caller_gets_the_whole_answer_of_a_target() {
     let fleet = Fleet::start(2);
     let daemon = Daemon::start(fleet.settings("entry-1")).expect("the entry starts");
+    configure(&daemon);
     let caller = Caller::new();
     wait("an answer", || {
         let headers = [("x-repeatable", "yes")];
