--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -36,13 +38,20 @@
 pub const PATIENCE: Duration = Duration::from_millis(30_000);
 
 /// Answers every request with its contents; the kind `slow` takes 300 ms.
-#[derive(Debug)]
-pub struct Echo;
+#[derive(Debug, Default)]
+struct Echo {
+    runs: AtomicU64,
+    slow: AtomicU64,
+}
 
 impl Behaviour for Echo {
     fn serve(&self, kind: &str, body: &Bytes) -> (Ms, Bytes) {
-        let time = if kind == "slow" { Ms(300) } else { Ms(1) };
-        (time, body.clone())
+        self.runs.fetch_add(1, Ordering::SeqCst);
+        if kind != "slow" {
+            return (Ms(1), body.clone());
+        }
+        self.slow.fetch_add(1, Ordering::SeqCst);
+        (Ms(300), body.clone())
     }
 
     fn need(&self, _kind: &Name, _task: &Name) -> Need {
@@ -59,6 +68,7 @@
 
 /// The platform and some workers on loopback.
 pub struct Fleet {
+    echo: Arc<Echo>,
     platform_address: SocketAddr,
     _servers: Vec<Server>,
 }
@@ -70,15 +80,27 @@
         let server = smol::block_on(Server::start(Arc::clone(&platform))).expect("a free port");
         let platform_address = server.address();
         let mut servers = vec![server];
+        let echo = Arc::new(Echo::default());
         for index in 0..count {
-            servers.push(worker(&platform, index));
+            servers.push(worker(&platform, &echo, index));
         }
         Self {
+            echo,
             platform_address,
             _servers: servers,
         }
     }
 
+    /// How many requests ran.
+    pub fn runs(&self) -> u64 {
+        self.echo.runs.load(Ordering::SeqCst)
+    }
+
+    /// How many requests of the kind `slow` began.
+    pub fn slow(&self) -> u64 {
+        self.echo.slow.load(Ordering::SeqCst)
+    }
+
     /// Settings of an entry on free ports.
     pub fn settings(&self, name: &str) -> Settings {
         let platform = self.platform_address;
@@ -91,7 +113,7 @@
     }
 }
 
-fn worker(platform: &Arc<Platform>, index: u32) -> Server {
+fn worker(platform: &Arc<Platform>, echo: &Arc<Echo>, index: u32) -> Server {
     let name = format!("vm-{index}");
     let mut vm = Vm {
         name: Name::try_from(name.as_str()).expect("a valid name"),
@@ -106,7 +128,7 @@
         slots: 8,
         state: State::Live,
     };
-    let backend = Backend::new(vm.clone(), Arc::clone(platform), Arc::new(Echo));
+    let backend = Backend::new(vm.clone(), Arc::clone(platform), Arc::clone(echo));
     let server = smol::block_on(Server::start(Arc::new(backend))).expect("a free port");
     vm.address = server.address();
     platform.vms().add(platform.now(), vm);
--- /dev/null
+++ b/tests/journal.rs
@@ -0,0 +1,84 @@
+//! The timeline buffer.
+
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::timeline::Event;
+use decision::timeline::Filter;
+use decision::timeline::Kind;
+use decision::timeline::Note;
+use samphiretrail::journal;
+use samphiretrail::journal::Journal;
+use samphiretrail::logs;
+
+fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("a valid name")
+}
+
+fn note(subject: &str) -> Note {
+    Note {
+        kind: Kind::TaskStarted,
+        subject: subject.into(),
+        vm: None,
+        epoch: None,
+        cause: "fits best".into(),
+    }
+}
+
+fn subjects(events: &[Event]) -> Vec<&str> {
+    events
+        .iter()
+        .map(|event| event.note.subject.as_str())
+        .collect()
+}
+
+/// Guards against a buffer that grows without bound or keeps the oldest events.
+#[test]
+fn the_newest_events_are_kept() {
+    let journal = Journal::new(name("entry-1"), 3);
+    for subject in ["a", "b", "c", "d", "e"] {
+        journal.record(Ms(1), note(subject));
+    }
+    let all = Filter::default();
+    assert_eq!(subjects(&journal.select(&all, 9)), ["c", "d", "e"]);
+    assert_eq!(subjects(&journal.select(&all, 2)), ["d", "e"]);
+}
+
+/// Guards against an effect that is listed before its cause at another entry.
+#[test]
+fn events_are_merged_in_causal_order() {
+    let (one, two) = (Journal::new(name("b"), 9), Journal::new(name("a"), 9));
+    one.record(Ms(9), note("cause"));
+    one.record(Ms(9), note("cause 2"));
+    let sent = one.tick();
+    two.record(Ms(1), note("concurrent"));
+    two.witness(sent);
+    two.record(Ms(2), note("effect"));
+    one.record(Ms(10), note("later"));
+    let all = Filter::default();
+    let mut events = [one.select(&all, 9), two.select(&all, 9)].concat();
+    journal::merge(&mut events);
+    let expected = ["concurrent", "cause", "cause 2", "effect", "later"];
+    assert_eq!(subjects(&events), expected);
+}
+
+/// Guards against a watcher that blocks the entry or goes on after a gap.
+#[test]
+fn a_slow_watcher_is_cut_off() {
+    let journal = Journal::new(name("entry-1"), 9);
+    let events = journal.watch(Filter::default());
+    for _ in 0..2_000 {
+        journal.record(Ms(1), note("a"));
+    }
+    let received = std::iter::from_fn(|| events.recv_blocking().ok()).count();
+    assert_eq!(received, 1_024);
+}
+
+/// Guards against log lines that cannot be split at their spaces.
+#[test]
+fn log_lines_are_pairs() {
+    let journal = Journal::new(name("entry-1"), 9);
+    let event = journal.record(Ms(7), note("a \"b\"\n c=d"));
+    let expected = "entry=entry-1 lamport=1 at_ms=7 kind=task-started \
+                    subject=\"a \\\"b\\\"\\n c=d\" cause=\"fits best\"";
+    assert_eq!(logs::line(&event), expected);
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,109 @@
+//! Settings files, good and bad.
+
+use std::fs;
+use std::path::Path;
+use std::time::Duration;
+
+use samphiretrail::settings::Error;
+use samphiretrail::settings::Limits;
+use samphiretrail::settings::Settings;
+use samphiretrail::settings::Times;
+
+const GOOD: &str = "[entry]
+name = entry-1
+failure_domain = zone-a
+[listen]
+caller = 127.0.0.1:1
+operator = 127.0.0.1:2
+peer = 127.0.0.1:3
+[platform]
+table = 127.0.0.1:4
+objects = 127.0.0.1:5
+vms = 127.0.0.1:6
+";
+
+/// Guards against defaults that differ from the documented ones.
+#[test]
+fn absent_keys_have_defaults() {
+    let settings = Settings::parse("good.ini", GOOD).expect("valid settings");
+    assert_eq!(settings.entry.seeds, []);
+    assert_eq!(settings.entry.log, log::LevelFilter::Info);
+    assert_eq!(settings.limits, Limits::default());
+    assert_eq!(settings.times, Times::default());
+    assert_eq!(settings.times.stop, Duration::from_millis(20_000));
+}
+
+/// Guards against wrong settings that are accepted, or whose error has no place or reason.
+#[test]
+fn errors() {
+    let with = |from: &str, to: &str| GOOD.replace(from, to);
+    let added = |text: &str| format!("{GOOD}{text}");
+    let cases = [
+        ("empty file", String::new()),
+        ("key before any section", added("").replace("[entry]\n", "")),
+        ("unknown section", added("[time]\n")),
+        ("repeated section", added("[entry]\n")),
+        (
+            "unknown key",
+            with("[listen]", "[listen]\ncallers = 127.0.0.1:1"),
+        ),
+        ("key of another section", added("[times]\nthreads = 1\n")),
+        ("repeated key", with("[listen]", "name = b\n[listen]")),
+        ("missing key", with("failure_domain = zone-a\n", "")),
+        (
+            "keys of a missing section",
+            with("[platform]\n", "").replace("table", "; table"),
+        ),
+        ("name with a space", with("= entry-1", "= entry 1")),
+        ("empty name", with("= entry-1", "=")),
+        (
+            "long name",
+            with("= entry-1", &format!("= {}", "a".repeat(129))),
+        ),
+        ("address without a port", with("127.0.0.1:1", "127.0.0.1")),
+        ("host name", with("127.0.0.1:1", "localhost:1")),
+        ("port out of range", with("127.0.0.1:1", "127.0.0.1:65536")),
+        ("peer on all addresses", with("127.0.0.1:3", "0.0.0.0:3")),
+        ("platform port 0", with("127.0.0.1:4", "127.0.0.1:0")),
+        (
+            "seed without a port",
+            with("[listen]", "seeds = 127.0.0.1:9, x\n[listen]"),
+        ),
+        (
+            "unknown log level",
+            with("[listen]", "log = loud\n[listen]"),
+        ),
+        ("no threads", added("[limits]\nthreads = 0\n")),
+        ("absurd threads", added("[limits]\nthreads = 99999999999\n")),
+        ("negative time", added("[times]\nstop_ms = -1\n")),
+        ("absurd time", added("[times]\nstop_ms = 3600001\n")),
+        ("time with a unit", added("[times]\nstop_ms = 20s\n")),
+        ("line without a value", added("[times]\nstop_ms\n")),
+        ("unclosed section", added("[times\n")),
+    ];
+    let mut report = String::new();
+    for (name, text) in cases {
+        match Settings::parse("wrong.ini", &text) {
+            Ok(_) => report += &format!("{name}: ACCEPTED\n"),
+            Err(error) => report += &format!("{name}: {error}\n"),
+        }
+    }
+    assert!(!report.contains("ACCEPTED"), "{report}");
+    insta::assert_snapshot!(report);
+}
+
+/// Guards against files that cannot be read as text.
+#[test]
+fn a_file_that_is_not_text_is_refused() {
+    let file = Path::new(env!("CARGO_TARGET_TMPDIR")).join("binary.ini");
+    fs::write(&file, b"[entry]\nname = \xff\xfe\n").expect("a scratch file");
+    let name = file.display().to_string();
+    let expected = Error::At(name, 2, "file".into(), "not valid UTF-8".into());
+    assert_eq!(Settings::load(&file), Err(expected));
+    let missing = Path::new(env!("CARGO_TARGET_TMPDIR")).join("no-such.ini");
+    let error = Settings::load(&missing).expect_err("there is no such file");
+    assert!(
+        error.to_string().contains("no-such.ini:0: file: "),
+        "{error}"
+    );
+}
