Accept that a paused entry cannot answer in time

Cause: an entry that stands still for longer than a caller's patience answers nobody, and the check of whole answers counted each of its requests as broken.

Change: a sending without an outcome is accepted when its entry was paused at some time while the caller waited. A pause that ended before does not count.

Conclusion: only sendings that an entry could have answered are counted.

--- a/crates/history/tests/checks/broken.rs
+++ b/crates/history/tests/checks/broken.rs
@@ -141,6 +141,15 @@
             vec![first(true), (2, received(1, 0, answered(b"1/0")))],
         ),
         (whole, vec![first(true), (9_000, Fact::Settled)]),
+        (
+            whole,
+            vec![
+                (0, entry(Life::Paused)),
+                (1, entry(Life::Resumed)),
+                (2, sent(1, 0, true)),
+                (9_000, Fact::Settled),
+            ],
+        ),
         (
             refusal,
             vec![first(true), ran(1), (2, received(1, 0, refused()))],
--- a/crates/history/tests/checks/kept.rs
+++ b/crates/history/tests/checks/kept.rs
@@ -107,6 +107,13 @@
             (4, sent(1, 1, true)),
             (5, received(1, 1, refused())),
         ],
+        // A paused entry cannot answer in time.
+        vec![
+            (0, entry(Life::Started)),
+            (1, sent(1, 0, true)),
+            (2, entry(Life::Paused)),
+            (9_000, Fact::Settled),
+        ],
     ]
 }
 
