Add the experiment harness in virtual time

Cause: the decision logic needs measurements and history checks over many entries, faults and seeds, in seconds instead of minutes.

Every run is checked by crates/history over what the models saw.

--- /dev/null
+++ b/crates/experiment/src/agenda.rs
@@ -0,0 +1,96 @@
+//! What is to happen, in the order of virtual time.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+use decision::clock::Ms;
+
+/// A point in virtual time or a duration, in microseconds, because hops take less than a
+/// millisecond.
+pub type Us = u64;
+
+/// One millisecond.
+pub const MS: Us = 1_000;
+
+/// One second.
+pub const SECOND: Us = 1_000 * MS;
+
+/// What the decision logic is told about a point in time.
+#[must_use]
+pub const fn ms(at: Us) -> Ms {
+    Ms(at / MS)
+}
+
+#[derive(Debug)]
+struct Item<T> {
+    at: Us,
+    order: u64,
+    what: T,
+}
+
+impl<T> Eq for Item<T> {}
+
+impl<T> PartialEq for Item<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<T> PartialOrd for Item<T> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<T> Ord for Item<T> {
+    /// The heap yields its greatest item first, so earlier items are greater.
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.order).cmp(&(self.at, self.order))
+    }
+}
+
+/// A queue by time; items of the same time keep the order in which they were put.
+#[derive(Debug)]
+pub struct Agenda<T> {
+    heap: BinaryHeap<Item<T>>,
+    order: u64,
+    now: Us,
+}
+
+impl<T> Default for Agenda<T> {
+    fn default() -> Self {
+        Self {
+            heap: BinaryHeap::new(),
+            order: 0,
+            now: 0,
+        }
+    }
+}
+
+impl<T> Agenda<T> {
+    /// The present.
+    #[must_use]
+    pub const fn now(&self) -> Us {
+        self.now
+    }
+
+    /// Adds an item at a point in time, or at the present when that has passed.
+    pub fn put(&mut self, at: Us, what: T) {
+        self.order += 1;
+        let at = at.max(self.now);
+        let order = self.order;
+        self.heap.push(Item { at, order, what });
+    }
+
+    /// Adds an item after a duration.
+    pub fn after(&mut self, duration: Us, what: T) {
+        self.put(self.now + duration, what);
+    }
+
+    /// Takes the next item and moves the present to it.
+    pub fn take(&mut self) -> Option<T> {
+        let item = self.heap.pop()?;
+        self.now = item.at;
+        Some(item.what)
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/bound.rs
@@ -0,0 +1,50 @@
+//! An upper bound of the batch work that any policy could do.
+
+use decision::resource::Size;
+
+use crate::agenda::MS;
+use crate::scene::Scene;
+
+/// The share of the workers' free processor time that could do useful batch work with true sizes
+/// and run times, no interference and tasks that can be split at will.
+#[must_use]
+pub fn batch_work(scene: &Scene) -> f64 {
+    let workers = scene.vms.len() as f64;
+    let room = scene.vms[0].capacity.minus(scene.service.reserved);
+    let window = (scene.shape.window / MS) as f64;
+    let processors = f64::from(room.millicores) * workers * window;
+    let memory = f64::from(room.memory_mb) * workers * window;
+    let mut offers: Vec<(Size, f64)> = Vec::new();
+    for plan in &scene.jobs {
+        let left = (scene.end().saturating_sub(plan.at) / MS) as f64;
+        let times = plan.needs.iter();
+        offers.extend(times.map(|need| (need.size, (need.work.0 as f64).min(left))));
+    }
+    let offered: f64 = offers.iter().map(|(size, time)| area(*size, *time)).sum();
+    let held = by_memory(&mut offers, memory);
+    offered.min(processors).min(held) / processors
+}
+
+fn area(size: Size, time: f64) -> f64 {
+    f64::from(size.millicores) * time
+}
+
+/// The most processor time that fits into the memory, taking tasks with the least memory for each
+/// core first.
+fn by_memory(offers: &mut [(Size, f64)], memory: f64) -> f64 {
+    let density = |size: &Size| f64::from(size.memory_mb) / f64::from(size.millicores);
+    offers.sort_by(|(a, _), (b, _)| density(a).total_cmp(&density(b)));
+    let mut left = memory;
+    let mut held = 0.0;
+    for (size, time) in offers {
+        let need = f64::from(size.memory_mb) * *time;
+        let share = if need > 0.0 {
+            (left / need).clamp(0.0, 1.0)
+        } else {
+            1.0
+        };
+        left -= need * share;
+        held += area(*size, *time) * share;
+    }
+    held
+}
--- /dev/null
+++ b/crates/experiment/src/demand.rs
@@ -0,0 +1,287 @@
+//! Requests, jobs and what they really need, as demand swings and declarations are wrong.
+
+use std::collections::BTreeMap;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::operator::Job;
+use decision::resource::Size;
+use rand::RngExt;
+use rand::rngs::StdRng;
+use standin::worker::Need;
+
+use crate::agenda::MS;
+use crate::agenda::SECOND;
+use crate::agenda::Us;
+use crate::case::Case;
+use crate::scene::Batch;
+use crate::scene::Plan;
+use crate::scene::Request;
+use crate::scene::Shape;
+use crate::scene::WARM_UP;
+use crate::scene::name;
+use crate::scene::stream;
+
+/// A kind of request.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    /// Its name.
+    pub name: Name,
+    /// Median run time on an idle worker.
+    pub median: Us,
+    /// Share of requests, in percent.
+    pub share: u32,
+    /// Requests of this kind that must not be repeated, in percent.
+    pub unrepeatable: u32,
+    /// Requests of this kind that run many times longer, in thousandths.
+    pub stragglers: u32,
+    /// Whether waits of this kind count as waits of short work.
+    pub short: bool,
+}
+
+/// The kinds of requests of a case.
+pub fn kinds(case: Case, plant: bool) -> Vec<Kind> {
+    let kind = |raw, median: u64, share, unrepeatable, short| Kind {
+        name: name(raw),
+        median: median * MS,
+        share,
+        unrepeatable,
+        stragglers: if case == Case::Stragglers { 15 } else { 2 },
+        short,
+    };
+    match (case, plant) {
+        (Case::Stragglers, _) => vec![
+            kind("feed", 30, 60, 50, true),
+            kind("report", 80, 34, 0, true),
+            kind("audit", 1_200, 6, 0, false),
+        ],
+        (_, true) => vec![
+            kind("feed", 40, 45, 60, true),
+            kind("report", 150, 45, 0, true),
+            kind("audit", 400, 10, 0, false),
+        ],
+        (_, false) => vec![
+            kind("order", 60, 50, 100, true),
+            kind("stock", 90, 30, 0, true),
+            kind("preview", 300, 20, 0, false),
+        ],
+    }
+}
+
+/// Mean run time over all kinds, to relate demand to the slots. Run times are log-normal with a
+/// mean about 1.13 times the median.
+fn mean(kinds: &[Kind]) -> f64 {
+    let weighted = kinds.iter().map(|kind| {
+        let tail = 1.0 + f64::from(kind.stragglers) / 1_000.0 * 12.0;
+        kind.median as f64 * f64::from(kind.share) / 100.0 * tail
+    });
+    weighted.sum::<f64>() * 1.13
+}
+
+/// Demand as a share of what all slots serve without interference: before, at and after the peak.
+const fn levels(case: Case) -> (f64, f64) {
+    match case {
+        Case::OrderRush => (0.35, 1.30),
+        Case::ShiftClose => (0.30, 0.80),
+        Case::NoisyWave => (0.40, 0.60),
+        Case::Stragglers => (0.50, 0.75),
+        Case::BlackHole => (0.40, 0.70),
+        Case::CancelWave | Case::ImpossibleJobs => (0.35, 0.60),
+        Case::RollingRestart => (0.35, 0.55),
+    }
+}
+
+/// Draws the requests of a case: a Poisson process whose rate jumps at the peak.
+pub fn requests(shape: &Shape, kinds: &[Kind], slots: usize, crest: (Us, Us)) -> Vec<Request> {
+    let mut random = stream(shape.seed, "requests");
+    let (base, peak) = levels(shape.case);
+    let full = slots as f64 / mean(kinds);
+    let mut at = WARM_UP as f64;
+    let mut requests = Vec::new();
+    loop {
+        let swing = 1.0 + 0.25 * (at / (7.0 * SECOND as f64)).sin();
+        let inside = at >= crest.0 as f64 && at < crest.1 as f64;
+        let rate = full * if inside { peak } else { base * swing };
+        at += -random.random_range(f64::EPSILON..1.0).ln() / rate;
+        if at >= (WARM_UP + shape.window) as f64 {
+            return requests;
+        }
+        requests.push(request(&mut random, kinds, at as Us));
+    }
+}
+
+fn request(random: &mut StdRng, kinds: &[Kind], at: Us) -> Request {
+    let mut point = random.random_range(0..100);
+    let kind = kinds.iter().position(|kind| {
+        let found = point < kind.share;
+        point = point.saturating_sub(kind.share);
+        found
+    });
+    let kind = kind.unwrap_or(0);
+    let drawn = &kinds[kind];
+    let mut work = drawn.median as f64 * lognormal(random, 0.5);
+    if random.random_range(0..1_000) < drawn.stragglers {
+        work *= random.random_range(6.0..20.0);
+    }
+    Request {
+        at,
+        kind,
+        work: (work as Us).max(MS),
+        repeatable: random.random_range(0..100) >= drawn.unrepeatable,
+        impatient: random.random_ratio(1, 200),
+        team: random.random_range(0..2),
+    }
+}
+
+/// A log-normal factor with median 1, from a normal value by the central limit theorem.
+fn lognormal(random: &mut StdRng, sigma: f64) -> f64 {
+    let sum: f64 = (0..12).map(|_| random.random::<f64>()).sum();
+    ((sum - 6.0) * sigma).exp()
+}
+
+/// Kinds of batch tasks with how they disturb each kind of request.
+pub fn batch(seed: u64, requests: usize) -> BTreeMap<Name, Batch> {
+    let mut random = stream(seed, "batch");
+    let mut kinds = BTreeMap::new();
+    for (raw, low, high) in [
+        ("pack", 0, 20),
+        ("index", 10, 60),
+        ("render", 20, 90),
+        ("noisy", 250, 500),
+    ] {
+        let harm = (0..requests).map(|_| random.random_range(low..high));
+        let harm = harm.collect();
+        kinds.insert(name(raw), Batch { harm });
+    }
+    kinds
+}
+
+/// Draws the jobs of a case, in total a bit more than the free room can run in the window.
+pub fn jobs(shape: &Shape, room: Size, workers: usize, teams: &[Name]) -> Vec<Plan> {
+    let mut random = stream(shape.seed, "jobs");
+    let offered = match shape.case {
+        Case::ShiftClose | Case::CancelWave | Case::ImpossibleJobs => 1.3,
+        Case::RollingRestart | Case::BlackHole => 0.9,
+        _ => 0.6,
+    };
+    let window = shape.window as f64 / MS as f64;
+    let area = f64::from(room.millicores) * workers as f64 * window * offered;
+    let mut left = area;
+    let mut plans = Vec::new();
+    while left > 0.0 {
+        let mut plan = job(&mut random, shape, plans.len(), teams);
+        place_in_time(&mut random, shape, &mut plan);
+        for need in &plan.needs {
+            left -= need.work.0 as f64 * f64::from(need.size.millicores);
+        }
+        plans.push(plan);
+        if shape.case == Case::ImpossibleJobs && plans.len() % 3 == 0 {
+            plans.push(impossible(&mut random, shape, plans.len(), room, teams));
+        }
+    }
+    plans.sort_by_key(|plan| plan.at);
+    plans
+}
+
+fn place_in_time(random: &mut StdRng, shape: &Shape, plan: &mut Plan) {
+    let window = shape.window;
+    let noisy = &*plan.job.kind == "noisy";
+    plan.at = WARM_UP
+        + match (shape.case, noisy) {
+            // Two waves, which arrive within two seconds each.
+            (Case::NoisyWave, true) => {
+                let wave = random.random_range(0..2) * window * 2 / 5 + window / 5;
+                wave + random.random_range(0..2 * SECOND)
+            }
+            (Case::ShiftClose, _) => random.random_range(0..window / 4),
+            _ => random.random_range(0..window * 3 / 5),
+        };
+}
+
+fn job(random: &mut StdRng, shape: &Shape, index: usize, teams: &[Name]) -> Plan {
+    let noisy = if shape.case == Case::NoisyWave { 5 } else { 1 };
+    let kind = match random.random_range(0..10) {
+        at if at < noisy => "noisy",
+        at if at < 5 => "pack",
+        at if at < 8 => "index",
+        _ => "render",
+    };
+    let tasks = random.random_range(8_u32..60);
+    let true_size = Size {
+        millicores: random.random_range(500..3_000),
+        memory_mb: random.random_range(500..6_000),
+        accelerators: 0,
+    };
+    let run_time = random.random_range(3_000..10_000);
+    let needs = (0..tasks).map(|_| need(random, shape, true_size, run_time));
+    let needs = needs.collect();
+    let job = Job {
+        name: name(&format!("job-{index:03}")),
+        team: teams[random.random_range(0..teams.len())].clone(),
+        kind: name(kind),
+        tasks,
+        size: declared(random, true_size),
+        run_time: Ms((run_time as f64 * lognormal(random, 0.8)) as u64 + 1),
+        urgent: random.random_ratio(1, 10),
+    };
+    Plan { at: 0, job, needs }
+}
+
+fn need(random: &mut StdRng, shape: &Shape, size: Size, run_time: u64) -> Need {
+    let scale = |value: u32, by: f64| (f64::from(value) * by) as u32 + 1;
+    let rare = if shape.case == Case::Stragglers {
+        30
+    } else {
+        5
+    };
+    let tail = if random.random_range(0..1_000) < rare {
+        random.random_range(4.0..10.0)
+    } else {
+        1.0
+    };
+    let work = run_time as f64 * lognormal(random, 0.3) * tail;
+    let (cpu, memory) = (lognormal(random, 0.15), lognormal(random, 0.1));
+    Need {
+        work: Ms(work as u64 + 1),
+        size: Size {
+            millicores: scale(size.millicores, cpu),
+            memory_mb: scale(size.memory_mb, memory),
+            accelerators: 0,
+        },
+    }
+}
+
+/// Declarations are mostly too large by up to three times, and sometimes too small.
+fn declared(random: &mut StdRng, size: Size) -> Size {
+    let mut wrong = |value: u32| {
+        let factor = if random.random_ratio(1, 5) {
+            random.random_range(0.5..1.0)
+        } else {
+            random.random_range(1.0..3.0)
+        };
+        (f64::from(value) * factor) as u32 + 1
+    };
+    Size {
+        millicores: wrong(size.millicores),
+        memory_mb: wrong(size.memory_mb),
+        accelerators: 0,
+    }
+}
+
+fn impossible(
+    random: &mut StdRng,
+    shape: &Shape,
+    index: usize,
+    room: Size,
+    teams: &[Name],
+) -> Plan {
+    let mut plan = job(random, shape, index, teams);
+    match random.random_range(0..3) {
+        0 => plan.job.size.millicores = room.millicores * 4,
+        1 => plan.job.size.memory_mb = room.memory_mb * 4,
+        _ => plan.job.size.accelerators = 1,
+    }
+    plan.needs.clear();
+    plan.at = WARM_UP + random.random_range(0..shape.window * 3 / 5);
+    plan
+}
--- /dev/null
+++ b/crates/experiment/src/ledger.rs
@@ -0,0 +1,201 @@
+//! Batch work that was done and kept, done and lost, and how tasks ended.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::worker::State;
+use decision::worker::Task;
+use history::Ending;
+use history::Fact;
+use standin::worker::Change;
+
+use crate::scene::Scene;
+
+/// Batch results within the measured window.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Summary {
+    /// Tasks that finished.
+    pub done: u64,
+    /// Running tasks that were stopped by command though their job was not cancelled.
+    pub evictions: u64,
+    /// Work that counts, in core milliseconds.
+    pub useful: f64,
+    /// Work that was done at all, in core milliseconds.
+    pub executed: f64,
+}
+
+#[derive(Debug, Default)]
+struct Life {
+    /// Work of ended attempts.
+    executed: Ms,
+    /// Work that a next attempt can build on.
+    saved: Ms,
+    /// The place, first and last progress of the running attempt.
+    running: Option<(usize, Ms, Ms)>,
+    done: bool,
+}
+
+/// What became of each task.
+#[derive(Debug)]
+pub(crate) struct Ledger {
+    lives: BTreeMap<Name, Life>,
+    cores: BTreeMap<Name, Vec<f64>>,
+    cancelled: BTreeSet<Name>,
+    stopped: BTreeSet<Name>,
+    evictions: u64,
+}
+
+fn job(task: &Name) -> &str {
+    task.split('#').next().unwrap_or_default()
+}
+
+impl Ledger {
+    pub(crate) fn new(scene: &Scene) -> Self {
+        let cores = |plan: &crate::scene::Plan| {
+            let needs = plan.needs.iter();
+            let cores = needs.map(|need| f64::from(need.size.millicores) / 1_000.0);
+            (plan.job.name.clone(), cores.collect())
+        };
+        Self {
+            lives: BTreeMap::new(),
+            cores: scene.jobs.iter().map(cores).collect(),
+            cancelled: BTreeSet::new(),
+            stopped: BTreeSet::new(),
+            evictions: 0,
+        }
+    }
+
+    /// A job was sent a cancellation: stopping its tasks is no eviction.
+    pub(crate) fn cancel(&mut self, job: &Name) {
+        self.cancelled.insert(job.clone());
+    }
+
+    /// A stop by command took place.
+    pub(crate) fn commanded(&mut self, task: &Name) {
+        if self.stopped.remove(task) && !self.cancelled.contains(job(task)) {
+            self.evictions += 1;
+        }
+    }
+
+    pub(crate) fn change(&mut self, vm: usize, change: &Change) {
+        match change {
+            Change::Started(task, _) => {
+                self.stopped.remove(&task.name);
+                let life = self.lives.entry(task.name.clone()).or_default();
+                life.running = Some((vm, task.progress, task.progress));
+            }
+            Change::Saved(..) | Change::Acknowledged(_) | Change::Overfull(_) => {}
+            Change::Ended(task) => {
+                if task.state == State::Stopped {
+                    self.stopped.insert(task.name.clone());
+                }
+                let life = self.lives.entry(task.name.clone()).or_default();
+                life.end(task.progress);
+                life.saved = life.saved.max(task.saved);
+                life.done |= task.state == State::Completed;
+                if task.state == State::Completed {
+                    life.saved = life.saved.max(task.progress);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn progress<'a>(&mut self, vm: usize, tasks: impl Iterator<Item = &'a Task>) {
+        for task in tasks {
+            if let Some(life) = self.lives.get_mut(&task.name) {
+                life.saved = life.saved.max(task.saved);
+                if let Some((at, _, last)) = &mut life.running
+                    && *at == vm
+                {
+                    *last = task.progress;
+                }
+            }
+        }
+    }
+
+    pub(crate) fn crash(&mut self, vm: usize) {
+        for life in self.lives.values_mut() {
+            if let Some((at, _, last)) = life.running
+                && at == vm
+            {
+                life.end(last);
+            }
+        }
+    }
+
+    pub(crate) fn summary(&self) -> Summary {
+        let mut summary = Summary {
+            evictions: self.evictions,
+            ..Summary::default()
+        };
+        for (task, life) in &self.lives {
+            let cores = self.cores(task);
+            let (first, last) = life
+                .running
+                .map_or((Ms::ZERO, Ms::ZERO), |(_, first, last)| (first, last));
+            let executed = life.executed + last.since(first);
+            let kept = life.saved.max(last);
+            summary.done += u64::from(life.done);
+            summary.executed += executed.0 as f64 * cores;
+            if !self.cancelled.contains(job(task)) {
+                summary.useful += kept.0 as f64 * cores;
+            }
+        }
+        summary
+    }
+
+    fn cores(&self, task: &Name) -> f64 {
+        let index = task.split('#').nth(1).and_then(|index| index.parse().ok());
+        let cores = self.cores.get(job(task)).zip(index);
+        cores.map_or(0.0, |(cores, index): (&Vec<f64>, usize)| cores[index])
+    }
+}
+
+impl Life {
+    fn end(&mut self, progress: Ms) {
+        if let Some((_, first, _)) = self.running.take() {
+            self.executed += progress.since(first);
+        }
+    }
+}
+
+/// What a worker saw of a task, for the history.
+pub(crate) fn fact(vm: &Name, change: Change) -> Fact {
+    let vm = vm.clone();
+    match change {
+        Change::Started(task, from) => Fact::TaskStarted {
+            vm,
+            task: task.name,
+            attempt: task.attempt,
+            grant: task.grant,
+            from,
+        },
+        Change::Saved(task, key) => Fact::Checkpointed {
+            vm,
+            task: task.name,
+            attempt: task.attempt,
+            key,
+        },
+        Change::Acknowledged(task) => Fact::Acknowledged {
+            vm,
+            task: task.name,
+            attempt: task.attempt,
+        },
+        Change::Overfull(task) => Fact::Overfull {
+            vm,
+            work: task.to_string(),
+        },
+        Change::Ended(task) => Fact::TaskEnded {
+            vm,
+            task: task.name,
+            attempt: task.attempt,
+            ending: match task.state {
+                State::Completed => Ending::Completed,
+                State::Failed(_) => Ending::Failed,
+                State::Stopped | State::Running => Ending::Stopped,
+            },
+        },
+    }
+}
--- /dev/null
+++ b/crates/experiment/src/lib.rs
@@ -0,0 +1,20 @@
+//! Measures the decision logic in virtual time against models of everything around it.
+
+pub mod agenda;
+pub mod bound;
+mod caller;
+pub mod case;
+mod demand;
+mod entry;
+mod fault;
+mod fleet;
+pub mod ledger;
+mod operators;
+mod path;
+mod platform;
+pub mod plot;
+pub mod report;
+pub mod sample;
+pub mod scene;
+mod shell;
+pub mod world;
--- /dev/null
+++ b/crates/experiment/src/report.rs
@@ -0,0 +1,171 @@
+//! One line of results for each policy, and a table that compares them.
+
+use std::fmt::Write;
+
+use history::Check;
+use history::Violation;
+use history::check;
+use serde::Serialize;
+
+use crate::agenda::SECOND;
+use crate::bound;
+use crate::scene::Scene;
+use crate::world::Record;
+use crate::world::Setup;
+use crate::world::run;
+
+/// A broken promise: at most this many examples of each check are listed.
+const EXAMPLES: usize = 3;
+
+/// Violations of one check.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Broken {
+    /// The check.
+    pub check: Check,
+    /// How often the promise was broken.
+    pub count: usize,
+    /// The first of them, with the events that break the promise.
+    pub examples: Vec<String>,
+}
+
+/// The results of one run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Line {
+    /// The case.
+    pub case: &'static str,
+    /// The policy.
+    pub policy: &'static str,
+    /// The seed.
+    pub seed: u64,
+    /// The faults.
+    pub faults: Vec<&'static str>,
+    /// Median latency of answered requests.
+    pub service_p50_ms: f64,
+    /// 99th percentile of the latency of answered requests.
+    pub service_p99_ms: f64,
+    /// Share of the requests of the peak that were answered before their deadline.
+    pub crest_answered_share: f64,
+    /// Tasks that finished within the window.
+    pub batch_done: u64,
+    /// Useful batch work as a share of the processor time that the service does not reserve.
+    pub batch_work_share: f64,
+    /// The bound of `batch_work_share` with true sizes and no interference.
+    pub batch_work_bound: f64,
+    /// Running tasks that were stopped though their job was not cancelled.
+    pub evictions: u64,
+    /// Share of the batch work done that was lost.
+    pub wasted_work_share: f64,
+    /// 99th percentile of the time that answered requests of short kinds spent not running.
+    pub short_wait_p99_ms: f64,
+    /// Broken promises.
+    pub violations: Vec<Broken>,
+    /// Rows written by all entries.
+    pub table_writes_per_s: f64,
+    /// Rows read by all entries.
+    pub table_reads_per_s: f64,
+}
+
+/// Runs a case under a policy and checks what was seen.
+#[must_use]
+pub fn measure(scene: &Scene, setup: &Setup) -> (Line, Record) {
+    let record = run(scene, setup.clone());
+    let broken = broken(&check(&record.log));
+    (line(scene, setup, &record, broken), record)
+}
+
+fn line(scene: &Scene, setup: &Setup, record: &Record, violations: Vec<Broken>) -> Line {
+    let samples = &record.samples;
+    let seconds = scene.shape.window as f64 / SECOND as f64;
+    let at = |histogram: &hdrhistogram::Histogram<u64>, quantile| {
+        rounded(histogram.value_at_quantile(quantile) as f64 / 1_000.0)
+    };
+    let room = scene.vms[0].capacity.minus(scene.service.reserved);
+    let cores = f64::from(room.millicores) / 1_000.0 * scene.vms.len() as f64;
+    let batch = samples.batch;
+    let share = |part: f64, whole: f64| rounded(if whole > 0.0 { part / whole } else { 0.0 });
+    Line {
+        case: scene.shape.case.name(),
+        policy: setup.policy.name(),
+        seed: scene.shape.seed,
+        faults: setup.faults.iter().map(|fault| fault.name()).collect(),
+        service_p50_ms: at(&samples.latency, 0.5),
+        service_p99_ms: at(&samples.latency, 0.99),
+        crest_answered_share: share(samples.crest.0 as f64, samples.crest.1 as f64),
+        batch_done: batch.done,
+        batch_work_share: share(batch.useful, cores * seconds * 1_000.0),
+        batch_work_bound: rounded(bound::batch_work(scene)),
+        evictions: batch.evictions,
+        wasted_work_share: share(batch.executed - batch.useful, batch.executed),
+        short_wait_p99_ms: at(&samples.short_wait, 0.99),
+        violations,
+        table_writes_per_s: rounded(samples.table.writes as f64 / seconds),
+        table_reads_per_s: rounded(samples.table.reads as f64 / seconds),
+    }
+}
+
+fn broken(violations: &[Violation]) -> Vec<Broken> {
+    let mut found: Vec<Broken> = Vec::new();
+    for violation in violations {
+        let index = found
+            .iter()
+            .position(|known| known.check == violation.check);
+        let index = index.unwrap_or_else(|| {
+            found.push(Broken {
+                check: violation.check,
+                count: 0,
+                examples: Vec::new(),
+            });
+            found.len() - 1
+        });
+        let known = &mut found[index];
+        known.count += 1;
+        if known.examples.len() < EXAMPLES {
+            known.examples.push(violation.to_string());
+        }
+    }
+    found
+}
+
+fn rounded(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
+
+/// A table with one row for each measurement and one column for each line.
+#[must_use]
+pub fn table(lines: &[Line]) -> String {
+    type Read = fn(&Line) -> f64;
+    let rows: [(&str, Read); 11] = [
+        ("service_p50_ms", |line| line.service_p50_ms),
+        ("service_p99_ms", |line| line.service_p99_ms),
+        ("crest_answered_share", |line| line.crest_answered_share),
+        ("batch_done", |line| line.batch_done as f64),
+        ("batch_work_share", |line| line.batch_work_share),
+        ("batch_work_bound", |line| line.batch_work_bound),
+        ("evictions", |line| line.evictions as f64),
+        ("wasted_work_share", |line| line.wasted_work_share),
+        ("short_wait_p99_ms", |line| line.short_wait_p99_ms),
+        ("table_writes_per_s", |line| line.table_writes_per_s),
+        ("table_reads_per_s", |line| line.table_reads_per_s),
+    ];
+    let mut text = String::new();
+    let mut put = |name: &str, cells: Vec<String>| {
+        let cells = cells.iter().map(|cell| format!(" {cell:>14}"));
+        let cells: String = cells.collect();
+        writeln!(text, "{name:<22}{cells}").expect("writing to a string does not fail");
+    };
+    let heads = lines.iter().map(|line| line.policy.to_owned());
+    put(lines.first().map_or("", |line| line.case), heads.collect());
+    for (name, read) in rows {
+        let cells = lines.iter().map(|line| format!("{:.3}", read(line)));
+        put(name, cells.collect());
+    }
+    let broken = |line: &Line| {
+        line.violations
+            .iter()
+            .map(|broken| broken.count)
+            .sum::<usize>()
+    };
+    let cells = lines.iter().map(|line| broken(line).to_string());
+    put("violations", cells.collect());
+    text
+}
--- /dev/null
+++ b/crates/experiment/src/scene.rs
@@ -0,0 +1,301 @@
+//! What a case consists of: fleet, demand and operators' calls, drawn from the seed alone.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use decision::clock::Ms;
+use decision::config::Document;
+use decision::config::Service;
+use decision::config::Team;
+use decision::name::Name;
+use decision::operator::Action;
+use decision::operator::Job;
+use decision::resource::Size;
+use decision::vm::State;
+use decision::vm::Vm;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use standin::worker::Need;
+
+use crate::agenda::MS;
+use crate::agenda::SECOND;
+use crate::agenda::Us;
+use crate::case::Case;
+use crate::demand;
+use crate::demand::Kind;
+
+/// Entries take ownership and operators set the configuration before the demand starts.
+pub const WARM_UP: Us = 10 * SECOND;
+
+/// Workers in one rack, which is one group.
+const RACK: usize = 8;
+
+/// What the caller of [`Scene::new`] chooses beside the case.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// The load and its fleet.
+    pub case: Case,
+    /// Seeds everything that is drawn.
+    pub seed: u64,
+    /// Entry processes.
+    pub entries: usize,
+    /// How long demand is measured.
+    pub window: Us,
+    /// Divides the number of workers, the demand and the jobs, for quick tests.
+    pub shrink: usize,
+}
+
+impl Shape {
+    /// A full-size run of a case.
+    #[must_use]
+    pub const fn new(case: Case, seed: u64) -> Self {
+        Self {
+            case,
+            seed,
+            entries: 6,
+            window: 60 * SECOND,
+            shrink: 1,
+        }
+    }
+}
+
+/// One request of a caller.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// When the caller first sends it.
+    pub at: Us,
+    /// Index into [`Scene::kinds`].
+    pub kind: usize,
+    /// Run time on an idle worker.
+    pub work: Us,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Whether the caller sends it a second time while the first is in flight.
+    pub impatient: bool,
+    /// Index into [`Scene::teams`].
+    pub team: usize,
+}
+
+/// A job with what its tasks really need.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// When it is submitted.
+    pub at: Us,
+    /// What is declared.
+    pub job: Job,
+    /// What each task needs.
+    pub needs: Vec<Need>,
+}
+
+/// How a kind of batch task disturbs.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    /// Slowdown of each kind of request on a worker filled with such tasks, in percent.
+    pub harm: Vec<u32>,
+}
+
+/// A whole case.
+#[derive(Clone, Debug)]
+pub struct Scene {
+    /// What it was drawn from.
+    pub shape: Shape,
+    /// The workers.
+    pub vms: Vec<Vm>,
+    /// The service.
+    pub service: Service,
+    /// Kinds of requests.
+    pub kinds: Vec<Kind>,
+    /// Teams.
+    pub teams: Vec<Name>,
+    /// Requests in the order of time.
+    pub requests: Vec<Request>,
+    /// Start and end of the peak of demand.
+    pub crest: (Us, Us),
+    /// Kinds of batch tasks.
+    pub batch: BTreeMap<Name, Batch>,
+    /// Jobs in the order of time.
+    pub jobs: Vec<Plan>,
+    /// Operators' calls beside submissions and reconfigurations.
+    pub calls: Vec<(Us, Action)>,
+    /// Workers that fail everything at once.
+    pub broken: Vec<usize>,
+    /// When each entry is stopped and started again.
+    pub restarts: Vec<(Us, usize)>,
+    /// One way between callers and entries.
+    pub client: Us,
+}
+
+/// A stream of random numbers of its own for each purpose, so that one does not shift another.
+#[must_use]
+pub fn stream(seed: u64, purpose: &str) -> StdRng {
+    let mut mixed = seed ^ 0xcbf2_9ce4_8422_2325;
+    for byte in purpose.bytes() {
+        mixed = (mixed ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    StdRng::seed_from_u64(mixed)
+}
+
+/// A name made by the harness, which holds allowed characters only.
+#[must_use]
+pub fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("the harness makes names of allowed characters")
+}
+
+impl Scene {
+    /// Draws a case.
+    #[must_use]
+    pub fn new(shape: Shape) -> Self {
+        let plant = shape.case.plant();
+        let vms = fleet(&shape, plant);
+        let kinds = demand::kinds(shape.case, plant);
+        let crest = (
+            WARM_UP + shape.window * 2 / 5,
+            WARM_UP + shape.window * 3 / 5,
+        );
+        let teams = vec![name("coast"), name("inland")];
+        let requests = demand::requests(&shape, &kinds, vms.len() * 8, crest);
+        let service = service(plant);
+        let capacity = vms[0].capacity;
+        let batch = demand::batch(shape.seed, kinds.len());
+        let room = capacity.minus(service.reserved);
+        let jobs = demand::jobs(&shape, room, vms.len(), &teams);
+        let mut scene = Self {
+            shape,
+            vms,
+            service,
+            kinds,
+            teams,
+            requests,
+            crest,
+            batch,
+            jobs,
+            calls: Vec::new(),
+            broken: Vec::new(),
+            restarts: Vec::new(),
+            client: if plant { MS } else { 3 * MS },
+        };
+        scene.add_disturbances();
+        scene
+    }
+
+    /// The configuration that operators set first.
+    #[must_use]
+    pub fn document(&self) -> Document {
+        let whole = self
+            .vms
+            .iter()
+            .fold(Size::ZERO, |sum, vm| sum.plus(vm.capacity));
+        let team = |name: &Name| Team {
+            name: name.clone(),
+            quota: whole,
+            weight: 1,
+        };
+        Document {
+            services: vec![self.service.clone()],
+            teams: self.teams.iter().map(team).collect(),
+            ..Document::default()
+        }
+    }
+
+    /// The end of the measured window.
+    #[must_use]
+    pub const fn end(&self) -> Us {
+        WARM_UP + self.shape.window
+    }
+
+    fn add_disturbances(&mut self) {
+        let mut random = stream(self.shape.seed, "disturbances");
+        match self.shape.case {
+            Case::BlackHole => {
+                let count = (self.vms.len() / 12).max(1);
+                self.broken = distinct(&mut random, count, self.vms.len());
+            }
+            Case::CancelWave => self.cancel_waves(&mut random),
+            Case::RollingRestart => self.restart_all(&mut random),
+            _ => {}
+        }
+    }
+
+    /// Cancels six of ten jobs in two waves, each within a quarter of a second.
+    fn cancel_waves(&mut self, random: &mut StdRng) {
+        for (index, plan) in self.jobs.iter().enumerate() {
+            let wave = match index % 5 {
+                0 | 2 => WARM_UP + self.shape.window / 3,
+                4 => WARM_UP + self.shape.window * 2 / 3,
+                _ => continue,
+            };
+            let at = wave.max(plan.at + SECOND) + random.random_range(0..250) * MS;
+            let job = plan.job.name.clone();
+            self.calls.push((at, Action::Cancel { job }));
+        }
+    }
+
+    fn restart_all(&mut self, random: &mut StdRng) {
+        let entries = self.shape.entries;
+        let step = self.shape.window / (entries as u64 + 1);
+        for entry in 0..entries {
+            self.restarts
+                .push((WARM_UP + step / 2 + step * entry as u64, entry));
+        }
+        for worker in distinct(random, (self.vms.len() / 16).max(1), self.vms.len()) {
+            let vm = self.vms[worker].name.clone();
+            let at = WARM_UP + random.random_range(0..self.shape.window / 2);
+            let leave = |leave| Action::Drain {
+                vm: vm.clone(),
+                leave,
+            };
+            self.calls.push((at, leave(true)));
+            self.calls.push((at + 20 * SECOND, leave(false)));
+        }
+    }
+}
+
+/// Some different indices below `below`, in increasing order.
+pub fn distinct(random: &mut StdRng, count: usize, below: usize) -> Vec<usize> {
+    let mut all: Vec<usize> = (0..below).collect();
+    let picked = (0..count.min(below)).map(|_| all.remove(random.random_range(0..all.len())));
+    let mut picked: Vec<usize> = picked.collect();
+    picked.sort_unstable();
+    picked
+}
+
+fn fleet(shape: &Shape, plant: bool) -> Vec<Vm> {
+    let (count, cores, memory_gb) = if plant { (65, 16, 60) } else { (50, 32, 125) };
+    let capacity = Size {
+        millicores: cores * 1_000,
+        memory_mb: memory_gb * 1_000,
+        accelerators: 0,
+    };
+    let vm = |index: usize| Vm {
+        name: name(&format!("vm-{index:03}")),
+        address: SocketAddr::from(([127, 0, 0, 1], 20_000 + index as u16)),
+        group: name(&format!("rack-{}", index / RACK)),
+        domain: domain(index / RACK),
+        capacity,
+        slots: 8,
+        state: State::Live,
+    };
+    (0..(count / shape.shrink).max(RACK)).map(vm).collect()
+}
+
+/// The failure domain of the rack or entry of that index.
+#[must_use]
+pub fn domain(index: usize) -> Name {
+    name(&format!("domain-{}", index % 3))
+}
+
+fn service(plant: bool) -> Service {
+    let (cores, memory_gb) = if plant { (6, 16) } else { (10, 32) };
+    Service {
+        name: name(if plant { "logs" } else { "orders" }),
+        reserved: Size {
+            millicores: cores * 1_000,
+            memory_mb: memory_gb * 1_000,
+            accelerators: 0,
+        },
+        queue: 2_000,
+        deadline: Ms(2_000),
+        attempt: Ms(1_500),
+    }
+}
