--- a/src/cli.rs
+++ b/src/cli.rs
@@ -22,6 +22,7 @@
 Commands:
   entry        Run one entry until SIGTERM
   check        Check a settings file
+  demo         Run entries and stand-ins in one process
   submit       Submit a batch job
   cancel       Cancel a job
   drain        Take a worker out of service, or back into it
@@ -85,6 +86,7 @@
     match name.as_str() {
         "entry" => cmd::entry::parse(&mut parser),
         "check" => cmd::check::parse(&mut parser),
+        "demo" => cmd::demo::parse(&mut parser),
         "submit" => cmd::submit::parse(&mut parser),
         "cancel" => cmd::cancel::parse(&mut parser),
         "drain" => cmd::drain::parse(&mut parser),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cancel;
 pub mod check;
+pub mod demo;
 pub mod drain;
 pub mod entry;
 pub mod reconfigure;
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -30,9 +30,17 @@
 const ADVANCE_EVERY: std::time::Duration = std::time::Duration::from_millis(50);
 
 /// What a worker of the demo has, and what it keeps free for the service.
-pub const CAPACITY: Size = Size { millicores: 32_000, memory_mb: 125_000, accelerators: 0 };
+pub const CAPACITY: Size = Size {
+    millicores: 32_000,
+    memory_mb: 125_000,
+    accelerators: 0,
+};
 /// The service's reservation on each worker.
-pub const RESERVED: Size = Size { millicores: 16_000, memory_mb: 32_000, accelerators: 0 };
+pub const RESERVED: Size = Size {
+    millicores: 16_000,
+    memory_mb: 32_000,
+    accelerators: 0,
+};
 
 /// The history of a demo on the platform's time axis.
 #[derive(Debug, Default)]
@@ -61,9 +69,11 @@
 
 impl Habit {
     fn spread(&self, of: &[u8], width: u64) -> u64 {
-        let hash = of.iter().fold(self.seed ^ 0xcbf2_9ce4_8422_2325, |hash, byte| {
-            (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3)
-        });
+        let hash = of
+            .iter()
+            .fold(self.seed ^ 0xcbf2_9ce4_8422_2325, |hash, byte| {
+                (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3)
+            });
         (hash >> 20) % width
     }
 }
@@ -76,7 +86,14 @@
 
     fn need(&self, _kind: &Name, task: &Name) -> Need {
         let work = Ms(500 + self.spread(task.as_bytes(), 1_000));
-        Need { work, size: Size { millicores: 1_500, memory_mb: 3_000, accelerators: 0 } }
+        Need {
+            work,
+            size: Size {
+                millicores: 1_500,
+                memory_mb: 3_000,
+                accelerators: 0,
+            },
+        }
     }
 
     fn see(&self, vm: &Name, now: Ms, seen: Seen) {
@@ -86,7 +103,16 @@
 
 fn fact(vm: Name, seen: Seen) -> Fact {
     match seen {
-        Seen::Began { request, body, epoch } => Fact::RunStarted { vm, id: request, epoch, body },
+        Seen::Began {
+            request,
+            body,
+            epoch,
+        } => Fact::RunStarted {
+            vm,
+            id: request,
+            epoch,
+            body,
+        },
         Seen::Ended { request, .. } => Fact::RunEnded { vm, id: request },
         Seen::Overfull { request } => Fact::Overfull { vm, work: request },
         Seen::Task(change) => task_fact(vm, change),
@@ -96,8 +122,19 @@
 fn task_fact(vm: Name, change: Change) -> Fact {
     match change {
         Change::Started(task, from) => {
-            let worker::Task { name, attempt, grant, .. } = task;
-            Fact::TaskStarted { vm, task: name, attempt, grant, from }
+            let worker::Task {
+                name,
+                attempt,
+                grant,
+                ..
+            } = task;
+            Fact::TaskStarted {
+                vm,
+                task: name,
+                attempt,
+                grant,
+                from,
+            }
         }
         Change::Ended(task) => {
             let ending = match task.state {
@@ -105,19 +142,33 @@
                 worker::State::Failed(_) => Ending::Failed,
                 worker::State::Running | worker::State::Stopped => Ending::Stopped,
             };
-            Fact::TaskEnded { vm, task: task.name, attempt: task.attempt, ending }
-        }
-        Change::Saved(task, key) => {
-            Fact::Checkpointed { vm, task: task.name, attempt: task.attempt, key }
-        }
-        Change::Acknowledged(task) => {
-            Fact::Acknowledged { vm, task: task.name, attempt: task.attempt }
+            Fact::TaskEnded {
+                vm,
+                task: task.name,
+                attempt: task.attempt,
+                ending,
+            }
         }
-        Change::Overfull(task) => Fact::Overfull { vm, work: task.to_string() },
+        Change::Saved(task, key) => Fact::Checkpointed {
+            vm,
+            task: task.name,
+            attempt: task.attempt,
+            key,
+        },
+        Change::Acknowledged(task) => Fact::Acknowledged {
+            vm,
+            task: task.name,
+            attempt: task.attempt,
+        },
+        Change::Overfull(task) => Fact::Overfull {
+            vm,
+            work: task.to_string(),
+        },
     }
 }
 
 /// The running stand-ins.
+#[derive(Debug)]
 pub struct Fleet {
     /// The platform's models.
     pub platform: Arc<Platform>,
@@ -137,7 +188,10 @@
     pub async fn start(seed: u64) -> std::io::Result<Self> {
         let platform = Arc::new(Platform::new(LIST_LAG, Vec::new()));
         let recorder = Arc::new(Recorder::default());
-        let habit = Arc::new(Habit { seed, recorder: Arc::clone(&recorder) });
+        let habit = Arc::new(Habit {
+            seed,
+            recorder: Arc::clone(&recorder),
+        });
         let mut workers = HashMap::new();
         let mut backends = Vec::new();
         for number in 0..RACKS * WORKERS_PER_RACK {
@@ -153,7 +207,13 @@
         }
         let server = Server::start(Arc::clone(&platform)).await?;
         let advance = smol::spawn(advance(backends));
-        Ok(Self { platform, recorder, server, workers, _advance: advance })
+        Ok(Self {
+            platform,
+            recorder,
+            server,
+            workers,
+            _advance: advance,
+        })
     }
 
     /// Where table, object store and VM list answer.
@@ -177,8 +237,18 @@
 }
 
 fn introduce(vm: &Vm) -> Fact {
-    let Vm { name, capacity, slots, .. } = vm.clone();
-    Fact::Worker { vm: name, capacity, reserved: RESERVED, slots }
+    let Vm {
+        name,
+        capacity,
+        slots,
+        ..
+    } = vm.clone();
+    Fact::Worker {
+        vm: name,
+        capacity,
+        reserved: RESERVED,
+        slots,
+    }
 }
 
 fn describe(number: usize) -> Vm {
--- a/src/demo/shop.rs
+++ b/src/demo/shop.rs
@@ -39,6 +39,7 @@
 }
 
 /// What all callers share.
+#[derive(Debug)]
 pub struct Shop {
     /// Entries in service. The load balancer takes an entry out when it is no longer ready.
     pub doors: Mutex<Vec<Door>>,
@@ -69,7 +70,12 @@
             let number = caller << 32 | count;
             let body = Bytes::from(format!("order-{}-{caller}-{count}", self.seed));
             let repeatable = count % 2 == 1;
-            let mut order = Order { number, repeatable, body, ticket: None };
+            let mut order = Order {
+                number,
+                repeatable,
+                body,
+                ticket: None,
+            };
             if !repeatable {
                 order.ticket = ticket.take();
             }
@@ -110,7 +116,9 @@
     }
 
     async fn fetch(&self, door: &Door) -> Option<String> {
-        let request = Request::post("/ticket?count=1").body(Full::default()).ok()?;
+        let request = Request::post("/ticket?count=1")
+            .body(Full::default())
+            .ok()?;
         let limit = Duration::from_millis(DEADLINE.0);
         let response = self.pool.send(door.address, request, limit).await.ok()?;
         let text = std::str::from_utf8(response.body()).ok()?;
@@ -137,10 +145,16 @@
             Ok(request) => self.pool.send(door.address, request, limit).await,
             Err(error) => Err(Error::Unsent(error.to_string())),
         };
-        let ticket = response.as_ref().ok().and_then(|found| header(found.headers(), "x-ticket"));
+        let ticket = response
+            .as_ref()
+            .ok()
+            .and_then(|found| header(found.headers(), "x-ticket"));
         let outcome = response.ok().and_then(interpret);
-        let received =
-            Fact::Received { request: order.number, sending, outcome: outcome.clone() };
+        let received = Fact::Received {
+            request: order.number,
+            sending,
+            outcome: outcome.clone(),
+        };
         self.recorder.push(self.platform.now(), received);
         (outcome, ticket)
     }
@@ -165,9 +179,10 @@
 fn interpret(response: Response<Bytes>) -> Option<Outcome> {
     let status = response.status().as_u16();
     match header(response.headers(), "x-outcome")?.as_str() {
-        "answered" => {
-            Some(Outcome::Answered(Answer { status, body: response.into_body() }))
-        }
+        "answered" => Some(Outcome::Answered(Answer {
+            status,
+            body: response.into_body(),
+        })),
         "refused" => Some(Outcome::Refused(refusal(response.headers()))),
         _ => Some(Outcome::Unknown),
     }
--- a/src/demo/summary.rs
+++ b/src/demo/summary.rs
@@ -69,14 +69,37 @@
 
 impl fmt::Display for Summary {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { requests, answered, refused, unknown, .. } = self;
-        writeln!(f, "requests   {requests}: {answered} answered, {refused} refused, {unknown} unknown")?;
-        writeln!(f, "latency    p50 {:.1} ms, p99 {:.1} ms", self.p50_ms, self.p99_ms)?;
-        writeln!(f, "batch      {} of {} tasks done", self.batch_done, self.batch_submitted)?;
+        let Self {
+            requests,
+            answered,
+            refused,
+            unknown,
+            ..
+        } = self;
+        writeln!(
+            f,
+            "requests   {requests}: {answered} answered, {refused} refused, {unknown} unknown"
+        )?;
+        writeln!(
+            f,
+            "latency    p50 {:.1} ms, p99 {:.1} ms",
+            self.p50_ms, self.p99_ms
+        )?;
+        writeln!(
+            f,
+            "batch      {} of {} tasks done",
+            self.batch_done, self.batch_submitted
+        )?;
         writeln!(f, "evictions  {}, resumed {}", self.evictions, self.resumed)?;
-        writeln!(f, "config     in force everywhere after {:.2} s", self.config_seconds)?;
+        writeln!(
+            f,
+            "config     in force everywhere after {:.2} s",
+            self.config_seconds
+        )?;
         write!(f, "promises   {} broken", self.violations.len())?;
-        self.violations.iter().try_for_each(|violation| write!(f, "\n  {violation}"))
+        self.violations
+            .iter()
+            .try_for_each(|violation| write!(f, "\n  {violation}"))
     }
 }
 
@@ -100,7 +123,10 @@
 }
 
 fn count(violations: &[Violation], checks: &[Check]) -> u64 {
-    violations.iter().filter(|violation| checks.contains(&violation.check)).count() as u64
+    violations
+        .iter()
+        .filter(|violation| checks.contains(&violation.check))
+        .count() as u64
 }
 
 impl Summary {
@@ -112,7 +138,9 @@
                 Fact::Sent { request, .. } => {
                     sent.entry(*request).or_insert(event.at);
                 }
-                Fact::Received { request, outcome, .. } => {
+                Fact::Received {
+                    request, outcome, ..
+                } => {
                     last.insert(*request, (event.at, outcome));
                 }
                 _ => {}
@@ -145,13 +173,23 @@
                         submitted.insert(&call.id, u64::from(job.tasks));
                     }
                 }
-                Fact::Replied { call, reply: Reply::Accepted } => {
+                Fact::Replied {
+                    call,
+                    reply: Reply::Accepted,
+                } => {
                     self.batch_submitted += submitted.remove(call).unwrap_or_default();
                 }
-                Fact::TaskEnded { task, ending: Ending::Completed, .. } => {
+                Fact::TaskEnded {
+                    task,
+                    ending: Ending::Completed,
+                    ..
+                } => {
                     done.insert(task);
                 }
-                Fact::TaskEnded { ending: Ending::Stopped, .. } => self.evictions += 1,
+                Fact::TaskEnded {
+                    ending: Ending::Stopped,
+                    ..
+                } => self.evictions += 1,
                 Fact::TaskStarted { from: Some(_), .. } => self.resumed += 1,
                 _ => {}
             }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod cmd;
 pub mod daemon;
+pub mod demo;
 pub mod journal;
 pub mod logs;
 pub mod metrics;
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -22,6 +22,7 @@
         "",
         "entry",
         "check",
+        "demo",
         "submit",
         "cancel",
         "drain",
