--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod route;
 pub mod step;
 pub mod table;
+pub mod task;
 pub mod ticket;
 pub mod timeline;
 pub mod vm;
