Test the ticket ledger over its whole life

Cause: a trial fault that forgot used tickets after their answers was not caught by the model, whose scenarios end before 120 s.

Change: a table of pasts and presentation times, here and after a hand-over, and cases for forged tickets, large books, large answers and settled tickets.

--- /dev/null
+++ b/crates/decision/tests/ticket.rs
@@ -0,0 +1,218 @@
+//! Tests of the ticket ledger.
+
+use bytes::Bytes;
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::request::Answer;
+use decision::request::Outcome;
+use decision::request::Refusal;
+use decision::ticket::Claim;
+use decision::ticket::LIFE;
+use decision::ticket::Ledger;
+use decision::ticket::Ticket;
+
+/// Tickets share an expiry within this time.
+const SLACK: Ms = Ms(100);
+
+fn ledger() -> Ledger {
+    let issuer = Name::try_from("e1").expect("valid");
+    Ledger::new(issuer, 7, 11)
+}
+
+fn answered(bytes: usize) -> Outcome {
+    Outcome::Answered(Answer {
+        status: 200,
+        body: Bytes::from(vec![1; bytes]),
+    })
+}
+
+/// What happens to a ticket between its issue at 0 and its presentation.
+#[derive(Clone, Copy, Debug)]
+enum Past {
+    Nothing,
+    Spent,
+    Released,
+    Settled,
+}
+
+/// Applies the past at `at` and claims again at `then`, on a successor if `handed_over`.
+fn claim(past: Past, at: Ms, then: Ms, handed_over: bool) -> Claim {
+    let mut ledger = ledger();
+    let ticket = ledger.mint(Ms::ZERO, 3).remove(1);
+    if !matches!(past, Past::Nothing) {
+        assert_eq!(ledger.claim(at, &ticket, 1), Claim::Spent);
+    }
+    match past {
+        Past::Nothing | Past::Spent => {}
+        Past::Released => ledger.release(ticket.sequence),
+        Past::Settled => ledger.settle(at, ticket.sequence, answered(3)),
+    }
+    if handed_over {
+        // The successor's clock has another origin.
+        let mut successor = Ledger::adopt(Ms(5), ledger.book(at));
+        return successor.claim(Ms(5) + then.since(at), &ticket, 2);
+    }
+    ledger.claim(then, &ticket, 2)
+}
+
+/// Guards against tickets that run twice, late or never, here and after a hand-over.
+#[test]
+fn a_ticket_allows_what_its_past_allows() {
+    let later = LIFE + LIFE;
+    let cases = [
+        (Past::Nothing, Ms(1), Ms(2), Claim::Spent, Claim::Spent),
+        (
+            Past::Nothing,
+            Ms(1),
+            Ms(LIFE.0 - 101),
+            Claim::Spent,
+            Claim::Spent,
+        ),
+        (
+            Past::Nothing,
+            Ms(1),
+            LIFE + SLACK,
+            Claim::Expired,
+            Claim::Expired,
+        ),
+        (
+            Past::Nothing,
+            LIFE + SLACK,
+            later,
+            Claim::Expired,
+            Claim::Expired,
+        ),
+        (Past::Released, Ms(1), Ms(2), Claim::Spent, Claim::Spent),
+        (
+            Past::Released,
+            Ms(1),
+            LIFE + SLACK,
+            Claim::Expired,
+            Claim::Expired,
+        ),
+        (
+            Past::Spent,
+            Ms(1),
+            Ms(2),
+            Claim::Running(1),
+            Claim::Forgotten,
+        ),
+        (
+            Past::Spent,
+            Ms(1),
+            later,
+            Claim::Running(1),
+            Claim::Forgotten,
+        ),
+        (
+            Past::Settled,
+            Ms(1),
+            LIFE,
+            Claim::Retained(answered(3)),
+            Claim::Retained(answered(3)),
+        ),
+        (
+            Past::Settled,
+            Ms(1),
+            LIFE + Ms(1),
+            Claim::Forgotten,
+            Claim::Forgotten,
+        ),
+        (
+            Past::Settled,
+            Ms(LIFE.0 - 1),
+            later,
+            Claim::Forgotten,
+            Claim::Forgotten,
+        ),
+    ];
+    for (past, at, then, here, there) in cases {
+        let found = (claim(past, at, then, false), claim(past, at, then, true));
+        assert_eq!(found, (here, there), "{past:?} at {at}, claimed at {then}");
+    }
+}
+
+/// Guards against tickets that were made up or belong to another process.
+#[test]
+fn a_forged_ticket_is_not_accepted() {
+    let mut ledger = ledger();
+    let good = ledger.mint(Ms::ZERO, 1).remove(0);
+    let forged = [
+        Ticket {
+            nonce: good.nonce ^ 1,
+            ..good.clone()
+        },
+        Ticket {
+            sequence: 1,
+            ..good.clone()
+        },
+        Ticket {
+            incarnation: 8,
+            ..good.clone()
+        },
+    ];
+    for ticket in forged {
+        assert_eq!(ledger.claim(Ms(1), &ticket, 1), Claim::Expired, "{ticket}");
+    }
+    assert_eq!(ledger.claim(Ms(1), &good, 1), Claim::Spent);
+}
+
+/// Guards against a book that does not fit into one message, and against a successor that runs a
+/// ticket whose use no longer fitted.
+#[test]
+fn a_large_book_stays_within_a_message_and_forgets_safely() {
+    let mut ledger = ledger();
+    let tickets = ledger.mint(Ms::ZERO, 100_000);
+    for ticket in &tickets[..90_000] {
+        ledger.claim(Ms(1), ticket, 1);
+        ledger.settle(Ms(1), ticket.sequence, answered(100));
+    }
+    let book = ledger.book(Ms(2));
+    let bytes = rmp_serde::to_vec(&book).expect("a book is encoded").len();
+    assert!(bytes < 1 << 20, "{bytes} bytes");
+    assert!(book.spent.iter().any(|(_, outcome)| outcome.is_some()));
+    let mut successor = Ledger::adopt(Ms(0), book);
+    let again = tickets[..90_000].iter().filter(|ticket| {
+        matches!(
+            successor.claim(Ms(1), ticket, 1),
+            Claim::Spent | Claim::Expired
+        )
+    });
+    assert_eq!(
+        again.count(),
+        0,
+        "used tickets that would run or be refused"
+    );
+    assert_eq!(successor.claim(Ms(1), &tickets[95_000], 1), Claim::Spent);
+}
+
+/// Guards against retained answers that fill the memory.
+#[test]
+fn the_oldest_large_answers_are_forgotten_first() {
+    let mut ledger = ledger();
+    let tickets = ledger.mint(Ms::ZERO, 5);
+    for ticket in &tickets {
+        ledger.claim(Ms(1), ticket, 1);
+        ledger.settle(Ms(1), ticket.sequence, answered(8 << 20));
+    }
+    assert_eq!(ledger.claim(Ms(2), &tickets[0], 2), Claim::Forgotten);
+    assert_eq!(
+        ledger.claim(Ms(2), &tickets[4], 2),
+        Claim::Retained(answered(8 << 20))
+    );
+}
+
+/// Guards against a ticket that a refusal gives back after its request was settled.
+#[test]
+fn a_settled_ticket_is_never_released() {
+    let mut ledger = ledger();
+    let ticket = ledger.mint(Ms::ZERO, 1).remove(0);
+    ledger.claim(Ms(1), &ticket, 1);
+    ledger.settle(Ms(1), 0, Outcome::Unknown);
+    ledger.release(0);
+    ledger.settle(Ms(1), 0, Outcome::Refused(Refusal::Late));
+    assert_eq!(
+        ledger.claim(Ms(2), &ticket, 2),
+        Claim::Retained(Outcome::Unknown)
+    );
+}
