Test tickets and capacity across entries

Cause: no test covered the hand-over of a book, foreign tickets or the hop for capacity. A target adopted under a new epoch kept the failures of the old one, although those may only have said that the old epoch was over.

Change: four table tests; health starts anew with an epoch.

Conclusion: an order has at most one hop for its ticket and one for capacity, and only its issuer or adopter refuses or runs it.

--- a/crates/decision/src/route.rs
+++ b/crates/decision/src/route.rs
@@ -336,6 +336,8 @@
         entry.near = near;
         entry.target = target;
         if adopted {
+            // Failures under the former epoch may only have told that it was over.
+            entry.health = Health::default();
             self.inherit(now, id, hold);
         }
         self.refresh(id);
--- a/crates/decision/tests/request/main.rs
+++ b/crates/decision/tests/request/main.rs
@@ -2,5 +2,6 @@
 
 mod basics;
 mod fixture;
+mod forwarding;
 mod model;
 mod properties;
