--- /dev/null
+++ b/crates/decision/tests/route.rs
@@ -0,0 +1,257 @@
+//! Tests of target choice and target health.
+
+use decision::clock::Ms;
+use decision::health::Change;
+use decision::health::Health;
+use decision::name::Name;
+use decision::request::Target;
+use decision::route::Ask;
+use decision::route::Choice;
+use decision::route::Table;
+use decision::worker::Epoch;
+
+/// How often each target was chosen.
+type Counts<'a> = &'a [(&'a str, usize)];
+/// Results as (failed, how often).
+type Results<'a> = &'a [(bool, u32)];
+
+fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("valid")
+}
+
+fn target(vm: &str) -> Target {
+    Target {
+        vm: name(vm),
+        epoch: Epoch { row: 1, step: 0 },
+        domain: name("a"),
+        slots: 8,
+        busy: 0,
+        leaving: false,
+        slowdown: 100,
+    }
+}
+
+fn table(targets: &[Target]) -> Table {
+    let mut table = Table::new(name("a"));
+    table.update(Ms::ZERO, targets.to_vec(), Ms(500));
+    table
+}
+
+/// Chooses and takes until nothing is free; returns how often each target was chosen.
+fn fill(table: &mut Table, ask: &Ask<'_>, most: usize) -> Vec<(String, usize)> {
+    let mut counts = std::collections::BTreeMap::new();
+    for _ in 0..most {
+        let Some(choice) = table.choose(Ms(1), ask) else {
+            break;
+        };
+        table.take(choice, ask.bounded);
+        *counts.entry(table.vm(choice.id).to_string()).or_insert(0) += 1;
+    }
+    counts.into_iter().collect()
+}
+
+/// Guards against uneven load, full targets, and long work that takes every slot.
+#[test]
+fn slots_are_filled_by_cost() {
+    let slow = Target {
+        slowdown: 300,
+        ..target("slow")
+    };
+    let small = Target {
+        slots: 4,
+        ..target("small")
+    };
+    let busy = Target {
+        busy: 6,
+        ..target("busy")
+    };
+    let far = Target {
+        domain: name("b"),
+        ..target("far")
+    };
+    let leaving = Target {
+        leaving: true,
+        ..target("leaving")
+    };
+    let long = Ask {
+        bounded: true,
+        ..Ask::default()
+    };
+    let short = Ask::default();
+    let cases: [(&str, &[Target], Ask<'_>, usize, Counts<'_>); 8] = [
+        (
+            "even",
+            &[target("x"), target("y")],
+            short,
+            6,
+            &[("x", 3), ("y", 3)],
+        ),
+        (
+            "all",
+            &[target("x"), target("y")],
+            short,
+            99,
+            &[("x", 8), ("y", 8)],
+        ),
+        (
+            "slowdown",
+            &[target("x"), slow],
+            short,
+            8,
+            &[("slow", 2), ("x", 6)],
+        ),
+        (
+            "slots",
+            &[target("x"), small],
+            short,
+            6,
+            &[("small", 2), ("x", 4)],
+        ),
+        (
+            "busy",
+            &[target("x"), busy],
+            short,
+            99,
+            &[("busy", 2), ("x", 8)],
+        ),
+        (
+            "domain",
+            &[target("x"), far],
+            short,
+            3,
+            &[("far", 1), ("x", 2)],
+        ),
+        ("leaving", &[target("x"), leaving], short, 99, &[("x", 8)]),
+        (
+            "long",
+            &[target("x"), target("y")],
+            long,
+            99,
+            &[("x", 3), ("y", 3)],
+        ),
+    ];
+    for (case, targets, ask, most, counts) in cases {
+        let counts: Vec<_> = counts
+            .iter()
+            .map(|(vm, count)| (vm.to_string(), *count))
+            .collect();
+        assert_eq!(fill(&mut table(targets), &ask, most), counts, "{case}");
+    }
+}
+
+/// Guards against long work that takes more than its share of the entry's slots.
+#[test]
+fn long_requests_hold_at_most_two_fifths_of_the_slots() {
+    let single = Target {
+        slots: 1,
+        ..target("x")
+    };
+    let targets: Vec<Target> = (0..10)
+        .map(|index| Target {
+            vm: name(&format!("v{index}")),
+            ..single.clone()
+        })
+        .collect();
+    let long = Ask {
+        bounded: true,
+        ..Ask::default()
+    };
+    assert_eq!(fill(&mut table(&targets), &long, 99).len(), 4);
+}
+
+/// Guards against slots of former owners that are counted twice, too long, or not again under a
+/// new epoch.
+#[test]
+fn slots_of_former_owners_are_counted_once_an_epoch() {
+    let busy = Target {
+        busy: 6,
+        ..target("x")
+    };
+    let next = Target {
+        epoch: Epoch { row: 2, step: 0 },
+        ..busy.clone()
+    };
+    let cases = [
+        ("repeated", busy.clone(), Ms(499), 2),
+        ("over", busy.clone(), Ms(500), 8),
+        ("repeated when over", busy.clone(), Ms(900), 8),
+        ("new epoch", next, Ms(900), 2),
+    ];
+    for (case, again, at, free) in cases {
+        let mut table = table(std::slice::from_ref(&busy));
+        table.advance(at);
+        table.update(at, vec![again], Ms(500));
+        assert_eq!(table.free(), free, "{case}");
+    }
+}
+
+/// Guards against a target that fails quickly and therefore attracts requests.
+#[test]
+fn a_failing_target_is_quarantined_probed_and_warmed() {
+    let mut table = table(&[target("x"), target("y")]);
+    let bad = table
+        .choose(Ms::ZERO, &Ask::default())
+        .expect("a slot is free");
+    let changes: Vec<Change> = (0..5).map(|_| table.record(Ms(1), bad, true)).collect();
+    assert_eq!(changes[4], Change::Quarantined, "{changes:?}");
+    assert_eq!((table.usable(), table.free()), (1, 8));
+    let ask = Ask {
+        repeatable: true,
+        ..Ask::default()
+    };
+    assert_ne!(
+        table.choose(Ms(1_000), &ask).map(|choice| choice.id),
+        Some(bad.id)
+    );
+    let probe = Choice {
+        id: bad.id,
+        probe: true,
+    };
+    assert_eq!(
+        table
+            .choose(Ms(1_001), &Ask::default())
+            .map(|choice| choice.probe),
+        Some(false)
+    );
+    assert_eq!(table.choose(Ms(1_001), &ask), Some(probe));
+    table.take(probe, false);
+    let second = table.choose(Ms(1_001), &ask).expect("a slot is free");
+    assert!(!second.probe, "one probe at a time");
+    assert_eq!(table.record(Ms(1_002), probe, false), Change::Restored);
+    table.release(bad.id, false);
+    assert_eq!(table.free(), 9, "slow start");
+}
+
+/// Guards against targets judged by too little, probed too often, or warmed too fast.
+#[test]
+fn health_follows_results() {
+    let ok = (false, 1);
+    let bad = (true, 1);
+    // The results, the limit of 8 slots and the next probe after time 0.
+    let cases: [(&str, Results<'_>, u32, Option<u64>); 7] = [
+        ("four failures", &[(true, 4)], 8, None),
+        ("five failures", &[(true, 5)], 0, Some(1_000)),
+        ("mostly good", &[(false, 20), (true, 3)], 8, None),
+        ("failed probe", &[(true, 5), bad], 0, Some(2_000)),
+        (
+            "many failed probes",
+            &[(true, 5), (true, 9)],
+            0,
+            Some(60_000),
+        ),
+        ("slow start", &[(true, 5), ok, (false, 3)], 4, None),
+        ("fails again", &[(true, 5), ok, ok, bad], 0, Some(2_000)),
+    ];
+    for (case, results, limit, probe_at) in cases {
+        let mut health = Health::default();
+        for (failed, times) in results {
+            for _ in 0..*times {
+                let probe = health.probe_at().is_some();
+                health.probe();
+                health.record(Ms::ZERO, *failed, probe);
+            }
+        }
+        let found = (health.limit(8), health.probe_at());
+        assert_eq!(found, (limit, probe_at.map(Ms)), "{case}");
+    }
+}
