Drop the timers of ended requests

Cause: timers stayed until they were due. A caller that sets long deadlines could keep a timer of 24 B for each of its requests for an hour after their replies.

Change: timers are an ordered set and are cancelled when a request, waiter or attempt ends. The state machine is split into admission, sending and settling, which moves code only.

--- a/crates/decision/src/request.rs
+++ b/crates/decision/src/request.rs
@@ -1,8 +1,10 @@
 //! The request path: from a caller's request to one target and the whole answer back.
 
-mod flow;
+mod admit;
 mod machine;
 mod peers;
+mod send;
+mod settle;
 mod work;
 
 use std::sync::Arc;
--- /dev/null
+++ b/crates/decision/src/request/admit.rs
@@ -0,0 +1,166 @@
+//! How requests are admitted, refused early or queued.
+
+use std::sync::Arc;
+
+use super::Call;
+use super::Machine;
+use super::Outcome;
+use super::Refusal;
+use super::work::Due;
+use super::work::Key;
+use super::work::Request;
+use super::work::Route;
+use super::work::Waiter;
+use crate::classify::Class;
+use crate::clock::Ms;
+use crate::name::Name;
+use crate::queue::Item;
+use crate::queue::Queue;
+
+/// A request is refused early when its expected wait exceeds this part of its remaining time. A
+/// higher part answers hardly more at a peak, because waiting adds no capacity, but each answer is
+/// later.
+const WAIT_PERCENT: u64 = 40;
+/// The bound of long work holds for this time after the last short request.
+const SHORT_MEMORY: Ms = Ms(10_000);
+
+impl Machine {
+    /// Takes in a request that is to be served here or by a peer with capacity.
+    pub(super) fn admit(&mut self, now: Ms, call: Call, key: Option<Key>) {
+        if let Some(refusal) = self.check(now, &call) {
+            if let Some(key) = &key {
+                self.release(key);
+            }
+            self.refuse(call.id, refusal);
+            return;
+        }
+        let id = self.insert(now, call, key, Route::Serve);
+        self.retries.earn();
+        self.hedges.earn();
+        let request = &self.requests[&id];
+        let class = request.class;
+        if class == Class::Short {
+            self.short_until = now + SHORT_MEMORY;
+        }
+        let service = request.call.service.clone();
+        let idle = self
+            .queues
+            .get(&service)
+            .is_none_or(|queue| queue.waiting(class) == 0);
+        if idle && self.start(now, id) || self.offload(now, id) {
+            return;
+        }
+        if let Some(refusal) = self.admission(now, id) {
+            self.finish(now, id, Outcome::Refused(refusal));
+            return;
+        }
+        self.enqueue(now, id);
+    }
+
+    fn check(&self, now: Ms, call: &Call) -> Option<Refusal> {
+        let config = self.config.as_ref().filter(|_| !self.stopping);
+        let Some(config) = config else {
+            return Some(Refusal::Stopping);
+        };
+        if config.service(&call.service).is_none() {
+            return Some(Refusal::Missing);
+        }
+        (call.deadline <= now).then_some(Refusal::Late)
+    }
+
+    pub(super) fn insert(&mut self, now: Ms, call: Call, key: Option<Key>, route: Route) -> u64 {
+        let id = call.id;
+        let waiter = Waiter {
+            call: id,
+            deadline: call.deadline,
+        };
+        self.timers.set(call.deadline, Due::Deadline(id));
+        let request = Request {
+            class: self.classes.class(&call.service, &call.kind),
+            call: Arc::new(call),
+            waiters: vec![waiter],
+            key,
+            route,
+            arrived: now,
+            place: None,
+            flights: Vec::new(),
+            hedge: None,
+            tried: Vec::new(),
+            sends: 0,
+            ran: false,
+            failed: None,
+            refusal: None,
+        };
+        self.requests.insert(id, request);
+        id
+    }
+
+    /// Why a request cannot wait, after making room for it if a heavier team fills the queue.
+    fn admission(&mut self, now: Ms, id: u64) -> Option<Refusal> {
+        let request = &self.requests[&id];
+        let team = &request.call.team;
+        let weight = self.weight(team);
+        let queue = self.queues.get(&request.call.service)?;
+        let remaining = request.deadline().since(now);
+        let mean = self.classes.mean(&request.call.service).unwrap_or(Ms::ZERO);
+        let ahead = queue.ahead(now, team, weight) as u64;
+        let slots = u64::from(self.table.capacity());
+        if slots > 0 && ahead * mean.0 / slots > remaining.0 * WAIT_PERCENT / 100 {
+            return Some(Refusal::Late);
+        }
+        if !queue.is_full() {
+            return None;
+        }
+        let Some(victim) = queue.victim(now, team, weight) else {
+            return Some(Refusal::Full);
+        };
+        self.give_up(now, victim, Refusal::Full);
+        None
+    }
+
+    /// Puts a request into the queue of its service.
+    pub(super) fn enqueue(&mut self, now: Ms, id: u64) {
+        let request = &self.requests[&id];
+        let call = Arc::clone(&request.call);
+        let item = Item {
+            call: id,
+            team: call.team.clone(),
+            weight: self.weight(&call.team),
+            class: request.class,
+            arrived: request.arrived,
+            entered: now,
+            deadline: request.deadline(),
+            cost: self.classes.mean(&call.service).unwrap_or(Ms(1)),
+        };
+        let bound = self.bound(&call.service);
+        let queue = self
+            .queues
+            .entry(call.service.clone())
+            .or_insert_with(|| Queue::new(bound));
+        let place = queue.push(item);
+        if let Some(request) = self.requests.get_mut(&id) {
+            request.place = Some(place);
+        }
+    }
+
+    fn weight(&self, team: &Name) -> u32 {
+        let config = self.config.as_ref();
+        let team = config.and_then(|config| config.team(team));
+        team.map_or(1, |team| team.weight)
+    }
+
+    fn bound(&self, service: &Name) -> usize {
+        let config = self.config.as_ref();
+        let service = config.and_then(|config| config.service(service));
+        service.map_or(0, |service| service.queue as usize)
+    }
+
+    /// Whether the share of long work is bounded now.
+    pub(super) fn bounded(&self, now: Ms) -> bool {
+        now < self.short_until
+            || self
+                .queues
+                .values()
+                .any(|queue| queue.waiting(Class::Short) > 0)
+    }
+}
--- a/crates/decision/src/request/flow.rs
+++ b/crates/decision/src/request/settle.rs
@@ -1,259 +1,27 @@
-//! How requests are sent, retried and ended.
-
-use std::sync::Arc;
+//! How attempts and requests end.
 
 use super::Action;
 use super::Attempt;
-use super::Call;
 use super::Ending;
 use super::Machine;
 use super::Outcome;
 use super::Refusal;
-use super::machine::MARGIN;
+use super::send::MAX_SENDS;
 use super::work::Due;
 use super::work::InFlight;
 use super::work::Route;
 use super::work::To;
-use crate::classify::Class;
+use super::work::Waiter;
 use crate::clock::Ms;
 use crate::health::Change;
-use crate::name::Name;
-use crate::route::Ask;
 use crate::route::Choice;
 use crate::timeline::Kind;
 use crate::timeline::Note;
 
-/// One request is sent at most so often, whatever the reason.
-const MAX_SENDS: u32 = 4;
-/// Hedges are sent while at least one in so many slots is free.
-const HEDGE_FREE: u32 = 4;
 /// A status from here on says that the target failed.
 const FAILED_STATUS: u16 = 500;
 
 impl Machine {
-    /// Sends waiting requests while there is room for them.
-    pub(super) fn dispatch(&mut self, now: Ms) {
-        let waiting = |machine: &Self| -> Vec<Name> {
-            let queues = machine.queues.iter();
-            let busy = queues.filter(|(_, queue)| !queue.is_empty());
-            busy.map(|(service, _)| service.clone()).collect()
-        };
-        let mut services = waiting(self);
-        while !services.is_empty() {
-            services.retain(|service| self.dispatch_one(now, service));
-        }
-    }
-
-    fn dispatch_one(&mut self, now: Ms, service: &Name) -> bool {
-        let Some(queue) = self.queues.get(service) else {
-            return false;
-        };
-        let mut heads = [queue.head(now, Class::Short), queue.head(now, Class::Long)];
-        if self.table.long_scarce() {
-            heads.reverse();
-        }
-        heads
-            .into_iter()
-            .flatten()
-            .any(|id| self.start(now, id) || self.offload(now, id))
-    }
-
-    /// Sends a request to an owned target if one has room.
-    pub(super) fn start(&mut self, now: Ms, id: u64) -> bool {
-        let Some(choice) = self.choose(now, id) else {
-            return false;
-        };
-        self.unqueue(id);
-        self.send(now, id, choice);
-        true
-    }
-
-    /// Sends a request to a peer with room, or to any if this entry cannot serve at all.
-    pub(super) fn offload(&mut self, now: Ms, id: u64) -> bool {
-        let request = &self.requests[&id];
-        if !request.may_forward() || request.sends >= MAX_SENDS {
-            return false;
-        }
-        let peer = if self.table.capacity() > 0 {
-            self.peers.freest()
-        } else {
-            self.peers.least_loaded()
-        };
-        let Some(peer) = peer.cloned() else {
-            return false;
-        };
-        self.unqueue(id);
-        self.forward(now, id, peer);
-        true
-    }
-
-    fn choose(&self, now: Ms, id: u64) -> Option<Choice> {
-        let request = &self.requests[&id];
-        let ask = Ask {
-            bounded: request.class == Class::Long && self.bounded(now),
-            repeatable: request.call.repeatable,
-            tried: &request.tried,
-        };
-        let choice = self.table.choose(now, &ask);
-        if choice.is_some() || request.tried.len() < self.table.usable() {
-            return choice;
-        }
-        // Every target has failed it once: any may be tried again.
-        self.table.choose(now, &Ask { tried: &[], ..ask })
-    }
-
-    fn unqueue(&mut self, id: u64) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let place = request.place.take();
-        if let Some((place, queue)) = place.zip(self.queues.get_mut(&request.call.service)) {
-            queue.serve(place);
-        }
-    }
-
-    fn send(&mut self, now: Ms, id: u64, choice: Choice) {
-        let attempt = self.attempt();
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let call = Arc::clone(&request.call);
-        let long = request.class == Class::Long;
-        request.sends += 1;
-        request.flights.push(attempt);
-        self.table.take(choice, long);
-        let timeout = now + self.attempt_timeout(&call);
-        self.set_timers(now, attempt, &call, long);
-        self.actions.push(Action::Send {
-            attempt,
-            vm: self.table.vm(choice.id).clone(),
-            epoch: self.table.epoch(choice.id),
-            call: Arc::clone(&call),
-            timeout,
-        });
-        self.track(now, attempt, &call, To::Target(choice), timeout, long);
-    }
-
-    /// Sends a request to a peer. For capacity it goes without its ticket, which stays here: the
-    /// peer runs it once on our word.
-    pub(super) fn forward(&mut self, now: Ms, id: u64, peer: Name) {
-        let attempt = self.attempt();
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        request.sends += 1;
-        request.flights.push(attempt);
-        let mut call = Arc::clone(&request.call);
-        if request.route == Route::Serve && call.ticket.is_some() {
-            Arc::make_mut(&mut call).ticket = None;
-        }
-        let deadline = request.deadline();
-        // A request that must not be repeated may run to its end there after its deadline.
-        let timeout = if call.repeatable {
-            deadline
-        } else {
-            deadline + self.attempt_timeout(&call)
-        };
-        self.peers.count(&peer);
-        self.actions.push(Action::Forward {
-            attempt,
-            entry: peer.clone(),
-            call: Arc::clone(&call),
-            timeout,
-        });
-        self.track(now, attempt, &call, To::Peer(peer), timeout, false);
-    }
-
-    fn track(&mut self, now: Ms, attempt: Attempt, call: &Call, to: To, timeout: Ms, long: bool) {
-        let expires = timeout + MARGIN;
-        self.timers.set(expires, Due::Expiry(attempt));
-        let flight = InFlight {
-            request: call.id,
-            service: call.service.clone(),
-            kind: call.kind.clone(),
-            to,
-            sent: now,
-            expires,
-            long,
-            live: true,
-        };
-        self.flights.insert(attempt, flight);
-    }
-
-    /// Sets the timers that watch for a slow attempt.
-    fn set_timers(&mut self, now: Ms, attempt: Attempt, call: &Call, long: bool) {
-        if long {
-            return;
-        }
-        if let Some(after) = self.classes.slow_after(&call.service, &call.kind) {
-            self.timers.set(now + after, Due::Slow(attempt));
-        }
-        let after = self.classes.hedge_after(&call.service, &call.kind);
-        if let Some(after) = after.filter(|_| call.repeatable) {
-            self.timers.set(now + after, Due::Hedge(attempt));
-        }
-    }
-
-    fn attempt_timeout(&self, call: &Call) -> Ms {
-        let config = self.config.as_ref();
-        let service = config.and_then(|config| config.service(&call.service));
-        service.map_or(call.deadline, |service| service.attempt)
-    }
-
-    const fn attempt(&mut self) -> Attempt {
-        self.attempts += 1;
-        Attempt(self.attempts)
-    }
-
-    /// A short request runs long: from now on it counts as that.
-    pub(super) fn slow(&mut self, attempt: Attempt) {
-        let Some(flight) = self.flights.get_mut(&attempt) else {
-            return;
-        };
-        if let To::Target(choice) = flight.to
-            && !flight.long
-        {
-            flight.long = true;
-            self.table.lengthen(choice.id);
-        }
-    }
-
-    /// Sends a second attempt when the first takes unusually long and there is room for it.
-    pub(super) fn hedge(&mut self, now: Ms, attempt: Attempt) {
-        let Some(flight) = self.flights.get(&attempt).filter(|flight| flight.live) else {
-            return;
-        };
-        let To::Target(choice) = flight.to else {
-            return;
-        };
-        let id = flight.request;
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let queue = self.queues.get(&request.call.service);
-        let crowded = queue.is_some_and(|queue| !queue.is_empty());
-        let scarce = self.table.free() * HEDGE_FREE < self.table.capacity();
-        let alone = request.flights.len() == 1 && request.sends < MAX_SENDS;
-        if crowded || scarce || !alone {
-            return;
-        }
-        let tried = [&request.tried[..], &[choice.id]].concat();
-        let ask = Ask {
-            bounded: false,
-            repeatable: false,
-            tried: &tried,
-        };
-        let Some(other) = self.table.choose(now, &ask) else {
-            return;
-        };
-        if self.hedges.spend() {
-            self.send(now, id, other);
-            let request = self.requests.get_mut(&id);
-            let request = request.expect("a request that was sent is in progress");
-            request.hedge = request.flights.last().copied();
-        }
-    }
-
     /// Takes in the ending of an attempt. Late and duplicate endings find no flight.
     pub(super) fn end(&mut self, now: Ms, attempt: Attempt, ending: Ending) {
         let Some(flight) = self.flights.get(&attempt).cloned() else {
@@ -265,7 +33,7 @@
                 if matches!(ending, Ending::Refused(_) | Ending::NotRun) {
                     self.peers.refused(peer);
                 }
-                self.flights.remove(&attempt);
+                self.forget(attempt);
             }
         }
         if flight.live {
@@ -296,7 +64,7 @@
             }
             return;
         }
-        self.flights.remove(&attempt);
+        self.forget(attempt);
         self.table.release(choice.id, flight.long);
     }
 
@@ -327,6 +95,12 @@
         });
     }
 
+    fn forget(&mut self, attempt: Attempt) {
+        if let Some(flight) = self.flights.remove(&attempt) {
+            self.timers.cancel(flight.expires, Due::Expiry(attempt));
+        }
+    }
+
     /// An attempt ended without news.
     pub(super) fn time_out(&mut self, now: Ms, attempt: Attempt) {
         self.end(now, attempt, Ending::Unknown);
@@ -438,6 +212,7 @@
             (None, _) => {}
         }
         for waiter in request.waiters {
+            self.timers.cancel(waiter.deadline, Due::Deadline(id));
             self.joined.remove(&waiter.call);
             self.reply(waiter.call, outcome.clone());
         }
@@ -455,9 +230,7 @@
             // One that ran far longer than usual counts against its target.
             To::Target(choice) if long => self.judge(now, choice, true),
             To::Target(choice) => self.table.skip(choice),
-            To::Peer(_) => {
-                self.flights.remove(&attempt);
-            }
+            To::Peer(_) => self.forget(attempt),
         }
     }
 
@@ -476,7 +249,7 @@
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
-        let leaves = |waiter: &super::work::Waiter| leaves(waiter.call, waiter.deadline);
+        let leaves = |waiter: &Waiter| leaves(waiter.call, waiter.deadline);
         if !request.waiters.iter().any(leaves) {
             return;
         }
@@ -487,10 +260,19 @@
         }
         // It goes on for the others, or for a retry with its ticket.
         let gone = request.waiters.extract_if(.., |waiter| leaves(waiter));
-        let gone: Vec<u64> = gone.map(|waiter| waiter.call).collect();
-        for call in gone {
-            self.joined.remove(&call);
-            self.reply(call, Outcome::Unknown);
+        let gone: Vec<Waiter> = gone.collect();
+        let kept: Vec<Ms> = request
+            .waiters
+            .iter()
+            .map(|waiter| waiter.deadline)
+            .collect();
+        for waiter in gone {
+            // Waiters with the same deadline share a timer.
+            if !kept.contains(&waiter.deadline) {
+                self.timers.cancel(waiter.deadline, Due::Deadline(id));
+            }
+            self.joined.remove(&waiter.call);
+            self.reply(waiter.call, Outcome::Unknown);
         }
     }
 }
--- a/crates/decision/src/request/work.rs
+++ b/crates/decision/src/request/work.rs
@@ -1,7 +1,6 @@
 //! Requests and attempts in progress.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use super::Answer;
@@ -113,21 +112,25 @@
 
 /// What falls due, in order.
 #[derive(Debug, Default)]
-pub struct Timers(BinaryHeap<Reverse<(Ms, Due)>>);
+pub struct Timers(BTreeSet<(Ms, Due)>);
 
 impl Timers {
     pub fn set(&mut self, at: Ms, due: Due) {
-        self.0.push(Reverse((at, due)));
+        self.0.insert((at, due));
+    }
+
+    pub fn cancel(&mut self, at: Ms, due: Due) {
+        self.0.remove(&(at, due));
     }
 
     pub fn next(&self) -> Option<Ms> {
-        self.0.peek().map(|Reverse((at, _))| *at)
+        self.0.first().map(|(at, _)| *at)
     }
 
     pub fn pop(&mut self, now: Ms) -> Option<Due> {
         if self.next()? > now {
             return None;
         }
-        self.0.pop().map(|Reverse((_, due))| due)
+        self.0.pop_first().map(|(_, due)| due)
     }
 }
