Drop the timers of each request

Cause: a timer costs system calls, and each request set two: one for the attempt, one for the next request head. Change: late attempts are found by the 10 ms tick, and a connection without a request for 30 s is closed by a timer of its own once a period.

--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -26,6 +26,9 @@
 
 use crate::Spawner;
 
+/// The least time between the end of connecting and that of the whole request.
+const TURN: Duration = Duration::from_millis(1);
+
 quick_error! {
     /// Why a request got no whole answer.
     #[derive(Debug)]
@@ -112,15 +115,35 @@
         limit: Duration,
     ) -> Result<Response<Bytes>, Error> {
         let end = Instant::now() + limit;
+        let late = async {
+            // Connecting ends a little earlier by itself, as an error of another kind.
+            Timer::at(end + TURN).await;
+            Err(Error::Broken(format!("{to}: timed out")))
+        };
+        self.send_untimed(to, request, limit).or(late).await
+    }
+
+    /// Like [`Self::send`], but only connecting is limited in time: the embedder drops the future
+    /// when the answer is late. A timer for each request would cost two system calls.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unsent`] only when the request cannot have arrived.
+    pub async fn send_untimed(
+        &self,
+        to: SocketAddr,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Bytes>, Error> {
         let mut request = request;
         while let Some(connection) = self.reuse(to) {
-            match self.exchange(to, connection, request, end).await {
+            match self.exchange(to, connection, request).await {
                 Exchange::Ended(result) => return result,
                 Exchange::Returned(message) => request = message,
             }
         }
-        let connection = self.connect(to, end).await?;
-        match self.exchange(to, connection, request, end).await {
+        let connection = self.connect(to, limit).await?;
+        match self.exchange(to, connection, request).await {
             Exchange::Ended(result) => result,
             Exchange::Returned(_) => Err(Error::Unsent("the connection closed".into())),
         }
@@ -165,15 +188,15 @@
         }
     }
 
-    async fn connect(&self, to: SocketAddr, end: Instant) -> Result<Connection, Error> {
-        let limit = end.min(Instant::now() + self.limits.connect);
+    async fn connect(&self, to: SocketAddr, limit: Duration) -> Result<Connection, Error> {
+        let limit = limit.min(self.limits.connect);
         let opened = async {
             let stream = TcpStream::connect(to).await?;
             stream.set_nodelay(true)?;
             Ok(stream)
         };
         let late = async {
-            Timer::at(limit).await;
+            Timer::after(limit).await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
         let stream = opened
@@ -200,22 +223,14 @@
         to: SocketAddr,
         mut connection: Connection,
         request: Request<Full<Bytes>>,
-        end: Instant,
     ) -> Exchange {
-        let answer = async {
-            match connection.sender.try_send_request(request).await {
-                Ok(response) => Exchange::Ended(self.read(to, response).await),
-                Err(mut error) => match error.take_message() {
-                    Some(message) => Exchange::Returned(message),
-                    None => Exchange::Ended(Err(broken(to, &error.into_error()))),
-                },
-            }
-        };
-        let late = async {
-            Timer::at(end).await;
-            Exchange::Ended(Err(Error::Broken(format!("{to}: timed out"))))
+        let ended = match connection.sender.try_send_request(request).await {
+            Ok(response) => Exchange::Ended(self.read(to, response).await),
+            Err(mut error) => match error.take_message() {
+                Some(message) => Exchange::Returned(message),
+                None => Exchange::Ended(Err(broken(to, &error.into_error()))),
+            },
         };
-        let ended = answer.or(late).await;
         if let Exchange::Ended(Ok(_)) = &ended {
             connection.since = Instant::now();
             self.keep(to, connection);
--- a/crates/link/src/server.rs
+++ b/crates/link/src/server.rs
@@ -6,6 +6,8 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::Request;
@@ -14,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::server::conn::auto::Builder;
+use smol::Timer;
 use smol::channel::Receiver;
 use smol::channel::Sender;
 use smol::future::FutureExt;
@@ -41,8 +44,10 @@
     pub head: usize,
     /// Concurrent HTTP/2 streams on a connection.
     pub streams: u32,
-    /// The time to send a request head.
-    pub head_time: Duration,
+    /// A connection on which no request was in progress for this time is closed. The time is
+    /// looked at once for each such period, as a timer for each request would cost two system
+    /// calls.
+    pub quiet: Option<Duration>,
 }
 
 impl Default for Limits {
@@ -51,7 +56,7 @@
             connections: 4_096,
             head: 16 << 10,
             streams: 256,
-            head_time: Duration::from_millis(10_000),
+            quiet: Some(Duration::from_millis(30_000)),
         }
     }
 }
@@ -76,6 +81,7 @@
 struct Context<H> {
     handler: H,
     builder: Builder<SmolExecutor<Spawner>>,
+    quiet: Option<Duration>,
     stop: Receiver<()>,
     kill: Receiver<()>,
     running: Sender<()>,
@@ -110,6 +116,7 @@
         let context = Arc::new(Context {
             handler,
             builder: builder(spawner, limits),
+            quiet: limits.quiet,
             stop: stopped,
             kill: killed,
             running,
@@ -144,11 +151,7 @@
 
 fn builder(spawner: &Spawner, limits: Limits) -> Builder<SmolExecutor<Spawner>> {
     let mut builder = Builder::new(SmolExecutor::new(Arc::clone(spawner)));
-    builder
-        .http1()
-        .timer(SmolTimer::new())
-        .header_read_timeout(limits.head_time)
-        .max_buf_size(limits.head);
+    builder.http1().max_buf_size(limits.head);
     builder
         .http2()
         .timer(SmolTimer::new())
@@ -180,7 +183,7 @@
                     spawner.spawn(serve(stream, context, running)).detach();
                 }
                 Ok(_) => {}
-                Err(_) => drop(smol::Timer::after(ACCEPT_PAUSE).await),
+                Err(_) => drop(Timer::after(ACCEPT_PAUSE).await),
             }
         }
     };
@@ -198,9 +201,14 @@
     B: Body<Data: Send, Error: std::error::Error + Send + Sync> + Send + 'static,
 {
     drop(stream.set_nodelay(true));
+    let activity = Arc::new(Activity::default());
     let service = service_fn(|request| {
         let response = (context.handler)(request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let busy = Busy::new(&activity);
+        async move {
+            let _busy = busy;
+            Ok::<_, Infallible>(response.await)
+        }
     });
     let mut connection = pin!(
         context
@@ -225,6 +233,49 @@
             drop(connection.await);
         }
     };
-    served.or(killed).await;
+    served
+        .or(killed)
+        .or(fall_quiet(&activity, context.quiet))
+        .await;
     drop(running);
 }
+
+/// What happens on one connection.
+#[derive(Default)]
+struct Activity {
+    begun: AtomicUsize,
+    running: AtomicUsize,
+}
+
+/// A request in progress.
+struct Busy(Arc<Activity>);
+
+impl Busy {
+    fn new(activity: &Arc<Activity>) -> Self {
+        activity.begun.fetch_add(1, Ordering::SeqCst);
+        activity.running.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(activity))
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.running.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Ends when no request was in progress for a whole period.
+async fn fall_quiet(activity: &Activity, period: Option<Duration>) {
+    let Some(period) = period else {
+        return smol::future::pending().await;
+    };
+    let mut seen = activity.begun.load(Ordering::SeqCst);
+    loop {
+        Timer::after(period).await;
+        let begun = activity.begun.load(Ordering::SeqCst);
+        if begun == seen && activity.running.load(Ordering::SeqCst) == 0 {
+            return;
+        }
+        seen = begun;
+    }
+}
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -57,7 +57,12 @@
     handler: Arc<H>,
 ) -> io::Result<Server> {
     let service = OperatorServer::new(Adapter(handler));
-    Server::start(spawner, listener, Limits::default(), move |request| {
+    // A stream of events may be silent for long; pings find clients that went away.
+    let limits = Limits {
+        quiet: None,
+        ..Limits::default()
+    };
+    Server::start(spawner, listener, limits, move |request| {
         let mut service = service.clone();
         async move {
             match service.call(request).await {
--- a/crates/target/src/attempt.rs
+++ b/crates/target/src/attempt.rs
@@ -68,13 +68,14 @@
         }
     }
 
-    /// Runs an attempt within `limit`. Dropping the future closes the connection.
+    /// Runs an attempt, of which connecting takes at most `limit`. The embedder drops the future
+    /// when the answer is late, which closes the connection.
     pub async fn run(&self, to: SocketAddr, attempt: Attempt, limit: Duration) -> Ending {
         let id = attempt.id.to_string();
         let Ok(request) = build(attempt, &id) else {
             return Ending::NotRun;
         };
-        match self.pool.send(to, request, limit).await {
+        match self.pool.send_untimed(to, request, limit).await {
             Ok(response) => ending(response, &id),
             Err(pool::Error::Unsent(_)) => Ending::NotRun,
             Err(pool::Error::Broken(_)) => Ending::Unknown,
--- a/src/daemon/control.rs
+++ b/src/daemon/control.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use decision::clock::Ms;
 use decision::control::Action;
 use decision::control::Event;
 use decision::control::Id;
@@ -77,7 +78,8 @@
 
     fn spawn(&self, work: impl Future<Output = ()> + Send + 'static) {
         let key = self.next_operation.fetch_add(1, Ordering::Relaxed);
-        self.operations.spawn(key, work);
+        // Every operation has a time limit of its own.
+        self.operations.spawn(key, Ms(u64::MAX), work);
     }
 
     async fn command(&self, vm: &Name, command: &worker::Command) -> worker::Outcome {
--- a/src/daemon/request.rs
+++ b/src/daemon/request.rs
@@ -53,7 +53,7 @@
                 timeout,
             } => {
                 let work = send(Arc::clone(self), attempt, vm, epoch, call, timeout);
-                self.attempts.spawn(attempt, work);
+                self.attempts.spawn(attempt, timeout, work);
             }
             Action::Forward {
                 attempt,
@@ -62,7 +62,7 @@
                 timeout,
             } => {
                 let work = forward(Arc::clone(self), attempt, entry, call, timeout);
-                self.attempts.spawn(attempt, work);
+                self.attempts.spawn(attempt, timeout, work);
             }
             Action::Abandon(attempt) => self.attempts.cancel(attempt),
             Action::Reply { call, outcome } => self.calls.answer(call, outcome),
@@ -81,6 +81,14 @@
         }
     }
 
+    /// Ends the attempts that are late: their connections close, and they may have run.
+    pub(super) fn expire(self: &Arc<Self>) {
+        for attempt in self.attempts.expire(self.clock.now()) {
+            self.metrics.attempt(&Ending::Unknown);
+            self.request(Event::Finished(attempt, Ending::Unknown));
+        }
+    }
+
     fn measure(&self, event: control::Event) {
         let mut measured = self.measured.lock().expect("no holder of this lock panics");
         if measured.len() < MAX_MEASURED {
--- a/src/daemon/tasks.rs
+++ b/src/daemon/tasks.rs
@@ -6,12 +6,19 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
+use decision::clock::Ms;
 use link::Spawner;
 
+/// A task and when it is late.
+struct Running {
+    task: smol::Task<()>,
+    end: Ms,
+}
+
 /// Tasks by key; none once closed.
 pub(super) struct Tasks<K> {
     spawner: Spawner,
-    running: Mutex<Option<HashMap<K, smol::Task<()>>>>,
+    running: Mutex<Option<HashMap<K, Running>>>,
 }
 
 impl<K: Copy + Eq + Hash + Send + 'static> Tasks<K> {
@@ -22,8 +29,13 @@
         })
     }
 
-    /// Runs `work` under `key` until it ends or is cancelled.
-    pub(super) fn spawn(self: &Arc<Self>, key: K, work: impl Future<Output = ()> + Send + 'static) {
+    /// Runs `work` under `key` until it ends or is cancelled. It is late after `end`.
+    pub(super) fn spawn(
+        self: &Arc<Self>,
+        key: K,
+        end: Ms,
+        work: impl Future<Output = ()> + Send + 'static,
+    ) {
         let tasks = Arc::clone(self);
         // The lock is held while spawning, so that the task cannot end before it is listed.
         let mut running = self.lock();
@@ -34,7 +46,7 @@
             work.await;
             tasks.forget(key);
         });
-        running.insert(key, task);
+        running.insert(key, Running { task, end });
     }
 
     /// Drops the task, which closes its connection.
@@ -43,6 +55,16 @@
         drop(task);
     }
 
+    /// Drops the tasks that are late and returns their keys.
+    pub(super) fn expire(&self, now: Ms) -> Vec<K> {
+        let mut running = self.lock();
+        let Some(running) = running.as_mut() else {
+            return Vec::new();
+        };
+        let late = running.extract_if(|_, task| task.end < now);
+        late.map(|(key, _)| key).collect()
+    }
+
     /// Drops all tasks and takes no more.
     pub(super) fn close(&self) {
         let tasks = self.lock().take();
@@ -51,12 +73,12 @@
 
     fn forget(&self, key: K) {
         let task = self.lock().as_mut().and_then(|tasks| tasks.remove(&key));
-        if let Some(task) = task {
-            task.detach();
+        if let Some(running) = task {
+            running.task.detach();
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Option<HashMap<K, smol::Task<()>>>> {
+    fn lock(&self) -> MutexGuard<'_, Option<HashMap<K, Running>>> {
         self.running.lock().expect("no holder of this lock panics")
     }
 }
--- a/src/daemon/ticks.rs
+++ b/src/daemon/ticks.rs
@@ -37,6 +37,7 @@
             shell.clock.until(next).clamp(SHORTEST_TICK, REQUEST_TICK)
         });
         Timer::after(pause).await;
+        shell.expire();
         shell.request(request::Event::Tick);
     }
 }
