Acknowledge ended tasks whose owner died after the commit

Cause: ended pieces leave the scanned rows, so a new owner never learns of a piece whose last outcome was stored but not acknowledged; its workers keep the ended tasks for ever. Change: look up ended attempts that belong to no held piece by the job's index, and acknowledge those whose outcome is stored. The board forgets ended pieces after 60 s. The tests drive place::Board in place of a private board.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -6,6 +6,7 @@
 mod exchange;
 mod flush;
 mod handover;
+mod leftover;
 mod machine;
 mod own;
 mod scan;
--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -134,7 +134,8 @@
         let Some(adoption) = self.adoption(sent) else {
             return;
         };
-        if adoption.waiting.is_some_and(|(waiting, _)| waiting == id) {
+        let periodic = adoption.waiting.is_some_and(|(waiting, _)| waiting == id);
+        if periodic {
             adoption.waiting = None;
         }
         let first = adoption.accepted.is_none();
@@ -146,7 +147,9 @@
         }
         let current = adoption.epoch().is_some();
         adoption.proven |= id >= floor;
-        adoption.next = if current { now + RENEW } else { now };
+        if periodic {
+            adoption.next = if current { now + RENEW } else { now };
+        }
         if !current || adoption.gone.is_some() {
             return;
         }
@@ -160,6 +163,7 @@
                 "it accepted the epoch",
             );
         }
+        self.look_for_leftovers(sent, &report);
         self.report(vm, sent.epoch, report);
     }
 
--- a/crates/decision/src/control/flush.rs
+++ b/crates/decision/src/control/flush.rs
@@ -26,6 +26,8 @@
     pub(super) group: Name,
     pub(super) job: Name,
     pub(super) version: Version,
+    /// The indices of its tasks within the job.
+    pub(super) tasks: std::ops::Range<u32>,
     /// Whether it changed since the last commit of it was queued.
     pub(super) dirty: bool,
 }
@@ -167,6 +169,7 @@
         let version = rows.get(&job::key(&stored.group, name)).copied();
         if rows.contains_key(&job::ended_key(name)) {
             self.pieces.remove(name);
+            self.ended.push_back((self.now, name.clone()));
             self.drive(place::Event::Stored(name.clone()));
             return;
         }
--- /dev/null
+++ b/crates/decision/src/control/leftover.rs
@@ -0,0 +1,191 @@
+//! Ended attempts that workers still keep although their piece is no longer held here.
+//!
+//! An owner may die after the outcome was stored and before it was acknowledged. The piece is
+//! then no longer among the group's work, so the board cannot acknowledge it.
+
+use std::ops::Bound;
+
+use super::Machine;
+use super::adopt::Sent;
+use super::store::Reading;
+use crate::clock::Ms;
+use crate::group::Right;
+use crate::job;
+use crate::name::Name;
+use crate::piece::Piece;
+use crate::piece::Record;
+use crate::place;
+use crate::record;
+use crate::record::Index;
+use crate::record::Work;
+use crate::step::Step;
+use crate::table::Operation;
+use crate::table::Row;
+use crate::worker::Epoch;
+use crate::worker::Report;
+use crate::worker::State;
+use crate::worker::Verb;
+
+/// Time between looks at one worker's leftovers.
+const LOOK: Ms = Ms(10_000);
+const MAX_TASKS: usize = 64;
+/// An ended piece stays on the board for as long as acknowledgements may have to be repeated.
+const KEEP: Ms = Ms(60_000);
+
+/// Ended attempts on one worker whose outcome is being looked up.
+#[derive(Clone, Debug)]
+pub(super) struct Leftover {
+    vm: Name,
+    group: Name,
+    epoch: Epoch,
+    tasks: Vec<(Name, u32, State)>,
+    /// The piece of each task, once the indices were read, and the group that it is stored in.
+    pieces: Vec<Option<(Name, Name)>>,
+}
+
+fn split(task: &str) -> Option<(&str, u32)> {
+    let (job, index) = task.rsplit_once('#')?;
+    Some((job, index.parse().ok()?))
+}
+
+impl<B> Machine<B>
+where
+    B: Step<Event = place::Event, Action = place::Order> + place::Read,
+{
+    /// Looks for ended attempts in a report that belong to no piece held here.
+    pub(super) fn look_for_leftovers(&mut self, sent: &Sent, report: &Report) {
+        let Some(held) = self.held.get_mut(&sent.group) else {
+            return;
+        };
+        let settled =
+            held.right == Right::Row && held.scanned && self.backoff.down_since().is_none();
+        let Some(adoption) = held.workers.get_mut(&sent.vm) else {
+            return;
+        };
+        if !settled || self.now < adoption.look {
+            return;
+        }
+        adoption.look = self.now + LOOK;
+        let ended = report
+            .tasks
+            .iter()
+            .filter(|task| task.state != State::Running);
+        let unknown = ended.filter(|task| !self.holds_task(&task.name));
+        let tasks = unknown.map(|task| (task.name.clone(), task.attempt, task.state));
+        let tasks = Vec::from_iter(tasks.take(MAX_TASKS));
+        if tasks.is_empty() {
+            return;
+        }
+        let jobs = tasks.iter().filter_map(|(task, ..)| split(task));
+        let mut keys = Vec::from_iter(jobs.map(|(job, _)| job::index_key(job)));
+        keys.sort_unstable();
+        keys.dedup();
+        let leftover = Leftover {
+            vm: sent.vm.clone(),
+            group: sent.group.clone(),
+            epoch: sent.epoch,
+            tasks,
+            pieces: Vec::new(),
+        };
+        self.read(Reading::Leftover(leftover), Operation::Read(keys));
+    }
+
+    fn holds_task(&self, task: &str) -> bool {
+        let Some((job, index)) = split(task) else {
+            return false;
+        };
+        let prefix = format!("{job}.");
+        let from = (Bound::Included(prefix.as_str()), Bound::Unbounded);
+        let pieces = self.pieces.range::<str, _>(from);
+        let mut pieces = pieces.take_while(|(name, _)| name.starts_with(&prefix));
+        pieces.any(|(_, stored)| *stored.job == *job && stored.tasks.contains(&index))
+    }
+
+    pub(super) fn leftover_read(&mut self, mut leftover: Leftover, rows: &[Row]) {
+        if !leftover.pieces.is_empty() {
+            self.acknowledge_leftover(&leftover, rows);
+            return;
+        }
+        let mut keys = Vec::new();
+        for (task, ..) in &leftover.tasks {
+            let piece = locate(task, rows);
+            if let Some((piece, group)) = &piece {
+                keys.push(job::ended_key(piece));
+                keys.push(job::key(group, piece));
+            }
+            leftover.pieces.push(piece);
+        }
+        keys.sort_unstable();
+        keys.dedup();
+        if !keys.is_empty() {
+            self.read(Reading::Leftover(leftover), Operation::Read(keys));
+        }
+    }
+
+    fn acknowledge_leftover(&mut self, leftover: &Leftover, rows: &[Row]) {
+        let held = self.held.get(&leftover.group);
+        if held.is_none_or(|held| held.epoch != leftover.epoch) {
+            return;
+        }
+        let mut tasks = Vec::new();
+        for ((task, attempt, state), piece) in leftover.tasks.iter().zip(&leftover.pieces) {
+            let Some((piece, group)) = piece else {
+                continue;
+            };
+            let record = outcome(task, piece, group, rows);
+            let elsewhere = *group != leftover.group && *state != State::Completed;
+            let over = match record {
+                Some(Record::Open { .. }) => elsewhere,
+                Some(_) => true,
+                None => false,
+            };
+            if over && !self.holds_task(task) {
+                tasks.push((task.clone(), *attempt));
+            }
+        }
+        if !tasks.is_empty() {
+            let id = self.id();
+            let (group, vm) = (leftover.group.clone(), leftover.vm.clone());
+            let verb = Verb::Acknowledge { tasks };
+            self.command(id, group, vm, leftover.epoch, verb, None);
+        }
+    }
+
+    /// Lets the board forget pieces that ended a while ago.
+    pub(super) fn forget_ended(&mut self) {
+        while let Some((at, _)) = self.ended.front() {
+            if self.now.since(*at) < KEEP {
+                return;
+            }
+            if let Some((_, piece)) = self.ended.pop_front() {
+                self.drive(place::Event::Moved(piece));
+            }
+        }
+    }
+}
+
+/// The piece of a task, and the group that it was assigned to.
+fn locate(task: &str, rows: &[Row]) -> Option<(Name, Name)> {
+    let (job, index) = split(task)?;
+    let key = job::index_key(job);
+    let row = rows.iter().find(|row| row.key == key)?;
+    let found = record::decode::<Index>(&row.value).ok()?;
+    let number = index.checked_div(found.step)?;
+    let group = found.groups.get(number as usize)?.clone();
+    let piece = Name::try_from(format!("{job}.{number}")).ok()?;
+    Some((piece, group))
+}
+
+/// What is stored of a task.
+fn outcome(task: &str, piece: &str, group: &str, rows: &[Row]) -> Option<Record> {
+    let find = |key: String| rows.iter().find(|row| row.key == key);
+    let stored: Piece = match find(job::ended_key(piece)) {
+        Some(row) => record::decode(&row.value).ok()?,
+        None => match record::decode(&find(job::key(group, piece))?.value).ok()? {
+            Work::Piece(piece) => piece,
+            Work::Cancel(_) => return None,
+        },
+    };
+    let index = split(task)?.1.checked_sub(stored.first)?;
+    stored.tasks.get(index as usize).cloned()
+}
--- a/crates/decision/src/control/machine.rs
+++ b/crates/decision/src/control/machine.rs
@@ -91,6 +91,8 @@
     /// Keys of deleted rows, which a scan that began earlier may still show.
     pub(super) removed: BTreeMap<String, Ms>,
     pub(super) dirty: VecDeque<Name>,
+    /// Pieces that ended, with the time, until the board forgets them.
+    pub(super) ended: VecDeque<(Ms, Name)>,
     pub(super) surplus: VecDeque<Name>,
     pub(super) damaged: BTreeMap<String, crate::record::Error>,
     pub(super) slowdown: BTreeMap<Name, u32>,
@@ -139,6 +141,7 @@
             pieces: BTreeMap::new(),
             removed: BTreeMap::new(),
             dirty: VecDeque::new(),
+            ended: VecDeque::new(),
             surplus: VecDeque::new(),
             damaged: BTreeMap::new(),
             slowdown: BTreeMap::new(),
@@ -272,6 +275,7 @@
         self.own();
         self.renew();
         self.drive(place::Event::Tick);
+        self.forget_ended();
         self.move_surplus();
         self.advance_calls();
         self.balance();
--- a/crates/decision/src/control/scan.rs
+++ b/crates/decision/src/control/scan.rs
@@ -104,10 +104,12 @@
         if self.pieces.contains_key(&name) {
             return;
         }
+        let count = u32::try_from(piece.tasks.len()).unwrap_or(u32::MAX);
         let stored = Stored {
             group: scan.group.clone(),
             job: piece.job.name.clone(),
             version,
+            tasks: piece.first..piece.first.saturating_add(count),
             dirty: false,
         };
         self.pieces.insert(name, stored);
--- a/crates/decision/src/control/store.rs
+++ b/crates/decision/src/control/store.rs
@@ -5,6 +5,7 @@
 use super::Action;
 use super::Id;
 use super::Machine;
+use super::leftover::Leftover;
 use crate::clock::Ms;
 use crate::commit::Settled;
 use crate::commit::Transaction;
@@ -68,6 +69,8 @@
     Proof(Scan),
     /// Rows that an operator's call needs.
     Call(u64),
+    /// What is stored of ended attempts whose piece is not held here.
+    Leftover(Leftover),
     /// The index row of a job whose piece is to be moved.
     Move {
         /// The piece.
@@ -187,6 +190,7 @@
             Reading::Work(scan) => self.read_work(scan, rows),
             Reading::Proof(scan) => self.read_proof(&scan, &rows),
             Reading::Call(call) => self.call_read(call, Some(&rows)),
+            Reading::Leftover(leftover) => self.leftover_read(leftover, &rows),
             Reading::Move { piece, to } => self.move_read(&piece, &to, &rows),
         }
     }
@@ -206,7 +210,8 @@
                 }
             }
             Reading::Call(call) => self.call_read(call, None),
-            Reading::Members | Reading::Drains(_) | Reading::Move { .. } => {}
+            Reading::Members | Reading::Drains(_) | Reading::Leftover(_) | Reading::Move { .. } => {
+            }
         }
     }
 
--- a/crates/decision/src/control/submit.rs
+++ b/crates/decision/src/control/submit.rs
@@ -115,6 +115,9 @@
         let groups = self.capacities(job.size, config);
         let pieces = job::split(job, &groups);
         let index = record::Index {
+            step: pieces
+                .first()
+                .map_or(1, |(_, one)| u32::try_from(one.tasks.len()).unwrap_or(1)),
             groups: pieces.iter().map(|(group, _)| group.clone()).collect(),
             cancelled: false,
         };
--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -70,6 +70,8 @@
     pub waiting: Option<(Id, Ms)>,
     /// When to send the next one.
     pub next: Ms,
+    /// When to look next for ended attempts that nobody acknowledges.
+    pub look: Ms,
     /// Whether it was last told to be leaving.
     pub leaving: bool,
     /// Since when it is missing from the platform's list.
@@ -90,6 +92,7 @@
             busy: 0,
             waiting: None,
             next: Ms::ZERO,
+            look: Ms::ZERO,
             leaving: false,
             gone: None,
             holds,
--- a/crates/decision/src/record.rs
+++ b/crates/decision/src/record.rs
@@ -74,6 +74,8 @@
 /// Where the pieces of a job are stored.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Index {
+    /// Tasks in each piece but the last.
+    pub step: u32,
     /// The group of each piece, by piece number.
     pub groups: Vec<Name>,
     /// Whether the job was cancelled.
--- a/crates/decision/tests/control/chaos.rs
+++ b/crates/decision/tests/control/chaos.rs
@@ -56,6 +56,12 @@
         let done = (0..4).map(|round| world.completed(&format!("j{round}")));
         world.assert_clean();
         assert_eq!(done.sum::<usize>(), TASKS, "seed {seed}");
+        let kept = world.workers.values().map(|worker| worker.holds());
+        assert_eq!(
+            kept.sum::<usize>(),
+            0,
+            "seed {seed}: ended tasks left at workers"
+        );
     }
 }
 
--- a/crates/decision/tests/control/world/mod.rs
+++ b/crates/decision/tests/control/world/mod.rs
@@ -1,6 +1,5 @@
 //! Several control paths in virtual time over one table, with faults and fixed seeds.
 
-pub mod board;
 pub mod sample;
 pub mod table;
 pub mod workers;
@@ -9,7 +8,6 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
-use board::Board;
 use decision::clock::Ms;
 use decision::config::Version;
 use decision::control::Action;
@@ -21,6 +19,7 @@
 use decision::operator;
 use decision::peer::Envelope;
 use decision::peer::Message;
+use decision::place::Board;
 use decision::request::Target;
 use decision::step::Step;
 use decision::table::Operation;
@@ -122,17 +121,18 @@
         let address = SocketAddr::from(([127, 0, 0, 1], 1_000 + number));
         self.sequence += 1;
         let seeds = self.entries.values().map(|one| one.address).take(3);
+        let seed = self.random.random();
         let identity = Identity {
             entry: entry.clone(),
             incarnation: self.now + 1,
             address,
             domain: name("a"),
             seeds: seeds.collect(),
-            seed: self.random.random(),
+            seed,
         };
         let one = Entry {
             incarnation: identity.incarnation,
-            machine: Machine::new(identity, Board::default()),
+            machine: Machine::new(identity, Board::new(seed)),
             address,
             paused_until: 0,
             stopped: None,
