Protect services, correct estimates, quarantine workers, share fairly

Cause: declared sizes are wrong, batch kinds slow services down, some workers fail everything they start, and teams compete.

Change: learned slowdown per pair of service and batch kind, protection per worker by throttling, pausing and evicting, estimates per kind with bounded trust, quarantine with probes and slow start, weighted shares and quotas, reservations for large tasks, and offers of pieces that cannot start here.

A first run lost tasks of that kind: beside an always loaded service they were never placed. They now may go there after 10 s, one to a worker.

--- /dev/null
+++ b/crates/decision/src/estimate.rs
@@ -0,0 +1,145 @@
+//! Corrections of declared sizes and run times, learned per kind from reports.
+
+use crate::clock::Ms;
+use crate::resource::Size;
+
+/// Reports at which what was learned weighs as much as the declaration.
+const EVEN: f64 = 4.0;
+
+/// The most that what was learned may weigh.
+const MAX_TRUST: f64 = 0.9;
+
+/// Memory and processors granted above what was learned, because later tasks may need more.
+const MARGIN: f64 = 1.15;
+
+/// Share of its processors from which a task may be held back by its grant.
+const SATURATED: f64 = 0.95;
+
+/// Growth of the processors of tasks that are held back by their grant.
+const GROWTH: f64 = 1.25;
+
+/// The most processors granted, as a multiple of the declaration.
+const MAX_PROCESSORS: f64 = 2.0;
+
+/// Weight of a new run time.
+const TIME_WEIGHT: f64 = 0.2;
+
+/// Decay of the highest memory use with each completion, so that one outlier does not raise all
+/// later grants for good.
+const DECAY: f64 = 0.98;
+
+/// What is known of one kind, as ratios to the declaration.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    reports: u32,
+    memory: f64,
+    processors: f64,
+    time: f64,
+    times: u32,
+}
+
+impl Default for Estimate {
+    fn default() -> Self {
+        Self {
+            reports: 0,
+            memory: 0.0,
+            processors: 0.0,
+            time: 1.0,
+            times: 0,
+        }
+    }
+}
+
+impl Estimate {
+    /// Takes in what a running task used; `first` tells that it is its first report.
+    pub fn used(&mut self, declared: Size, grant: Size, used: Size, first: bool) {
+        if first {
+            self.reports = self.reports.saturating_add(1);
+        }
+        self.memory = self.memory.max(ratio(used.memory_mb, declared.memory_mb));
+        let share = ratio(used.millicores, grant.millicores);
+        let mut processors = ratio(used.millicores, declared.millicores);
+        if share >= SATURATED {
+            processors = (processors * GROWTH).min(MAX_PROCESSORS);
+        }
+        self.processors = self.processors.max(processors);
+    }
+
+    /// Takes in a completion after `work` of full-speed run time.
+    pub fn completed(&mut self, declared: Size, used: Size, run_time: Ms, work: Ms) {
+        self.memory = (self.memory * DECAY).max(ratio(used.memory_mb, declared.memory_mb));
+        self.processors *= DECAY;
+        self.processors = self
+            .processors
+            .max(ratio(used.millicores, declared.millicores));
+        let seen = milliseconds(work) / milliseconds(run_time).max(1.0);
+        let weight = if self.times == 0 { 1.0 } else { TIME_WEIGHT };
+        self.time += (seen - self.time) * weight;
+        self.times = self.times.saturating_add(1);
+    }
+
+    /// Takes in that a task ran out of memory with this grant.
+    pub fn exhausted(&mut self, declared: Size, grant: Size) {
+        self.reports = self.reports.saturating_add(1);
+        let doubled = ratio(grant.memory_mb, declared.memory_mb) * 2.0;
+        self.memory = self.memory.max(doubled);
+    }
+
+    /// What to grant to a task: never below what was observed, never above `most`.
+    #[must_use]
+    pub fn grant(&self, declared: Size, memory_floor: u32, most: Size) -> Size {
+        let reports = f64::from(self.reports);
+        let trust = (reports / (reports + EVEN)).min(MAX_TRUST);
+        let mix = |amount: u32, learned: f64| {
+            let mixed = (1.0 - trust) + trust * learned * MARGIN;
+            scale(
+                amount,
+                mixed.max(if self.reports > 0 { learned } else { 0.0 }),
+            )
+        };
+        let processors = mix(declared.millicores, self.processors);
+        let memory = mix(declared.memory_mb, self.memory).max(memory_floor);
+        Size {
+            millicores: bound(processors, declared.millicores, most.millicores),
+            memory_mb: bound(memory, declared.memory_mb, most.memory_mb),
+            accelerators: declared.accelerators,
+        }
+    }
+
+    /// The expected run time at full speed.
+    #[must_use]
+    pub fn run_time(&self, declared: Ms) -> Ms {
+        let times = f64::from(self.times);
+        let trust = (times / (times + EVEN)).min(MAX_TRUST);
+        let mixed = (1.0 - trust) + trust * self.time;
+        Ms(whole(milliseconds(declared) * mixed))
+    }
+}
+
+/// A corrected amount is cut to the largest worker, but a declaration above it stays visible as
+/// impossible.
+fn bound(amount: u32, declared: u32, most: u32) -> u32 {
+    if declared > most {
+        declared
+    } else {
+        amount.min(most)
+    }
+}
+
+fn ratio(amount: u32, declared: u32) -> f64 {
+    f64::from(amount) / f64::from(declared.max(1))
+}
+
+fn scale(amount: u32, factor: f64) -> u32 {
+    let scaled = whole(f64::from(amount) * factor);
+    u32::try_from(scaled).unwrap_or(u32::MAX)
+}
+
+/// Rounds up; the conversion saturates.
+fn whole(amount: f64) -> u64 {
+    amount.ceil() as u64
+}
+
+fn milliseconds(time: Ms) -> f64 {
+    f64::from(u32::try_from(time.0).unwrap_or(u32::MAX))
+}
--- /dev/null
+++ b/crates/decision/src/interference.rs
@@ -0,0 +1,152 @@
+//! How much batch kinds slow services down, learned per pair from lagging measurements.
+
+use std::collections::HashMap;
+
+use crate::clock::Ms;
+use crate::name::Name;
+
+/// Measurements after which a pair counts as known.
+const KNOWN: u32 = 8;
+
+/// Measurements without batch work after which their mean is the base.
+const BASE_KNOWN: u32 = 10;
+
+/// Weight of a new measurement in the base.
+const BASE_WEIGHT: f64 = 0.05;
+
+/// Weight of a new measurement in a pair, divided among the kinds present.
+const PAIR_WEIGHT: f64 = 0.1;
+
+/// Weight of a time below the running low mean.
+const LOW_DOWN: f64 = 0.04;
+
+/// Weight of a time above it.
+const LOW_UP: f64 = 0.02;
+
+/// The largest multiple of the base taken into it, so that stragglers among the requests do not
+/// hide interference.
+const MAX_BASE: f64 = 4.0;
+
+/// The largest slowdown taken in from one measurement, so that a stray one does not condemn a
+/// pair.
+const MAX_RATIO: f64 = 8.0;
+
+/// The shortest service time taken in, in ms; times are whole milliseconds.
+const MIN_TIME: f64 = 0.5;
+
+/// Service times of one kind of request without batch work.
+#[derive(Clone, Copy, Debug, Default)]
+struct Base {
+    alone: f64,
+    count: u32,
+    low: f64,
+}
+
+/// The slowdown of one service by one batch kind.
+#[derive(Clone, Copy, Debug)]
+struct Pair {
+    slowdown: f64,
+    count: u32,
+}
+
+impl Default for Pair {
+    /// Optimistic: an unknown kind slows nothing down.
+    fn default() -> Self {
+        Self {
+            slowdown: 1.0,
+            count: 0,
+        }
+    }
+}
+
+/// Everything learned about pairs.
+#[derive(Clone, Debug, Default)]
+pub struct Model {
+    bases: HashMap<Name, HashMap<Name, Base>>,
+    pairs: HashMap<Name, HashMap<Name, Pair>>,
+}
+
+impl Model {
+    /// Takes in a service time seen on a worker where tasks of `present` kinds run. Returns its
+    /// ratio to the time without batch work.
+    pub fn measure(&mut self, service: &Name, request: &Name, time: Ms, present: &[Name]) -> f64 {
+        let time = f64::from(u32::try_from(time.0).unwrap_or(u32::MAX)).max(MIN_TIME);
+        let bases = entry(&mut self.bases, service);
+        let base = entry(bases, request);
+        base.take(time, present.is_empty());
+        let ratio = (time / base.time()).clamp(1.0 / MAX_RATIO, MAX_RATIO);
+        self.attribute(service, ratio, present);
+        ratio
+    }
+
+    /// Moves each pair towards what the others present leave unexplained.
+    fn attribute(&mut self, service: &Name, ratio: f64, present: &[Name]) {
+        let expected = self.slowdown(service, present);
+        let pairs = entry(&mut self.pairs, service);
+        let share = f64::from(u32::try_from(present.len()).unwrap_or(u32::MAX)).max(1.0);
+        for kind in present {
+            let pair = entry(pairs, kind);
+            let unexplained = (ratio / (expected / pair.slowdown)).max(1.0);
+            // The first measurements replace the prior, which is a guess.
+            let early = 1.0 / f64::from(pair.count + 1);
+            let weight = PAIR_WEIGHT.max(early.min(0.5)) / share;
+            pair.slowdown += (unexplained - pair.slowdown) * weight;
+            pair.count = pair.count.saturating_add(1);
+        }
+    }
+
+    /// The expected slowdown of a service beside these kinds together.
+    #[must_use]
+    pub fn slowdown<'a>(&self, service: &Name, present: impl IntoIterator<Item = &'a Name>) -> f64 {
+        let Some(pairs) = self.pairs.get(service) else {
+            return 1.0;
+        };
+        let known = present.into_iter().filter_map(|kind| pairs.get(kind));
+        known.map(|pair| pair.slowdown).product()
+    }
+
+    /// Whether enough was measured of a pair.
+    #[must_use]
+    pub fn known(&self, service: &Name, kind: &Name) -> bool {
+        let pair = self.pairs.get(service).and_then(|pairs| pairs.get(kind));
+        pair.is_some_and(|pair| pair.count >= KNOWN)
+    }
+}
+
+impl Base {
+    fn take(&mut self, time: f64, alone: bool) {
+        if self.low == 0.0 {
+            self.low = time;
+        }
+        let step = if time < self.low { LOW_DOWN } else { LOW_UP };
+        self.low += (time - self.low) * step;
+        if alone {
+            let early = 1.0 / f64::from(self.count + 1);
+            let known = self.count >= BASE_KNOWN;
+            let time = if known {
+                time.min(self.alone * MAX_BASE)
+            } else {
+                time
+            };
+            self.alone += (time - self.alone) * BASE_WEIGHT.max(early);
+            self.count = self.count.saturating_add(1);
+        }
+    }
+
+    /// Until enough is measured without batch work, a low mean of all times stands in.
+    fn time(&self) -> f64 {
+        if self.count >= BASE_KNOWN {
+            self.alone
+        } else {
+            self.low
+        }
+    }
+}
+
+/// The value of a key; the key is only cloned when it is new.
+fn entry<'a, V: Default>(map: &'a mut HashMap<Name, V>, key: &Name) -> &'a mut V {
+    if !map.contains_key(key) {
+        map.insert(key.clone(), V::default());
+    }
+    map.get_mut(key).expect("the key was just inserted")
+}
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -6,12 +6,17 @@
 pub mod clock;
 pub mod config;
 pub mod control;
+pub mod estimate;
+pub mod fair;
+pub mod interference;
 pub mod name;
 pub mod object;
 pub mod operator;
 pub mod peer;
 pub mod piece;
 pub mod place;
+pub mod protect;
+pub mod quarantine;
 pub mod request;
 pub mod resource;
 pub mod step;
--- a/crates/decision/src/place.rs
+++ b/crates/decision/src/place.rs
@@ -2,11 +2,16 @@
 
 mod answer;
 mod board;
+mod choose;
 mod events;
 mod index;
 mod ledger;
+mod outcome;
 mod queue;
 mod report;
+mod reserve;
+mod view;
+mod watch;
 
 use std::sync::Arc;
 
--- a/crates/decision/src/place/answer.rs
+++ b/crates/decision/src/place/answer.rs
@@ -319,6 +319,31 @@
         self.command(index, verb, Call::Stop(key, attempt));
     }
 
+    /// Limits the processor share of a running task.
+    pub fn throttle(&mut self, key: Key, share: u8) {
+        let Some(run) = self.task(key).and_then(Any::run).copied() else {
+            return;
+        };
+        if self.may_command(run.booking.worker) {
+            let task = self.task_name(key);
+            let call = Call::Throttle(key, run.booking.attempt);
+            self.command(run.booking.worker, Verb::Throttle { task, share }, call);
+        }
+    }
+
+    /// Has a running task write a checkpoint and go on.
+    pub fn checkpoint(&mut self, key: Key) {
+        let Some(run) = self.task(key).and_then(Any::run).copied() else {
+            return;
+        };
+        if self.may_command(run.booking.worker) {
+            let task = self.task_name(key);
+            let object = task::checkpoint(&task, run.booking.attempt);
+            let verb = Verb::Checkpoint { task, key: object };
+            self.command(run.booking.worker, verb, Call::Checkpoint);
+        }
+    }
+
     /// The state of a piece as of the outstanding store is stored.
     pub(super) fn stored(&mut self, name: &Name) {
         let Some(&index) = self.named.get(name) else {
--- a/crates/decision/src/place/board.rs
+++ b/crates/decision/src/place/board.rs
@@ -1,5 +1,8 @@
 //! The placement state machine.
 
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
 use super::Event;
 use super::Order;
 use super::Read;
@@ -10,33 +13,45 @@
 use super::ledger::Signal;
 use super::queue::Queue;
 use super::queue::Shape;
+use super::view::Trouble;
+use super::view::View;
 use crate::clock::Ms;
+use crate::estimate::Estimate;
+use crate::fair::Shares;
+use crate::interference::Model;
 use crate::name::Name;
 use crate::operator::Progress;
 use crate::piece::Piece;
+use crate::protect::Stage;
 use crate::resource::Size;
 use crate::step::Step;
 use crate::task::Any;
 
-/// Placements in one step, so that other events are not held up behind a wave of tasks.
-const MAX_STARTS: usize = 2_000;
-
-/// Blocked classes tried again in one tick.
+/// Blocked classes tried again in one tick, or when a worker has more room.
 const MAX_RETRIES: usize = 256;
 
-/// Failures of a task after which it has failed for good.
-const MAX_FAILURES: u32 = 3;
+/// The pause before a resume is tried again after its checkpoint was unreadable.
+const RESUME_PAUSE: Ms = Ms(5_000);
 
-/// Workers that fit and are compared for one placement.
-const MAX_COMPARED: usize = 12;
+/// Ticks in which all workers are looked at once.
+const SHARDS: u64 = 10;
 
 /// The placement of tasks on the workers of owned groups.
 #[derive(Debug)]
 pub struct Board {
-    ledger: Ledger,
-    queue: Queue,
-    rooms: Rooms,
-    turn: usize,
+    pub(super) ledger: Ledger,
+    pub(super) queue: Queue,
+    pub(super) rooms: Rooms,
+    pub(super) shares: Shares,
+    pub(super) views: Vec<View>,
+    pub(super) kinds: HashMap<Name, Estimate>,
+    pub(super) model: Model,
+    pub(super) troubles: HashMap<Name, Trouble>,
+    pub(super) most: HashMap<u32, (u64, Size)>,
+    pub(super) delayed: BTreeSet<(Ms, Key)>,
+    pub(super) unsaved_until: Ms,
+    pub(super) ticks: u64,
+    pub(super) turn: usize,
 }
 
 impl Board {
@@ -47,11 +62,21 @@
             ledger: Ledger::default(),
             queue: Queue::default(),
             rooms: Rooms::default(),
+            shares: Shares::default(),
+            views: Vec::new(),
+            kinds: HashMap::new(),
+            model: Model::default(),
+            troubles: HashMap::new(),
+            most: HashMap::new(),
+            delayed: BTreeSet::new(),
+            unsaved_until: Ms::ZERO,
+            ticks: 0,
             turn: usize::try_from(seed % 1_024).unwrap_or(0),
         }
     }
 
-    fn absorb(&mut self) {
+    /// Takes in what the ledger tells, until it has nothing more to tell.
+    pub(super) fn absorb(&mut self) {
         loop {
             let signals = self.ledger.signals();
             if signals.is_empty() {
@@ -67,27 +92,31 @@
         match signal {
             Signal::Waiting(key) => self.enqueue(key),
             Signal::Room(worker) => self.reindex(worker),
-            Signal::Removed(worker) => self.rooms.remove(worker),
-            Signal::Failed(key, ..) => self.charge(key),
-            _ => {}
+            Signal::Removed(worker) => self.drop_worker(worker),
+            Signal::Reported(worker) => self.learn_usage(worker),
+            Signal::Completed(key, booking, seen) => self.completed(key, booking, &seen),
+            Signal::Failed(key, booking, fault, seen) => self.failed(key, booking, fault, &seen),
+            Signal::Spared(key) => self.spared(key),
         }
     }
 
-    /// Counts a failure against the task.
-    fn charge(&mut self, key: Key) {
-        let Some(history) = self.ledger.history_mut(key) else {
-            return;
-        };
-        history.failures += 1;
-        if history.failures >= MAX_FAILURES {
-            self.ledger.give_up(key);
+    /// Takes in a task that starts to wait.
+    fn enqueue(&mut self, key: Key) {
+        let history = self.ledger.task(key).and_then(Any::history);
+        if history.is_some_and(|history| history.unreadable > 0) {
+            // The object store may be down.
+            self.delayed.insert((self.ledger.now + RESUME_PAUSE, key));
         } else {
-            self.ledger.retry(key);
+            self.release(key);
         }
     }
 
-    fn enqueue(&mut self, key: Key) {
-        let Some(history) = self.ledger.task(key).and_then(Any::history) else {
+    /// Lets a waiting task be placed.
+    fn release(&mut self, key: Key) {
+        let Some(task) = self.ledger.task(key).filter(|task| task.waits()) else {
+            return;
+        };
+        let Some(history) = task.history() else {
             return;
         };
         let piece = self.ledger.piece(key.piece);
@@ -102,72 +131,75 @@
         self.queue.push(shape, key, self.ledger.now);
     }
 
-    fn reindex(&mut self, worker: u32) {
+    pub(super) fn view(&mut self, worker: u32) -> &mut View {
+        let at = worker as usize;
+        if self.views.len() <= at {
+            self.views.resize_with(at + 1, View::default);
+        }
+        &mut self.views[at]
+    }
+
+    /// Brings the index up to date with a worker.
+    pub(super) fn reindex(&mut self, worker: u32) {
         let Some(known) = self.ledger.workers[worker as usize].as_ref() else {
             return;
         };
         let group = known.group;
-        let room = known.room(self.ledger.reserve);
+        let now = self.ledger.now;
+        let reserve = self.ledger.reserve;
+        let limit = known.capacity.minus(reserve);
+        let tasks = u32::try_from(known.tasks.len()).unwrap_or(u32::MAX);
+        let room = known.room(reserve);
         let placeable = self.ledger.placeable(worker);
-        self.rooms.set(group, worker, placeable.then_some(room));
-        if placeable {
-            self.queue
-                .unblock(MAX_RETRIES, |class| class.shape.group == group);
+        let view = self.view(worker);
+        let allowed = view.health.allows(now, tasks) && view.guard.stage() < Stage::Paused;
+        let room = (placeable && allowed).then_some(room);
+        let grown = match (view.room, room) {
+            (_, None) => false,
+            (None, Some(_)) => true,
+            (Some(before), Some(after)) => !after.fits(before),
+        };
+        view.room = room;
+        let before = std::mem::replace(&mut view.limit, limit);
+        self.shares.resize(before, limit);
+        self.rooms.set(group, worker, room);
+        if grown {
+            self.queue.unblock(group, MAX_RETRIES);
         }
     }
 
-    fn dispatch(&mut self) {
-        for _ in 0..MAX_STARTS {
-            let held = &self.ledger.held;
-            let share = |team: &Name| {
-                held.get(team)
-                    .map_or(0.0, |held| f64::from(held.millicores))
-            };
-            let Some(class) = self.queue.next(share) else {
-                return;
-            };
-            self.place(class);
-            self.absorb();
+    fn drop_worker(&mut self, worker: u32) {
+        self.rooms.remove(worker);
+        let view = std::mem::take(self.view(worker));
+        self.shares.resize(view.limit, Size::ZERO);
+        if let Some(class) = view.reserved {
+            self.queue.class_mut(class).reserved = None;
         }
     }
 
-    fn place(&mut self, class: u32) {
-        let Some(&(key, _)) = self.queue.class(class).tasks.front() else {
-            return;
-        };
-        let waits = self.ledger.task(key).is_some_and(Any::waits);
-        if !waits || !self.ledger.startable(key.piece) {
-            return self.queue.pop(class);
-        }
-        let shape = self.queue.class(class).shape.clone();
-        let grant = shape.size;
-        match self.choose(&shape, grant) {
-            Some(worker) => {
-                self.queue.pop(class);
-                self.ledger.start(key, worker, grant);
+    fn tick(&mut self) {
+        self.ticks += 1;
+        let now = self.ledger.now;
+        while let Some(&(due, key)) = self.delayed.first() {
+            if due > now {
+                break;
             }
-            None => self.queue.block(class),
+            self.delayed.pop_first();
+            self.release(key);
         }
-    }
-
-    fn choose(&mut self, shape: &Shape, grant: Size) -> Option<u32> {
-        self.turn = self.turn.wrapping_add(1);
-        let mut best: Option<(f64, u32)> = None;
-        let mut compared = 0;
-        let index = self.rooms.group(shape.group)?;
-        index.search(grant, false, self.turn, |worker| {
-            let known = self.ledger.worker(worker);
-            let room = known.room(self.ledger.reserve);
-            if grant.fits(room) {
-                compared += 1;
-                let left = f64::from(room.minus(grant).millicores);
-                if best.is_none_or(|(least, _)| left < least) {
-                    best = Some((left, worker));
-                }
-            }
-            compared >= MAX_COMPARED
-        });
-        best.map(|(_, worker)| worker)
+        let shard = self.ticks % SHARDS;
+        let workers = self.ledger.present();
+        let due = workers
+            .into_iter()
+            .filter(|&worker| u64::from(worker) % SHARDS == shard);
+        for worker in due {
+            self.watch(worker);
+        }
+        if shard == 0 {
+            self.offer_surplus();
+            self.reserve_rooms();
+        }
+        self.queue.unblock_some(MAX_RETRIES);
     }
 }
 
@@ -179,11 +211,20 @@
         self.ledger.now = now;
         self.ledger.take(&event);
         self.absorb();
-        if matches!(event, Event::Tick) {
-            self.queue.unblock(MAX_RETRIES, |_| true);
+        let ticked = matches!(event, Event::Tick);
+        match event {
+            Event::Held(held) => self.shares.set_others(held),
+            Event::Measured {
+                vm,
+                service,
+                kind,
+                time,
+            } => self.measure(&vm, &service, &kind, time),
+            Event::Tick => self.tick(),
+            _ => {}
         }
         self.dispatch();
-        if matches!(event, Event::Tick) {
+        if ticked {
             self.ledger.process_cancels();
             self.absorb();
         }
@@ -201,7 +242,11 @@
     }
 
     fn workers(&self) -> Vec<Summary> {
-        self.ledger.summaries(|_| false)
+        let quarantined = |worker: u32| {
+            let view = self.views.get(worker as usize);
+            view.is_some_and(|view| view.health.quarantined())
+        };
+        self.ledger.summaries(quarantined)
     }
 
     fn held(&self) -> Vec<(Name, Size)> {
--- /dev/null
+++ b/crates/decision/src/place/choose.rs
@@ -0,0 +1,273 @@
+//! Which task is placed next, and on which worker.
+
+use super::board::Board;
+use super::ledger::Key;
+use super::ledger::Worker;
+use super::queue::Shape;
+use super::view::View;
+use crate::clock::Ms;
+use crate::name::Name;
+use crate::resource::Size;
+use crate::task::Any;
+
+/// Placements in one step, so that other events are not held up behind a wave of tasks.
+const MAX_STARTS: usize = 2_000;
+
+/// Workers that fit and are compared for one placement.
+const MAX_COMPARED: usize = 12;
+
+/// How long an unknown kind keeps other unknown kinds away from a worker.
+const TRIAL: Ms = Ms(5_000);
+
+/// How long a task waits before it may be placed beside a service that it is expected to slow down.
+const PATIENCE: Ms = Ms(10_000);
+
+/// Weight of the expected slowdown at full load against a fit from 0 to 1.
+const SLOWDOWN_WEIGHT: f64 = 2.0;
+
+/// Weight of tasks of the same kind on the worker, so that jobs spread.
+const SPREAD_WEIGHT: f64 = 0.05;
+
+/// Penalty of the worker on which the task failed last.
+const AVOID_WEIGHT: f64 = 10.0;
+
+/// Share of a worker's request slots in use from which an expected slowdown above the limit
+/// forbids placement.
+const LOADED: f64 = 0.25;
+
+/// A task to be placed.
+struct Want<'a> {
+    class: u32,
+    shape: &'a Shape,
+    /// The worker on which it failed or slowed down a service last.
+    avoid: Option<u32>,
+    /// Whether a service was not yet measured beside its kind.
+    unknown: bool,
+    /// Whether it has waited for long.
+    patient: bool,
+}
+
+impl Board {
+    /// Places waiting tasks until nothing more can be placed now.
+    pub(super) fn dispatch(&mut self) {
+        for _ in 0..MAX_STARTS {
+            let ledger = &self.ledger;
+            let share = |team: &Name| {
+                let own = ledger.held.get(team).copied().unwrap_or_default();
+                self.shares.share(&ledger.config, team, own)
+            };
+            let Some(class) = self.queue.next(share) else {
+                return;
+            };
+            self.place(class);
+            self.absorb();
+        }
+    }
+
+    fn place(&mut self, class: u32) {
+        let Some(&(key, since)) = self.queue.class(class).tasks.front() else {
+            return;
+        };
+        let patient = self.ledger.now.since(since) >= PATIENCE;
+        let waits = self.ledger.task(key).is_some_and(Any::waits);
+        if !waits || !self.ledger.startable(key.piece) {
+            return self.queue.pop(class);
+        }
+        let shape = self.queue.class(class).shape.clone();
+        let grant = self.grant(&shape);
+        let history = self.ledger.task(key).and_then(Any::history);
+        let want = Want {
+            class,
+            shape: &shape,
+            avoid: history.and_then(|history| history.avoid),
+            unknown: self.unknown(&shape.kind),
+            patient,
+        };
+        if !self.within_quota(&shape, grant) {
+            return self.queue.block(class, true);
+        }
+        let chosen = self.choose(&want, grant);
+        let chosen = chosen.or_else(|| {
+            // A corrected size that fits nowhere must not stop a task whose declared size fits.
+            let declared = shape.size;
+            let retry = declared != grant && !self.feasible(shape.group, grant);
+            retry.then(|| self.choose(&want, declared))?
+        });
+        match chosen {
+            Some((worker, grant)) => {
+                self.queue.pop(class);
+                self.start(class, key, worker, grant);
+            }
+            None => {
+                let possible =
+                    self.feasible(shape.group, grant) || self.feasible(shape.group, shape.size);
+                self.queue.block(class, possible);
+            }
+        }
+    }
+
+    fn start(&mut self, class: u32, key: Key, worker: u32, grant: Size) {
+        let now = self.ledger.now;
+        let kind = self.ledger.piece(key.piece).job.kind.clone();
+        let unknown = self.unknown(&kind);
+        let view = self.view(worker);
+        view.health.placed();
+        let trying = view.trial.as_ref().is_some_and(|(tried, _)| *tried == kind);
+        if unknown && !trying {
+            view.trial = Some((kind, now));
+        }
+        if let Some(kept) = self.queue.class_mut(class).reserved.take() {
+            self.view(kept).reserved = None;
+        }
+        self.ledger.start(key, worker, grant);
+    }
+
+    fn grant(&mut self, shape: &Shape) -> Size {
+        let most = self.most(shape.group);
+        match self.kinds.get(&shape.kind) {
+            Some(estimate) => estimate.grant(shape.size, shape.memory_floor, most),
+            None => {
+                let floor = shape.memory_floor.min(most.memory_mb);
+                let memory_mb = shape.size.memory_mb.max(floor);
+                Size {
+                    memory_mb,
+                    ..shape.size
+                }
+            }
+        }
+    }
+
+    /// The largest amount of each resource that a worker of the group has for batch work.
+    pub(super) fn most(&mut self, group: u32) -> Size {
+        let version = self.ledger.groups[group as usize].version;
+        if let Some((known, most)) = self.most.get(&group)
+            && *known == version
+        {
+            return *most;
+        }
+        let workers = self.ledger.groups[group as usize].workers.iter();
+        let limits = workers.map(|&worker| self.limit(worker));
+        let most = limits.fold(Size::ZERO, Size::max);
+        self.most.insert(group, (version, most));
+        most
+    }
+
+    /// What a worker has for batch work when its services use what is reserved for them.
+    pub(super) fn limit(&self, worker: u32) -> Size {
+        let worker = self.ledger.worker(worker);
+        worker.capacity.minus(self.ledger.reserve)
+    }
+
+    /// Whether a worker of the group could hold `grant` if it were free.
+    pub(super) fn feasible(&self, group: u32, grant: Size) -> bool {
+        let mut workers = self.ledger.groups[group as usize].workers.iter();
+        workers.any(|&worker| {
+            let known = self.ledger.worker(worker);
+            known.reachable() && !known.leaving && grant.fits(self.limit(worker))
+        })
+    }
+
+    fn within_quota(&self, shape: &Shape, grant: Size) -> bool {
+        let own = self.ledger.held.get(&shape.team).copied();
+        let own = own.unwrap_or_default();
+        let config = &self.ledger.config;
+        self.shares.within_quota(config, &shape.team, own, grant)
+    }
+
+    /// Whether a service was not yet measured beside the kind.
+    fn unknown(&self, kind: &Name) -> bool {
+        let services = &self.ledger.config.document().services;
+        let mut names = services.iter().map(|service| &service.name);
+        names.any(|service| !self.model.known(service, kind))
+    }
+
+    fn choose(&mut self, want: &Want<'_>, grant: Size) -> Option<(u32, Size)> {
+        self.turn = self.turn.wrapping_add(1);
+        let shape = want.shape;
+        let plain = grant.accelerators == 0 && self.queue.wants_accelerators(shape.group);
+        let mut best: Option<(f64, u32)> = None;
+        let mut compared = 0;
+        let index = self.rooms.group(shape.group)?;
+        index.search(grant, plain, self.turn, |at| {
+            let worker = self.ledger.worker(at);
+            let view = &self.views[at as usize];
+            let room = worker.room(self.ledger.reserve);
+            if !grant.fits(room) || !self.allowed(want, worker, view) {
+                return false;
+            }
+            let Some(score) = self.score(want, grant, room, worker) else {
+                return false;
+            };
+            let penalty = if want.avoid == Some(at) {
+                AVOID_WEIGHT
+            } else {
+                0.0
+            };
+            compared += 1;
+            if best.is_none_or(|(least, _)| score + penalty < least) {
+                best = Some((score + penalty, at));
+            }
+            compared >= MAX_COMPARED
+        });
+        best.map(|(_, worker)| (worker, grant))
+    }
+
+    fn allowed(&self, want: &Want<'_>, worker: &Worker, view: &View) -> bool {
+        let shape = want.shape;
+        let now = self.ledger.now;
+        let tasks = u32::try_from(worker.tasks.len()).unwrap_or(u32::MAX);
+        let kept = view.reserved.is_some_and(|kept| kept != want.class);
+        let trial = view.trial.as_ref();
+        // Where the service has no traffic nothing can be learned, and nothing is to be protected.
+        let tried = want.unknown
+            && view.guard.fresh(now)
+            && trial.is_some_and(|(kind, since)| {
+                *kind != shape.kind && now.since(*since) < TRIAL && self.unknown(kind)
+            });
+        let throttled = view.share(&shape.kind) < 100;
+        !kept && !tried && !throttled && view.health.allows(now, tasks)
+    }
+
+    /// Lower is better; none where the expected slowdown of a loaded service is above the limit.
+    /// A task that has waited for long may go there as the only one of its kind, because it
+    /// would wait for ever beside services that are always loaded.
+    fn score(&self, want: &Want<'_>, grant: Size, room: Size, worker: &Worker) -> Option<f64> {
+        let shape = want.shape;
+        let load = f64::from(worker.busy) / f64::from(worker.vm.slots.max(1));
+        let mut score = 1.0 - tightness(grant, room);
+        let same = worker.kinds.iter().find(|(kind, _)| *kind == shape.kind);
+        let same = same.map_or(0, |(_, count)| *count);
+        score += f64::from(same) * SPREAD_WEIGHT;
+        if worker.busy > 0 {
+            let slowdown = self.expected(shape, worker);
+            let limit = f64::from(self.ledger.config.document().limits.slowdown) / 100.0;
+            if slowdown > limit && load >= LOADED && (same > 0 || !want.patient) {
+                return None;
+            }
+            score += (slowdown - 1.0).max(0.0) * load * SLOWDOWN_WEIGHT;
+        }
+        Some(score)
+    }
+
+    /// The expected slowdown of the worst affected service with one more task of the shape.
+    fn expected(&self, shape: &Shape, worker: &Worker) -> f64 {
+        let others = worker.kinds.iter().map(|(kind, _)| kind);
+        let others = others.filter(|kind| **kind != shape.kind);
+        let services = self.ledger.config.document().services.iter();
+        let each = services.map(|service| {
+            let kinds = others.clone().chain([&shape.kind]);
+            self.model.slowdown(&service.name, kinds)
+        });
+        each.fold(1.0, f64::max)
+    }
+}
+
+/// How much of the scarcest resource of the room a grant takes.
+fn tightness(grant: Size, room: Size) -> f64 {
+    let part = |grant: u32, room: u32| f64::from(grant) / f64::from(room.max(1));
+    let processors = part(grant.millicores, room.millicores);
+    let memory = part(grant.memory_mb, room.memory_mb);
+    processors
+        .max(memory)
+        .max(part(grant.accelerators, room.accelerators))
+}
--- a/crates/decision/src/place/queue.rs
+++ b/crates/decision/src/place/queue.rs
@@ -1,5 +1,6 @@
 //! Waiting tasks by class, with the classes of each team in arrival order.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -46,6 +47,10 @@
     pub tasks: VecDeque<(Key, Ms)>,
     /// Whether it may be tried.
     pub state: State,
+    /// The worker that is kept for it.
+    pub reserved: Option<u32>,
+    /// When it was last reported as surplus.
+    pub offered: Option<Ms>,
     /// Its place among the classes of its team.
     turn: u64,
 }
@@ -56,7 +61,9 @@
     classes: Vec<Class>,
     shapes: HashMap<Shape, u32>,
     ready: HashMap<(bool, Name), BTreeSet<(u64, u32)>>,
-    blocked: VecDeque<u32>,
+    blocked: BTreeMap<u32, VecDeque<u32>>,
+    wanting: BTreeSet<(u32, u32)>,
+    retried: u32,
     turns: u64,
 }
 
@@ -67,7 +74,11 @@
         self.classes[index as usize].tasks.push_back((key, now));
         if self.classes[index as usize].state == State::Empty {
             self.turns += 1;
-            self.classes[index as usize].turn = self.turns;
+            let class = &mut self.classes[index as usize];
+            class.turn = self.turns;
+            if class.shape.size.accelerators > 0 {
+                self.wanting.insert((class.shape.group, index));
+            }
             self.make_ready(index);
         }
     }
@@ -82,6 +93,8 @@
             shape,
             tasks: VecDeque::new(),
             state: State::Empty,
+            reserved: None,
+            offered: None,
             turn: 0,
         });
         index
@@ -122,36 +135,73 @@
         &self.classes[index as usize]
     }
 
-    /// Removes the first task of a class.
+    /// The class at an index, for changes.
+    pub fn class_mut(&mut self, index: u32) -> &mut Class {
+        &mut self.classes[index as usize]
+    }
+
+    /// Removes the first task of a ready class.
     pub fn pop(&mut self, index: u32) {
         let class = &mut self.classes[index as usize];
         class.tasks.pop_front();
         if class.tasks.is_empty() {
+            let group = class.shape.group;
+            self.wanting.remove(&(group, index));
             self.unready(index, State::Empty);
-            // A class that stays blocked while empty would not be found again.
-            self.blocked.retain(|&other| other != index);
         }
     }
 
-    /// Sets a class aside until [`Self::unblock`].
-    pub fn block(&mut self, index: u32) {
+    /// Sets a ready class aside until it is tried again. `possible` tells whether some worker of
+    /// the group could ever hold its tasks.
+    pub fn block(&mut self, index: u32, possible: bool) {
         self.unready(index, State::Blocked);
-        self.blocked.push_back(index);
+        let shape = &self.classes[index as usize].shape;
+        let group = shape.group;
+        if possible && shape.size.accelerators > 0 {
+            self.wanting.insert((group, index));
+        } else {
+            self.wanting.remove(&(group, index));
+        }
+        self.blocked.entry(group).or_default().push_back(index);
+    }
+
+    /// Lets up to `count` blocked classes of a group be tried again. Returns how many.
+    pub fn unblock(&mut self, group: u32, count: usize) -> usize {
+        let Some(blocked) = self.blocked.get_mut(&group) else {
+            return 0;
+        };
+        let some: Vec<u32> = blocked.drain(..count.min(blocked.len())).collect();
+        if blocked.is_empty() {
+            self.blocked.remove(&group);
+        }
+        some.iter().for_each(|&index| self.make_ready(index));
+        some.len()
     }
 
-    /// Lets up to `count` blocked classes that satisfy `which` be tried again.
-    pub fn unblock(&mut self, count: usize, mut which: impl FnMut(&Class) -> bool) {
+    /// Lets up to `count` blocked classes be tried again, group after group.
+    pub fn unblock_some(&mut self, count: usize) {
         let mut left = count;
-        for _ in 0..self.blocked.len() {
-            let Some(index) = self.blocked.pop_front() else {
+        let after = self.retried.wrapping_add(1);
+        let later = self.blocked.range(after..).map(|(group, _)| *group);
+        let earlier = self.blocked.range(..after).map(|(group, _)| *group);
+        for group in later.chain(earlier).collect::<Vec<_>>() {
+            if left == 0 {
                 return;
-            };
-            if left > 0 && which(&self.classes[index as usize]) {
-                left -= 1;
-                self.make_ready(index);
-            } else {
-                self.blocked.push_back(index);
             }
+            left -= self.unblock(group, left);
+            self.retried = group;
         }
     }
+
+    /// The blocked classes.
+    pub fn blocked(&self) -> impl Iterator<Item = u32> {
+        self.blocked.values().flatten().copied()
+    }
+
+    /// Whether tasks that need accelerators wait in a group that has them.
+    #[must_use]
+    pub fn wants_accelerators(&self, group: u32) -> bool {
+        let of_group = (group, 0)..=(group, u32::MAX);
+        self.wanting.range(of_group).next().is_some()
+    }
 }
--- a/crates/decision/src/place/report.rs
+++ b/crates/decision/src/place/report.rs
@@ -60,6 +60,7 @@
             busy: 0,
             booked: Size::ZERO,
             tasks: Vec::new(),
+            kinds: Vec::new(),
             extra: Vec::new(),
             fenced: false,
             silent: false,
@@ -161,9 +162,6 @@
     fn run(&mut self, key: Key, running: Any) {
         self.put(key, running);
         let cancelled = self.piece(key.piece).cancelled;
-        if let Some(booking) = self.slot(key).booking() {
-            self.signals.push(Signal::Started(key, booking));
-        }
         if cancelled {
             self.stop(key, Why::Cancelled);
         }
--- /dev/null
+++ b/crates/decision/src/place/reserve.rs
@@ -0,0 +1,170 @@
+//! Tasks that wait for long: room is kept for them here, or they are offered to other groups.
+
+use std::collections::BTreeSet;
+
+use super::Order;
+use super::board::Board;
+use super::ledger::Key;
+use crate::clock::Ms;
+use crate::resource::Size;
+
+/// How long a large task waits before room is kept for it.
+const PATIENCE: Ms = Ms(10_000);
+
+/// How long a piece that fits no worker waits for workers that may still be adopted.
+const INFEASIBLE_PATIENCE: Ms = Ms(2_000);
+
+/// The time between two offers of the same class.
+const OFFER_EVERY: Ms = Ms(10_000);
+
+/// Pieces of one class offered at a time.
+const MAX_OFFERS: usize = 16;
+
+/// Part of the largest worker, as a divisor, from which a task is large.
+const LARGE: u32 = 2;
+
+/// One in so many workers of a group may be kept at a time.
+const MAX_KEPT: usize = 4;
+
+impl Board {
+    /// Offers pieces that cannot start here, or not soon, to other groups.
+    pub(super) fn offer_surplus(&mut self) {
+        let now = self.ledger.now;
+        for class in self.queue.blocked().collect::<Vec<_>>() {
+            let known = self.queue.class(class);
+            let Some(&(_, since)) = known.tasks.front() else {
+                continue;
+            };
+            let offered = known.offered;
+            if offered.is_some_and(|at| now.since(at) < OFFER_EVERY) {
+                continue;
+            }
+            let shape = &known.shape;
+            let group = &self.ledger.groups[shape.group as usize];
+            let impossible = !group.workers.is_empty() && !self.feasible(shape.group, shape.size);
+            let patience = if impossible {
+                INFEASIBLE_PATIENCE
+            } else {
+                PATIENCE
+            };
+            if now.since(since) >= patience {
+                self.queue.class_mut(class).offered = Some(now);
+                self.offer(class);
+            }
+        }
+    }
+
+    /// Only pieces of which nothing runs can be moved.
+    fn offer(&mut self, class: u32) {
+        let tasks = self.queue.class(class).tasks.iter();
+        let pieces: BTreeSet<u32> = tasks.map(|(key, _)| key.piece).collect();
+        let movable = pieces.into_iter().filter(|&index| {
+            let piece = self.ledger.pieces[index as usize].as_ref();
+            let idle = |piece: &super::ledger::Piece| {
+                piece.tasks.iter().all(|task| task.booking().is_none())
+            };
+            piece.is_some_and(idle) && self.ledger.startable(index)
+        });
+        for index in movable.take(MAX_OFFERS).collect::<Vec<_>>() {
+            let name = self.ledger.piece(index).name.clone();
+            self.ledger.order(Order::Surplus(name));
+        }
+    }
+
+    /// Keeps a worker for each large task that has waited for long.
+    pub(super) fn reserve_rooms(&mut self) {
+        let now = self.ledger.now;
+        self.drop_stale_reservations();
+        for class in self.queue.blocked().collect::<Vec<_>>() {
+            let known = self.queue.class(class);
+            let waited = known.tasks.front().map(|&(_, since)| now.since(since));
+            if known.reserved.is_some() || waited.is_none_or(|waited| waited < PATIENCE) {
+                continue;
+            }
+            let (group, size) = (known.shape.group, known.shape.size);
+            if self.large(group, size)
+                && let Some(worker) = self.first_free(group, size)
+            {
+                self.view(worker).reserved = Some(class);
+                self.queue.class_mut(class).reserved = Some(worker);
+            }
+        }
+    }
+
+    fn drop_stale_reservations(&mut self) {
+        for worker in 0..self.views.len() {
+            let Some(class) = self.views[worker].reserved else {
+                continue;
+            };
+            if self.queue.class(class).tasks.is_empty() || self.views[worker].room.is_none() {
+                self.views[worker].reserved = None;
+                self.queue.class_mut(class).reserved = None;
+            }
+        }
+    }
+
+    fn large(&mut self, group: u32, size: Size) -> bool {
+        let most = self.most(group);
+        size.accelerators > 0
+            || size.millicores > most.millicores / LARGE
+            || size.memory_mb > most.memory_mb / LARGE
+    }
+
+    /// The worker that is expected to have room for `size` first.
+    fn first_free(&self, group: u32, size: Size) -> Option<u32> {
+        let workers = &self.ledger.groups[group as usize].workers;
+        let view = |worker: u32| self.views.get(worker as usize);
+        let kept = workers
+            .iter()
+            .filter(|&&worker| view(worker).is_some_and(|view| view.reserved.is_some()));
+        if kept.count() * MAX_KEPT >= workers.len().max(MAX_KEPT) {
+            return None;
+        }
+        let open = workers.iter().copied().filter(|&worker| {
+            let free = view(worker).is_some_and(|view| {
+                view.reserved.is_none() && view.room.is_some() && !view.health.quarantined()
+            });
+            free && size.fits(self.limit(worker))
+        });
+        let times = open.filter_map(|worker| Some((self.free_in(worker, size)?, worker)));
+        times.min().map(|(_, worker)| worker)
+    }
+
+    /// When a worker is expected to have room for `size`.
+    fn free_in(&self, worker: u32, size: Size) -> Option<Ms> {
+        let known = self.ledger.worker(worker);
+        let mut room = known.room(self.ledger.reserve);
+        let mut ends: Vec<_> = known
+            .tasks
+            .iter()
+            .filter_map(|&key| self.end_of(key))
+            .collect();
+        ends.sort_unstable_by_key(|(left, _)| *left);
+        if size.fits(room) {
+            return Some(Ms::ZERO);
+        }
+        for (left, grant) in ends {
+            room = room.plus(grant);
+            if size.fits(room) {
+                return Some(left);
+            }
+        }
+        None
+    }
+
+    fn end_of(&self, key: Key) -> Option<(Ms, Size)> {
+        let any = self.ledger.task(key)?;
+        let booking = any.booking()?;
+        let job = &self.ledger.piece(key.piece).job;
+        let known = self.kinds.get(&job.kind);
+        let expected = known.map_or(job.run_time, |known| known.run_time(job.run_time));
+        let progress = any.run().map_or(Ms::ZERO, |run| run.progress);
+        // A straggler that is over its time is expected to need as much again.
+        let left = if progress < expected {
+            expected.since(progress)
+        } else {
+            progress
+        };
+        Some((left, booking.grant))
+    }
+}
--- /dev/null
+++ b/crates/decision/src/place/watch.rs
@@ -0,0 +1,210 @@
+//! Protection of the services on each worker.
+
+use super::Order;
+use super::board::Board;
+use super::ledger::Key;
+use crate::clock::Ms;
+use crate::name::Name;
+use crate::protect::Action;
+use crate::resource::Size;
+use crate::task::Any;
+use crate::task::Running;
+use crate::task::Why;
+use crate::timeline::Kind;
+
+/// How long evictions stop after a checkpoint could not be written.
+pub const UNSAVED_PAUSE: Ms = Ms(10_000);
+
+/// An attempt is not evicted before it has run so long, so that work moves forward.
+const MIN_RUN: Ms = Ms(2_000);
+
+/// A task must have run this long to count in a measurement, which lags.
+const LAG: Ms = Ms(500);
+
+/// The least change of a slowdown that is passed on, in percent.
+const SLOWDOWN_STEP: u32 = 10;
+
+/// Time between the checkpoints of a running task.
+const CHECKPOINT_EVERY: Ms = Ms(300_000);
+
+impl Board {
+    /// Takes in a service time.
+    pub(super) fn measure(&mut self, vm: &Name, service: &Name, request: &Name, time: Ms) {
+        let Some(&worker) = self.ledger.vms.get(vm) else {
+            return;
+        };
+        let now = self.ledger.now;
+        let mut present = Vec::new();
+        for (kind, _) in &self.ledger.worker(worker).kinds {
+            if self.settled(worker, kind) {
+                present.push(kind.clone());
+            }
+        }
+        let ratio = self.model.measure(service, request, time, &present);
+        self.view(worker).guard.measure(now, ratio);
+    }
+
+    /// Whether a task of the kind has run for long enough to show in measurements.
+    fn settled(&self, worker: u32, kind: &Name) -> bool {
+        let now = self.ledger.now;
+        let mut tasks = self.ledger.worker(worker).tasks.iter();
+        tasks.any(|&key| {
+            let run = self.ledger.task(key).and_then(Any::run);
+            run.is_some_and(|run| now.since(run.since) >= LAG)
+                && self.ledger.piece(key.piece).job.kind == *kind
+        })
+    }
+
+    /// Looks after a worker; called once a second.
+    pub(super) fn watch(&mut self, worker: u32) {
+        let now = self.ledger.now;
+        let limit = f64::from(self.ledger.config.document().limits.slowdown) / 100.0;
+        self.report_slowdown(worker);
+        let idle = self.ledger.worker(worker).tasks.is_empty();
+        let view = self.view(worker);
+        if idle && view.health.probing() {
+            view.health.unproven(now);
+        }
+        match view.guard.decide(now, limit) {
+            Action::Keep | Action::Pause => {}
+            Action::Throttle(share) => self.throttle(worker, share),
+            Action::Evict => self.evict(worker, "a service is slowed down"),
+            Action::Release => self.view(worker).throttled = None,
+        }
+        if self.overbooked(worker) {
+            self.evict(worker, "the reservation of the services grew");
+        }
+        self.set_shares(worker);
+        self.checkpoint_oldest(worker);
+        self.reindex(worker);
+        self.absorb();
+    }
+
+    fn report_slowdown(&mut self, worker: u32) {
+        let now = self.ledger.now;
+        let view = self.view(worker);
+        let percent = (view.guard.ratio(now) * 100.0).round() as u32;
+        let known = if view.slowdown == 0 {
+            100
+        } else {
+            view.slowdown
+        };
+        if percent.abs_diff(known) >= SLOWDOWN_STEP {
+            view.slowdown = percent;
+            let vm = self.ledger.worker(worker).vm.name.clone();
+            self.ledger.order(Order::Slowdown(vm, percent));
+        }
+    }
+
+    fn overbooked(&self, worker: u32) -> bool {
+        let known = self.ledger.worker(worker);
+        !known.booked.fits(self.limit(worker))
+    }
+
+    fn throttle(&mut self, worker: u32, share: u8) {
+        let view = &self.views[worker as usize];
+        let kind = match &view.throttled {
+            Some((kind, _)) => Some(kind.clone()),
+            None => self.worst(worker),
+        };
+        if let Some(kind) = kind {
+            let subject = kind.to_string();
+            self.view(worker).throttled = Some((kind, share));
+            let cause = "a service is slowed down";
+            self.ledger
+                .note(Kind::TaskThrottled, &subject, Some(worker), cause);
+        }
+    }
+
+    /// The kind that slows a service down most; among equals, the one that holds most processors.
+    fn worst(&self, worker: u32) -> Option<Name> {
+        let known = self.ledger.worker(worker);
+        let services = &self.ledger.config.document().services;
+        let slowdown = |kind: &Name| {
+            let each = services.iter();
+            let each = each.map(|service| self.model.slowdown(&service.name, [kind]));
+            each.fold(1.0, f64::max)
+        };
+        let holds = |kind: &Name| {
+            let tasks = known.tasks.iter();
+            let same = tasks.filter(|key| self.ledger.piece(key.piece).job.kind == *kind);
+            let grants = same.filter_map(|&key| self.ledger.task(key)?.booking());
+            grants.fold(Size::ZERO, |sum, booking| sum.plus(booking.grant))
+        };
+        let kinds = known.kinds.iter().map(|(kind, _)| kind);
+        let worst = kinds.max_by(|a, b| {
+            let by_slowdown = slowdown(a).total_cmp(&slowdown(b));
+            let by_size = || holds(a).millicores.cmp(&holds(b).millicores);
+            by_slowdown.then_with(by_size).then_with(|| b.cmp(a))
+        });
+        worst.cloned()
+    }
+
+    /// Brings the processor shares of all tasks to what is wanted.
+    fn set_shares(&mut self, worker: u32) {
+        let tasks = self.ledger.worker(worker).tasks.clone();
+        for key in tasks {
+            let Some(Any::Running(task)) = self.ledger.task(key) else {
+                continue;
+            };
+            let kind = &self.ledger.piece(key.piece).job.kind;
+            let wanted = self.views[worker as usize].share(kind);
+            if task.state.share != wanted {
+                self.ledger.throttle(key, wanted);
+            }
+        }
+    }
+
+    /// Evicts the task that loses the least work, of the throttled kind if there is one.
+    fn evict(&mut self, worker: u32, cause: &str) {
+        let now = self.ledger.now;
+        if now < self.unsaved_until {
+            return;
+        }
+        let view = &self.views[worker as usize];
+        let throttled = view.throttled.as_ref().map(|(kind, _)| kind);
+        let tasks = self.ledger.worker(worker).tasks.iter();
+        let candidates = tasks.filter_map(|&key| {
+            let run = self.evictable(key)?;
+            let other =
+                throttled.is_some_and(|kind| self.ledger.piece(key.piece).job.kind != *kind);
+            Some((other, run.unsaved(), key))
+        });
+        if let Some((_, _, key)) = candidates.min() {
+            let subject = self.ledger.task_name(key);
+            self.ledger.stop(key, Why::Evicted);
+            if let Some(history) = self.ledger.history_mut(key) {
+                history.avoid = Some(worker);
+            }
+            self.ledger
+                .note(Kind::TaskEvicted, &subject, Some(worker), cause);
+        }
+    }
+
+    fn evictable(&self, key: Key) -> Option<&Running> {
+        let Some(Any::Running(task)) = self.ledger.task(key) else {
+            return None;
+        };
+        let most = self.ledger.config.document().limits.evictions;
+        let old = self.ledger.now.since(task.state.since) >= MIN_RUN;
+        (task.history.evictions < most && old).then_some(&task.state)
+    }
+
+    /// Has the task with the most unsaved work write a checkpoint, so that the loss of its VM
+    /// costs at most a few minutes.
+    fn checkpoint_oldest(&mut self, worker: u32) {
+        if self.ledger.now < self.unsaved_until {
+            return;
+        }
+        let tasks = self.ledger.worker(worker).tasks.iter();
+        let unsaved = tasks.filter_map(|&key| match self.ledger.task(key)? {
+            Any::Running(task) => Some((task.state.unsaved(), key)),
+            _ => None,
+        });
+        if let Some((unsaved, key)) = unsaved.max()
+            && unsaved >= CHECKPOINT_EVERY
+        {
+            self.ledger.checkpoint(key);
+        }
+    }
+}
--- a/crates/decision/src/task.rs
+++ b/crates/decision/src/task.rs
@@ -60,6 +60,8 @@
     pub doubt: Option<Ms>,
     /// The least memory to grant, in MB, raised when a grant ran out.
     pub memory_floor: u32,
+    /// The worker on which it failed last.
+    pub avoid: Option<u32>,
     /// The checkpoint to resume from.
     pub checkpoint: Option<Box<str>>,
     /// The checkpoint before, while it is unproven that the current one was written.
@@ -118,6 +120,10 @@
     pub progress: Ms,
     /// Work covered by a checkpoint.
     pub saved: Ms,
+    /// What the worker last measured.
+    pub used: Size,
+    /// Whether the estimate of its kind counts it.
+    pub sampled: bool,
     /// Work covered by a checkpoint when the attempt was first seen.
     pub base: Ms,
     /// The processor share in percent.
@@ -253,6 +259,8 @@
             since: now,
             progress: Ms::ZERO,
             saved: Ms::ZERO,
+            used: Size::ZERO,
+            sampled: false,
             base: Ms::ZERO,
             share: 100,
             missing: false,
@@ -264,6 +272,7 @@
     pub fn see(&mut self, seen: &worker::Task) {
         self.progress = self.progress.max(seen.progress);
         self.saved = self.saved.max(seen.saved);
+        self.used = seen.used;
         self.share = seen.throttle;
         self.missing = false;
     }
--- /dev/null
+++ b/crates/decision/tests/place/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the placement board over fake workers.
+
+mod evict;
+mod fake;
+mod faults;
