Place tasks with the merged board

Change: the daemon drives control::Machine<place::Board>; the last private stub is gone. A test submits a job of 20 tasks through two entries.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -34,7 +34,6 @@
 mod request;
 mod shell;
 mod stop;
-mod stub;
 mod tasks;
 mod ticks;
 mod waiting;
--- a/src/daemon/shell.rs
+++ b/src/daemon/shell.rs
@@ -14,6 +14,7 @@
 use decision::operator;
 use decision::peer::Envelope;
 use decision::peer::Message;
+use decision::place::Board;
 use decision::request;
 use decision::request::Attempt;
 use decision::request::Outcome;
@@ -28,7 +29,6 @@
 use super::Error;
 use super::clock::Clock;
 use super::directory::Directory;
-use super::stub;
 use super::tasks::Tasks;
 use super::waiting::Waiting;
 use crate::journal::Journal;
@@ -49,7 +49,7 @@
     pub(super) metrics: Metrics,
     pub(super) directory: Directory,
     pub(super) clients: Clients,
-    pub(super) control: Mutex<control::Machine<stub::Board>>,
+    pub(super) control: Mutex<control::Machine<Board>>,
     pub(super) request: Mutex<request::Machine>,
     /// Requests of callers and peers that wait for their outcome.
     pub(super) calls: Waiting<Outcome>,
@@ -99,7 +99,7 @@
         identity: Identity,
         spawner: &Spawner,
     ) -> Result<Self, Error> {
-        let board = stub::Board::new(identity.seed);
+        let board = Board::new(identity.seed);
         Ok(Self {
             spawner: Arc::clone(spawner),
             clock: Clock::new(),
--- a/tests/entry.rs
+++ b/tests/entry.rs
@@ -4,11 +4,14 @@
 use std::thread;
 
 use bytes::Bytes;
+use decision::clock::Ms;
 use decision::config::Version;
 use decision::name::Name;
 use decision::operator::Action;
+use decision::operator::Job;
 use decision::operator::Refusal;
 use decision::operator::Reply;
+use decision::resource::Size;
 use decision::timeline::Filter;
 use decision::timeline::Kind;
 use http::Response;
@@ -229,3 +232,40 @@
     let entries: Vec<_> = order.iter().map(|(_, entry)| *entry).collect();
     assert_eq!(entries, ["entry-1", "entry-2"], "cause before effect");
 }
+
+/// Guards against batch work that is accepted but not carried out, or reported wrongly.
+#[test]
+fn a_submitted_job_is_done() {
+    let fleet = Fleet::start(2);
+    let daemons = start(&fleet, &["entry-1", "entry-2"]);
+    let name = |raw| Name::try_from(raw).expect("a valid name");
+    let job = Job {
+        name: name("job-1"),
+        team: name("lamps"),
+        kind: name("preview"),
+        tasks: 20,
+        size: Size {
+            millicores: 1_000,
+            memory_mb: 500,
+            accelerators: 0,
+        },
+        run_time: Ms(50),
+        urgent: false,
+    };
+    let submit = Action::Submit(job);
+    assert_eq!(
+        operate(&daemons[0], "submit", submit.clone()),
+        Reply::Accepted
+    );
+    let again = operate(&daemons[1], "submit", submit);
+    assert_eq!(again, Reply::Accepted, "the same call again is harmless");
+    wait("the job", || {
+        let job = Some(name("job-1"));
+        let Reply::Status(status) = operate(&daemons[1], "status", Action::Status { job }) else {
+            return false;
+        };
+        let done = status.jobs.iter().map(|job| job.done).sum::<u32>();
+        assert!(done <= 20, "{done} tasks of 20 are done");
+        done == 20
+    });
+}
