--- a/src/journal.rs
+++ b/src/journal.rs
@@ -8,6 +8,7 @@
 use decision::name::Name;
 use decision::timeline::Event;
 use decision::timeline::Filter;
+use decision::timeline::Kind;
 use decision::timeline::Note;
 use smol::channel::Receiver;
 use smol::channel::Sender;
@@ -15,7 +16,8 @@
 /// Events that may wait for a slow watcher, after which its stream ends.
 const WATCH_BACKLOG: usize = 1_024;
 
-/// A bounded buffer of events under a Lamport counter.
+/// A bounded buffer of events under a Lamport counter. Events of single requests are kept apart,
+/// so that a burst of refusals does not push out the rest.
 #[derive(Debug)]
 pub struct Journal {
     entry: Name,
@@ -26,12 +28,14 @@
 #[derive(Debug, Default)]
 struct Inner {
     lamport: u64,
-    events: VecDeque<Event>,
+    requests: VecDeque<Event>,
+    others: VecDeque<Event>,
     watchers: Vec<(Filter, Sender<Event>)>,
 }
 
 impl Journal {
-    /// An empty journal of `entry` that keeps the last `kept` events.
+    /// An empty journal of `entry` that keeps the last `kept` events of requests, and as many
+    /// others.
     #[must_use]
     pub fn new(entry: Name, kept: usize) -> Self {
         Self {
@@ -51,10 +55,15 @@
             at,
             note,
         };
-        if inner.events.len() == self.kept {
-            inner.events.pop_front();
+        let events = if is_frequent(event.note.kind) {
+            &mut inner.requests
+        } else {
+            &mut inner.others
+        };
+        if events.len() == self.kept {
+            events.pop_front();
         }
-        inner.events.push_back(event.clone());
+        events.push_back(event.clone());
         inner.watchers.retain(|(filter, watcher)| {
             !watcher.is_closed()
                 && (!filter.selects(&event) || watcher.try_send(event.clone()).is_ok())
@@ -78,13 +87,13 @@
     /// The newest events that the filter selects, at most `most`, oldest first.
     pub fn select(&self, filter: &Filter, most: usize) -> Vec<Event> {
         let inner = self.lock();
-        let newest = inner.events.iter().rev();
-        let mut found: Vec<Event> = newest
-            .filter(|event| filter.selects(event))
-            .take(most)
-            .cloned()
-            .collect();
-        found.reverse();
+        let newest = |events: &VecDeque<Event>| {
+            let found = events.iter().rev().filter(|event| filter.selects(event));
+            found.take(most).cloned().collect::<Vec<_>>()
+        };
+        let mut found = [newest(&inner.others), newest(&inner.requests)].concat();
+        found.sort_by_key(|event| event.lamport);
+        found.drain(..found.len().saturating_sub(most));
         found
     }
 
@@ -105,6 +114,15 @@
     }
 }
 
+/// Whether events of this kind come with single requests, thousands a second under overload.
+#[must_use]
+pub const fn is_frequent(kind: Kind) -> bool {
+    matches!(
+        kind,
+        Kind::AttemptFailed | Kind::RequestRefused | Kind::RequestUnknown
+    )
+}
+
 /// Puts the events of several entries into causal order.
 pub fn merge(events: &mut [Event]) {
     // Sorting is stable, so events of one entry keep their sequence.
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -10,6 +10,8 @@
 use log4rs::encode::pattern::PatternEncoder;
 use quick_error::quick_error;
 
+use crate::journal;
+
 const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.3f)(utc)} level={l} {m}{n}";
 const STDERR: &str = "stderr";
 
@@ -43,9 +45,16 @@
         .map_err(|error| Error::Start(error.to_string()))
 }
 
-/// Writes a timeline event.
+/// Writes a timeline event; those of single requests only at level `debug`.
 pub fn event(event: &Event) {
-    log::info!("{}", line(event));
+    let level = if journal::is_frequent(event.note.kind) {
+        log::Level::Debug
+    } else {
+        log::Level::Info
+    };
+    if log::log_enabled!(level) {
+        log::log!(level, "{}", line(event));
+    }
 }
 
 /// A timeline event as `key=value` pairs.
--- a/tests/common/mod.rs
+++ b/tests/daemon/common.rs
@@ -103,13 +103,17 @@
 
     /// Settings of an entry on free ports.
     pub fn settings(&self, name: &str) -> Settings {
+        Settings::parse(name, &self.text(name)).expect("the settings are valid")
+    }
+
+    /// The settings file of an entry on free ports.
+    pub fn text(&self, name: &str) -> String {
         let platform = self.platform_address;
-        let text = format!(
+        format!(
             "[entry]\nname={name}\nfailure_domain=zone-a\n[listen]\ncaller=127.0.0.1:0\n\
              operator=127.0.0.1:0\npeer=127.0.0.1:0\n[platform]\ntable={platform}\n\
              objects={platform}\nvms={platform}\n[limits]\nthreads=2\n[times]\nvms_ms=100\n"
-        );
-        Settings::parse(name, &text).expect("the settings are valid")
+        )
     }
 }
 
--- a/tests/entry.rs
+++ b/tests/daemon/entry.rs
@@ -19,15 +19,13 @@
 use operator::client::Client;
 use samphiretrail::daemon::Daemon;
 
-use self::common::Caller;
-use self::common::Fleet;
-use self::common::PATIENCE;
-use self::common::configure;
-use self::common::document;
-use self::common::operate;
-use self::common::wait;
-
-mod common;
+use crate::common::Caller;
+use crate::common::Fleet;
+use crate::common::PATIENCE;
+use crate::common::configure;
+use crate::common::document;
+use crate::common::operate;
+use crate::common::wait;
 
 const ONCE: (&str, &str) = ("x-repeatable", "no");
 const AGAIN: (&str, &str) = ("x-repeatable", "yes");
--- a/tests/journal.rs
+++ b/tests/journal.rs
@@ -43,6 +43,26 @@
     assert_eq!(subjects(&journal.select(&all, 2)), ["d", "e"]);
 }
 
+/// Guards against a burst of refusals that pushes out the rest of the timeline.
+#[test]
+fn events_of_requests_are_kept_apart() {
+    let journal = Journal::new(name("entry-1"), 3);
+    journal.record(Ms(1), note("task"));
+    for subject in ["1", "2", "3", "4"] {
+        let kind = Kind::RequestRefused;
+        journal.record(
+            Ms(1),
+            Note {
+                kind,
+                ..note(subject)
+            },
+        );
+    }
+    let all = Filter::default();
+    assert_eq!(subjects(&journal.select(&all, 9)), ["task", "2", "3", "4"]);
+    assert_eq!(subjects(&journal.select(&all, 2)), ["3", "4"]);
+}
+
 /// Guards against an effect that is listed before its cause at another entry.
 #[test]
 fn events_are_merged_in_causal_order() {
