Count drains and completions as their observers saw them

Change: only the first acceptance of a drain counts, and not while a return to service may still take effect. A recorded completion needs a completion by a worker at any earlier time.

--- a/crates/history/tests/checks/kept.rs
+++ b/crates/history/tests/checks/kept.rs
@@ -12,6 +12,7 @@
 use crate::facts::checkpoint;
 use crate::facts::configured;
 use crate::facts::crashed;
+use crate::facts::drain;
 use crate::facts::end;
 use crate::facts::entry;
 use crate::facts::in_force;
@@ -55,6 +56,14 @@
             (3, crashed("w1")),
             (4, start("w2", 2, None)),
         ],
+        // The owner heard of the completion before the crash and stores it afterwards.
+        vec![
+            (0, worker("w1")),
+            (1, start("w1", 1, None)),
+            (2, end("w1", 1, Ending::Completed)),
+            (3, crashed("w1")),
+            (4, recorded(Ending::Completed)),
+        ],
         vec![
             (0, worker("w1")),
             (0, worker("w2")),
@@ -126,6 +135,25 @@
             (2, listed(false)),
             (9_001, run("a", "x")),
         ],
+        // The drain is answered again after the worker returned to service.
+        vec![
+            (0, worker("w1")),
+            (1, drain("drain", true)),
+            (2, replied("drain", Reply::Accepted)),
+            (3, drain("back", false)),
+            (4, replied("back", Reply::Accepted)),
+            (5, replied("drain", Reply::Accepted)),
+            (9_001, run("a", "x")),
+        ],
+        // The earlier return to service may take effect after the drain.
+        vec![
+            (0, worker("w1")),
+            (1, drain("back", false)),
+            (2, drain("drain", true)),
+            (3, replied("drain", Reply::Accepted)),
+            (4, replied("back", Reply::Accepted)),
+            (9_001, run("a", "x")),
+        ],
         vec![
             (0, entry(Life::Started)),
             (1, sent(1, 0, true)),
