Test the harness by its output and by deliberate mistakes

Cause: a check that sees nothing passes as well as a kept promise, and a run must depend on its seed alone.

Change: one test compares two outputs of the same seed byte for byte, and one lets the harness drop the fence, repeat an ambiguous request, free an ambiguous stop, revert a configuration and forget deadlines; each must be caught by the named check that is silent without the mistake. A task under fewer processors than it can use takes longer.

--- a/crates/experiment/src/caller.rs
+++ b/crates/experiment/src/caller.rs
@@ -67,9 +67,15 @@
     }
 }
 
-/// What a request carries, which no other request carries.
-pub(crate) fn body(request: usize) -> Bytes {
-    Bytes::from(format!("request-{request}"))
+/// What a request carries, which no other request carries. Sendings of a repeatable request differ,
+/// so that a run is known to be of one of them.
+pub(crate) fn body(scene: &Scene, request: usize, sending: u32) -> Bytes {
+    let sending = if scene.requests[request].repeatable {
+        sending
+    } else {
+        0
+    };
+    Bytes::from(format!("request-{request}-{sending}"))
 }
 
 impl World<'_> {
@@ -116,7 +122,7 @@
             entry: self.entries[entry].name.clone(),
             repeatable: spec.repeatable,
             deadline: ms(remaining),
-            body: body(request),
+            body: body(self.scene, request, sending),
         });
         let arrive = Happening::Arrive {
             entry,
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -360,7 +360,11 @@
         let now = self.now();
         self.advance_worker(vm);
         let scene = self.scene;
-        let need = |_: &Name, task: &Name| need(scene, task);
+        let grant = match &command.verb {
+            Verb::Start { grant, .. } => *grant,
+            _ => Size::ZERO,
+        };
+        let need = |_: &Name, task: &Name| need(scene, task, grant);
         let worker = &mut self.fleet.workers[vm];
         let newest = worker.model.report().epoch;
         if self.setup.mistake == Some(Mistake::NoFence) && command.epoch <= newest {
@@ -462,15 +466,20 @@
 }
 
 fn request_of(call: &Call) -> usize {
-    let digits = call.body.strip_prefix(b"request-".as_slice());
-    let digits = digits.and_then(|digits| std::str::from_utf8(digits).ok());
-    let number = digits.and_then(|digits| digits.parse().ok());
+    let text = std::str::from_utf8(&call.body).ok();
+    let number = text.and_then(|text| text.split('-').nth(1)?.parse().ok());
     number.expect("bodies of the harness hold the request's number")
 }
 
-fn need(scene: &Scene, task: &Name) -> Need {
+/// What a task needs under a grant: with fewer processors than it can use, it takes longer.
+fn need(scene: &Scene, task: &Name, grant: Size) -> Need {
     let (job, index) = task.split_once('#').expect("tasks are named job#index");
     let plan = scene.jobs.iter().find(|plan| &*plan.job.name == job);
     let index: usize = index.parse().expect("tasks are named job#index");
-    plan.expect("only submitted jobs are started").needs[index]
+    let mut need = plan.expect("only submitted jobs are started").needs[index];
+    if grant.millicores < need.size.millicores {
+        let longer = need.work.0 * u64::from(need.size.millicores);
+        need.work = Ms(longer / u64::from(grant.millicores.max(1)));
+    }
+    need
 }
--- a/crates/experiment/src/ledger.rs
+++ b/crates/experiment/src/ledger.rs
@@ -34,6 +34,8 @@
     saved: Ms,
     /// The place, first and last progress of the running attempt.
     running: Option<(usize, Ms, Ms)>,
+    /// The processors that it uses under its last grant.
+    cores: f64,
     done: bool,
 }
 
@@ -83,7 +85,10 @@
         match change {
             Change::Started(task, _) => {
                 self.stopped.remove(&task.name);
+                let granted = f64::from(task.grant.millicores) / 1_000.0;
+                let cores = self.cores(&task.name).min(granted);
                 let life = self.lives.entry(task.name.clone()).or_default();
+                life.cores = cores;
                 life.running = Some((vm, task.progress, task.progress));
             }
             Change::Saved(..) | Change::Acknowledged(_) | Change::Overfull(_) => {}
@@ -131,7 +136,7 @@
             ..Summary::default()
         };
         for (task, life) in &self.lives {
-            let cores = self.cores(task);
+            let cores = life.cores;
             let (first, last) = life
                 .running
                 .map_or((Ms::ZERO, Ms::ZERO), |(_, first, last)| (first, last));
--- a/crates/experiment/src/main.rs
+++ b/crates/experiment/src/main.rs
@@ -21,12 +21,12 @@
 
 const USAGE: &str = "\
 experiment CASE [--seed S] [--fault A,B] [--policy naive|current|both] [--json] [--compare]
-           [--entries N] [--plot FILE] [--trace]
+           [--entries N] [--small] [--plot FILE] [--trace]
 experiment --sweep N [--seed S] [--policy naive|current|both]
 
 Runs a case in virtual time and prints one JSON line per policy. --compare prints a table instead,
 or as well with --json. --plot draws the runs into an SVG file. --trace prints all events to
-standard error. --sweep runs N random pairs of case and fault pair and prints those with violations.
+standard error. --small runs a third of the fleet for 30 s, as the tests do. --sweep runs N random pairs of case and fault pair and prints those with violations.
 Exits with 1 when a promise was broken under the current policy.
 ";
 
@@ -66,6 +66,7 @@
     entries: usize,
     plot: Option<PathBuf>,
     trace: bool,
+    small: bool,
     sweep: Option<u32>,
     help: bool,
 }
@@ -108,6 +109,7 @@
             entries: 6,
             plot: None,
             trace: false,
+            small: false,
             sweep: None,
             help: false,
         };
@@ -160,6 +162,7 @@
             "entries" => self.entries = parser.value()?.parse()?,
             "plot" => self.plot = Some(parser.value()?.into()),
             "trace" => self.trace = true,
+            "small" => self.small = true,
             "sweep" => self.sweep = Some(parser.value()?.parse()?),
             "help" | "h" => self.help = true,
             _ => return Err(lexopt::Arg::Long(&name).unexpected().into()),
@@ -191,9 +194,14 @@
 }
 
 fn single(options: &Options, case: Case) -> bool {
+    let size = if options.small {
+        Shape::small
+    } else {
+        Shape::new
+    };
     let shape = Shape {
         entries: options.entries,
-        ..Shape::new(case, options.seed)
+        ..size(case, options.seed)
     };
     let scene = Scene::new(shape);
     let runs: Vec<(Line, Samples)> = options
--- a/crates/experiment/src/scene.rs
+++ b/crates/experiment/src/scene.rs
@@ -58,6 +58,16 @@
             shrink: 1,
         }
     }
+
+    /// A third of the fleet for 30 s, for tests in debug builds.
+    #[must_use]
+    pub const fn small(case: Case, seed: u64) -> Self {
+        Self {
+            window: 30 * SECOND,
+            shrink: 3,
+            ..Self::new(case, seed)
+        }
+    }
 }
 
 /// One request of a caller.
--- a/crates/experiment/src/shell.rs
+++ b/crates/experiment/src/shell.rs
@@ -321,7 +321,7 @@
             ticket,
             deadline: crate::agenda::ms(self.agenda.now() + remaining),
             forwarded: false,
-            body: crate::caller::body(request),
+            body: crate::caller::body(self.scene, request, sending),
         };
         self.step_requests(index, request::Event::Arrived(call));
     }
--- /dev/null
+++ b/crates/experiment/tests/runs.rs
@@ -0,0 +1,80 @@
+//! Guards against runs that differ by seed alone, broken promises, and checks that see nothing.
+
+use experiment::case::Case;
+use experiment::case::Fault;
+use experiment::case::Mistake;
+use experiment::case::Policy;
+use experiment::report::Line;
+use experiment::report::measure;
+use experiment::scene::Scene;
+use experiment::scene::Shape;
+use experiment::world::Setup;
+use history::Check;
+
+/// A small fleet for a short time, so that a debug build takes a few seconds.
+fn small(case: Case, seed: u64, setup: &Setup) -> Line {
+    let shape = Shape {
+        entries: 4,
+        ..Shape::small(case, seed)
+    };
+    measure(&Scene::new(shape), setup).0
+}
+
+fn setup(faults: &[Fault]) -> Setup {
+    Setup {
+        policy: Policy::Current,
+        faults: faults.to_vec(),
+        mistake: None,
+        trace: false,
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_output() {
+    let setup = setup(&[Fault::EntryCrash, Fault::LostWriteAnswer]);
+    let text = |_| serde_json::to_string(&small(Case::RollingRestart, 3, &setup)).unwrap();
+    let lines: Vec<String> = (0..2).map(text).collect();
+    assert_eq!(lines[0], lines[1]);
+}
+
+/// The harness makes each mistake in place of the decision logic; a check that cannot see it would
+/// not see a fault of the decision logic either.
+#[test]
+fn mistakes_are_found() {
+    let cases: &[(Mistake, Case, &[Fault], Check)] = &[
+        (
+            Mistake::NoFence,
+            Case::ShiftClose,
+            &[Fault::EntryPause, Fault::LeaseLapse],
+            Check::ResumeOnce,
+        ),
+        (
+            Mistake::Repeat,
+            Case::OrderRush,
+            &[Fault::SilentConnections],
+            Check::AtMostOnce,
+        ),
+        (
+            Mistake::FreeAmbiguous,
+            Case::CancelWave,
+            &[Fault::SilentConnections],
+            Check::Capacity,
+        ),
+        (Mistake::OldConfig, Case::OrderRush, &[], Check::Config),
+        (
+            Mistake::NoDeadline,
+            Case::OrderRush,
+            &[],
+            Check::WholeAnswer,
+        ),
+    ];
+    for (mistake, case, faults, check) in cases {
+        let right = small(*case, 1, &setup(faults));
+        let mut wrong = setup(faults);
+        wrong.mistake = Some(*mistake);
+        let wrong = small(*case, 1, &wrong);
+        let broken = |line: &Line| line.violations.iter().any(|broken| broken.check == *check);
+        assert!(!broken(&right), "{mistake:?}: {:#?}", right.violations);
+        assert!(broken(&wrong), "{mistake:?}: {:#?}", wrong.violations);
+    }
+}
