Move work away from groups without workers, and keep dead members dead

Cause: chaos runs with dying workers left a piece for ever in a group whose whole rack had vanished from the list, since no owner is planned for it; and a dead entry's row counted as a sign of life each time it was read anew, so groups moved to it and back every minute. A row proves life only when its beat rises.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -12,6 +12,7 @@
 mod scan;
 mod status;
 mod store;
+mod stranded;
 mod submit;
 mod surplus;
 
--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -7,9 +7,9 @@
 use super::Id;
 use super::Machine;
 use crate::clock::Ms;
+use crate::group;
 use crate::group::ADOPT_AGAIN;
 use crate::group::Adoption;
-use crate::group::CLOCK_BOUND;
 use crate::group::COMMAND_LOST;
 use crate::group::LEASE;
 use crate::group::RENEW;
@@ -246,8 +246,8 @@
                 events.push(place::Event::Gone(vm.name.clone()));
             }
         }
-        let lapsed = |gone: Ms| now.since(gone) > LEASE + CLOCK_BOUND;
-        held.workers.retain(|_, one| !one.gone.is_some_and(lapsed));
+        let lapsed = |one: &Adoption| one.gone.is_some_and(|gone| group::lapsed(now, gone));
+        held.workers.retain(|_, one| !lapsed(one));
         self.retarget = true;
         for event in events {
             self.drive(event);
--- a/crates/decision/src/control/drive.rs
+++ b/crates/decision/src/control/drive.rs
@@ -37,11 +37,7 @@
                 self.command(operation, group, vm, epoch, verb, Some(id));
             }
             Order::Store(piece) => self.dirtied(&piece),
-            Order::Surplus(piece) => {
-                if !self.surplus.contains(&piece) {
-                    self.surplus.push_back(piece);
-                }
-            }
+            Order::Surplus(piece) => self.offer(piece),
             Order::Slowdown(vm, percent) => {
                 self.slowdown.insert(vm, percent);
                 self.retarget = true;
--- a/crates/decision/src/control/exchange.rs
+++ b/crates/decision/src/control/exchange.rs
@@ -9,8 +9,7 @@
 use super::store::PAGE;
 use super::store::Reading;
 use crate::clock::Ms;
-use crate::group::CLOCK_BOUND;
-use crate::group::LEASE;
+use crate::group;
 use crate::member;
 use crate::member::News;
 use crate::name::Name;
@@ -26,6 +25,8 @@
 use crate::vm::Vm;
 
 const PUSH_AGAIN: Ms = Ms(1_000);
+/// The table must have failed for this long before peers stand in for it.
+const OUTAGE: Ms = Ms(1_000);
 
 /// All workers that the platform listed, and those that operators drained.
 #[derive(Clone, Debug, Default)]
@@ -50,9 +51,8 @@
         let vms = list.iter().map(|vm| (vm.name.clone(), vm.clone()));
         let vms = BTreeMap::from_iter(vms);
         let before = std::mem::replace(&mut self.vms, vms);
-        self.gone.retain(|name, (_, since)| {
-            !self.vms.contains_key(name) && now.since(*since) <= LEASE + CLOCK_BOUND
-        });
+        self.gone
+            .retain(|name, (_, since)| !self.vms.contains_key(name) && !group::lapsed(now, *since));
         for (name, vm) in before {
             if !self.vms.contains_key(&name) {
                 self.gone.insert(name, (vm, now));
@@ -169,6 +169,11 @@
 
     pub(super) fn heard(&mut self, member: &Member, age: Ms) {
         let news = self.roster.hear(self.now, member, age);
+        self.digested(member, news);
+    }
+
+    /// Acts on what a member's record tells.
+    pub(super) fn digested(&mut self, member: &Member, news: News) {
         if news == News::Old {
             return;
         }
@@ -178,7 +183,7 @@
         let recent = self.now.since(self.woke) > Ms(1_000) || self.woke == Ms::ZERO;
         if member.version > self.rollout.version() {
             self.rollout.hasten();
-        } else if recent && !self.store_up() {
+        } else if recent && self.store_down().is_some_and(|down| down >= OUTAGE) {
             self.rollout.compare(member.version);
         }
     }
--- a/crates/decision/src/control/machine.rs
+++ b/crates/decision/src/control/machine.rs
@@ -50,6 +50,7 @@
     pub(super) rows: Ms,
     pub(super) balance: Ms,
     pub(super) surplus: Ms,
+    pub(super) stranded: Ms,
 }
 
 /// The control path of one entry, driving a board.
@@ -276,6 +277,7 @@
         self.renew();
         self.drive(place::Event::Tick);
         self.forget_ended();
+        self.look_for_stranded();
         self.move_surplus();
         self.advance_calls();
         self.balance();
--- a/crates/decision/src/control/own.rs
+++ b/crates/decision/src/control/own.rs
@@ -49,7 +49,7 @@
 }
 
 /// What a group's row means for this entry.
-enum Standing {
+pub(super) enum Standing {
     /// Nobody owned the group before.
     Fresh,
     /// Its owner released it or is dead.
@@ -148,7 +148,9 @@
                 (Standing::Theirs, Some(Right::Given)) => take.push((name.clone(), version, false)),
                 (Standing::Theirs, Some(Right::Caretaker)) => self.lose(name, "its owner is live"),
                 (Standing::Theirs, None) => {}
-                (Standing::Ours, None) if self.stopping.is_some() => release.push((name, version)),
+                (Standing::Ours, None) if self.stopping.is_some() || self.deserted(name) => {
+                    release.push((name, version));
+                }
                 (Standing::Free | Standing::Fresh, None) if !planned => {}
                 (standing, _) => {
                     let fresh = matches!(standing, Standing::Fresh);
@@ -163,7 +165,7 @@
     }
 
     /// What the row says, or `None` when it cannot be decoded; such a row is left alone.
-    fn standing(&mut self, key: &str, row: Option<&Row>) -> Option<Standing> {
+    pub(super) fn standing(&mut self, key: &str, row: Option<&Row>) -> Option<Standing> {
         let Some(row) = row else {
             return Some(Standing::Fresh);
         };
@@ -180,7 +182,7 @@
         }
         // An owner that this entry never heard of may be live until it was listened for.
         let listened = self.now.since(self.started.unwrap_or(self.now)) >= SUSPECT;
-        let heard = owner == self.identity.entry || self.roster.get(&owner).is_some();
+        let heard = owner == self.identity.entry || self.roster.was_heard(&owner);
         Some(if listened || heard {
             Standing::Free
         } else {
@@ -209,7 +211,7 @@
         }
     }
 
-    fn take_groups(&mut self, groups: &[(Name, table::Version, bool)]) {
+    pub(super) fn take_groups(&mut self, groups: &[(Name, table::Version, bool)]) {
         let owner = (self.identity.entry.clone(), self.identity.incarnation);
         let value = record::encode(&record::Group { owner: Some(owner) });
         let mut transaction = Transaction::default();
--- a/crates/decision/src/control/store.rs
+++ b/crates/decision/src/control/store.rs
@@ -18,6 +18,7 @@
 use crate::table::Operation;
 use crate::table::Outcome;
 use crate::table::Row;
+use crate::table::Version;
 use crate::timeline::Kind;
 use crate::worker::Epoch;
 
@@ -69,6 +70,10 @@
     Proof(Scan),
     /// Rows that an operator's call needs.
     Call(u64),
+    /// The rows of all groups, by page, to find those without workers.
+    Stranded,
+    /// Whether a group without workers, whose row has this version, has work left.
+    Deserted(Name, Version),
     /// What is stored of ended attempts whose piece is not held here.
     Leftover(Leftover),
     /// The index row of a job whose piece is to be moved.
@@ -190,6 +195,8 @@
             Reading::Work(scan) => self.read_work(scan, rows),
             Reading::Proof(scan) => self.read_proof(&scan, &rows),
             Reading::Call(call) => self.call_read(call, Some(&rows)),
+            Reading::Stranded => self.stranded_read(&rows),
+            Reading::Deserted(group, version) => self.deserted_read(group, version, &rows),
             Reading::Leftover(leftover) => self.leftover_read(leftover, &rows),
             Reading::Move { piece, to } => self.move_read(&piece, &to, &rows),
         }
@@ -210,8 +217,12 @@
                 }
             }
             Reading::Call(call) => self.call_read(call, None),
-            Reading::Members | Reading::Drains(_) | Reading::Leftover(_) | Reading::Move { .. } => {
-            }
+            Reading::Members
+            | Reading::Drains(_)
+            | Reading::Leftover(_)
+            | Reading::Stranded
+            | Reading::Deserted(..)
+            | Reading::Move { .. } => {}
         }
     }
 
@@ -248,7 +259,8 @@
             let member = record::decode::<Member>(&row.value);
             self.mark(&row.key, member.as_ref().err().cloned());
             if let Ok(member) = member {
-                self.heard(&member, Ms::ZERO);
+                let news = self.roster.read(self.now, &member);
+                self.digested(&member, news);
             }
         }
         if let (Some(last), true) = (rows.last(), rows.len() == PAGE as usize) {
--- a/crates/decision/src/control/surplus.rs
+++ b/crates/decision/src/control/surplus.rs
@@ -22,6 +22,13 @@
 where
     B: Step<Event = place::Event, Action = place::Order> + place::Read,
 {
+    /// Notes that a piece may be moved.
+    pub(super) fn offer(&mut self, piece: Name) {
+        if !self.surplus.contains(&piece) {
+            self.surplus.push_back(piece);
+        }
+    }
+
     /// Starts to move one of the pieces that the board cannot start soon.
     pub(super) fn move_surplus(&mut self) {
         if self.now < self.due.surplus || !self.store_up() || self.stopping.is_some() {
@@ -49,12 +56,14 @@
         let Some(held) = self.held.get(&stored.group) else {
             return false;
         };
+        let mut workers = self.board.workers().into_iter();
+        let deserted = !workers.any(|worker| worker.group == stored.group);
         let running = self.board.progress(Some(&stored.job));
         held.right == Right::Row
             && held.proven
             && !held.frozen
             && !stored.dirty
-            && running.iter().all(|job| job.running == 0)
+            && (deserted || running.iter().all(|job| job.running == 0))
             && !self.writer.locked(&job::key(&stored.group, piece))
     }
 
@@ -62,8 +71,11 @@
         let from = &self.pieces.get(piece)?.group;
         let size = self.board.piece(piece)?.job.size;
         let groups = self.capacities(size, self.rollout.checked()?);
-        let best = groups.into_iter().max_by_key(|(_, one)| one.free)?;
-        (best.1.free > 0 && best.0 != *from).then_some(best.0)
+        let deserted = self.deserted(from);
+        let best = groups
+            .into_iter()
+            .max_by_key(|(_, one)| (one.free, one.total))?;
+        ((best.1.free > 0 || deserted) && best.0 != *from).then_some(best.0)
     }
 
     pub(super) fn move_read(&mut self, piece: &Name, to: &Name, rows: &[Row]) {
--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -108,11 +108,17 @@
     /// Whether a task stored before the takeover may still run there unseen.
     #[must_use]
     pub fn unseen(&self, now: Ms) -> bool {
-        let lapsed = |gone| now.since(gone) > LEASE + CLOCK_BOUND;
-        self.holds && self.accepted.is_none() && !self.gone.is_some_and(lapsed)
+        let lapsed = self.gone.is_some_and(|gone| lapsed(now, gone));
+        self.holds && self.accepted.is_none() && !lapsed
     }
 }
 
+/// Whether every lease on a VM that left the list at `gone` has run out.
+#[must_use]
+pub fn lapsed(now: Ms, gone: Ms) -> bool {
+    now.since(gone) > LEASE + CLOCK_BOUND
+}
+
 /// A group that this entry commands.
 #[derive(Clone, Debug)]
 pub struct Held {
@@ -167,6 +173,13 @@
         }
     }
 
+    /// Whether every worker left the platform's list so long ago that no lease is in force.
+    #[must_use]
+    pub fn vanished(&self, now: Ms) -> bool {
+        let mut workers = self.workers.values();
+        workers.all(|adoption| adoption.gone.is_some_and(|gone| lapsed(now, gone)))
+    }
+
     /// Whether old pieces must stay frozen.
     #[must_use]
     pub fn unseen(&self, now: Ms) -> bool {
--- a/crates/decision/src/member.rs
+++ b/crates/decision/src/member.rs
@@ -34,7 +34,10 @@
 #[derive(Clone, Debug)]
 struct Known {
     member: Member,
-    heard: Ms,
+    /// When it last gave a sign of life, if ever since it became known.
+    heard: Option<Ms>,
+    /// When it became known.
+    since: Ms,
 }
 
 /// What changed with a piece of news.
@@ -118,24 +121,39 @@
     /// The digest to send: this entry's record and those it heard of most recently.
     pub fn digest(&mut self, now: Ms) -> Digest {
         let member = self.beat();
-        let mut others = self.known.values().collect::<Vec<_>>();
+        let heard = self.known.values();
+        let heard = heard.filter_map(|one| Some((one.heard?, &one.member)));
+        let mut others = Vec::from_iter(heard);
         if others.len() > OTHERS {
-            others.select_nth_unstable_by_key(OTHERS - 1, |one| std::cmp::Reverse(one.heard));
+            others.select_nth_unstable_by_key(OTHERS - 1, |one| std::cmp::Reverse(one.0));
             others.truncate(OTHERS);
         }
-        let with_age = |one: &Known| (one.member.clone(), now.since(one.heard));
+        let others = others.into_iter();
+        let others = others.map(|(heard, member)| (member.clone(), now.since(heard)));
         Digest {
             member,
-            others: others.into_iter().map(with_age).collect(),
+            others: others.collect(),
         }
     }
 
     /// Takes in a record that is `age` old. Only a higher beat of the newest process is news.
     pub fn hear(&mut self, now: Ms, member: &Member, age: Ms) -> News {
+        let heard = Ms(now.0.saturating_sub(age.0));
+        self.learn(now, member, Some(heard))
+    }
+
+    /// Takes in a record from the table. The row of a dead entry stays, so only a beat that
+    /// rises between two reads is a sign of life.
+    pub fn read(&mut self, now: Ms, member: &Member) -> News {
+        let known = self.known.get(&member.entry);
+        let same = known.is_some_and(|known| known.member.incarnation == member.incarnation);
+        self.learn(now, member, same.then_some(now))
+    }
+
+    fn learn(&mut self, now: Ms, member: &Member, heard: Option<Ms>) -> News {
         if member.entry == self.own.entry {
             return News::Old;
         }
-        let heard = Ms(now.0.saturating_sub(age.0));
         let stamp = |one: &Member| (one.incarnation, one.beat);
         let known = self.known.get(&member.entry);
         if known.is_some_and(|known| stamp(&known.member) >= stamp(member)) {
@@ -145,6 +163,7 @@
         let known = Known {
             member: member.clone(),
             heard,
+            since: now,
         };
         let after = live(&known, now);
         self.known.insert(member.entry.clone(), known);
@@ -159,14 +178,16 @@
     /// Takes this entry's own pause out of the silence of the others.
     pub fn excuse(&mut self, pause: Ms) {
         for known in self.known.values_mut() {
-            known.heard += pause;
+            known.heard = known.heard.map(|heard| heard + pause);
         }
     }
 
     /// Forgets members that have been silent for long.
     pub fn forget(&mut self, now: Ms) {
-        self.known
-            .retain(|_, known| now.since(known.heard) < FORGET);
+        self.known.retain(|_, known| {
+            let news = known.heard.unwrap_or(known.since);
+            now.since(news) < FORGET
+        });
     }
 
     /// The record of another entry, live or not.
@@ -175,6 +196,13 @@
         self.known.get(entry).map(|known| &known.member)
     }
 
+    /// Whether the entry gave a sign of life since it became known.
+    #[must_use]
+    pub fn was_heard(&self, entry: &str) -> bool {
+        let known = self.known.get(entry);
+        known.is_some_and(|known| known.heard.is_some())
+    }
+
     /// Whether this process is live.
     #[must_use]
     pub fn is_live(&self, now: Ms, entry: &str, incarnation: u64) -> bool {
@@ -211,7 +239,10 @@
     /// Addresses to exchange digests with in this round: all live peers or some at random, and
     /// a few seeds at which no live peer is known.
     pub fn partners(&mut self, now: Ms, random: &mut StdRng) -> Vec<SocketAddr> {
-        let live = self.known.values().filter(|one| fresh(one, now));
+        // An entry known from its row only may be live, so it is asked.
+        let read = |one: &Known| one.heard.is_none() && now.since(one.since) < SUSPECT;
+        let live = self.known.values();
+        let live = live.filter(|one| fresh(one, now) || read(one));
         let mut all = Vec::from_iter(live.map(|one| one.member.address));
         let unknown = |seed: &&SocketAddr| **seed != self.own.address && !all.contains(seed);
         let seeds = Vec::from_iter(self.seeds.iter().filter(unknown).copied());
@@ -227,7 +258,7 @@
 }
 
 fn fresh(known: &Known, now: Ms) -> bool {
-    now.since(known.heard) < SUSPECT
+    known.heard.is_some_and(|heard| now.since(heard) < SUSPECT)
 }
 
 fn live(known: &Known, now: Ms) -> bool {
--- a/crates/decision/tests/control/ownership.rs
+++ b/crates/decision/tests/control/ownership.rs
@@ -5,6 +5,7 @@
 use crate::world::World;
 use crate::world::sample::job;
 use crate::world::sample::submit;
+use crate::world::sample::vm;
 
 const GROUPS: usize = 10;
 
@@ -145,3 +146,41 @@
         world.assert_clean();
     }
 }
+
+// Guards against work of a group whose workers and owner are all lost, so that the group is no
+// longer in the list from which owners are planned.
+#[test]
+fn work_of_a_lost_rack_moves() {
+    for crash in [false, true] {
+        let mut world = start(9, 3, GROUPS * 2, Faults::default());
+        world.run(20_000);
+        world.call("e0", submit("c1", job("j", 300)));
+        world.run(24_000);
+        let victim = world.workers[&vm(0).name].owner.clone().unwrap();
+        world.kill(&vm(0).name);
+        world.kill(&vm(1).name);
+        if crash {
+            world.crash(&victim);
+        }
+        world.run(200_000);
+        assert_eq!(world.done("j"), 300, "owner crashed: {crash}");
+        world.assert_clean();
+    }
+}
+
+// Guards against the row of a dead entry, which stays in the table, counting as a sign of life.
+#[test]
+fn a_dead_entry_stays_dead() {
+    let mut world = start(10, 3, GROUPS * 2, Faults::default());
+    world.run(20_000);
+    world.crash("e1");
+    world.run(40_000);
+    let epochs = |world: &World| {
+        let workers = world.workers.values();
+        Vec::from_iter(workers.map(|worker| worker.epoch))
+    };
+    let before = epochs(&world);
+    world.run(300_000);
+    assert_eq!(epochs(&world), before);
+    assert!(all_owned(&world));
+}
--- /dev/null
+++ b/crates/decision/tests/control/world/checks.rs
@@ -0,0 +1,69 @@
+//! What must hold in every world, and counts of what was done.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::piece::Piece;
+use decision::piece::Record;
+use decision::record;
+
+use super::World;
+
+impl World {
+    /// Checks what must hold at every moment.
+    pub(super) fn check(&mut self) {
+        let now = Ms(self.now);
+        let mut places = BTreeMap::<Name, Name>::new();
+        for worker in self.workers.values_mut() {
+            worker.advance(now, &mut self.seen);
+            for task in worker.runs() {
+                if let Some(other) = places.insert(task.clone(), worker.vm.name.clone()) {
+                    let violation = format!("{now}: {task} runs on {other} and {}", worker.vm.name);
+                    self.seen.violations.push(violation);
+                }
+            }
+        }
+    }
+
+    /// Fails when any rule was broken.
+    pub fn assert_clean(&self) {
+        let versions = &self.table.configs;
+        assert!(
+            versions.is_sorted(),
+            "configuration rows went back: {versions:?}"
+        );
+        let violations = &self.seen.violations;
+        assert!(
+            violations.is_empty(),
+            "{:#?}",
+            &violations[..violations.len().min(5)]
+        );
+    }
+
+    /// The groups whose workers all accepted this entry.
+    pub fn owned(&self, entry: &str) -> usize {
+        let owned = self.workers.values();
+        let owned = owned.filter(|worker| worker.owner.as_deref() == Some(entry));
+        BTreeSet::from_iter(owned.map(|worker| &worker.vm.group)).len()
+    }
+
+    /// Tasks of a job that are stored as done.
+    pub fn done(&self, job: &str) -> usize {
+        let prefix = format!("ended/{job}.");
+        let rows = self.table.rows.values();
+        let rows = rows.filter(|row| row.key.starts_with(&prefix));
+        let pieces = rows.map(|row| record::decode::<Piece>(&row.value).unwrap());
+        let done = |task: &&Record| **task == Record::Done;
+        pieces
+            .map(|one| one.tasks.iter().filter(done).count())
+            .sum()
+    }
+
+    pub fn completed(&self, job: &str) -> usize {
+        let prefix = format!("{job}#");
+        let done = self.seen.completed.keys();
+        done.filter(|task| task.starts_with(&prefix)).count()
+    }
+}
