--- a/crates/decision/src/member.rs
+++ b/crates/decision/src/member.rs
@@ -27,6 +27,8 @@
 
 const HEARTBEAT: Ms = Ms(2_000);
 const HEARTBEAT_PER_ENTRY: Ms = Ms(20);
+// An odd constant with well distributed bits (2^64 divided by the golden ratio).
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
 const SEEDS_AT_ONCE: usize = 2;
 // A member is forgotten only when no digest can still carry news of its last beat as fresh.
 const FORGET: Ms = Ms(60_000);
@@ -125,7 +127,15 @@
         let heard = heard.filter_map(|one| Some((one.heard?, &one.member)));
         let mut others = Vec::from_iter(heard);
         if others.len() > OTHERS {
-            others.select_nth_unstable_by_key(OTHERS - 1, |one| std::cmp::Reverse(one.0));
+            // Among those heard of within the same two rounds the choice varies with the beat, so that no
+            // entry is passed on less often than others.
+            let spread = member.beat.wrapping_mul(SPREAD);
+            let key = |(heard, other): &(Ms, &Member)| {
+                let round = now.since(*heard).0 / (2 * EXCHANGE.0);
+                let hash = u64::from(crc32fast::hash(other.entry.as_bytes()));
+                (round, (hash ^ spread).wrapping_mul(SPREAD) >> 32)
+            };
+            others.select_nth_unstable_by_key(OTHERS - 1, key);
             others.truncate(OTHERS);
         }
         let others = others.into_iter();
