--- a/crates/history/src/task.rs
+++ b/crates/history/src/task.rs
@@ -175,7 +175,7 @@
 #[derive(Default)]
 struct Fate<'a> {
     /// Completions that count.
-    completed: Vec<(&'a Name, &'a Event)>,
+    completed: Vec<(&'a Name, u32, &'a Event)>,
     /// Whether it ever completed; an owner may have heard of it before the VM died.
     finished: bool,
     acknowledged: bool,
@@ -184,7 +184,7 @@
 
 impl<'a> Fate<'a> {
     fn start(&self, event: &'a Event) -> Option<Violation> {
-        let (_, done) = self.completed.last()?;
+        let (.., done) = self.completed.last()?;
         let reason = "a completed task was started again";
         Some(Violation::new(Check::NothingLost, reason, [*done, event]))
     }
@@ -200,10 +200,18 @@
             .then(|| Violation::new(Check::NothingLost, reason, [event]))
     }
 
+    /// Only the acknowledgement of the completed attempt says that the completion is stored.
+    fn acknowledge(&mut self, attempt: u32) {
+        self.acknowledged |= self
+            .completed
+            .iter()
+            .any(|(_, number, _)| *number == attempt);
+    }
+
     /// A completion that no owner had stored is lost with its VM, and the task has to run again.
     fn crash(&mut self, vm: &Name) {
         if !self.acknowledged && self.recorded.is_none() {
-            self.completed.retain(|(at, _)| *at != vm);
+            self.completed.retain(|(at, ..)| *at != vm);
         }
     }
 }
@@ -220,15 +228,16 @@
             Fact::TaskEnded {
                 vm,
                 task,
+                attempt,
                 ending: Ending::Completed,
                 ..
             } => {
                 let fate = fates.entry(task).or_default();
-                fate.completed.push((vm, event));
+                fate.completed.push((vm, *attempt, event));
                 fate.finished = true;
             }
-            Fact::Acknowledged { task, .. } => {
-                fates.entry(task).or_default().acknowledged = true;
+            Fact::Acknowledged { task, attempt, .. } => {
+                fates.entry(task).or_default().acknowledge(*attempt);
             }
             Fact::Recorded { task, ending } => {
                 found.extend(fates.entry(task).or_default().record(*ending, event));
--- a/crates/history/tests/checks/facts.rs
+++ b/crates/history/tests/checks/facts.rs
@@ -63,6 +63,14 @@
     }
 }
 
+pub fn acknowledged(vm: &str, attempt: u32) -> Fact {
+    Fact::Acknowledged {
+        vm: name(vm),
+        task: name("job#0"),
+        attempt,
+    }
+}
+
 pub fn checkpoint(vm: &str, attempt: u32, key: &str) -> Fact {
     Fact::Checkpointed {
         vm: name(vm),
