Count slots of former owners as the worker reports them

Change: workers report the requests in progress that came under a lower epoch; the owner keeps those slots booked until a report says that they ended. The timer is gone.

--- a/benches/passthrough.rs
+++ b/benches/passthrough.rs
@@ -112,6 +112,7 @@
             epoch: command.epoch,
             capacity: capacity(),
             busy: 0,
+            former: 0,
             service: Size::ZERO,
             tasks: Vec::new(),
         });
--- a/crates/decision/benches/request.rs
+++ b/crates/decision/benches/request.rs
@@ -52,7 +52,7 @@
 /// A table in which 5 of 8 slots are in use.
 fn table(count: usize) -> Table {
     let mut table = Table::new(name("a"));
-    table.update(Ms(0), targets(count), Ms(1));
+    table.update(targets(count));
     for _ in 0..count * 5 {
         let choice = table
             .choose(Ms(0), &Ask::default())
--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -139,11 +139,13 @@
             adoption.waiting = None;
         }
         let first = adoption.accepted.is_none();
-        if first {
-            adoption.busy = report.busy;
-        }
         if adoption.accepted < Some(sent.epoch) {
             adoption.accepted = Some(sent.epoch);
+            adoption.busy = report.former;
+        }
+        if report.epoch == sent.epoch {
+            // Under one epoch the number only falls, whatever the order of reports.
+            adoption.busy = adoption.busy.min(report.former);
         }
         let current = adoption.epoch().is_some();
         adoption.proven |= id >= floor;
--- a/crates/decision/src/request.rs
+++ b/crates/decision/src/request.rs
@@ -111,7 +111,7 @@
     pub domain: Name,
     /// How many requests it serves at once.
     pub slots: u32,
-    /// Slots in use by requests of former owners when it was adopted.
+    /// Slots in use by requests of former owners when it last reported.
     pub busy: u32,
     /// Whether it receives no new requests.
     pub leaving: bool,
--- a/crates/decision/src/request/machine.rs
+++ b/crates/decision/src/request/machine.rs
@@ -40,8 +40,6 @@
 use crate::timeline::Kind;
 use crate::timeline::Note;
 
-/// Slots in use by former owners are counted this long where no service is configured.
-const DEFAULT_HOLD: Ms = Ms(10_000);
 /// How much later than its timeout an attempt without news has certainly ended.
 pub(super) const MARGIN: Ms = Ms(200);
 /// The request path of one entry.
@@ -226,16 +224,6 @@
         self.config = Some(config);
     }
 
-    /// How long requests of former owners may still hold slots of an adopted target.
-    fn hold(&self) -> Ms {
-        let services = self
-            .config
-            .iter()
-            .flat_map(|config| &config.document().services);
-        let longest = services.map(|service| service.attempt).max();
-        longest.unwrap_or(DEFAULT_HOLD) + MARGIN
-    }
-
     fn adopt(&mut self, now: Ms, book: Book) {
         let key = (book.issuer.clone(), book.incarnation);
         if key.0 == self.entry && key.1 == self.incarnation {
@@ -292,7 +280,6 @@
     }
 
     fn advance(&mut self, now: Ms) {
-        self.table.advance(now);
         while let Some(due) = self.timers.pop(now) {
             match due {
                 Due::Deadline(id) => self.expire(now, id),
@@ -303,9 +290,8 @@
         }
     }
 
-    fn update(&mut self, now: Ms, targets: Vec<super::Target>) {
-        let hold = self.hold();
-        for vm in self.table.update(now, targets, hold) {
+    fn update(&mut self, targets: Vec<super::Target>) {
+        for vm in self.table.update(targets) {
             self.actions.push(Action::Note(Note {
                 kind: Kind::Leaving,
                 subject: vm.to_string(),
@@ -335,7 +321,7 @@
             Event::Withdrawn(call) => self.withdraw(now, call),
             Event::Finished(attempt, ending) => self.end(now, attempt, ending),
             Event::Tick => self.tick(now),
-            Event::Targets(targets) => self.update(now, targets),
+            Event::Targets(targets) => self.update(targets),
             Event::Peers(peers) => self.peers.update(peers),
             Event::Config(config) => self.configure(config),
             Event::Adopt(book) => self.adopt(now, book),
--- a/crates/decision/src/route.rs
+++ b/crates/decision/src/route.rs
@@ -65,9 +65,6 @@
     busy: u32,
     /// Those of them that are long.
     long: u32,
-    /// Slots counted for requests of former owners, until `inherited_until`.
-    inherited: u32,
-    inherited_until: Ms,
     stamp: u64,
     health: Health,
     rank: Option<Rank>,
@@ -95,7 +92,7 @@
     fn vacant(&self) -> u32 {
         self.target
             .slots
-            .saturating_sub(self.busy.saturating_add(self.inherited))
+            .saturating_sub(self.busy.saturating_add(self.target.busy))
     }
 
     fn long_limit(&self) -> u32 {
@@ -105,7 +102,7 @@
     fn rank(&self, id: Id) -> Rank {
         let slots = u64::from(self.target.slots.max(1));
         let slowdown = u64::from(self.target.slowdown.clamp(1, 10_000));
-        let load = (u64::from(self.busy) + u64::from(self.inherited) + 1) * 100
+        let load = (u64::from(self.busy) + u64::from(self.target.busy) + 1) * 100
             + if self.near { 0 } else { FAR };
         Rank {
             cost: load * slowdown * 8 / slots,
@@ -127,7 +124,6 @@
     /// Those of them that may take another long request.
     open_long: BTreeSet<Rank>,
     probes: BTreeSet<(Ms, Id)>,
-    inherited: BTreeSet<(Ms, Id)>,
     stamp: u64,
     capacity: u32,
     free: u32,
@@ -148,7 +144,6 @@
             open: BTreeSet::new(),
             open_long: BTreeSet::new(),
             probes: BTreeSet::new(),
-            inherited: BTreeSet::new(),
             stamp: 0,
             capacity: 0,
             free: 0,
@@ -157,9 +152,10 @@
         }
     }
 
-    /// Takes in the owned targets, all of them. Slots in use by former owners are counted for
-    /// `hold`, after which those requests have ended. Returns the targets that began to leave.
-    pub fn update(&mut self, now: Ms, targets: Vec<Target>, hold: Ms) -> Vec<Name> {
+    /// Takes in the owned targets, all of them. Slots in use by requests of former owners count
+    /// until a worker reports otherwise, because such a request may outlast any timeout. Returns
+    /// the targets that began to leave.
+    pub fn update(&mut self, targets: Vec<Target>) -> Vec<Name> {
         let mut leaving = Vec::new();
         let present: HashSet<Name> = targets.iter().map(|target| target.vm.clone()).collect();
         let gone: Vec<Id> = self
@@ -176,7 +172,7 @@
             if target.leaving && self.begins_to_leave(&target) {
                 leaving.push(target.vm.clone());
             }
-            self.put(now, target, hold);
+            self.put(target);
         }
         leaving
     }
@@ -256,18 +252,6 @@
         }
     }
 
-    /// Releases the slots whose former owners' requests have ended.
-    pub fn advance(&mut self, now: Ms) {
-        while let Some((until, id)) = self.inherited.first().copied() {
-            if until > now {
-                return;
-            }
-            self.inherited.pop_first();
-            self.entry(id).inherited = 0;
-            self.refresh(id);
-        }
-    }
-
     /// The target's VM.
     #[must_use]
     pub fn vm(&self, id: Id) -> &Name {
@@ -324,9 +308,9 @@
             .is_some_and(|id| !self.entries[id.0 as usize].target.leaving)
     }
 
-    fn put(&mut self, now: Ms, target: Target, hold: Ms) {
+    fn put(&mut self, target: Target) {
         let Some(id) = self.ids.get(&target.vm).copied() else {
-            self.add(now, target, hold);
+            self.add(target);
             return;
         };
         let near = target.domain == self.domain;
@@ -338,12 +322,11 @@
         if adopted {
             // Failures under the former epoch may only have told that it was over.
             entry.health = Health::default();
-            self.inherit(now, id, hold);
         }
         self.refresh(id);
     }
 
-    fn add(&mut self, now: Ms, target: Target, hold: Ms) {
+    fn add(&mut self, target: Target) {
         let vm = target.vm.clone();
         let entry = Entry {
             near: target.domain == self.domain,
@@ -351,8 +334,6 @@
             owned: true,
             busy: 0,
             long: 0,
-            inherited: 0,
-            inherited_until: Ms::ZERO,
             stamp: self.stamp,
             health: Health::default(),
             rank: None,
@@ -372,22 +353,9 @@
             }
         };
         self.ids.insert(vm, id);
-        self.inherit(now, id, hold);
         self.refresh(id);
     }
 
-    /// Counts the slots in use by former owners. A report under a new epoch may include our own
-    /// requests; counting them twice for a while is safe, counting too few is not.
-    fn inherit(&mut self, now: Ms, id: Id, hold: Ms) {
-        let entry = &mut self.entries[id.0 as usize];
-        self.inherited.remove(&(entry.inherited_until, id));
-        entry.inherited = entry.inherited.max(entry.target.busy);
-        entry.inherited_until = now + hold;
-        if entry.inherited > 0 {
-            self.inherited.insert((entry.inherited_until, id));
-        }
-    }
-
     fn count_long(&mut self, id: Id, long: bool) {
         if long {
             self.entry(id).long += 1;
@@ -427,7 +395,7 @@
             entry.probe_at = entry.health.probe_at();
             self.probes.extend(entry.probe_at.map(|at| (at, id)));
         }
-        let unused = !entry.owned && entry.busy + entry.inherited == 0;
+        let unused = !entry.owned && entry.busy == 0;
         if unused && self.ids.get(&entry.target.vm) == Some(&id) {
             self.ids.remove(&entry.target.vm);
             self.unused.push(id);
--- a/crates/decision/src/worker.rs
+++ b/crates/decision/src/worker.rs
@@ -187,6 +187,8 @@
     pub capacity: Size,
     /// Requests in progress.
     pub busy: u32,
+    /// Those of them that were sent under a lower epoch, by former owners.
+    pub former: u32,
     /// Processors and memory used by services when last measured.
     pub service: Size,
     /// Tasks present, ended ones included until acknowledged.
--- a/crates/decision/tests/control/world/workers.rs
+++ b/crates/decision/tests/control/world/workers.rs
@@ -215,6 +215,7 @@
             epoch: self.epoch,
             capacity: self.vm.capacity,
             busy: 0,
+            former: 0,
             service: Size::ZERO,
             tasks: self.tasks.values().map(|one| one.task.clone()).collect(),
         }
--- a/crates/decision/tests/place/fake/worker.rs
+++ b/crates/decision/tests/place/fake/worker.rs
@@ -83,6 +83,7 @@
             epoch: self.epoch,
             capacity: self.vm.capacity,
             busy: self.busy,
+            former: 0,
             service: self.service,
             tasks: self.slots.values().map(|slot| slot.task.clone()).collect(),
         }
--- a/crates/decision/tests/request/model.rs
+++ b/crates/decision/tests/request/model.rs
@@ -22,9 +22,6 @@
 
 use crate::fixture;
 
-/// What the fixture's configuration gives an attempt.
-const ATTEMPT: Ms = Ms(500);
-
 /// A request path under test.
 pub trait Subject: Step<Event = Event, Action = Action> {
     fn mint(&mut self, now: Ms, count: usize) -> Vec<Ticket>;
@@ -119,7 +116,6 @@
     pending: BTreeSet<(Ms, Attempt, u16)>,
     delivered: Vec<(Attempt, Ending)>,
     targets: BTreeMap<String, Target>,
-    inherited: BTreeMap<(String, Epoch), (u32, Ms)>,
     used: Vec<Ticket>,
     /// Whether slots are checked; the naive version counts them by itself.
     pub check_slots: bool,
@@ -141,7 +137,6 @@
             pending: BTreeSet::new(),
             delivered: Vec::new(),
             targets: BTreeMap::new(),
-            inherited: BTreeMap::new(),
             used: Vec::new(),
             check_slots: true,
         };
@@ -246,10 +241,6 @@
                 leaving,
                 ..fixture::target(&vm)
             };
-            let until = (busy, self.now + ATTEMPT);
-            self.inherited
-                .entry((vm.clone(), target.epoch))
-                .or_insert(until);
             self.targets.insert(vm, target);
         }
         self.step(Event::Targets(self.targets.values().cloned().collect()));
@@ -339,11 +330,7 @@
             .sent
             .values()
             .filter(|sent| sent.vm.as_deref() == Some(vm) && !sent.over && self.now < sent.ends);
-        let inherited = self.inherited.iter();
-        let inherited = inherited
-            .filter(|((name, _), (_, until))| name == vm && self.now < *until)
-            .map(|(_, (busy, _))| *busy as usize);
-        let busy = own.count() + inherited.max().unwrap_or(0);
+        let busy = own.count() + target.busy as usize;
         assert!(
             !self.check_slots || busy < target.slots as usize,
             "{vm} has {} slots, {busy} in use",
--- a/crates/decision/tests/route.rs
+++ b/crates/decision/tests/route.rs
@@ -33,7 +33,7 @@
 
 fn table(targets: &[Target]) -> Table {
     let mut table = Table::new(name("a"));
-    table.update(Ms::ZERO, targets.to_vec(), Ms(500));
+    table.update(targets.to_vec());
     table
 }
 
@@ -159,10 +159,10 @@
     assert_eq!(fill(&mut table(&targets), &long, 99).len(), 4);
 }
 
-/// Guards against slots of former owners that are counted twice, too long, or not again under a
-/// new epoch.
+/// Guards against slots of former owners that are counted twice, or no longer although the worker
+/// still reports them.
 #[test]
-fn slots_of_former_owners_are_counted_once_an_epoch() {
+fn slots_of_former_owners_are_counted_as_reported() {
     let busy = Target {
         busy: 6,
         ..target("x")
@@ -171,16 +171,19 @@
         epoch: Epoch { row: 2, step: 0 },
         ..busy.clone()
     };
+    let fewer = Target {
+        busy: 1,
+        ..busy.clone()
+    };
     let cases = [
-        ("repeated", busy.clone(), Ms(499), 2),
-        ("over", busy.clone(), Ms(500), 8),
-        ("repeated when over", busy.clone(), Ms(900), 8),
-        ("new epoch", next, Ms(900), 2),
+        ("repeated", busy.clone(), 2),
+        ("some ended", fewer, 7),
+        ("all ended", target("x"), 8),
+        ("new epoch", next, 2),
     ];
-    for (case, again, at, free) in cases {
+    for (case, again, free) in cases {
         let mut table = table(std::slice::from_ref(&busy));
-        table.advance(at);
-        table.update(at, vec![again], Ms(500));
+        table.update(vec![again]);
         assert_eq!(table.free(), free, "{case}");
     }
 }
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -67,6 +67,7 @@
 struct Run {
     vm: usize,
     id: String,
+    epoch: Epoch,
     call: Arc<Call>,
     took: Us,
 }
@@ -312,7 +313,13 @@
             epoch,
             body: call.body.clone(),
         });
-        let run = Run { vm, id, call, took };
+        let run = Run {
+            vm,
+            id,
+            epoch: shown,
+            call,
+            took,
+        };
         self.fleet.runs.insert(back, run);
         let ran = Happening::Worker(vm, Work::Ran(back));
         self.agenda.after(took, ran);
@@ -322,7 +329,7 @@
         let run = self.fleet.runs.remove(&back)?;
         self.fleet.sent.remove(&back);
         let worker = &mut self.fleet.workers[run.vm];
-        worker.model.finish();
+        worker.model.finish(run.epoch);
         if let Some(link) = worker.links.get_mut(&back.entry) {
             link.open = link.open.saturating_sub(1);
         }
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -175,7 +175,7 @@
         Timer::after(Duration::from_millis(time.0)).await;
         let broken = {
             let mut model = self.model();
-            model.finish();
+            model.finish(epoch);
             model.broken
         };
         let now = self.platform.now();
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -62,7 +62,7 @@
     clock: Ms,
     tasks: BTreeMap<Name, Slot>,
     changes: Vec<Change>,
-    busy: u32,
+    runs: BTreeMap<Epoch, u32>,
     /// Whether every task and request fails at once.
     pub broken: bool,
     /// Speed of tasks in percent, as slowed by whatever else runs.
@@ -83,7 +83,7 @@
             clock: now,
             tasks: BTreeMap::new(),
             changes: Vec::new(),
-            busy: 0,
+            runs: BTreeMap::new(),
             broken: false,
             speed: 100,
             service: Size::ZERO,
@@ -108,8 +108,8 @@
 
     /// Requests in progress.
     #[must_use]
-    pub const fn busy(&self) -> u32 {
-        self.busy
+    pub fn busy(&self) -> u32 {
+        self.runs.values().sum()
     }
 
     /// Takes a slot for a request sent under `epoch`, or refuses it as not run.
@@ -121,16 +121,19 @@
         if epoch < self.epoch {
             return Err(Refusal::Stale(self.epoch));
         }
-        if self.busy >= self.vm.slots {
+        if self.busy() >= self.vm.slots {
             return Err(Refusal::Full);
         }
-        self.busy += 1;
+        *self.runs.entry(epoch).or_default() += 1;
         Ok(())
     }
 
-    /// Frees the slot of a request.
-    pub fn finish(&mut self) {
-        self.busy = self.busy.saturating_sub(1);
+    /// Frees the slot of a request that began under `epoch`.
+    pub fn finish(&mut self, epoch: Epoch) {
+        if let Some(runs) = self.runs.get_mut(&epoch) {
+            *runs = runs.saturating_sub(1);
+        }
+        self.runs.retain(|_, runs| *runs > 0);
     }
 
     /// Carries out a command. `need` tells what a task really needs.
@@ -178,7 +181,8 @@
             vm: self.vm.name.clone(),
             epoch: self.epoch,
             capacity: self.vm.capacity,
-            busy: self.busy,
+            busy: self.busy(),
+            former: self.runs.range(..self.epoch).map(|(_, runs)| runs).sum(),
             service: self.service,
             tasks: self.tasks.values().map(|slot| slot.task.clone()).collect(),
         }
--- a/crates/target/tests/client.rs
+++ b/crates/target/tests/client.rs
@@ -164,6 +164,7 @@
         epoch,
         capacity: Size::ZERO,
         busy: 0,
+        former: 0,
         service: Size::ZERO,
         tasks: Vec::new(),
     })
