Bound long work at a peak and refuse by class

One request with little time left turned the whole queue to newest first. Requests refused by a peer were sent round again, and those that died in a peer's queue were unknown to the sender, whose deadline passed at the same moment.

Change: a kind is long from 2.5 times the service's geometric mean (was 4). The expected wait is that of the class in its share of the slots. Long work is bounded while short work waits or under a quarter of the slots is free, instead of always within 10 s of short work. The order of the queue follows the mean time that requests bring along. A peer is answered 15 ms before its deadline, a refused request is judged again, and an entry without targets asks two peers. A forwarded request that ended frees its slot in the peer's count. Early refusal is at 20% of the remaining time (was 40%).

--- a/crates/decision/src/classify.rs
+++ b/crates/decision/src/classify.rs
@@ -13,7 +13,7 @@
 const MIN_TIMES: u32 = 5;
 /// A kind is long when its geometric mean exceeds the service's this many times. A few stragglers
 /// hardly move a geometric mean, so that their kind does not become long.
-const LONG_FACTOR: f32 = 4.0;
+const LONG_FACTOR: f32 = 2.5;
 /// A short request is reclassified when it runs this many times its kind's mean.
 const SLOW_FACTOR: f32 = 8.0;
 /// A hedge is sent when the mean is exceeded by this many deviations.
@@ -41,11 +41,26 @@
     deviation: f32,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+    times: u32,
+    value: f32,
+}
+
+impl Mean {
+    fn record(&mut self, time: f32) {
+        self.times = self.times.saturating_add(1);
+        let weight = SERVICE_WEIGHT.max(1.0 / self.times as f32);
+        self.value += weight * (time - self.value);
+    }
+}
+
 #[derive(Debug, Default)]
 struct Service {
     times: u32,
     log_mean: f32,
-    mean: f32,
+    short: Mean,
+    long: Mean,
     kinds: HashMap<Name, Kind>,
 }
 
@@ -88,15 +103,20 @@
         Some(ceil(kind.mean + HEDGE_DEVIATIONS * kind.deviation))
     }
 
-    /// The mean time that a request of the service holds a slot.
+    /// The mean time that a request of the class holds a slot.
     #[must_use]
-    pub fn mean(&self, service: &Name) -> Option<Ms> {
+    pub fn mean(&self, service: &Name, class: Class) -> Option<Ms> {
         let service = self.services.get(service)?;
-        (service.times >= MIN_TIMES).then(|| ceil(service.mean))
+        let mean = match class {
+            Class::Short => service.short,
+            Class::Long => service.long,
+        };
+        (mean.times >= MIN_TIMES).then(|| ceil(mean.value))
     }
 
     /// Takes in the run time of an answered request.
     pub fn record(&mut self, service: &Name, kind: &Name, time: Ms) {
+        let class = self.class(service, kind);
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), Service::default());
         }
@@ -107,7 +127,10 @@
         service.times = service.times.saturating_add(1);
         let weight = SERVICE_WEIGHT.max(1.0 / service.times as f32);
         service.log_mean += weight * (time.ln() - service.log_mean);
-        service.mean += weight * (time - service.mean);
+        match class {
+            Class::Short => service.short.record(time),
+            Class::Long => service.long.record(time),
+        }
         if !service.kinds.contains_key(kind) {
             if service.kinds.len() >= MAX_KINDS {
                 return;
--- a/crates/decision/src/queue.rs
+++ b/crates/decision/src/queue.rs
@@ -10,6 +10,8 @@
 
 /// Virtual time for one ms of expected run time at weight 1.
 const SCALE: u64 = 1_000;
+/// Weight of the newest request in the mean time until deadlines.
+const LIMIT_WEIGHT: f32 = 0.02;
 /// Idle teams whose virtual time is remembered.
 const MAX_IDLE: usize = 1_024;
 
@@ -113,6 +115,8 @@
 pub struct Queue {
     bound: usize,
     number: u64,
+    /// The mean time that requests bring along until their deadline, in ms.
+    limit: f32,
     items: BTreeMap<Place, Item>,
     short: Lane,
     long: Lane,
@@ -125,6 +129,7 @@
         Self {
             bound,
             number: 0,
+            limit: 0.0,
             items: BTreeMap::new(),
             short: Lane::default(),
             long: Lane::default(),
@@ -166,6 +171,9 @@
     /// Puts a request in, even beyond the bound.
     pub fn push(&mut self, item: Item) -> Place {
         self.number += 1;
+        let limit = item.deadline.since(item.entered).0 as f32;
+        let weight = LIMIT_WEIGHT.max(1.0 / self.number as f32);
+        self.limit += weight * (limit - self.limit);
         let place = Place {
             arrived: item.arrived,
             number: self.number,
@@ -203,33 +211,36 @@
         self.items.get(&place).map(|item| item.call)
     }
 
-    /// Whether the oldest request has waited for more than half of its time. Serving the newest
-    /// first then lets at least those meet their deadlines.
+    /// Whether the oldest request has waited for more than half of the usual time. Serving the newest
+    /// first then lets at least those meet their deadlines. The usual time is a mean, so that one
+    /// request that comes with little time left does not turn the whole queue around.
     #[must_use]
     pub fn overloaded(&self, now: Ms) -> bool {
-        self.items.first_key_value().is_some_and(|(_, item)| {
-            now.since(item.entered).0 * 2 > item.deadline.since(item.entered).0
-        })
+        self.items
+            .first_key_value()
+            .is_some_and(|(_, item)| now.since(item.entered).0 as f32 * 2.0 > self.limit)
     }
 
-    /// How many requests are served before a new one of the team.
+    /// How many requests of the class are served before a new one of the team.
     #[must_use]
-    pub fn ahead(&self, now: Ms, team: &Name, weight: u32) -> usize {
+    pub fn ahead(&self, now: Ms, team: &Name, weight: u32, class: Class) -> usize {
         if self.overloaded(now) {
             return 0;
         }
+        let lane = match class {
+            Class::Short => &self.short,
+            Class::Long => &self.long,
+        };
         let weight = u64::from(weight.max(1));
-        let mut own = 0;
-        let mut weights = weight;
-        for (name, team_weight, waiting) in self.shares() {
-            if name == team {
-                own = waiting;
-            } else {
-                weights += team_weight;
-            }
-        }
-        let fair = own as u64 * weights / weight;
-        usize::try_from(fair).map_or(self.len(), |fair| fair.min(self.len()))
+        let active = lane.active.iter().map(|(_, name)| name);
+        let others = active.filter(|name| *name != team);
+        let others: u64 = others
+            .filter_map(|name| lane.teams.get(name))
+            .map(|team| team.weight)
+            .sum();
+        let own = lane.teams.get(team).map_or(0, |team| team.waiting.len());
+        let fair = own as u64 * (weight + others) / weight;
+        usize::try_from(fair).map_or(lane.waiting, |fair| fair.min(lane.waiting))
     }
 
     /// The request to refuse in favour of a new one of the team when the queue is full: one of the
--- a/crates/decision/src/request/admit.rs
+++ b/crates/decision/src/request/admit.rs
@@ -20,8 +20,10 @@
 /// A request is refused early when its expected wait exceeds this part of its remaining time. A
 /// higher part answers hardly more at a peak, because waiting adds no capacity, but each answer is
 /// later.
-const WAIT_PERCENT: u64 = 40;
-/// The bound of long work holds for this time after the last short request.
+const WAIT_PERCENT: u64 = 20;
+/// One in so many slots is kept free of long work beyond its share.
+const KEPT: u32 = 4;
+/// Short work is expected for this time after the last short request.
 const SHORT_MEMORY: Ms = Ms(10_000);
 
 impl Machine {
@@ -65,16 +67,13 @@
         if config.service(&call.service).is_none() {
             return Some(Refusal::Missing);
         }
-        (call.deadline <= now).then_some(Refusal::Late)
+        (Waiter::new(call).deadline <= now).then_some(Refusal::Late)
     }
 
     pub(super) fn insert(&mut self, now: Ms, call: Call, key: Option<Key>, route: Route) -> u64 {
         let id = call.id;
-        let waiter = Waiter {
-            call: id,
-            deadline: call.deadline,
-        };
-        self.timers.set(call.deadline, Due::Deadline(id));
+        let waiter = Waiter::new(&call);
+        self.timers.set(waiter.deadline, Due::Deadline(id));
         let request = Request {
             class: self.classes.class(&call.service, &call.kind),
             call: Arc::new(call),
@@ -96,15 +95,17 @@
     }
 
     /// Why a request cannot wait, after making room for it if a heavier team fills the queue.
-    fn admission(&mut self, now: Ms, id: u64) -> Option<Refusal> {
+    pub(super) fn admission(&mut self, now: Ms, id: u64) -> Option<Refusal> {
         let request = &self.requests[&id];
         let team = &request.call.team;
         let weight = self.weight(team);
         let queue = self.queues.get(&request.call.service)?;
         let remaining = request.deadline().since(now);
-        let mean = self.classes.mean(&request.call.service).unwrap_or(Ms::ZERO);
-        let ahead = queue.ahead(now, team, weight) as u64;
-        let slots = u64::from(self.table.capacity());
+        let class = request.class;
+        let mean = self.classes.mean(&request.call.service, class);
+        let mean = mean.unwrap_or(Ms::ZERO);
+        let ahead = queue.ahead(now, team, weight, class) as u64;
+        let slots = u64::from(self.table.share(class, self.bounded(now)));
         if slots > 0 && ahead * mean.0 / slots > remaining.0 * WAIT_PERCENT / 100 {
             return Some(Refusal::Late);
         }
@@ -130,7 +131,10 @@
             arrived: request.arrived,
             entered: now,
             deadline: request.deadline(),
-            cost: self.classes.mean(&call.service).unwrap_or(Ms(1)),
+            cost: self
+                .classes
+                .mean(&call.service, request.class)
+                .unwrap_or(Ms(1)),
         };
         let bound = self.bound(&call.service);
         let queue = self
@@ -155,12 +159,11 @@
         service.map_or(0, |service| service.queue as usize)
     }
 
-    /// Whether the share of long work is bounded now.
+    /// Whether the share of long work is bounded now: while short work waits, and while the last
+    /// free slots are kept for short work that is likely to come.
     pub(super) fn bounded(&self, now: Ms) -> bool {
-        now < self.short_until
-            || self
-                .queues
-                .values()
-                .any(|queue| queue.waiting(Class::Short) > 0)
+        let waits = |queue: &Queue| queue.waiting(Class::Short) > 0;
+        let scarce = self.table.free() * KEPT < self.table.capacity();
+        scarce && now < self.short_until || self.queues.values().any(waits)
     }
 }
--- a/crates/decision/src/request/machine.rs
+++ b/crates/decision/src/request/machine.rs
@@ -202,16 +202,14 @@
 
     fn join(&mut self, now: Ms, call: &Call, leader: u64) {
         let request = self.requests.get_mut(&leader);
-        let Some(request) = request.filter(|_| call.deadline > now) else {
+        let waiter = Waiter::new(call);
+        let Some(request) = request.filter(|_| waiter.deadline > now) else {
             self.reply(call.id, Outcome::Unknown);
             return;
         };
-        request.waiters.push(Waiter {
-            call: call.id,
-            deadline: call.deadline,
-        });
+        request.waiters.push(waiter);
         self.joined.insert(call.id, leader);
-        self.timers.set(call.deadline, Due::Deadline(leader));
+        self.timers.set(waiter.deadline, Due::Deadline(leader));
     }
 
     fn configure(&mut self, config: Arc<Checked>) {
--- a/crates/decision/src/request/peers.rs
+++ b/crates/decision/src/request/peers.rs
@@ -96,6 +96,13 @@
         }
     }
 
+    /// A request forwarded to a peer ended, which frees a slot there.
+    pub fn uncount(&mut self, entry: &Name) {
+        if let Some(entry) = self.find(entry) {
+            entry.sent = entry.sent.saturating_sub(1);
+        }
+    }
+
     /// A peer refused a request: it has no free slot until it tells so.
     pub fn refused(&mut self, entry: &Name) {
         if let Some(entry) = self.find(entry) {
--- a/crates/decision/src/request/settle.rs
+++ b/crates/decision/src/request/settle.rs
@@ -18,6 +18,8 @@
 use crate::timeline::Kind;
 use crate::timeline::Note;
 
+/// An entry that cannot serve asks at most so many peers.
+const MAX_FORWARDS: u32 = 2;
 /// A status from here on says that the target failed.
 const FAILED_STATUS: u16 = 500;
 
@@ -30,8 +32,9 @@
         match &flight.to {
             To::Target(choice) => self.end_at_target(now, attempt, &flight, *choice, &ending),
             To::Peer(peer) => {
-                if matches!(ending, Ending::Refused(_) | Ending::NotRun) {
-                    self.peers.refused(peer);
+                match ending {
+                    Ending::Refused(_) | Ending::NotRun => self.peers.refused(peer),
+                    Ending::Answered(_) | Ending::Unknown => self.peers.uncount(peer),
                 }
                 self.forget(attempt);
             }
@@ -134,7 +137,7 @@
             }
             Ending::Refused(refusal) => {
                 request.refusal = Some(refusal);
-                self.retry(now, id, false);
+                self.keep(now, id);
             }
             Ending::NotRun => self.retry(now, id, false),
             Ending::Unknown => {
@@ -144,6 +147,22 @@
         }
     }
 
+    /// A peer refused a request: it waits here if it can be served in time, or goes to one other
+    /// peer if this entry cannot serve at all.
+    fn keep(&mut self, now: Ms, id: u64) {
+        let request = &self.requests[&id];
+        let hopeless = if self.table.capacity() > 0 {
+            self.admission(now, id).is_some()
+        } else {
+            request.sends >= MAX_FORWARDS
+        };
+        if hopeless {
+            self.fail(now, id);
+        } else {
+            self.retry(now, id, false);
+        }
+    }
+
     /// Sends a request again if that is allowed and worthwhile, or ends it. An attempt that may
     /// have run is `paid` for from the retry budget.
     fn retry(&mut self, now: Ms, id: u64, paid: bool) {
--- a/crates/decision/src/request/work.rs
+++ b/crates/decision/src/request/work.rs
@@ -13,6 +13,10 @@
 use crate::queue::Place;
 use crate::route;
 
+/// A peer is answered this much before its deadline, so that a refusal reaches it in time and the
+/// outcome is not unknown to it.
+const HOP: Ms = Ms(15);
+
 /// A caller that waits for the outcome of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Waiter {
@@ -20,6 +24,16 @@
     pub deadline: Ms,
 }
 
+impl Waiter {
+    pub fn new(call: &Call) -> Self {
+        let early = if call.forwarded { HOP } else { Ms::ZERO };
+        Self {
+            call: call.id,
+            deadline: call.deadline - early,
+        }
+    }
+}
+
 /// Where a request may go.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Route {
--- a/crates/decision/src/route.rs
+++ b/crates/decision/src/route.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 
+use crate::classify::Class;
 use crate::clock::Ms;
 use crate::health::Change;
 use crate::health::Health;
@@ -299,6 +300,18 @@
         self.long * SCARCE < self.capacity
     }
 
+    /// Slots that requests of the class may count on.
+    #[must_use]
+    pub const fn share(&self, class: Class, bounded: bool) -> u32 {
+        let long = self.capacity * LONG_PERCENT / 100;
+        match class {
+            _ if !bounded => self.capacity,
+            Class::Long => long,
+            Class::Short if self.long < long => self.capacity - self.long,
+            Class::Short => self.capacity - long,
+        }
+    }
+
     /// Slots that may be used at all.
     #[must_use]
     pub const fn capacity(&self) -> u32 {
--- a/crates/decision/tests/queue.rs
+++ b/crates/decision/tests/queue.rs
@@ -125,12 +125,15 @@
         queue.push(item(call, "a", 1, Class::Short));
     }
     queue.push(item(40, "b", 1, Class::Long));
+    queue.push(item(41, "b", 1, Class::Short));
+    queue.push(item(42, "b", 1, Class::Short));
     let now = Ms(50);
-    let ahead = ["a", "b", "c"].map(|team| queue.ahead(now, &name(team), 1));
-    assert_eq!(ahead, [41, 2, 0]);
+    let ahead = ["a", "b", "c"].map(|team| queue.ahead(now, &name(team), 1, Class::Short));
+    assert_eq!(ahead, [42, 4, 0]);
+    assert_eq!(queue.ahead(now, &name("b"), 1, Class::Long), 1);
     assert_eq!(
         (queue.waiting(Class::Short), queue.waiting(Class::Long)),
-        (40, 1)
+        (42, 1)
     );
 }
 
