--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -138,6 +138,7 @@
         if periodic {
             adoption.waiting = None;
         }
+        let before = (adoption.epoch(), adoption.proven);
         let first = adoption.accepted.is_none();
         if first {
             adoption.busy = report.busy;
@@ -154,7 +155,8 @@
             return;
         }
         let vm = adoption.vm.clone();
-        self.retarget = true;
+        let changed = before != (adoption.epoch(), adoption.proven);
+        self.retarget |= changed;
         if first {
             self.note(
                 Kind::WorkerAdopted,
