--- /dev/null
+++ b/crates/decision/tests/place/faults.rs
@@ -0,0 +1,176 @@
+//! Placement under faults: nothing is lost, doubled or overcommitted.
+
+use decision::clock::Ms;
+use decision::naive;
+use decision::piece::Record;
+use decision::place::Board;
+use decision::place::Event;
+use decision::place::Order;
+use decision::place::Read;
+use decision::step::Step;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+
+use crate::fake::Faults;
+use crate::fake::World;
+use crate::fake::check::is_open;
+use crate::fake::job;
+use crate::fake::name;
+use crate::fake::piece;
+use crate::fake::size;
+use crate::fake::worker::Need;
+
+/// Long enough for the work, its retries and several lapses of leases.
+const LIMIT: Ms = Ms(1_200_000);
+
+#[test]
+fn tasks_run_once_without_faults() {
+    let mut world = world::<Board>(1, 3);
+    let need = need(3_000, 500);
+    world.submit(piece(job("a", 50, size(1_000, 1_000, 0))), need);
+    world.settle(LIMIT);
+    let done = |record: &Record| *record == Record::Done;
+    assert!(world.records().iter().all(done));
+    assert!(world.starts.values().all(|starts| starts.len() == 1));
+}
+
+/// What goes wrong at some point of a run.
+#[derive(Clone, Copy, Debug)]
+enum Blow {
+    Kill(usize),
+    Cut(usize),
+    Break(usize),
+    Restart,
+    Cancel(usize),
+    Objects,
+}
+
+fn blow() -> impl Strategy<Value = Blow> {
+    (0..6, 0..5usize).prop_map(|(kind, which)| match kind {
+        0 => Blow::Kill(which),
+        1 => Blow::Cut(which),
+        2 => Blow::Break(which),
+        3 => Blow::Restart,
+        4 => Blow::Cancel(which),
+        _ => Blow::Objects,
+    })
+}
+
+fn faults() -> impl Strategy<Value = Faults> {
+    (0..10u32, 0..10u32, 0..10u32, 0..10u32, 0..30u32, 0..50u32).prop_map(|chances| Faults {
+        unsent: chances.0,
+        lost_request: chances.1,
+        lost_answer: chances.2,
+        late_request: chances.3,
+        late_report: chances.4,
+        late_store: chances.5,
+    })
+}
+
+fn world<B: Placement>(seed: u64, workers: usize) -> World<B> {
+    let capacities = vec![size(8_000, 8_000, 0); workers];
+    World::new(B::empty(seed), seed, &capacities, size(1_000, 1_000, 0))
+}
+
+/// A board that can be replaced by an empty one.
+trait Placement: Step<Event = Event, Action = Order> + Read {
+    fn empty(seed: u64) -> Self;
+}
+
+impl Placement for Board {
+    fn empty(seed: u64) -> Self {
+        Self::new(seed)
+    }
+}
+
+impl Placement for naive::Board {
+    fn empty(seed: u64) -> Self {
+        Self::new(seed)
+    }
+}
+
+const fn need(work: u64, memory_mb: u32) -> Need {
+    Need {
+        work: Ms(work),
+        size: size(1_000, memory_mb, 0),
+        fails: false,
+    }
+}
+
+fn strike<B: Placement>(world: &mut World<B>, blow: Blow, seed: u64) {
+    match blow {
+        // One worker stays, so that the work can end.
+        Blow::Kill(which) if which > 0 => world.kill(which),
+        Blow::Kill(_) => {}
+        Blow::Cut(which) => world.cut_off(which),
+        Blow::Break(which) => world.workers[which].broken = true,
+        Blow::Restart => world.restart(B::empty(seed)),
+        Blow::Cancel(which) => world.cancel(&name(["a", "b", "c", "d", "e"][which])),
+        Blow::Objects => world.objects.up = !world.objects.up,
+    }
+}
+
+/// Runs three jobs under faults to their end, and returns the stored records. The checks of the
+/// promises run inside the world.
+fn run<B: Placement>(seed: u64, faults: Faults, blows: &[(u64, Blow)]) -> World<B> {
+    let mut world = world::<B>(seed, 5);
+    world.faults = faults;
+    world.traffic = true;
+    world.noise.insert(name("kind-b"), 4.0);
+    for (raw, work) in [("a", 1_000), ("b", 8_000), ("c", 30_000)] {
+        let job = job(raw, 20, size(1_000, 1_000, 0));
+        world.submit(piece(job), need(work, 700));
+    }
+    for (after, blow) in blows {
+        world.run(Ms(*after));
+        strike(&mut world, *blow, seed);
+    }
+    world.run(Ms(10_000));
+    world.heal();
+    world.settle(LIMIT);
+    for (task, count) in &world.completions {
+        let again = world.starts[task].len() > 1;
+        assert!(*count == 1 || again, "{task} completed {count} times");
+    }
+    world
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 96,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        max_shrink_iters: 40,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against lost and doubled tasks, overcommitted workers, outcomes acknowledged before
+    /// they are stored, and failures of broken workers that are held against tasks.
+    #[test]
+    fn promises_hold_under_faults(
+        seed in any::<u64>(),
+        faults in faults(),
+        blows in proptest::collection::vec((1_000..20_000u64, blow()), 0..8),
+    ) {
+        let world = run::<Board>(seed, faults, &blows);
+        let records = world.records();
+        let ended = |record: &Record| matches!(record, Record::Done | Record::Cancelled);
+        assert!(records.iter().all(ended), "not done: {records:?}");
+    }
+
+    /// Guards against faults of the shared life cycle that only the baseline's choices reach. It
+    /// holds the failures of broken workers against tasks.
+    #[test]
+    fn promises_hold_under_faults_for_the_baseline(
+        seed in any::<u64>(),
+        faults in faults(),
+        blows in proptest::collection::vec((1_000..20_000u64, blow()), 0..8),
+    ) {
+        let world = run::<naive::Board>(seed, faults, &blows);
+        let records = world.records();
+        assert!(!records.iter().any(is_open), "tasks are lost: {records:?}");
+    }
+}
--- a/crates/history/tests/checks/broken.rs
+++ b/crates/history/tests/checks/broken.rs
@@ -141,6 +141,15 @@
             vec![first(true), (2, received(1, 0, answered(b"1/0")))],
         ),
         (whole, vec![first(true), (9_000, Fact::Settled)]),
+        (
+            whole,
+            vec![
+                (0, entry(Life::Paused)),
+                (1, entry(Life::Resumed)),
+                (2, sent(1, 0, true)),
+                (9_000, Fact::Settled),
+            ],
+        ),
         (
             refusal,
             vec![first(true), ran(1), (2, received(1, 0, refused()))],
@@ -183,6 +192,8 @@
 
 fn bad_fleet() -> Vec<(Check, History)> {
     let drained = (2, replied("drain", Reply::Accepted));
+    let again = (2_900, replied("drain", Reply::Accepted));
+    let back = (2, replied("back", Reply::Accepted));
     vec![
         (
             Check::Leaving,
@@ -194,7 +205,31 @@
         ),
         (
             Check::Leaving,
-            vec![(1, drain()), drained, (3_003, run("a", "x"))],
+            vec![
+                (1, drain("drain", true)),
+                drained.clone(),
+                (3_003, run("a", "x")),
+            ],
+        ),
+        // The same call answered again does not start the time anew.
+        (
+            Check::Leaving,
+            vec![
+                (1, drain("drain", true)),
+                drained,
+                again.clone(),
+                (3_003, run("a", "x")),
+            ],
+        ),
+        (
+            Check::Leaving,
+            vec![
+                (1, drain("back", false)),
+                back,
+                (3, drain("drain", true)),
+                again,
+                (5_901, run("a", "x")),
+            ],
         ),
         (
             Check::GracefulStop,
--- a/crates/target/src/attempt.rs
+++ b/crates/target/src/attempt.rs
@@ -68,13 +68,14 @@
         }
     }
 
-    /// Runs an attempt within `limit`. Dropping the future closes the connection.
+    /// Runs an attempt, of which connecting takes at most `limit`. The embedder drops the future
+    /// when the answer is late, which closes the connection.
     pub async fn run(&self, to: SocketAddr, attempt: Attempt, limit: Duration) -> Ending {
         let id = attempt.id.to_string();
         let Ok(request) = build(attempt, &id) else {
             return Ending::NotRun;
         };
-        match self.pool.send(to, request, limit).await {
+        match self.pool.send_untimed(to, request, limit).await {
             Ok(response) => ending(response, &id),
             Err(pool::Error::Unsent(_)) => Ending::NotRun,
             Err(pool::Error::Broken(_)) => Ending::Unknown,
@@ -95,18 +96,22 @@
         .body(Full::new(attempt.body))
 }
 
+/// Reads an answer. A refusal may lack the id, as a target can refuse before it reads the request,
+/// but an answer with the id of another attempt says nothing about this one.
 fn ending(response: Response<Bytes>, id: &str) -> Ending {
     let header = |name| {
         let value = response.headers().get(name)?;
         Some(value.as_bytes())
     };
-    if header(REQUEST) != Some(id.as_bytes()) {
-        return Ending::Unknown;
-    }
-    let refused = header(OUTCOME) == Some(REFUSED.as_bytes());
-    if refused && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+    let known = header(REQUEST);
+    let refused = response.status() == StatusCode::SERVICE_UNAVAILABLE
+        && header(OUTCOME) == Some(REFUSED.as_bytes());
+    if refused && known.is_none_or(|known| known == id.as_bytes()) {
         return Ending::NotRun;
     }
+    if known != Some(id.as_bytes()) {
+        return Ending::Unknown;
+    }
     Ending::Answered(Answer {
         status: response.status().as_u16(),
         body: response.into_body(),
