--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -138,6 +138,7 @@
         if periodic {
             adoption.waiting = None;
         }
+        let before = (adoption.epoch(), adoption.proven);
         let first = adoption.accepted.is_none();
         if adoption.accepted < Some(sent.epoch) {
             adoption.accepted = Some(sent.epoch);
@@ -156,7 +157,8 @@
             return;
         }
         let vm = adoption.vm.clone();
-        self.retarget = true;
+        let changed = before != (adoption.epoch(), adoption.proven);
+        self.retarget |= changed;
         if first {
             self.note(
                 Kind::WorkerAdopted,
