Poll a client connection within its request

Cause: a driver task for each connection costs two task switches per request, and notices a closed connection only when it happens to run. Change: the request in progress polls its connection; a kept connection is looked at before it is reused, and swept when idle for too long. Pools no longer need a spawner.

--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -3,9 +3,14 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::pin::Pin;
+use std::pin::pin;
 use std::sync::Mutex;
+use std::task::Context;
+use std::task::Poll;
+use std::task::Waker;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -16,6 +21,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Body;
+use hyper::client::conn::http1;
 use hyper::client::conn::http1::Builder;
 use hyper::client::conn::http1::SendRequest;
 use quick_error::quick_error;
@@ -24,8 +30,6 @@
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 
-use crate::Spawner;
-
 /// The least time between the end of connecting and that of the whole request.
 const TURN: Duration = Duration::from_millis(1);
 
@@ -69,16 +73,24 @@
     }
 }
 
-/// A connection with its driver; dropping it closes the socket.
+/// A connection with its driver; dropping it closes the socket. The driver runs within the request
+/// in progress, which saves two switches between tasks for each request.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
-    _driver: smol::Task<()>,
+    driver: http1::Connection<FuturesIo<TcpStream>, Full<Bytes>>,
     since: Instant,
 }
 
+impl Connection {
+    /// Whether a request can be sent: the other side has not closed the connection meanwhile.
+    fn is_open(&mut self) -> bool {
+        let mut context = Context::from_waker(Waker::noop());
+        Pin::new(&mut self.driver).poll(&mut context).is_pending() && self.sender.is_ready()
+    }
+}
+
 /// Connections by address. Each request has its connection to itself.
 pub struct Pool {
-    spawner: Spawner,
     limits: Limits,
     idle: Mutex<HashMap<SocketAddr, Vec<Connection>>>,
 }
@@ -92,11 +104,10 @@
 }
 
 impl Pool {
-    /// An empty pool whose connections run on `spawner`.
+    /// An empty pool.
     #[must_use]
-    pub fn new(spawner: &Spawner, limits: Limits) -> Self {
+    pub fn new(limits: Limits) -> Self {
         Self {
-            spawner: Arc::clone(spawner),
             limits,
             idle: Mutex::default(),
         }
@@ -158,31 +169,27 @@
         self.idle.lock().expect("no holder of this lock panics")
     }
 
+    /// Closes connections that have been idle for too long to be reused.
+    pub fn sweep(&self) {
+        self.lock().retain(|_, list| {
+            list.retain(|connection| connection.since.elapsed() <= self.limits.idle);
+            !list.is_empty()
+        });
+    }
+
     fn reuse(&self, to: SocketAddr) -> Option<Connection> {
-        let mut idle = self.lock();
-        let list = idle.get_mut(&to)?;
-        let found = loop {
-            match list.pop() {
-                Some(connection) if self.usable(&connection) => break Some(connection),
-                Some(_) => {}
-                None => break None,
+        loop {
+            // The lock is released before the connection is looked at, which reads the socket.
+            let mut connection = self.lock().get_mut(&to)?.pop()?;
+            if connection.since.elapsed() <= self.limits.idle && connection.is_open() {
+                return Some(connection);
             }
-        };
-        if list.is_empty() {
-            idle.remove(&to);
         }
-        found
-    }
-
-    fn usable(&self, connection: &Connection) -> bool {
-        connection.since.elapsed() <= self.limits.idle && connection.sender.is_ready()
     }
 
     fn keep(&self, to: SocketAddr, connection: Connection) {
         let mut idle = self.lock();
         let list = idle.entry(to).or_default();
-        let oldest = self.limits.idle;
-        list.retain(|other| other.since.elapsed() <= oldest && !other.sender.is_closed());
         if list.len() < self.limits.kept {
             list.push(connection);
         }
@@ -207,13 +214,9 @@
             .handshake(FuturesIo::new(stream))
             .await
             .map_err(|error| Error::Unsent(format!("{to}: {error}")))?;
-        let driver = self.spawner.spawn(async move {
-            // The request in flight gets the same error from its sender.
-            drop(driver.await);
-        });
         Ok(Connection {
             sender,
-            _driver: driver,
+            driver,
             since: Instant::now(),
         })
     }
@@ -224,13 +227,17 @@
         mut connection: Connection,
         request: Request<Full<Bytes>>,
     ) -> Exchange {
-        let ended = match connection.sender.try_send_request(request).await {
-            Ok(response) => Exchange::Ended(self.read(to, response).await),
-            Err(mut error) => match error.take_message() {
-                Some(message) => Exchange::Returned(message),
-                None => Exchange::Ended(Err(broken(to, &error.into_error()))),
-            },
+        let Connection { sender, driver, .. } = &mut connection;
+        let answer = async {
+            match sender.try_send_request(request).await {
+                Ok(response) => Exchange::Ended(self.read(to, response).await),
+                Err(mut error) => match error.take_message() {
+                    Some(message) => Exchange::Returned(message),
+                    None => Exchange::Ended(Err(broken(to, &error.into_error()))),
+                },
+            }
         };
+        let ended = drive(driver, answer).await;
         if let Exchange::Ended(Ok(_)) = &ended {
             connection.since = Instant::now();
             self.keep(to, connection);
@@ -257,6 +264,27 @@
     }
 }
 
+/// Runs a connection until the answer is there. When the connection ends, the answer ends with the
+/// same error.
+async fn drive<T>(
+    driver: &mut http1::Connection<FuturesIo<TcpStream>, Full<Bytes>>,
+    answer: impl Future<Output = T>,
+) -> T {
+    let mut answer = pin!(answer);
+    let mut driver = Some(driver);
+    poll_fn(|context| {
+        if let Poll::Ready(answer) = answer.as_mut().poll(context) {
+            return Poll::Ready(answer);
+        }
+        let polled = driver.as_mut().map(|driver| Pin::new(driver).poll(context));
+        if polled.is_some_and(|polled| polled.is_ready()) {
+            driver = None;
+        }
+        answer.as_mut().poll(context)
+    })
+    .await
+}
+
 /// How the use of one connection went.
 enum Exchange {
     /// The request was written.
--- a/crates/link/tests/pool.rs
+++ b/crates/link/tests/pool.rs
@@ -14,7 +14,6 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
-use link::Spawner;
 use link::pool::Error;
 use link::pool::Limits;
 use link::pool::Pool;
@@ -61,15 +60,13 @@
         .expect("a valid request")
 }
 
-fn pool(idle: Duration) -> (Spawner, Pool) {
-    let spawner = Spawner::default();
+fn pool(idle: Duration) -> Pool {
     let limits = Limits {
         idle,
         answer: 16,
         ..Limits::default()
     };
-    let pool = Pool::new(&spawner, limits);
-    (spawner, pool)
+    Pool::new(limits)
 }
 
 /// Guards against taking a partial, oversized or missing answer for a whole one.
@@ -94,8 +91,8 @@
             read_head(&mut stream);
             drop(stream.write_all(answer.as_bytes()));
         });
-        let (spawner, pool) = pool(LIMIT);
-        let result = smol::block_on(spawner.run(pool.send(address, request(), LIMIT)));
+        let pool = pool(LIMIT);
+        let result = smol::block_on(pool.send(address, request(), LIMIT));
         assert!(
             matches!(result, Err(Error::Broken(_))),
             "{name}: {result:?}"
@@ -108,8 +105,8 @@
 fn a_refused_connection_is_unsent() {
     let unused = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
     let address = unused.expect("a free port");
-    let (spawner, pool) = pool(LIMIT);
-    let result = smol::block_on(spawner.run(pool.send(address, request(), LIMIT)));
+    let pool = pool(LIMIT);
+    let result = smol::block_on(pool.send(address, request(), LIMIT));
     assert!(matches!(result, Err(Error::Unsent(_))), "{result:?}");
 }
 
@@ -117,9 +114,9 @@
 #[test]
 fn a_silent_server_is_broken_after_the_limit() {
     let (address, _) = listen(|mut stream| while read_head(&mut stream) {});
-    let (spawner, pool) = pool(LIMIT);
+    let pool = pool(LIMIT);
     let limit = Duration::from_millis(50);
-    let result = smol::block_on(spawner.run(pool.send(address, request(), limit)));
+    let result = smol::block_on(pool.send(address, request(), limit));
     assert!(matches!(result, Err(Error::Broken(_))), "{result:?}");
 }
 
@@ -133,14 +130,14 @@
                 drop(stream.write_all(WHOLE.as_bytes()));
             }
         });
-        let (spawner, pool) = pool(idle);
-        smol::block_on(spawner.run(async {
+        let pool = pool(idle);
+        smol::block_on(async {
             for _ in 0..3 {
                 let answer = pool.send(address, request(), LIMIT).await;
                 assert_eq!(answer.expect("an answer").body(), "ok");
                 Timer::after(Duration::from_millis(5)).await;
             }
-        }));
+        });
         assert_eq!(
             count.load(Ordering::SeqCst),
             expected,
@@ -156,15 +153,15 @@
         read_head(&mut stream);
         drop(stream.write_all(WHOLE.as_bytes()));
     });
-    let (spawner, pool) = pool(Duration::from_millis(60_000));
-    smol::block_on(spawner.run(async {
+    let pool = pool(Duration::from_millis(60_000));
+    smol::block_on(async {
         for _ in 0..2 {
             let answer = pool.send(address, request(), LIMIT).await;
             assert_eq!(answer.expect("an answer").body(), "ok");
             // Time for the close to be seen.
             Timer::after(Duration::from_millis(300)).await;
         }
-    }));
+    });
     assert_eq!(count.load(Ordering::SeqCst), 2);
 }
 
@@ -178,8 +175,8 @@
         read_head(&mut stream);
         let _ = ended.send_blocking(());
     });
-    let (spawner, pool) = pool(LIMIT);
-    smol::block_on(spawner.run(async {
+    let pool = pool(LIMIT);
+    smol::block_on(async {
         let short = async {
             Timer::after(Duration::from_millis(50)).await;
             None
@@ -187,5 +184,5 @@
         let sent = async { Some(pool.send(address, request(), LIMIT).await) };
         assert!(sent.or(short).await.is_none(), "the server never answers");
         end.recv().await.expect("the connection was closed");
-    }));
+    });
 }
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -6,7 +6,6 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
-use link::Spawner;
 use link::pool;
 use link::pool::Pool;
 use quick_error::quick_error;
@@ -45,9 +44,9 @@
 }
 
 impl Client {
-    /// A client whose connections run on `spawner`.
+    /// A client without connections yet.
     #[must_use]
-    pub fn new(spawner: &Spawner, connect: Duration) -> Self {
+    pub fn new(connect: Duration) -> Self {
         let limits = pool::Limits {
             connect,
             kept: 16,
@@ -55,7 +54,7 @@
             ..pool::Limits::default()
         };
         Self {
-            pool: Pool::new(spawner, limits),
+            pool: Pool::new(limits),
         }
     }
 
@@ -89,6 +88,11 @@
         }
     }
 
+    /// Closes connections that have been idle for too long.
+    pub fn sweep(&self) {
+        self.pool.sweep();
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.pool.clear();
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -42,13 +42,12 @@
     }
 }
 
-fn start() -> (Server, Spawner) {
+fn start() -> Server {
     let spawner = Spawner::default();
     let listener = smol::block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
     let server = peer::server::start(&spawner, listener, Arc::new(Echo));
-    let running = Arc::clone(&spawner);
-    thread::spawn(move || smol::block_on(running.run(smol::future::pending::<()>())));
-    (server.expect("a server"), spawner)
+    thread::spawn(move || smol::block_on(spawner.run(smol::future::pending::<()>())));
+    server.expect("a server")
 }
 
 fn name(raw: &str) -> Name {
@@ -74,8 +73,8 @@
     }))
 }
 
-fn post(to: SocketAddr, spawner: &Spawner, path: &str, body: Vec<u8>) -> Response<Bytes> {
-    let pool = Pool::new(spawner, pool::Limits::default());
+fn post(to: SocketAddr, path: &str, body: Vec<u8>) -> Response<Bytes> {
+    let pool = Pool::new(pool::Limits::default());
     let request = Request::post(path)
         .header("host", "entry")
         .body(Full::new(body.into()))
@@ -86,8 +85,8 @@
 /// Guards against a message changed on its way.
 #[test]
 fn a_frame_arrives_as_sent() {
-    let (server, spawner) = start();
-    let client = Client::new(&spawner, LIMIT);
+    let server = start();
+    let client = Client::new(LIMIT);
     for bytes in [0, 1, 1_000, 500_000] {
         let sent = forward(bytes);
         let answer = smol::block_on(client.ask(server.address(), &sent, LIMIT));
@@ -134,14 +133,14 @@
             "the frame",
         ),
     ];
-    let (server, spawner) = start();
+    let server = start();
     for (name, bytes, expected) in cases {
-        let answer = post(server.address(), &spawner, "/peer", bytes);
+        let answer = post(server.address(), "/peer", bytes);
         assert_eq!(answer.status(), 400, "{name}");
         let error: frame::Error = rmp_serde::from_slice(answer.body()).expect("a typed error");
         assert!(error.to_string().starts_with(expected), "{name}: {error}");
     }
-    let missing = post(server.address(), &spawner, "/other", good);
+    let missing = post(server.address(), "/other", good);
     assert_eq!(missing.status(), 404);
 }
 
@@ -162,8 +161,8 @@
 /// Guards against a frame called unsent although it may have arrived, and the reverse.
 #[test]
 fn the_client_tells_unsent_from_broken() {
-    let (server, spawner) = start();
-    let client = Client::new(&spawner, LIMIT);
+    let server = start();
+    let client = Client::new(LIMIT);
     let ask = |to, frame, limit| smol::block_on(client.ask(to, &frame, limit));
     let silent = Frame::Timeline(Filter::default());
     let result = ask(server.address(), silent, Duration::from_millis(50));
--- a/crates/target/src/attempt.rs
+++ b/crates/target/src/attempt.rs
@@ -12,7 +12,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
-use link::Spawner;
 use link::pool;
 use link::pool::Pool;
 
@@ -60,11 +59,11 @@
 }
 
 impl Client {
-    /// A client whose connections run on `spawner`.
+    /// A client without connections yet.
     #[must_use]
-    pub fn new(spawner: &Spawner, limits: pool::Limits) -> Self {
+    pub fn new(limits: pool::Limits) -> Self {
         Self {
-            pool: Pool::new(spawner, limits),
+            pool: Pool::new(limits),
         }
     }
 
@@ -82,6 +81,11 @@
         }
     }
 
+    /// Closes connections that have been idle for too long.
+    pub fn sweep(&self) {
+        self.pool.sweep();
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.pool.clear();
--- a/crates/target/src/command.rs
+++ b/crates/target/src/command.rs
@@ -14,7 +14,6 @@
 use http::Request;
 use http::StatusCode;
 use http_body_util::Full;
-use link::Spawner;
 use link::pool;
 use link::pool::Pool;
 use smol::Timer;
@@ -31,9 +30,9 @@
 }
 
 impl Client {
-    /// A client whose connections run on `spawner`.
+    /// A client without connections yet.
     #[must_use]
-    pub fn new(spawner: &Spawner, connect: Duration) -> Self {
+    pub fn new(connect: Duration) -> Self {
         let limits = pool::Limits {
             connect,
             // Renewals come every 2 s, so the connection survives one that is missing.
@@ -42,7 +41,7 @@
             answer: MAX_REPLY,
         };
         Self {
-            pool: Pool::new(spawner, limits),
+            pool: Pool::new(limits),
             turns: Mutex::default(),
         }
     }
@@ -75,6 +74,16 @@
         }
     }
 
+    /// Closes connections that have been idle for too long.
+    pub fn sweep(&self) {
+        self.pool.sweep();
+    }
+
+    /// Closes all idle connections.
+    pub fn clear(&self) {
+        self.pool.clear();
+    }
+
     fn turn(&self, to: SocketAddr) -> Arc<smol::lock::Mutex<()>> {
         let mut turns = self.turns.lock().expect("no holder of this lock panics");
         turns.retain(|address, turn| *address == to || Arc::strong_count(turn) > 1);
--- a/crates/target/tests/client.rs
+++ b/crates/target/tests/client.rs
@@ -36,17 +36,16 @@
 const LIMIT: Duration = Duration::from_millis(5_000);
 const ID: &str = "entry-1/a/7";
 
-/// A server that answers with `respond`, and the spawner of its thread.
-fn start<F>(respond: impl Fn(Request<Incoming>) -> F + Send + Sync + 'static) -> (Server, Spawner)
+/// A server that answers with `respond`.
+fn start<F>(respond: impl Fn(Request<Incoming>) -> F + Send + Sync + 'static) -> Server
 where
     F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
     let spawner = Spawner::default();
     let listener = smol::block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
     let server = Server::start(&spawner, listener, Limits::default(), respond);
-    let running = Arc::clone(&spawner);
-    thread::spawn(move || smol::block_on(running.run(smol::future::pending::<()>())));
-    (server.expect("a server"), spawner)
+    thread::spawn(move || smol::block_on(spawner.run(smol::future::pending::<()>())));
+    server.expect("a server")
 }
 
 fn name(raw: &str) -> Name {
@@ -89,7 +88,7 @@
         (200, None, None, Ending::Unknown),
     ];
     for (status, id, outcome, expected) in cases {
-        let (server, spawner) = start(move |_request| async move {
+        let server = start(move |_request| async move {
             let mut response = Response::builder().status(status);
             for (header, value) in [("x-request", id), ("x-outcome", outcome)] {
                 if let Some(value) = value {
@@ -100,7 +99,7 @@
                 .body(Full::new(Bytes::from_static(b"whole")))
                 .expect("a valid response")
         });
-        let client = attempt::Client::new(&spawner, pool::Limits::default());
+        let client = attempt::Client::new(pool::Limits::default());
         let ending = smol::block_on(client.run(server.address(), sample(), LIMIT));
         assert_eq!(ending, expected, "{status} {id:?} {outcome:?}");
     }
@@ -109,7 +108,7 @@
 /// Guards against a request that reaches the target with other contents.
 #[test]
 fn an_attempt_arrives_as_sent() {
-    let (server, spawner) = start(|request: Request<Incoming>| async {
+    let server = start(|request: Request<Incoming>| async {
         let (head, body) = request.into_parts();
         let body = body.collect().await.expect("the whole body").to_bytes();
         let epoch = head.headers["x-epoch"].to_str().expect("text").to_owned();
@@ -120,7 +119,7 @@
             .body(Full::new(seen.into()))
             .expect("a valid response")
     });
-    let client = attempt::Client::new(&spawner, pool::Limits::default());
+    let client = attempt::Client::new(pool::Limits::default());
     let ending = smol::block_on(client.run(server.address(), sample(), LIMIT));
     let seen = "/run/orders/place 3.1 lamp";
     let body = Bytes::from_static(seen.as_bytes());
@@ -130,11 +129,11 @@
 /// Guards against calling a silent attempt not run, or an unconnected one unknown.
 #[test]
 fn silence_is_unknown_and_no_connection_is_not_run() {
-    let (server, spawner) = start(|_request| async {
+    let server = start(|_request| async {
         Timer::never().await;
         Response::default()
     });
-    let client = attempt::Client::new(&spawner, pool::Limits::default());
+    let client = attempt::Client::new(pool::Limits::default());
     let short = Duration::from_millis(50);
     let silent = client.run(server.address(), sample(), short);
     let late = async {
@@ -169,8 +168,8 @@
     })
 }
 
-fn command(to: SocketAddr, spawner: &Spawner, limit: Duration) -> Outcome {
-    let client = command::Client::new(spawner, LIMIT);
+fn command(to: SocketAddr, limit: Duration) -> Outcome {
+    let client = command::Client::new(LIMIT);
     smol::block_on(client.run(to, &renewal(1), limit))
 }
 
@@ -189,7 +188,7 @@
         (200, vec![0; 2 << 20], Outcome::Unknown),
     ];
     for (status, body, expected) in cases {
-        let (server, spawner) = start(move |_request| {
+        let server = start(move |_request| {
             let body = Full::new(Bytes::from(body.clone()));
             async move {
                 Response::builder()
@@ -198,11 +197,7 @@
                     .expect("a response")
             }
         });
-        assert_eq!(
-            command(server.address(), &spawner, LIMIT),
-            expected,
-            "{status}"
-        );
+        assert_eq!(command(server.address(), LIMIT), expected, "{status}");
     }
 }
 
@@ -212,7 +207,7 @@
 fn commands_to_a_worker_take_turns() {
     let seen = Arc::new(Mutex::new(Vec::new()));
     let log = Arc::clone(&seen);
-    let (server, spawner) = start(move |request: Request<Incoming>| {
+    let server = start(move |request: Request<Incoming>| {
         let log = Arc::clone(&log);
         async move {
             let body = request.into_body().collect().await.expect("the whole body");
@@ -223,7 +218,7 @@
             Response::new(Full::new(reply.into()))
         }
     });
-    let client = Arc::new(command::Client::new(&spawner, LIMIT));
+    let client = Arc::new(command::Client::new(LIMIT));
     let to = server.address();
     let running: Vec<_> = (0..5)
         .map(|row| {
--- a/src/daemon/shell.rs
+++ b/src/daemon/shell.rs
@@ -106,7 +106,7 @@
             journal: Journal::new(identity.entry.clone(), settings.limits.events),
             metrics: Metrics::new()?,
             directory: Directory::default(),
-            clients: clients(&settings, spawner),
+            clients: clients(&settings),
             control: Mutex::new(control::Machine::new(identity.clone(), board)),
             request: Mutex::new(request::Machine::new(&identity)),
             calls: Waiting::new(),
@@ -178,16 +178,16 @@
     }
 }
 
-fn clients(settings: &Settings, spawner: &Spawner) -> Clients {
+fn clients(settings: &Settings) -> Clients {
     let connect = settings.times.connect;
     let limits = pool::Limits {
         connect,
         ..pool::Limits::default()
     };
     Clients {
-        targets: target::attempt::Client::new(spawner, limits),
-        workers: target::command::Client::new(spawner, connect),
-        peers: peer::client::Client::new(spawner, connect),
+        targets: target::attempt::Client::new(limits),
+        workers: target::command::Client::new(connect),
+        peers: peer::client::Client::new(connect),
         table: platform::table::Client::new(settings.platform.table),
         objects: platform::object::Client::new(settings.platform.objects),
         vms: platform::vms::Client::new(settings.platform.vms),
--- a/src/daemon/stop.rs
+++ b/src/daemon/stop.rs
@@ -121,5 +121,6 @@
     shell.attempts.close();
     shell.operations.close();
     shell.clients.targets.clear();
+    shell.clients.workers.clear();
     shell.clients.peers.clear();
 }
--- a/src/daemon/ticks.rs
+++ b/src/daemon/ticks.rs
@@ -76,6 +76,9 @@
             shell.directory.list(shell.clock.now(), &vms);
             shell.control(control::Event::Vms(vms));
         }
+        shell.clients.targets.sweep();
+        shell.clients.workers.sweep();
+        shell.clients.peers.sweep();
         Timer::after(shell.settings.times.vms).await;
     }
 }
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -155,13 +155,10 @@
             doors: Mutex::default(),
             platform: Arc::clone(&fleet.platform),
             recorder: Arc::clone(&fleet.recorder),
-            pool: Pool::new(
-                &spawner,
-                pool::Limits {
-                    kept: 64,
-                    ..pool::Limits::default()
-                },
-            ),
+            pool: Pool::new(pool::Limits {
+                kept: 64,
+                ..pool::Limits::default()
+            }),
             seed: options.seed,
         });
         let watched = entries
--- a/tests/daemon/common.rs
+++ b/tests/daemon/common.rs
@@ -175,16 +175,14 @@
 
 /// A caller with its own connections.
 pub struct Caller {
-    spawner: Spawner,
     pool: Pool,
 }
 
 impl Caller {
     /// A caller without connections yet.
     pub fn new() -> Self {
-        let spawner = Spawner::default();
-        let pool = Pool::new(&spawner, pool::Limits::default());
-        Self { spawner, pool }
+        let pool = Pool::new(pool::Limits::default());
+        Self { pool }
     }
 
     /// Sends a request with headers and reads the whole answer.
@@ -205,7 +203,7 @@
             .body(Full::new(Bytes::from_static(body.as_bytes())))
             .expect("a valid request");
         let sent = self.pool.send(to, request, PATIENCE);
-        smol::block_on(self.spawner.run(sent))
+        smol::block_on(sent)
     }
 }
 
