--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -6,11 +6,13 @@
 mod exchange;
 mod flush;
 mod handover;
+mod leftover;
 mod machine;
 mod own;
 mod scan;
 mod status;
 mod store;
+mod stranded;
 mod submit;
 mod surplus;
 
--- a/crates/decision/src/control/machine.rs
+++ b/crates/decision/src/control/machine.rs
@@ -50,6 +50,7 @@
     pub(super) rows: Ms,
     pub(super) balance: Ms,
     pub(super) surplus: Ms,
+    pub(super) stranded: Ms,
 }
 
 /// The control path of one entry, driving a board.
@@ -91,6 +92,8 @@
     /// Keys of deleted rows, which a scan that began earlier may still show.
     pub(super) removed: BTreeMap<String, Ms>,
     pub(super) dirty: VecDeque<Name>,
+    /// Pieces that ended, with the time, until the board forgets them.
+    pub(super) ended: VecDeque<(Ms, Name)>,
     pub(super) surplus: VecDeque<Name>,
     pub(super) damaged: BTreeMap<String, crate::record::Error>,
     pub(super) slowdown: BTreeMap<Name, u32>,
@@ -139,6 +142,7 @@
             pieces: BTreeMap::new(),
             removed: BTreeMap::new(),
             dirty: VecDeque::new(),
+            ended: VecDeque::new(),
             surplus: VecDeque::new(),
             damaged: BTreeMap::new(),
             slowdown: BTreeMap::new(),
@@ -272,6 +276,8 @@
         self.own();
         self.renew();
         self.drive(place::Event::Tick);
+        self.forget_ended();
+        self.look_for_stranded();
         self.move_surplus();
         self.advance_calls();
         self.balance();
