Tell peers of drains directly

Change: the accepting entry pushes the drain to all live peers, again while unanswered; every entry tells a new process of all drains. A read of the table that began before is corrected. Two new tests fail without the push (8 and 6 open targets) and pass with it. Conclusion: a drain takes effect within the push, whatever the table does.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -2,6 +2,7 @@
 
 mod adopt;
 mod call;
+mod drain;
 mod drive;
 mod exchange;
 mod flush;
--- a/crates/decision/src/control/call.rs
+++ b/crates/decision/src/control/call.rs
@@ -209,7 +209,7 @@
                     self.notify(&group, &job);
                 }
             }
-            Effect::Drain(vm, leave) => self.drain(vm, leave),
+            Effect::Drain(vm, leave) => self.drain(&vm, leave),
             Effect::Config(version, document) => {
                 let changed = self.rollout.offer(version, document);
                 self.configured(changed);
@@ -220,21 +220,6 @@
         self.answer(number, Reply::Accepted);
     }
 
-    fn drain(&mut self, vm: Name, leave: bool) {
-        if leave {
-            self.note(
-                crate::timeline::Kind::Leaving,
-                &vm,
-                None,
-                "drained by an operator",
-            );
-            self.fleet.drained.insert(vm);
-        } else {
-            self.fleet.drained.remove(&vm);
-        }
-        self.sync_workers();
-    }
-
     /// Pushes a version, and waits a while for all live entries to confirm it.
     fn spread(&mut self, number: u64, version: Version) {
         let until = self.now + rollout::CONFIRM;
--- a/crates/decision/src/control/exchange.rs
+++ b/crates/decision/src/control/exchange.rs
@@ -6,8 +6,6 @@
 use super::Action;
 use super::Id;
 use super::Machine;
-use super::store::PAGE;
-use super::store::Reading;
 use crate::clock::Ms;
 use crate::group;
 use crate::member;
@@ -19,7 +17,6 @@
 use crate::place;
 use crate::resource::Size;
 use crate::step::Step;
-use crate::table::Row;
 use crate::timeline::Kind;
 use crate::vm::State;
 use crate::vm::Vm;
@@ -147,6 +144,10 @@
                 }
                 Message::Done
             }
+            Message::Drain { vm, leave } => {
+                self.drained(&vm, leave);
+                Message::Done
+            }
             Message::Operate(call) => {
                 return self.called(super::call::Route::Peer(number), call);
             }
@@ -178,6 +179,9 @@
             return;
         }
         self.repeer = true;
+        if news == News::Joined {
+            self.tell_drains(&member.entry);
+        }
         // What was on its way during a pause is delivered at once after it; a second later, news
         // is news.
         let recent = self.now.since(self.woke) > Ms(1_000) || self.woke == Ms::ZERO;
@@ -247,24 +251,6 @@
         self.sync_workers();
     }
 
-    pub(super) fn read_drains(&mut self, mut before: Vec<Row>, rows: Vec<Row>) {
-        let more = rows.len() == PAGE as usize;
-        before.extend(rows);
-        if let (Some(last), true) = (before.last(), more) {
-            let after = last.key.clone();
-            self.scan(Reading::Drains(before), "drain/", &after);
-            return;
-        }
-        let names = before
-            .iter()
-            .filter_map(|row| row.key.strip_prefix("drain/"));
-        let drained = names.filter_map(|name| Name::try_from(name).ok()).collect();
-        if drained != self.fleet.drained {
-            self.fleet.drained = drained;
-            self.sync_workers();
-        }
-    }
-
     /// Tells the request path which peers are live.
     pub(super) fn emit_peers(&mut self) {
         if !std::mem::take(&mut self.repeer) {
--- a/crates/decision/src/control/handover.rs
+++ b/crates/decision/src/control/handover.rs
@@ -149,6 +149,7 @@
     /// A message was not answered. A handover is repeated, then taken back through the table.
     pub(super) fn silent(&mut self, id: Id) {
         self.notices.remove(&id);
+        self.drain_unheard(id);
         let mut all = self.handing.iter();
         let found = all.find(|(_, handing)| handing.id == id);
         let Some(to) = found.map(|(to, _)| to.clone()) else {
--- a/crates/decision/src/control/machine.rs
+++ b/crates/decision/src/control/machine.rs
@@ -13,6 +13,7 @@
 use super::Identity;
 use super::adopt::Sent;
 use super::call::Call;
+use super::drain::Drains;
 use super::exchange::Fleet;
 use super::flush::Stored;
 use super::handover::Handing;
@@ -87,6 +88,7 @@
     pub(super) recheck: BTreeMap<Name, Ms>,
     pub(super) handing: BTreeMap<Name, Handing>,
     pub(super) notices: BTreeMap<Id, Name>,
+    pub(super) drains: Drains,
     pub(super) commands: BTreeMap<Id, Sent>,
     pub(super) pieces: BTreeMap<Name, Stored>,
     /// Keys of deleted rows, which a scan that began earlier may still show.
@@ -138,6 +140,7 @@
             recheck: BTreeMap::new(),
             handing: BTreeMap::new(),
             notices: BTreeMap::new(),
+            drains: Drains::default(),
             commands: BTreeMap::new(),
             pieces: BTreeMap::new(),
             removed: BTreeMap::new(),
--- a/crates/decision/src/member.rs
+++ b/crates/decision/src/member.rs
@@ -45,7 +45,7 @@
 /// What changed with a piece of news.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum News {
-    /// The member was not live before.
+    /// The member's process was not live before.
     Joined,
     /// The member was live and is still.
     Heard,
@@ -169,7 +169,8 @@
         if known.is_some_and(|known| stamp(&known.member) >= stamp(member)) {
             return News::Old;
         }
-        let before = known.is_some_and(|known| live(known, now));
+        let same = |known: &&Known| known.member.incarnation == member.incarnation;
+        let before = known.filter(same).is_some_and(|known| live(known, now));
         let known = Known {
             member: member.clone(),
             heard,
--- a/crates/decision/src/peer.rs
+++ b/crates/decision/src/peer.rs
@@ -54,6 +54,14 @@
         /// The job.
         job: Name,
     },
+    /// A worker was taken out of service by an operator, or returned to it; answered by
+    /// [`Message::Done`].
+    Drain {
+        /// The worker.
+        vm: Name,
+        /// Whether it leaves.
+        leave: bool,
+    },
     /// An operator's call that the receiver can settle; answered by [`Message::Operated`].
     Operate(operator::Call),
     /// The result of an operator's call.
--- a/crates/decision/tests/control/main.rs
+++ b/crates/decision/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod chaos;
+mod drains;
 mod ownership;
 mod world;
 
