Spread forwarded requests over peers in proportion to their slots

Cause: every entry sent what it could not serve to the peer with most free slots, which all entries hear of at the same time. A quarter of the slots kept free of long work was more than short work needs.

Change: forwards go to peers in proportion to what each offered, divided by what it was given since. A peer that was not reached counts like one that refused. One slot in eight is kept free of long work beyond its share.

--- a/crates/decision/src/request/admit.rs
+++ b/crates/decision/src/request/admit.rs
@@ -22,7 +22,7 @@
 /// later.
 const WAIT_PERCENT: u64 = 20;
 /// One in so many slots is kept free of long work beyond its share.
-const KEPT: u32 = 4;
+const KEPT: u32 = 8;
 /// Short work is expected for this time after the last short request.
 const SHORT_MEMORY: Ms = Ms(10_000);
 
--- a/crates/decision/src/request/peers.rs
+++ b/crates/decision/src/request/peers.rs
@@ -7,14 +7,22 @@
 #[derive(Debug)]
 struct Entry {
     peer: Peer,
-    /// Requests forwarded since the peer last told its load.
+    /// Requests in flight there that were forwarded since the peer last told its load.
     sent: u32,
+    /// All requests forwarded since then.
+    given: u32,
 }
 
 impl Entry {
     const fn free(&self) -> u32 {
         self.peer.free.saturating_sub(self.sent)
     }
+
+    /// What the peer offered, divided by what it was given since.
+    fn claim(&self) -> f32 {
+        let offer = (self.peer.free as f32 + 1.0) / (self.peer.waiting as f32 + 1.0);
+        offer / (self.given as f32 + 1.0)
+    }
 }
 
 /// The live peers.
@@ -32,8 +40,8 @@
             .map(|peer| {
                 // An unchanged summary is old news, to which the count still applies.
                 let same = former.iter_mut().find(|entry| entry.peer == peer);
-                let sent = same.map_or(0, |entry| entry.sent);
-                Entry { peer, sent }
+                let (sent, given) = same.map_or((0, 0), |entry| (entry.sent, entry.given));
+                Entry { peer, sent, given }
             })
             .collect();
     }
@@ -68,24 +76,23 @@
             .map(|peer| &peer.entry)
     }
 
-    /// The peer with the most free slots.
+    /// A peer with free slots, each in proportion to them. Sending everything to the one with most
+    /// would flood it until its next word, as all entries hear the same.
     #[must_use]
     pub fn freest(&self) -> Option<&Name> {
-        self.takers()
-            .filter(|entry| entry.free() > 0)
-            .max_by_key(|entry| entry.free())
-            .map(|entry| &entry.peer.entry)
+        let free = self.takers().filter(|entry| entry.free() > 0);
+        Self::next_of(free)
     }
 
-    /// The peer to send to when this entry cannot serve at all: the one with the most free slots,
-    /// then with the fewest waiting requests.
+    /// A peer to send to when this entry cannot serve at all.
     #[must_use]
     pub fn least_loaded(&self) -> Option<&Name> {
-        self.takers()
-            .max_by_key(|entry| {
-                let waiting = entry.peer.waiting.saturating_add(entry.sent);
-                (entry.free(), std::cmp::Reverse(waiting))
-            })
+        Self::next_of(self.takers())
+    }
+
+    fn next_of<'a>(entries: impl Iterator<Item = &'a Entry>) -> Option<&'a Name> {
+        entries
+            .max_by(|one, other| one.claim().total_cmp(&other.claim()))
             .map(|entry| &entry.peer.entry)
     }
 
@@ -93,6 +100,7 @@
     pub fn count(&mut self, entry: &Name) {
         if let Some(entry) = self.find(entry) {
             entry.sent = entry.sent.saturating_add(1);
+            entry.given = entry.given.saturating_add(1);
         }
     }
 
--- a/crates/decision/src/request/settle.rs
+++ b/crates/decision/src/request/settle.rs
@@ -119,6 +119,7 @@
         if let To::Target(choice) = flight.to {
             request.tried.push(choice.id);
         }
+        let at_peer = matches!(flight.to, To::Peer(_));
         let repeatable = request.call.repeatable;
         match ending {
             Ending::Answered(answer) if answer.status >= FAILED_STATUS && repeatable => {
@@ -139,6 +140,7 @@
                 request.refusal = Some(refusal);
                 self.keep(now, id);
             }
+            Ending::NotRun if request.route == Route::Serve && at_peer => self.keep(now, id),
             Ending::NotRun => self.retry(now, id, false),
             Ending::Unknown => {
                 request.ran = true;
