--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -7,9 +7,9 @@
 use super::Id;
 use super::Machine;
 use crate::clock::Ms;
+use crate::group;
 use crate::group::ADOPT_AGAIN;
 use crate::group::Adoption;
-use crate::group::CLOCK_BOUND;
 use crate::group::COMMAND_LOST;
 use crate::group::LEASE;
 use crate::group::RENEW;
@@ -138,12 +138,15 @@
         if periodic {
             adoption.waiting = None;
         }
+        let before = (adoption.epoch(), adoption.proven);
         let first = adoption.accepted.is_none();
-        if first {
-            adoption.busy = report.busy;
-        }
         if adoption.accepted < Some(sent.epoch) {
             adoption.accepted = Some(sent.epoch);
+            adoption.busy = report.former;
+        }
+        if report.epoch == sent.epoch {
+            // Under one epoch the number only falls, whatever the order of reports.
+            adoption.busy = adoption.busy.min(report.former);
         }
         let current = adoption.epoch().is_some();
         adoption.proven |= id >= floor;
@@ -154,7 +157,8 @@
             return;
         }
         let vm = adoption.vm.clone();
-        self.retarget = true;
+        let changed = before != (adoption.epoch(), adoption.proven);
+        self.retarget |= changed;
         if first {
             self.note(
                 Kind::WorkerAdopted,
@@ -246,8 +250,8 @@
                 events.push(place::Event::Gone(vm.name.clone()));
             }
         }
-        let lapsed = |gone: Ms| now.since(gone) > LEASE + CLOCK_BOUND;
-        held.workers.retain(|_, one| !one.gone.is_some_and(lapsed));
+        let lapsed = |one: &Adoption| one.gone.is_some_and(|gone| group::lapsed(now, gone));
+        held.workers.retain(|_, one| !lapsed(one));
         self.retarget = true;
         for event in events {
             self.drive(event);
