--- a/crates/decision/src/estimate.rs
+++ b/crates/decision/src/estimate.rs
@@ -21,6 +21,10 @@
 /// The most processors granted, as a multiple of the declaration.
 const MAX_PROCESSORS: f64 = 2.0;
 
+/// The most that a declaration is corrected upwards, as a multiple. What needs more shows it by
+/// running out of memory.
+const MAX_RATIO: f64 = 8.0;
+
 /// Weight of a new run time.
 const TIME_WEIGHT: f64 = 0.2;
 
@@ -127,7 +131,7 @@
 }
 
 fn ratio(amount: u32, declared: u32) -> f64 {
-    f64::from(amount) / f64::from(declared.max(1))
+    (f64::from(amount) / f64::from(declared.max(1))).min(MAX_RATIO)
 }
 
 fn scale(amount: u32, factor: f64) -> u32 {
--- a/crates/decision/src/place/events.rs
+++ b/crates/decision/src/place/events.rs
@@ -150,6 +150,7 @@
             self.vms.remove(&worker.vm.name);
             let group = &mut self.groups[worker.group as usize];
             group.workers.remove(&index);
+            group.holders.remove(&index);
             group.version += 1;
         }
         self.gone.retain(|&other| other != index);
@@ -205,9 +206,7 @@
             let name = self.task_name(key);
             let kind = self.piece(index).job.kind.clone();
             self.unbook(key, booking);
-            let worker = self.worker_mut(booking.worker);
-            worker.booked = worker.booked.plus(booking.grant);
-            worker.extra.push(worker::Task {
+            let task = worker::Task {
                 name,
                 attempt: booking.attempt,
                 kind,
@@ -217,7 +216,8 @@
                 saved: run.map_or(Ms::ZERO, |run| run.saved),
                 throttle: run.map_or(100, |run| run.share),
                 state: worker::State::Running,
-            });
+            };
+            self.keep_extra(booking.worker, task);
         }
         if let Some(piece) = self.pieces[index as usize].take() {
             self.groups[piece.group as usize].pieces.remove(&index);
--- a/crates/decision/src/place/index.rs
+++ b/crates/decision/src/place/index.rs
@@ -95,8 +95,8 @@
             } else if cell.2 < least.2 {
                 cursor = Cell(cell.0, cell.1, least.2);
             } else {
-                let turned = members.iter().cycle().skip(turn % members.len());
-                let mut tried = turned.take(members.len().min(MAX_IN_CELL));
+                let (before, after) = members.split_at(turn % members.len());
+                let mut tried = after.iter().chain(before).take(MAX_IN_CELL);
                 if tried.any(|&worker| visit(worker)) {
                     return;
                 }
--- a/crates/decision/src/place/ledger.rs
+++ b/crates/decision/src/place/ledger.rs
@@ -1,5 +1,6 @@
 //! Workers, pieces and bookings: what is known to run, or may run, where.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -145,6 +146,8 @@
     pub workers: HashSet<u32>,
     /// Its pieces.
     pub pieces: HashSet<u32>,
+    /// Workers that reported attempts of tasks that are not held.
+    pub holders: BTreeSet<u32>,
     /// Rises when its set of workers or their capacities change.
     pub version: u64,
 }
@@ -318,6 +321,7 @@
             caretaker: false,
             workers: HashSet::new(),
             pieces: HashSet::new(),
+            holders: BTreeSet::new(),
             version: 0,
         });
         self.group_names.insert(name.clone(), index);
--- a/crates/decision/src/place/outcome.rs
+++ b/crates/decision/src/place/outcome.rs
@@ -17,6 +17,9 @@
 /// Failures after which it has failed for good wherever it ran.
 const MAX_FAILURES_ANYWHERE: u32 = 10;
 
+/// The least memory granted after a task ran out of it; a task may declare none.
+const MIN_MEMORY_MB: u32 = 64;
+
 /// The pause before a failed task is tried again, doubled with each failure.
 const RETRY: Ms = Ms(500);
 
@@ -147,7 +150,8 @@
             return self.charge(key, true);
         }
         if let Some(history) = self.ledger.history_mut(key) {
-            history.memory_floor = booking.grant.memory_mb.saturating_mul(2).min(most);
+            let doubled = booking.grant.memory_mb.saturating_mul(2);
+            history.memory_floor = doubled.max(MIN_MEMORY_MB).min(most);
             history.avoid = None;
         }
         self.ledger.retry(key);
--- a/crates/decision/src/place/report.rs
+++ b/crates/decision/src/place/report.rs
@@ -84,8 +84,9 @@
         worker.capacity = report.capacity;
         let extra = std::mem::take(&mut worker.extra);
         worker.booked = worker.booked.minus(running_grants(&extra));
+        let group = worker.group as usize;
+        self.groups[group].holders.remove(&index);
         if resized {
-            let group = worker.group as usize;
             self.groups[group].version += 1;
         }
         let mut seen = Vec::with_capacity(report.tasks.len());
@@ -103,27 +104,21 @@
         self.signals.push(Signal::Reported(index));
     }
 
-    fn keep_extra(&mut self, index: u32, task: worker::Task) {
+    pub(super) fn keep_extra(&mut self, index: u32, task: worker::Task) {
         let worker = self.worker_mut(index);
         if task.state == State::Running {
             worker.booked = worker.booked.plus(task.grant);
         }
         worker.extra.push(task);
+        let group = worker.group as usize;
+        self.groups[group].holders.insert(index);
     }
 
     /// Takes attempts of a new piece out of what its workers reported before it arrived.
     pub(super) fn attach(&mut self, group: u32) {
-        let mut workers: Vec<u32> = self.groups[group as usize]
-            .workers
-            .iter()
-            .copied()
-            .collect();
-        workers.sort_unstable();
-        for index in workers {
+        let holders = std::mem::take(&mut self.groups[group as usize].holders);
+        for index in holders {
             let worker = self.worker_mut(index);
-            if worker.extra.is_empty() {
-                continue;
-            }
             let extra = std::mem::take(&mut worker.extra);
             worker.booked = worker.booked.minus(running_grants(&extra));
             for task in extra {
--- /dev/null
+++ b/crates/decision/tests/policy.rs
@@ -0,0 +1,250 @@
+//! Tables of single placement decisions.
+
+use decision::clock::Ms;
+use decision::config::Checked;
+use decision::config::Document;
+use decision::config::Team;
+use decision::estimate::Estimate;
+use decision::fair::Shares;
+use decision::interference::Model;
+use decision::name::Name;
+use decision::protect::Action;
+use decision::protect::Guard;
+use decision::quarantine::Change;
+use decision::quarantine::Health;
+use decision::resource::Size;
+
+const fn size(millicores: u32, memory_mb: u32) -> Size {
+    Size {
+        millicores,
+        memory_mb,
+        accelerators: 0,
+    }
+}
+
+fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("test names are valid")
+}
+
+const DECLARED: Size = size(1_000, 1_000);
+const LARGEST: Size = size(8_000, 8_000);
+
+/// Guards against grants below what was observed, above the largest worker, or that follow a few
+/// reports blindly.
+#[test]
+fn grants_follow_reports_with_bounded_trust() {
+    // (reports, memory used, memory floor, least grant, largest grant)
+    let cases = [
+        (0, 0, 0, 1_000, 1_000),
+        (1, 100, 0, 800, 999),
+        (100, 100, 0, 150, 250),
+        (1, 3_000, 0, 3_000, 3_000),
+        (100, 3_000, 0, 3_000, 3_500),
+        (0, 0, 2_000, 2_000, 2_000),
+        (100, 7_900, 0, 7_900, 8_000),
+        (0, 0, 20_000, 8_000, 8_000),
+    ];
+    for case in cases {
+        let (reports, memory, floor, least, most) = case;
+        let mut estimate = Estimate::default();
+        for _ in 0..reports {
+            estimate.used(DECLARED, size(1_000, 8_000), size(900, memory), true);
+        }
+        let grant = estimate.grant(DECLARED, floor, LARGEST);
+        assert!(
+            (least..=most).contains(&grant.memory_mb),
+            "{case:?}: {grant:?}"
+        );
+    }
+}
+
+/// Guards against a kind that keeps running out of memory at its first grant.
+#[test]
+fn a_memory_failure_doubles_later_grants_in_time() {
+    let mut estimate = Estimate::default();
+    for _ in 0..20 {
+        estimate.exhausted(DECLARED, DECLARED);
+    }
+    assert!(estimate.grant(DECLARED, 0, LARGEST).memory_mb >= 2_000);
+}
+
+/// Guards against a declared size above every worker that a cut would hide.
+#[test]
+fn an_impossible_declaration_stays_impossible() {
+    let declared = size(9_000, 1_000);
+    let grant = Estimate::default().grant(declared, 0, LARGEST);
+    assert!(!grant.fits(LARGEST));
+}
+
+/// Guards against run times that are never corrected, or by a single report.
+#[test]
+fn run_times_are_corrected() {
+    for (completions, least, most) in [(0, 1_000, 1_000), (1, 1_100, 3_000), (50, 5_000, 10_000)] {
+        let mut estimate = Estimate::default();
+        for _ in 0..completions {
+            estimate.completed(DECLARED, DECLARED, Ms(1_000), Ms(10_000));
+        }
+        let time = estimate.run_time(Ms(1_000)).0;
+        assert!((least..=most).contains(&time), "{completions}: {time}");
+    }
+}
+
+/// Guards against a slowdown blamed on the wrong kind.
+#[test]
+fn slowdown_is_learned_per_pair() {
+    let (service, request) = (name("orders"), name("order"));
+    let (loud, quiet) = (name("loud"), name("quiet"));
+    let mut model = Model::default();
+    let rounds = [
+        (vec![], 20),
+        (vec![loud.clone()], 60),
+        (vec![quiet.clone()], 20),
+        (vec![loud.clone(), quiet.clone()], 60),
+    ];
+    assert!(!model.known(&service, &loud));
+    for _ in 0..200 {
+        for (present, time) in &rounds {
+            model.measure(&service, &request, Ms(*time), present);
+        }
+    }
+    assert!(model.known(&service, &loud) && model.known(&service, &quiet));
+    let slowdown = |kind: &Name| model.slowdown(&service, [kind]);
+    assert!((2.5..3.5).contains(&slowdown(&loud)), "{}", slowdown(&loud));
+    assert!(slowdown(&quiet) < 1.2, "{}", slowdown(&quiet));
+    assert!(slowdown(&name("unseen")) < 1.01);
+}
+
+/// Feeds one ratio for a second of ten measurements each and returns what was decided.
+fn decide(guard: &mut Guard, from: u64, seconds: u64, ratio: f64) -> Vec<Action> {
+    let mut actions = Vec::new();
+    for second in from..from + seconds {
+        for part in 0..10 {
+            guard.measure(Ms(second * 1_000 + part * 100), ratio);
+        }
+        actions.push(guard.decide(Ms(second * 1_000 + 999), 1.5));
+    }
+    actions.retain(|action| *action != Action::Keep);
+    actions
+}
+
+/// Guards against evictions before the milder steps, and steps without new measurements.
+#[test]
+fn protection_escalates_in_order() {
+    let mut guard = Guard::default();
+    let actions = decide(&mut guard, 0, 12, 3.0);
+    let expected = [
+        Action::Throttle(50),
+        Action::Throttle(20),
+        Action::Pause,
+        Action::Evict,
+    ];
+    assert_eq!(actions[..4], expected);
+    let mut idle = Guard::default();
+    assert_eq!(decide(&mut idle, 0, 12, 1.2), []);
+}
+
+/// Guards against capacity that is held back although the service is calm or idle.
+#[test]
+fn capacity_is_given_back() {
+    let mut guard = Guard::default();
+    assert_eq!(decide(&mut guard, 0, 2, 3.0), [Action::Throttle(50)]);
+    assert_eq!(decide(&mut guard, 2, 3, 1.0), [Action::Release]);
+    let mut silent = Guard::default();
+    decide(&mut silent, 0, 2, 3.0);
+    assert_eq!(silent.decide(Ms(6_000), 1.5), Action::Release);
+}
+
+/// Guards against protection that releases and throttles in turn for ever at full pace.
+#[test]
+fn relapses_hold_capacity_back_longer() {
+    let mut guard = Guard::default();
+    let mut releases = 0;
+    for round in 0..10 {
+        decide(&mut guard, round * 4, 2, 3.0);
+        let back = decide(&mut guard, round * 4 + 2, 2, 1.0);
+        releases += back.iter().filter(|one| **one == Action::Release).count();
+    }
+    assert!((1..8).contains(&releases), "{releases} releases in 40 s");
+}
+
+/// Guards against workers that fail everything and keep getting tasks, and against healthy ones
+/// that are cut off by a few failures.
+#[test]
+fn workers_that_fail_everything_are_quarantined() {
+    // (results: true for success, quarantined)
+    let cases = [
+        (vec![false; 4], false),
+        (vec![false; 5], true),
+        ([vec![true; 10], vec![false; 3]].concat(), false),
+        ([true, true, false].repeat(20), false),
+    ];
+    for (results, quarantined) in cases {
+        let mut health = Health::default();
+        for success in &results {
+            if *success {
+                health.succeeded();
+            } else {
+                health.failed(Ms(0));
+            }
+        }
+        assert_eq!(health.quarantined(), quarantined, "{results:?}");
+    }
+}
+
+/// Guards against probes that come too early or too many, and a return at full load.
+#[test]
+fn a_quarantined_worker_is_probed_back_in() {
+    let mut health = Health::default();
+    for _ in 0..5 {
+        health.failed(Ms(0));
+    }
+    assert!(!health.allows(Ms(999), 0));
+    assert!(health.allows(Ms(1_000), 0));
+    health.placed();
+    assert!(!health.allows(Ms(1_000), 1), "one probe at a time");
+    assert_eq!(health.failed(Ms(1_500)), Change::Quarantined);
+    assert!(!health.allows(Ms(3_400), 0), "the pause doubles");
+    assert!(health.allows(Ms(3_500), 0));
+    health.placed();
+    assert_eq!(health.succeeded(), Change::Restored);
+    for (tasks, allowed) in [(0, true), (1, false)] {
+        assert_eq!(health.allows(Ms(4_000), tasks), allowed, "slow start");
+    }
+    for _ in 0..4 {
+        health.succeeded();
+    }
+    assert!(health.allows(Ms(4_000), 100));
+}
+
+/// Guards against shares that ignore weights or other entries, and quotas that are exceeded.
+#[test]
+fn shares_follow_weights_and_quotas() {
+    let team = |raw: &str, weight| Team {
+        name: name(raw),
+        quota: size(4_000, 4_000),
+        weight,
+    };
+    let document = Document {
+        teams: vec![team("heavy", 4), team("light", 1)],
+        ..Document::default()
+    };
+    let config = Checked::try_from(document).expect("the test configuration is valid");
+    let mut shares = Shares::default();
+    shares.resize(Size::ZERO, size(100_000, 100_000));
+    shares.set_others(vec![(name("light"), size(1_000, 500))]);
+    let held = size(1_000, 1_000);
+    let (heavy, light) = (name("heavy"), name("light"));
+    assert!(shares.share(&config, &heavy, held) < shares.share(&config, &light, held));
+    // (team, held here, one more task fits the quota)
+    let cases = [
+        (&heavy, size(3_000, 0), true),
+        (&heavy, size(3_001, 0), false),
+        (&light, size(2_000, 0), true),
+        (&light, size(3_000, 0), false),
+        (&light, size(0, 3_000), false),
+    ];
+    for (team, held, within) in cases {
+        let found = shares.within_quota(&config, team, held, DECLARED);
+        assert_eq!(found, within, "{team} holds {held:?}");
+    }
+}
