--- a/crates/decision/src/classify.rs
+++ b/crates/decision/src/classify.rs
@@ -6,13 +6,14 @@
 use crate::name::Name;
 
 /// Weight of the newest time in a kind's mean and deviation.
-const KIND_WEIGHT: f32 = 0.1;
+const KIND_WEIGHT: f32 = 0.05;
 /// Weight of the newest time in a service's means.
 const SERVICE_WEIGHT: f32 = 0.02;
 /// Nothing is concluded from fewer times.
 const MIN_TIMES: u32 = 5;
-/// A kind is long when its mean exceeds the service's geometric mean this many times.
-const LONG_FACTOR: f32 = 4.0;
+/// A kind is long when its geometric mean exceeds the service's this many times. A few stragglers
+/// hardly move a geometric mean, so that their kind does not become long.
+const LONG_FACTOR: f32 = 2.5;
 /// A short request is reclassified when it runs this many times its kind's mean.
 const SLOW_FACTOR: f32 = 8.0;
 /// A hedge is sent when the mean is exceeded by this many deviations.
@@ -34,16 +35,32 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct Kind {
     times: u32,
+    log_mean: f32,
     /// Times above `SLOW_FACTOR` means are counted as that, so that stragglers do not hide others.
     mean: f32,
     deviation: f32,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct Mean {
+    times: u32,
+    value: f32,
+}
+
+impl Mean {
+    fn record(&mut self, time: f32) {
+        self.times = self.times.saturating_add(1);
+        let weight = SERVICE_WEIGHT.max(1.0 / self.times as f32);
+        self.value += weight * (time - self.value);
+    }
+}
+
 #[derive(Debug, Default)]
 struct Service {
     times: u32,
     log_mean: f32,
-    mean: f32,
+    short: Mean,
+    long: Mean,
     kinds: HashMap<Name, Kind>,
 }
 
@@ -62,7 +79,7 @@
         };
         match service.kinds.get(kind) {
             Some(kind) if kind.times >= MIN_TIMES => {
-                if kind.mean > LONG_FACTOR * service.log_mean.exp() {
+                if kind.log_mean > service.log_mean + LONG_FACTOR.ln() {
                     Class::Long
                 } else {
                     Class::Short
@@ -86,15 +103,20 @@
         Some(ceil(kind.mean + HEDGE_DEVIATIONS * kind.deviation))
     }
 
-    /// The mean time that a request of the service holds a slot.
+    /// The mean time that a request of the class holds a slot.
     #[must_use]
-    pub fn mean(&self, service: &Name) -> Option<Ms> {
+    pub fn mean(&self, service: &Name, class: Class) -> Option<Ms> {
         let service = self.services.get(service)?;
-        (service.times >= MIN_TIMES).then(|| ceil(service.mean))
+        let mean = match class {
+            Class::Short => service.short,
+            Class::Long => service.long,
+        };
+        (mean.times >= MIN_TIMES).then(|| ceil(mean.value))
     }
 
     /// Takes in the run time of an answered request.
     pub fn record(&mut self, service: &Name, kind: &Name, time: Ms) {
+        let class = self.class(service, kind);
         if !self.services.contains_key(service) {
             self.services.insert(service.clone(), Service::default());
         }
@@ -105,7 +127,10 @@
         service.times = service.times.saturating_add(1);
         let weight = SERVICE_WEIGHT.max(1.0 / service.times as f32);
         service.log_mean += weight * (time.ln() - service.log_mean);
-        service.mean += weight * (time - service.mean);
+        match class {
+            Class::Short => service.short.record(time),
+            Class::Long => service.long.record(time),
+        }
         if !service.kinds.contains_key(kind) {
             if service.kinds.len() >= MAX_KINDS {
                 return;
@@ -127,12 +152,14 @@
     fn record(&mut self, time: f32) {
         self.times = self.times.saturating_add(1);
         if self.times == 1 {
+            self.log_mean = time.ln();
             self.mean = time;
             self.deviation = time / 2.0;
             return;
         }
-        let time = time.min(self.mean * SLOW_FACTOR);
         let weight = KIND_WEIGHT.max(1.0 / self.times as f32);
+        self.log_mean += weight * (time.ln() - self.log_mean);
+        let time = time.min(self.mean * SLOW_FACTOR);
         let error = time - self.mean;
         self.mean += weight * error;
         self.deviation += weight * (error.abs() - self.deviation);
--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -7,9 +7,9 @@
 use super::Id;
 use super::Machine;
 use crate::clock::Ms;
+use crate::group;
 use crate::group::ADOPT_AGAIN;
 use crate::group::Adoption;
-use crate::group::CLOCK_BOUND;
 use crate::group::COMMAND_LOST;
 use crate::group::LEASE;
 use crate::group::RENEW;
@@ -134,24 +134,31 @@
         let Some(adoption) = self.adoption(sent) else {
             return;
         };
-        if adoption.waiting.is_some_and(|(waiting, _)| waiting == id) {
+        let periodic = adoption.waiting.is_some_and(|(waiting, _)| waiting == id);
+        if periodic {
             adoption.waiting = None;
         }
+        let before = (adoption.epoch(), adoption.proven);
         let first = adoption.accepted.is_none();
-        if first {
-            adoption.busy = report.busy;
-        }
         if adoption.accepted < Some(sent.epoch) {
             adoption.accepted = Some(sent.epoch);
+            adoption.busy = report.former;
+        }
+        if report.epoch == sent.epoch {
+            // Under one epoch the number only falls, whatever the order of reports.
+            adoption.busy = adoption.busy.min(report.former);
         }
         let current = adoption.epoch().is_some();
         adoption.proven |= id >= floor;
-        adoption.next = if current { now + RENEW } else { now };
+        if periodic {
+            adoption.next = if current { now + RENEW } else { now };
+        }
         if !current || adoption.gone.is_some() {
             return;
         }
         let vm = adoption.vm.clone();
-        self.retarget = true;
+        let changed = before != (adoption.epoch(), adoption.proven);
+        self.retarget |= changed;
         if first {
             self.note(
                 Kind::WorkerAdopted,
@@ -160,6 +167,7 @@
                 "it accepted the epoch",
             );
         }
+        self.look_for_leftovers(sent, &report);
         self.report(vm, sent.epoch, report);
     }
 
@@ -242,8 +250,8 @@
                 events.push(place::Event::Gone(vm.name.clone()));
             }
         }
-        let lapsed = |gone: Ms| now.since(gone) > LEASE + CLOCK_BOUND;
-        held.workers.retain(|_, one| !one.gone.is_some_and(lapsed));
+        let lapsed = |one: &Adoption| one.gone.is_some_and(|gone| group::lapsed(now, gone));
+        held.workers.retain(|_, one| !lapsed(one));
         self.retarget = true;
         for event in events {
             self.drive(event);
--- a/crates/history/tests/checks/facts.rs
+++ b/crates/history/tests/checks/facts.rs
@@ -63,6 +63,14 @@
     }
 }
 
+pub fn acknowledged(vm: &str, attempt: u32) -> Fact {
+    Fact::Acknowledged {
+        vm: name(vm),
+        task: name("job#0"),
+        attempt,
+    }
+}
+
 pub fn checkpoint(vm: &str, attempt: u32, key: &str) -> Fact {
     Fact::Checkpointed {
         vm: name(vm),
@@ -176,9 +184,9 @@
     called("cancel", Action::Cancel { job: name("job") })
 }
 
-pub fn drain() -> Fact {
+pub fn drain(id: &str, leave: bool) -> Fact {
     let vm = name("w1");
-    called("drain", Action::Drain { vm, leave: true })
+    called(id, Action::Drain { vm, leave })
 }
 
 pub fn reconfigure(id: &str) -> Fact {
--- a/crates/target/src/attempt.rs
+++ b/crates/target/src/attempt.rs
@@ -12,7 +12,6 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
-use link::Spawner;
 use link::pool;
 use link::pool::Pool;
 
@@ -60,27 +59,33 @@
 }
 
 impl Client {
-    /// A client whose connections run on `spawner`.
+    /// A client without connections yet.
     #[must_use]
-    pub fn new(spawner: &Spawner, limits: pool::Limits) -> Self {
+    pub fn new(limits: pool::Limits) -> Self {
         Self {
-            pool: Pool::new(spawner, limits),
+            pool: Pool::new(limits),
         }
     }
 
-    /// Runs an attempt within `limit`. Dropping the future closes the connection.
+    /// Runs an attempt, of which connecting takes at most `limit`. The embedder drops the future
+    /// when the answer is late, which closes the connection.
     pub async fn run(&self, to: SocketAddr, attempt: Attempt, limit: Duration) -> Ending {
         let id = attempt.id.to_string();
         let Ok(request) = build(attempt, &id) else {
             return Ending::NotRun;
         };
-        match self.pool.send(to, request, limit).await {
+        match self.pool.send_untimed(to, request, limit).await {
             Ok(response) => ending(response, &id),
             Err(pool::Error::Unsent(_)) => Ending::NotRun,
             Err(pool::Error::Broken(_)) => Ending::Unknown,
         }
     }
 
+    /// Closes connections that have been idle for too long.
+    pub fn sweep(&self) {
+        self.pool.sweep();
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.pool.clear();
--- a/src/daemon/shell.rs
+++ b/src/daemon/shell.rs
@@ -14,6 +14,7 @@
 use decision::operator;
 use decision::peer::Envelope;
 use decision::peer::Message;
+use decision::place;
 use decision::request;
 use decision::request::Attempt;
 use decision::request::Outcome;
@@ -28,7 +29,6 @@
 use super::Error;
 use super::clock::Clock;
 use super::directory::Directory;
-use super::stub;
 use super::tasks::Tasks;
 use super::waiting::Waiting;
 use crate::journal::Journal;
@@ -49,7 +49,7 @@
     pub(super) metrics: Metrics,
     pub(super) directory: Directory,
     pub(super) clients: Clients,
-    pub(super) control: Mutex<control::Machine<stub::Board>>,
+    pub(super) control: Mutex<control::Machine<place::Board>>,
     pub(super) request: Mutex<request::Machine>,
     /// Requests of callers and peers that wait for their outcome.
     pub(super) calls: Waiting<Outcome>,
@@ -99,14 +99,14 @@
         identity: Identity,
         spawner: &Spawner,
     ) -> Result<Self, Error> {
-        let board = stub::Board::new(identity.seed);
+        let board = place::Board::new(identity.seed);
         Ok(Self {
             spawner: Arc::clone(spawner),
             clock: Clock::new(),
             journal: Journal::new(identity.entry.clone(), settings.limits.events),
             metrics: Metrics::new()?,
             directory: Directory::default(),
-            clients: clients(&settings, spawner),
+            clients: clients(&settings),
             control: Mutex::new(control::Machine::new(identity.clone(), board)),
             request: Mutex::new(request::Machine::new(&identity)),
             calls: Waiting::new(),
@@ -178,16 +178,16 @@
     }
 }
 
-fn clients(settings: &Settings, spawner: &Spawner) -> Clients {
+fn clients(settings: &Settings) -> Clients {
     let connect = settings.times.connect;
     let limits = pool::Limits {
         connect,
         ..pool::Limits::default()
     };
     Clients {
-        targets: target::attempt::Client::new(spawner, limits),
-        workers: target::command::Client::new(spawner, connect),
-        peers: peer::client::Client::new(spawner, connect),
+        targets: target::attempt::Client::new(limits),
+        workers: target::command::Client::new(connect),
+        peers: peer::client::Client::new(connect),
         table: platform::table::Client::new(settings.platform.table),
         objects: platform::object::Client::new(settings.platform.objects),
         vms: platform::vms::Client::new(settings.platform.vms),
--- a/src/daemon/ticks.rs
+++ b/src/daemon/ticks.rs
@@ -37,6 +37,7 @@
             shell.clock.until(next).clamp(SHORTEST_TICK, REQUEST_TICK)
         });
         Timer::after(pause).await;
+        shell.expire();
         shell.request(request::Event::Tick);
     }
 }
@@ -75,6 +76,9 @@
             shell.directory.list(shell.clock.now(), &vms);
             shell.control(control::Event::Vms(vms));
         }
+        shell.clients.targets.sweep();
+        shell.clients.workers.sweep();
+        shell.clients.peers.sweep();
         Timer::after(shell.settings.times.vms).await;
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/daemon/common.rs
@@ -103,13 +103,17 @@
 
     /// Settings of an entry on free ports.
     pub fn settings(&self, name: &str) -> Settings {
+        Settings::parse(name, &self.text(name)).expect("the settings are valid")
+    }
+
+    /// The settings file of an entry on free ports.
+    pub fn text(&self, name: &str) -> String {
         let platform = self.platform_address;
-        let text = format!(
+        format!(
             "[entry]\nname={name}\nfailure_domain=zone-a\n[listen]\ncaller=127.0.0.1:0\n\
              operator=127.0.0.1:0\npeer=127.0.0.1:0\n[platform]\ntable={platform}\n\
              objects={platform}\nvms={platform}\n[limits]\nthreads=2\n[times]\nvms_ms=100\n"
-        );
-        Settings::parse(name, &text).expect("the settings are valid")
+        )
     }
 }
 
@@ -171,16 +175,14 @@
 
 /// A caller with its own connections.
 pub struct Caller {
-    spawner: Spawner,
     pool: Pool,
 }
 
 impl Caller {
     /// A caller without connections yet.
     pub fn new() -> Self {
-        let spawner = Spawner::default();
-        let pool = Pool::new(&spawner, pool::Limits::default());
-        Self { spawner, pool }
+        let pool = Pool::new(pool::Limits::default());
+        Self { pool }
     }
 
     /// Sends a request with headers and reads the whole answer.
@@ -201,7 +203,7 @@
             .body(Full::new(Bytes::from_static(body.as_bytes())))
             .expect("a valid request");
         let sent = self.pool.send(to, request, PATIENCE);
-        smol::block_on(self.spawner.run(sent))
+        smol::block_on(sent)
     }
 }
 
