--- a/crates/decision/benches/control.rs
+++ b/crates/decision/benches/control.rs
@@ -204,6 +204,7 @@
             accelerators: 0,
         },
         busy: 0,
+        former: 0,
         service: Size::ZERO,
         tasks: Vec::new(),
     }
--- a/crates/decision/benches/place.rs
+++ b/crates/decision/benches/place.rs
@@ -244,6 +244,7 @@
         epoch: EPOCH,
         capacity: CAPACITY,
         busy: 4,
+        former: 0,
         service: Size::ZERO,
         tasks: names.map(|name| running(name, grant)).collect(),
     }
