Measure the processor time of a request in the bench

Cause: throughput ratios vary with the load of other builds. Change: the bench also prints the processor time that the entry's and the pass-through's threads spend on each request.

--- a/benches/passthrough.rs
+++ b/benches/passthrough.rs
@@ -51,17 +51,18 @@
 const LIMIT: Duration = Duration::from_millis(10_000);
 
 fn main() {
-    let (targets, platform) = (run(TARGET_THREADS), run(1));
+    let (targets, platform) = (run("target", TARGET_THREADS), run("platform", 1));
     let servers: Vec<Server> = (0..TARGETS).map(|index| target(&targets, index)).collect();
     let list = platform_server(&platform, &servers);
     let daemon = Daemon::start(settings(list)).expect("the entry starts");
     configure(&daemon);
-    let bare = passthrough(&run(THREADS), servers[0].address());
+    let bare = passthrough(&run("bare", THREADS), servers[0].address());
     thread::sleep(Duration::from_millis(2_000));
+    let (mut bare_cost, mut entry_cost) = (Cost::default(), Cost::default());
     let mut ratios: Vec<f64> = (0..ROUNDS)
         .map(|round| {
-            let through = throughput(bare);
-            let entry = throughput(daemon.caller());
+            let through = bare_cost.of("bare-", || throughput(bare));
+            let entry = entry_cost.of("worker-", || throughput(daemon.caller()));
             let ratio = entry / through;
             println!(
                 "round={round} passthrough_rps={through:.0} entry_rps={entry:.0} ratio={ratio:.3}"
@@ -70,16 +71,57 @@
         })
         .collect();
     ratios.sort_by(f64::total_cmp);
+    let (bare_us, entry_us) = (bare_cost.per_request(), entry_cost.per_request());
+    println!("passthrough_cpu_us={bare_us:.1} entry_cpu_us={entry_us:.1}");
     println!("median_ratio={:.3} goal=0.7", ratios[ROUNDS / 2]);
     let _ = daemon.stop(false);
 }
 
+/// Processor time and requests, which other load on the machine disturbs less than throughput.
+#[derive(Default)]
+struct Cost {
+    nanos: u64,
+    requests: f64,
+}
+
+impl Cost {
+    /// Adds what threads with this name prefix spend while `work` counts requests per second.
+    fn of(&mut self, prefix: &str, work: impl FnOnce() -> f64) -> f64 {
+        let before = processor_time(prefix);
+        let rate = work();
+        self.nanos += processor_time(prefix) - before;
+        self.requests += rate * (WARM_UP + ROUND).as_secs_f64();
+        rate
+    }
+
+    fn per_request(&self) -> f64 {
+        self.nanos as f64 / 1_000.0 / self.requests
+    }
+}
+
+/// Nanoseconds on a processor so far, over all threads with this name prefix.
+fn processor_time(prefix: &str) -> u64 {
+    let tasks = std::fs::read_dir("/proc/self/task").expect("the threads are listed");
+    let paths = tasks.filter_map(|task| Some(task.ok()?.path()));
+    let named = paths.filter(|path| {
+        let name = std::fs::read_to_string(path.join("comm"));
+        name.is_ok_and(|name| name.starts_with(prefix))
+    });
+    let spent = named.filter_map(|path| {
+        let text = std::fs::read_to_string(path.join("schedstat")).ok()?;
+        text.split(' ').next()?.parse::<u64>().ok()
+    });
+    spent.sum()
+}
+
 /// An executor on `threads` threads.
-fn run(threads: usize) -> Spawner {
+fn run(name: &str, threads: usize) -> Spawner {
     let spawner = Spawner::default();
-    for _ in 0..threads {
+    for index in 0..threads {
         let spawner = Arc::clone(&spawner);
-        thread::spawn(move || smol::block_on(spawner.run(smol::future::pending::<()>())));
+        let builder = thread::Builder::new().name(format!("{name}-{index}"));
+        let work = move || smol::block_on(spawner.run(smol::future::pending::<()>()));
+        builder.spawn(work).expect("a thread");
     }
     spawner
 }
@@ -231,7 +273,7 @@
 
 /// Requests per second over all connections, each waiting for its answer.
 fn throughput(to: SocketAddr) -> f64 {
-    let spawner = run(LOAD_THREADS);
+    let spawner = run("load", LOAD_THREADS);
     let (count, stop) = (
         Arc::new(AtomicU64::new(0)),
         Arc::new(AtomicBool::new(false)),
