Test requests at a silent target

Cause: no test of the daemon met a connection that goes silent. Change: one of two stand-in workers stops answering; repeatable requests are answered by the other, orders run at most once. Without earned retries the first repeatable request ends as unknown, as the retry budget of a tenth says. Conclusion: the attempt timeout and the retry budget hold over real sockets.

--- a/tests/daemon/common.rs
+++ b/tests/daemon/common.rs
@@ -69,6 +69,7 @@
 /// The platform and some workers on loopback.
 pub struct Fleet {
     echo: Arc<Echo>,
+    workers: Vec<Arc<Backend<Echo>>>,
     platform_address: SocketAddr,
     _servers: Vec<Server>,
 }
@@ -81,11 +82,15 @@
         let platform_address = server.address();
         let mut servers = vec![server];
         let echo = Arc::new(Echo::default());
+        let mut workers = Vec::new();
         for index in 0..count {
-            servers.push(worker(&platform, &echo, index));
+            let (worker, server) = worker(&platform, &echo, index);
+            workers.push(worker);
+            servers.push(server);
         }
         Self {
             echo,
+            workers,
             platform_address,
             _servers: servers,
         }
@@ -101,6 +106,11 @@
         self.echo.slow.load(Ordering::SeqCst)
     }
 
+    /// Lets a worker keep its connections open without an answer.
+    pub fn silence(&self, index: usize) {
+        self.workers[index].set_silent(true);
+    }
+
     /// Settings of an entry on free ports.
     pub fn settings(&self, name: &str) -> Settings {
         Settings::parse(name, &self.text(name)).expect("the settings are valid")
@@ -117,7 +127,7 @@
     }
 }
 
-fn worker(platform: &Arc<Platform>, echo: &Arc<Echo>, index: u32) -> Server {
+fn worker(platform: &Arc<Platform>, echo: &Arc<Echo>, index: u32) -> (Arc<Backend<Echo>>, Server) {
     let name = format!("vm-{index}");
     let mut vm = Vm {
         name: Name::try_from(name.as_str()).expect("a valid name"),
@@ -133,10 +143,11 @@
         state: State::Live,
     };
     let backend = Backend::new(vm.clone(), Arc::clone(platform), Arc::clone(echo));
-    let server = smol::block_on(Server::start(Arc::new(backend))).expect("a free port");
+    let backend = Arc::new(backend);
+    let server = smol::block_on(Server::start(Arc::clone(&backend))).expect("a free port");
     vm.address = server.address();
     platform.vms().add(platform.now(), vm);
-    server
+    (backend, server)
 }
 
 /// A configuration with the service `orders`, whose queue is `queue` long.
--- a/tests/daemon/entry.rs
+++ b/tests/daemon/entry.rs
@@ -267,3 +267,28 @@
         done == 20
     });
 }
+
+/// Guards against a silent target that takes answers with it, and against a request that must not
+/// be repeated but runs at another target after it.
+#[test]
+fn a_silent_target_costs_no_answers() {
+    let fleet = Fleet::start(2);
+    let daemons = start(&fleet, &["entry-1"]);
+    let (to, caller) = (daemons[0].caller(), Caller::new());
+    // Retries are a tenth of first attempts, so these earn the retries needed below.
+    for _ in 0..100 {
+        assert_eq!(outcome(&post(&caller, to, "place", &[AGAIN])), "answered");
+    }
+    fleet.silence(0);
+    let mut unknown = 0;
+    for _ in 0..8 {
+        let again = post(&caller, to, "place", &[AGAIN]);
+        assert_eq!(outcome(&again), "answered", "another target serves it");
+        let ran = fleet.runs();
+        let ticket = ticket(&caller, to);
+        let once = post(&caller, to, "place", &[ONCE, ("x-ticket", &ticket)]);
+        assert!(fleet.runs() <= ran + 1, "the order ran at most once");
+        unknown += u32::from(outcome(&once) == "unknown");
+    }
+    assert!(unknown < 8, "the silent target is left out in the end");
+}
