--- a/tests/daemon/process.rs
+++ b/tests/daemon/process.rs
@@ -8,6 +8,9 @@
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
 
 use crate::common::Caller;
 use crate::common::Fleet;
@@ -66,6 +69,13 @@
             .expect("the binary runs")
     }
 
+    fn watch(&self) -> Child {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_samphiretrail"));
+        command.args(["status", "--watch", "--entry", &self.operator]);
+        let child = command.stdout(Stdio::piped()).spawn();
+        child.expect("the binary runs")
+    }
+
     fn answers(&self, caller: &Caller) -> bool {
         let headers = [("x-repeatable", "yes")];
         let answer = caller.send(self.caller, "POST", "/call/orders/place", &headers, "lamp");
@@ -118,9 +128,34 @@
         text.contains("kind=config-in-force subject=config/1"),
         "{text}"
     );
+    let mut watch = entry.watch();
+    let events = BufReader::new(watch.stdout.take().expect("the events are piped")).lines();
+    let (sender, seen) = mpsc::channel();
+    // The events are read to their end, so that the watch does not wait for a reader.
+    let reader = thread::spawn(move || {
+        let leaving = |line: &String| line.contains("kind=leaving");
+        let found = events.map(|line| line.expect("text")).filter(leaving);
+        found.for_each(|_| {
+            let _ = sender.send(());
+        });
+    });
+    // The watch may begin after the first drain, so that it is repeated.
+    wait("a drain as it happens", || {
+        assert!(entry.operate(&["drain", "vm-0"]).status.success());
+        let soon = seen.recv_timeout(Duration::from_millis(3_000)).is_ok();
+        assert!(
+            entry
+                .operate(&["drain", "vm-0", "--return"])
+                .status
+                .success()
+        );
+        soon
+    });
     entry.signal("-TERM");
     let status = entry.child.wait().expect("the entry ends");
     assert_eq!(status.code(), Some(0));
+    reader.join().expect("the events are text");
+    assert!(watch.wait().expect("the watch ends").success());
 }
 
 /// Guards against an entry that trusts its configuration and groups after a pause, or that does
@@ -143,7 +178,7 @@
     wait("an answer", || entry.answers(&caller));
     entry.signal("-STOP");
     // Longer than the 3 s after which an entry no longer trusts what it knew.
-    std::thread::sleep(std::time::Duration::from_millis(4_000));
+    thread::sleep(Duration::from_millis(4_000));
     entry.signal("-CONT");
     wait("an answer after the pause", || entry.answers(&caller));
 }
