Test callers on HTTP/2

Cause: only broken HTTP/2 input was tested. Change: two requests on one connection, one of which is reset. Conclusion: a reset stream withdraws its own request only.

--- a/crates/caller/tests/server.rs
+++ b/crates/caller/tests/server.rs
@@ -18,11 +18,15 @@
 use decision::request::Answer;
 use decision::request::Outcome;
 use decision::ticket::Ticket;
+use http_body_util::BodyExt;
+use http_body_util::Full;
 use link::Spawner;
 use link::server::Limits;
 use link::server::Server;
 use smol::Timer;
 use smol::net::TcpListener;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolExecutor;
 
 /// Answers with what it understood; the kind `wait` never ends.
 #[derive(Default)]
@@ -296,3 +300,41 @@
         assert_eq!(response.headers()["x-outcome"], text, "{name}");
     }
 }
+
+/// Guards against HTTP/2 callers that are not served, or whose hang-up of one request touches
+/// another one on the same connection.
+#[test]
+fn http2_requests_share_a_connection() {
+    let (server, handler) = start();
+    let spawner = Spawner::default();
+    let stream = smol::block_on(smol::net::TcpStream::connect(server.address()));
+    let io = FuturesIo::new(stream.expect("a connection"));
+    let executor = SmolExecutor::new(Arc::clone(&spawner));
+    let request = |kind| {
+        http::Request::post(format!("http://entry/call/orders/{kind}"))
+            .header("x-repeatable", "yes")
+            .body(Full::new(Bytes::from_static(b"lamp")))
+            .expect("a valid request")
+    };
+    smol::block_on(spawner.run(async {
+        let shaken = hyper::client::conn::http2::handshake(executor, io).await;
+        let (mut sender, driver) = shaken.expect("a handshake");
+        let driver = spawner.spawn(async move { drop(driver.await) });
+        let waiting = spawner.spawn(sender.send_request(request("wait")));
+        while handler.started.load(Ordering::SeqCst) == 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        drop(waiting);
+        while handler.withdrawn.load(Ordering::SeqCst) == 0 {
+            Timer::after(Duration::from_millis(5)).await;
+        }
+        let answer = sender
+            .send_request(request("place"))
+            .await
+            .expect("an answer");
+        assert_eq!(answer.headers()["x-outcome"], "answered");
+        let body = answer.into_body().collect().await.expect("the whole body");
+        assert_eq!(body.to_bytes(), "orders place default true None 4");
+        drop(driver);
+    }));
+}
