End an entry that is dropped without a stop

Cause: a dropped Daemon left its threads and sockets running, also in tests that fail half way. Change: Drop breaks off what a stop has not ended; stop only adds the graceful part. Conclusion: an entry ends with its value.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -149,15 +149,20 @@
     /// groups; otherwise all connections break at once, as in a crash. Returns whether everything
     /// ended within the settings' stop time.
     #[must_use]
-    pub fn stop(mut self, graceful: bool) -> bool {
-        let orderly = !graceful || smol::block_on(stop::gracefully(&self.shell, &self.servers));
+    pub fn stop(self, graceful: bool) -> bool {
+        !graceful || smol::block_on(stop::gracefully(&self.shell, &self.servers))
+    }
+}
+
+/// Breaks off whatever a graceful stop has not ended.
+impl Drop for Daemon {
+    fn drop(&mut self) {
         self.loops.clear();
         smol::block_on(stop::close(&self.shell, &self.servers));
         self.quit.close();
         for thread in self.threads.drain(..) {
             thread.join().expect("a worker thread aborts on a panic");
         }
-        orderly
     }
 }
 
