Let a crashed worker's attempts be forgotten

A completion that was not stored is lost with its VM, but an acknowledgement of an earlier failed attempt made it count; and the number of an attempt that was never stored is used again by the next owner after the only worker that knew it died.

Conclusion: the number stays taken on workers that live on, cut off or not.

--- a/crates/history/tests/checks/broken.rs
+++ b/crates/history/tests/checks/broken.rs
@@ -9,6 +9,7 @@
 use history::check;
 
 use crate::facts::History;
+use crate::facts::acknowledged;
 use crate::facts::answered;
 use crate::facts::checkpoint;
 use crate::facts::configured;
@@ -103,6 +104,26 @@
                 (5, start("w2", 2, None)),
             ],
         ),
+        (
+            lost,
+            vec![
+                begin(),
+                done(2),
+                (3, acknowledged("w1", 1)),
+                (4, crashed("w1")),
+                (5, start("w2", 2, None)),
+            ],
+        ),
+        // Another worker's crash does not free the attempt's number.
+        (
+            resume,
+            vec![
+                begin(),
+                stop(2),
+                (3, crashed("w3")),
+                (4, start("w2", 1, None)),
+            ],
+        ),
         (lost, vec![(1, recorded(Ending::Completed))]),
         (
             lost,
--- a/crates/history/tests/checks/facts.rs
+++ b/crates/history/tests/checks/facts.rs
@@ -209,6 +209,14 @@
     }
 }
 
+pub fn acknowledged(vm: &str, attempt: u32) -> Fact {
+    Fact::Acknowledged {
+        vm: name(vm),
+        task: name("job#0"),
+        attempt,
+    }
+}
+
 pub fn crashed(vm: &str) -> Fact {
     Fact::WorkerCrashed { vm: name(vm) }
 }
--- a/crates/history/tests/checks/kept.rs
+++ b/crates/history/tests/checks/kept.rs
@@ -7,6 +7,7 @@
 use history::check;
 
 use crate::facts::History;
+use crate::facts::acknowledged;
 use crate::facts::answered;
 use crate::facts::cancel;
 use crate::facts::checkpoint;
@@ -56,6 +57,19 @@
             (3, crashed("w1")),
             (4, start("w2", 2, None)),
         ],
+        // Only the failed attempt was acknowledged before the crash, and nothing was stored, so the
+        // next owner counts attempts from the start.
+        vec![
+            (0, worker("w1")),
+            (0, worker("w2")),
+            (1, start("w1", 1, None)),
+            (2, end("w1", 1, Ending::Failed)),
+            (3, acknowledged("w1", 1)),
+            (4, start("w1", 2, None)),
+            (5, end("w1", 2, Ending::Completed)),
+            (6, crashed("w1")),
+            (7, start("w2", 1, None)),
+        ],
         // The owner heard of the completion before the crash and stores it afterwards.
         vec![
             (0, worker("w1")),
