--- a/crates/experiment/src/fault.rs
+++ b/crates/experiment/src/fault.rs
@@ -118,7 +118,8 @@
             Trouble::Crash(entry) => self.crash(entry),
             Trouble::Pause(entry, time) => self.pause(entry, time),
             Trouble::Resumed(entry) => {
-                if self.entries[entry].alive {
+                let still = self.entries[entry].paused > self.agenda.now();
+                if self.entries[entry].alive && !still {
                     self.see_life(entry, Life::Resumed);
                 }
             }
@@ -148,7 +149,7 @@
         if !self.entries[entry].alive {
             return;
         }
-        let until = self.agenda.now() + time;
+        let until = self.entries[entry].paused.max(self.agenda.now() + time);
         self.entries[entry].paused = until;
         self.see_life(entry, Life::Paused);
         let resumed = Happening::Trouble(Trouble::Resumed(entry));
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -14,6 +14,7 @@
 mod platform;
 pub mod plot;
 pub mod report;
+mod runs;
 pub mod sample;
 pub mod scene;
 mod shell;
--- a/crates/experiment/src/world.rs
+++ b/crates/experiment/src/world.rs
@@ -1,7 +1,10 @@
 //! The loop of virtual time: entries' decision machines against models of everything around them.
 
+use std::collections::BTreeMap;
+
 use decision::clock::Ms;
 use decision::control;
+use decision::name::Name;
 use decision::peer::Envelope;
 use decision::request;
 use decision::request::Attempt;
@@ -164,6 +167,8 @@
     pub samples: Samples,
     /// Entries among which the load balancer spreads.
     pub balanced: Vec<usize>,
+    /// The targets of all entries, which the baseline shares.
+    pub registry: BTreeMap<Name, request::Target>,
     /// Whether all worker commands arrive in time.
     pub loud: bool,
     over: bool,
@@ -192,6 +197,7 @@
             operators: Operators::new(scene),
             samples: Samples::new(scene),
             balanced: Vec::new(),
+            registry: BTreeMap::new(),
             loud: true,
             over: false,
             setup,
--- /dev/null
+++ b/crates/experiment/tests/promises.rs
@@ -0,0 +1,91 @@
+//! Guards against decisions that break a promise, over fixed cases, fault pairs and seeds.
+
+use experiment::case::Case;
+use experiment::case::Fault;
+use experiment::case::Policy;
+use experiment::report::measure;
+use experiment::scene::Scene;
+use experiment::scene::Shape;
+use experiment::world::Setup;
+
+const RUNS: &[(Case, &[Fault], u64, usize)] = &[
+    (Case::OrderRush, &[], 1, 6),
+    (Case::ShiftClose, &[], 2, 5),
+    (
+        Case::NoisyWave,
+        &[Fault::StoreOutage, Fault::EntryPause],
+        3,
+        4,
+    ),
+    (
+        Case::Stragglers,
+        &[Fault::StoreSlow, Fault::EntryCrash],
+        4,
+        5,
+    ),
+    (
+        Case::BlackHole,
+        &[Fault::LostWriteAnswer, Fault::VmCrash],
+        5,
+        3,
+    ),
+    (
+        Case::CancelWave,
+        &[Fault::LeaseLapse, Fault::OperatorRace],
+        6,
+        6,
+    ),
+    (
+        Case::ImpossibleJobs,
+        &[Fault::EntryCrash, Fault::EntryPause],
+        7,
+        9,
+    ),
+    (
+        Case::RollingRestart,
+        &[Fault::SilentConnections, Fault::LostWriteAnswer],
+        8,
+        5,
+    ),
+    (
+        Case::OrderRush,
+        &[Fault::LeaseLapse, Fault::StoreOutage],
+        9,
+        4,
+    ),
+    (Case::ShiftClose, &[Fault::VmCrash, Fault::StoreSlow], 10, 6),
+    (
+        Case::NoisyWave,
+        &[Fault::EntryCrash, Fault::LostWriteAnswer],
+        11,
+        7,
+    ),
+    (
+        Case::RollingRestart,
+        &[Fault::OperatorRace, Fault::EntryPause],
+        12,
+        4,
+    ),
+];
+
+#[test]
+fn promises_hold_under_two_faults() {
+    let mut broken = Vec::new();
+    for (case, faults, seed, entries) in RUNS {
+        let shape = Shape {
+            entries: *entries,
+            ..Shape::small(*case, *seed)
+        };
+        let setup = Setup {
+            policy: Policy::Current,
+            faults: faults.to_vec(),
+            mistake: None,
+            trace: false,
+        };
+        let (line, _) = measure(&Scene::new(shape), &setup);
+        if !line.violations.is_empty() {
+            broken.push((case, faults, seed, line.violations));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
