Keep a refusal for every sending of the same ticket

Two sendings of one order waited together at its issuer and were refused as full. One was told so; the other had come through a peer, which saw an ending of NotRun and sent it again, and it ran.

Change: a request sent to the issuer of its ticket is not sent there again. A refusal as late or full is kept for the ticket like an answer, so that another sending on its way gets it too; the caller takes a new ticket. Other refusals, and those that nobody heard, leave the ticket usable. The test that expected four sendings to the issuer now expects one, which is stricter; the model checks that no order is sent after such a refusal.

Conclusion: a refusal under load is true for the request, not only for the sending.

--- a/crates/decision/src/naive/request.rs
+++ b/crates/decision/src/naive/request.rs
@@ -390,7 +390,7 @@
             && let Some(ledger) = self.ledger(ticket)
         {
             match outcome {
-                Outcome::Refused(_) => ledger.release(ticket.sequence),
+                Outcome::Refused(refusal) if !refusal.is_final() => ledger.release(ticket.sequence),
                 _ => ledger.settle(now, ticket.sequence, outcome.clone()),
             }
         }
@@ -422,12 +422,12 @@
     }
 
     /// The caller waits no longer. An order in flight goes on, so that a retry can collect it.
-    fn drop_caller(&mut self, now: Ms, id: u64) {
+    fn drop_caller(&mut self, now: Ms, id: u64, refusal: Refusal) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
         if request.call.repeatable || request.flight.is_none() {
-            self.fail(now, id, Refusal::Late);
+            self.fail(now, id, refusal);
             return;
         }
         if !std::mem::replace(&mut request.answered, true) {
@@ -451,7 +451,7 @@
         let late = self.requests.iter().filter(|(_, request)| due(request));
         let late: Vec<u64> = late.map(|(id, _)| *id).collect();
         for id in late {
-            self.drop_caller(now, id);
+            self.drop_caller(now, id, Refusal::Late);
         }
     }
 }
@@ -463,7 +463,7 @@
     fn step(&mut self, now: Ms, event: Event) -> Vec<Action> {
         match event {
             Event::Arrived(call) => self.arrive(now, call),
-            Event::Withdrawn(call) => self.drop_caller(now, call),
+            Event::Withdrawn(call) => self.drop_caller(now, call, Refusal::Unreachable),
             Event::Finished(attempt, ending) => self.end(now, attempt, ending),
             Event::Tick => self.advance(now),
             Event::Targets(targets) => self.targets = targets,
--- a/crates/decision/src/request.rs
+++ b/crates/decision/src/request.rs
@@ -83,6 +83,16 @@
     Unreachable,
 }
 
+impl Refusal {
+    /// Whether it holds for every sending with the same ticket. Another sending that is on its way
+    /// at that moment must not run after this one was told that the request never will. Other
+    /// refusals leave the ticket usable through another entry.
+    #[must_use]
+    pub const fn is_final(self) -> bool {
+        matches!(self, Self::Late | Self::Full)
+    }
+}
+
 /// Identifies one attempt within this entry's process.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Attempt(pub u64);
--- a/crates/decision/src/request/admit.rs
+++ b/crates/decision/src/request/admit.rs
@@ -30,8 +30,12 @@
     /// Takes in a request that is to be served here or by a peer with capacity.
     pub(super) fn admit(&mut self, now: Ms, call: Call, key: Option<Key>) {
         if let Some(refusal) = self.check(now, &call) {
-            if let Some(key) = &key {
-                self.release(key);
+            match &key {
+                Some(key) if refusal.is_final() => {
+                    self.settle(now, key, Outcome::Refused(refusal));
+                }
+                Some(key) => self.release(key),
+                None => {}
             }
             self.refuse(call.id, refusal);
             return;
--- a/crates/decision/src/request/settle.rs
+++ b/crates/decision/src/request/settle.rs
@@ -172,7 +172,9 @@
         if !request.flights.is_empty() {
             return;
         }
-        let allowed = !request.ran || request.call.repeatable;
+        // The issuer may have refused it together with other sendings of the same ticket. Another
+        // sending by us could then run although the others were told that it never will.
+        let allowed = request.route == Route::Serve && (!request.ran || request.call.repeatable);
         let worthwhile = request.sends < MAX_SENDS && request.deadline() > now;
         if !allowed || !worthwhile || paid && !self.retries.spend() {
             self.fail(now, id);
@@ -180,19 +182,8 @@
         }
         let request = &self.requests[&id];
         let vm = request.tried.last().map(|id| self.table.vm(*id).clone());
-        if request.route == Route::Serve {
-            self.note(Kind::AttemptFailed, id, vm, "sent again".into());
-            self.enqueue(now, id);
-            return;
-        }
-        let ticket = request.call.ticket.as_ref();
-        match ticket
-            .and_then(|ticket| self.peers.responsible(ticket))
-            .cloned()
-        {
-            Some(peer) => self.forward(now, id, peer),
-            None => self.fail(now, id),
-        }
+        self.note(Kind::AttemptFailed, id, vm, "sent again".into());
+        self.enqueue(now, id);
     }
 
     /// Ends a request without an answer of its own.
@@ -228,7 +219,7 @@
             self.abandon(now, *attempt);
         }
         match (&request.key, &outcome) {
-            (Some(key), Outcome::Refused(_)) => self.release(key),
+            (Some(key), Outcome::Refused(refusal)) if !refusal.is_final() => self.release(key),
             (Some(key), _) => self.settle(now, key, outcome.clone()),
             (None, _) => {}
         }
@@ -257,16 +248,23 @@
 
     /// Lets go the waiters whose deadline has passed.
     pub(super) fn expire(&mut self, now: Ms, id: u64) {
-        self.drop_waiters(now, id, |_, deadline| deadline <= now);
+        self.drop_waiters(now, id, Refusal::Late, |_, deadline| deadline <= now);
     }
 
     /// Lets go a caller that waits no longer.
     pub(super) fn withdraw(&mut self, now: Ms, call: u64) {
         let id = self.joined.get(&call).copied().unwrap_or(call);
-        self.drop_waiters(now, id, |waiter, _| waiter == call);
+        // Nobody hears this refusal, so the ticket stays usable for a retry.
+        self.drop_waiters(now, id, Refusal::Unreachable, |waiter, _| waiter == call);
     }
 
-    fn drop_waiters(&mut self, now: Ms, id: u64, leaves: impl Fn(u64, Ms) -> bool) {
+    fn drop_waiters(
+        &mut self,
+        now: Ms,
+        id: u64,
+        refusal: Refusal,
+        leaves: impl Fn(u64, Ms) -> bool,
+    ) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -276,7 +274,7 @@
         }
         let all = request.waiters.iter().all(leaves);
         if all && (request.flights.is_empty() || request.call.repeatable) {
-            self.give_up(now, id, Refusal::Late);
+            self.give_up(now, id, refusal);
             return;
         }
         // It goes on for the others, or for a retry with its ticket.
--- a/crates/decision/tests/request/forwarding.rs
+++ b/crates/decision/tests/request/forwarding.rs
@@ -90,7 +90,7 @@
             Outcome::Answered(answer(200)),
         ),
         (Ending::Refused(Refusal::TicketExpired), 1, refused),
-        (Ending::NotRun, 4, Outcome::Unknown),
+        (Ending::NotRun, 1, Outcome::Unknown),
         (Ending::Unknown, 1, Outcome::Unknown),
     ];
     for (ending, sends, outcome) in cases {
--- a/crates/decision/tests/request/model.rs
+++ b/crates/decision/tests/request/model.rs
@@ -381,6 +381,13 @@
         }
         let may_have_run = self.attempts_of(call).find(|(_, sent)| !sent.not_run);
         assert!(may_have_run.is_none(), "{call:?} after {may_have_run:?}");
+        let refused = self.calls.values().filter(|other| other.body == call.body);
+        let refused = refused.filter_map(|other| self.outcomes.get(&other.id));
+        let mut refused = refused.filter(|outcome| match outcome {
+            Outcome::Refused(refusal) => refusal.is_final(),
+            _ => false,
+        });
+        assert_eq!(refused.next(), None, "{call:?} was refused for good");
     }
 
     /// Attempts of the same order: with the same ticket of ours, else of the same call.
