Search small fault combinations of two owners exhaustively

Cause: random faults may miss a combination of an ambiguous commit with a pause, stop or crash. Change: add runs over every fate of each of the first commits with every upset of one entry, every pair of ambiguous commits, and late commits around a takeover; the table checks that stored work is changed only by its group's owner and under a condition on the group's row.

--- a/crates/decision/tests/control/chaos.rs
+++ b/crates/decision/tests/control/chaos.rs
@@ -47,6 +47,7 @@
             lost_messages: random.random_range(0..10),
             outages: vec![(60_000, 60_000 + random.random_range(0..30_000))],
             slow: vec![(100_000, 110_000)],
+            ..Faults::default()
         };
         let mut world = start(seed, 4, 16, faults);
         world.run(10_000);
--- a/crates/decision/tests/control/main.rs
+++ b/crates/decision/tests/control/main.rs
@@ -3,6 +3,7 @@
 mod calls;
 mod chaos;
 mod ownership;
+mod search;
 mod world;
 
 use world::Faults;
--- a/crates/decision/tests/control/world/checks.rs
+++ b/crates/decision/tests/control/world/checks.rs
@@ -8,6 +8,8 @@
 use decision::piece::Piece;
 use decision::piece::Record;
 use decision::record;
+use decision::table::Condition;
+use decision::table::Version;
 
 use super::World;
 
@@ -27,6 +29,22 @@
         }
     }
 
+    /// Stored work is changed by its group's owner only, under a condition on the group's row.
+    pub(super) fn check_owner(&mut self, entry: &Name, conditions: &[Condition]) {
+        let changed = conditions.iter().filter(|one| one.version != Version(0));
+        let groups = changed.filter_map(|one| one.key.strip_prefix("job/")?.split('/').next());
+        for group in BTreeSet::from_iter(groups) {
+            let key = format!("group/{group}");
+            let fenced = conditions.iter().any(|one| one.key == key);
+            let row = &self.table.rows[&key];
+            let owner = record::decode::<record::Group>(&row.value).unwrap().owner;
+            if !fenced || owner.is_none_or(|(owner, _)| owner != *entry) {
+                let violation = format!("{}: {entry} changed work of {group}", self.now);
+                self.seen.violations.push(violation);
+            }
+        }
+    }
+
     /// Fails when any rule was broken.
     pub fn assert_clean(&self) {
         let versions = &self.table.configs;
--- a/crates/decision/tests/control/world/mod.rs
+++ b/crates/decision/tests/control/world/mod.rs
@@ -1,6 +1,7 @@
 //! Several control paths in virtual time over one table, with faults and fixed seeds.
 
 mod checks;
+mod faults;
 pub mod sample;
 pub mod table;
 pub mod workers;
@@ -25,6 +26,8 @@
 use decision::table::Operation;
 use decision::table::Outcome;
 use decision::worker;
+pub use faults::Fate;
+pub use faults::Faults;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -37,19 +40,6 @@
 const TICK: u64 = 100;
 const CHECK: u64 = 10;
 
-/// What goes wrong.
-#[derive(Clone, Debug, Default)]
-pub struct Faults {
-    /// Percent of table operations whose answer is lost; commits may take effect late.
-    pub lost_answers: u32,
-    /// Percent of peer messages and worker commands lost, each way.
-    pub lost_messages: u32,
-    /// When the table is down.
-    pub outages: Vec<(u64, u64)>,
-    /// When the table is slow.
-    pub slow: Vec<(u64, u64)>,
-}
-
 /// Entries, workers and what is under way.
 pub struct World {
     pub now: u64,
@@ -69,6 +59,7 @@
     sequence: u64,
     asks: BTreeMap<u64, (Name, Id)>,
     calls: u64,
+    pub commits: u64,
 }
 
 /// One entry.
@@ -116,6 +107,7 @@
             sequence: 0,
             asks: BTreeMap::new(),
             calls: 0,
+            commits: 0,
         };
         for index in 0..workers {
             let vm = vm(index);
@@ -239,7 +231,7 @@
         match thing {
             Thing::Event(entry, incarnation, event) => self.event(&entry, incarnation, event),
             Thing::Table(entry, incarnation, id, operation, outcome) => {
-                let outcome = outcome.unwrap_or_else(|| self.operate(&operation));
+                let outcome = outcome.unwrap_or_else(|| self.operate(&entry, &operation));
                 let event = Event::Table(id, outcome);
                 self.event(&entry, incarnation, event);
             }
@@ -396,38 +388,42 @@
         let now = self.now;
         let within =
             |spans: &[(u64, u64)]| spans.iter().any(|(from, to)| (*from..*to).contains(&now));
-        let thing =
-            |outcome| Thing::Table(entry.clone(), incarnation, id, operation.clone(), outcome);
         if within(&self.faults.outages) {
-            let thing = thing(Some(Outcome::Unavailable));
+            let outcome = Some(Outcome::Unavailable);
+            let thing = Thing::Table(entry.clone(), incarnation, id, operation, outcome);
             self.later(50, thing);
             return;
         }
-        if self.random.random_range(0..100) < self.faults.lost_answers {
-            if self.lost(50) {
-                self.operate(&operation);
-            } else if self.lost(50) {
-                // Takes effect after the answer was given up.
-                let late = Thing::Table(name("nobody"), 0, id, operation.clone(), None);
-                self.later(1_500, late);
+        let fate = self.fate(&operation);
+        match fate {
+            Fate::Answered => {}
+            Fate::Lost => {
+                self.operate(entry, &operation);
             }
-            let thing = Thing::Table(
-                entry.clone(),
-                incarnation,
-                id,
-                operation,
-                Some(Outcome::Unknown),
-            );
-            self.later(1_000, thing);
-            return;
+            Fate::Late(time) => {
+                let late = Thing::Table(entry.clone(), 0, id, operation.clone(), None);
+                self.later(time, late);
+            }
+            Fate::Never => {}
         }
-        let delay = if within(&self.faults.slow) { 700 } else { 5 };
-        let thing = thing(None);
+        let answered = fate == Fate::Answered;
+        let delay = match answered {
+            true if within(&self.faults.slow) => 700,
+            true => 5,
+            false => 1_000,
+        };
+        let outcome = (!answered).then_some(Outcome::Unknown);
+        let thing = Thing::Table(entry.clone(), incarnation, id, operation, outcome);
         self.later(delay, thing);
     }
 
-    fn operate(&mut self, operation: &Operation) -> Outcome {
-        self.table.run(operation)
+    fn operate(&mut self, entry: &Name, operation: &Operation) -> Outcome {
+        let outcome = self.table.run(operation);
+        if let (Operation::Commit { conditions, .. }, Outcome::Committed(_)) = (operation, &outcome)
+        {
+            self.check_owner(entry, conditions);
+        }
+        outcome
     }
 
     fn command(
