--- a/crates/decision/tests/control/main.rs
+++ b/crates/decision/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod chaos;
 mod drains;
 mod ownership;
+mod search;
 mod world;
 
 use world::Faults;
