Keep the slot of an attempt without news until the target reports it ended

Change: workers report the numbers of the attempts in progress under the current epoch; a slot without news stays booked until a report, asked for at least 1 s after the sending, lacks it. One new table test.

--- a/benches/passthrough.rs
+++ b/benches/passthrough.rs
@@ -155,6 +155,7 @@
             capacity: capacity(),
             busy: 0,
             former: 0,
+            attempts: Vec::new(),
             service: Size::ZERO,
             tasks: Vec::new(),
         });
--- a/crates/decision/benches/control.rs
+++ b/crates/decision/benches/control.rs
@@ -205,6 +205,7 @@
         },
         busy: 0,
         former: 0,
+        attempts: Vec::new(),
         service: Size::ZERO,
         tasks: Vec::new(),
     }
--- a/crates/decision/benches/place.rs
+++ b/crates/decision/benches/place.rs
@@ -245,6 +245,7 @@
         capacity: CAPACITY,
         busy: 4,
         former: 0,
+        attempts: Vec::new(),
         service: Size::ZERO,
         tasks: names.map(|name| running(name, grant)).collect(),
     }
--- a/crates/decision/benches/request.rs
+++ b/crates/decision/benches/request.rs
@@ -43,6 +43,7 @@
         domain: name(["a", "b", "c"][index % 3]),
         slots: 8,
         busy: 0,
+        seen: None,
         leaving: false,
         slowdown: 100 + (index % 7) as u32 * 10,
     };
--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -41,6 +41,7 @@
     pub(super) vm: Name,
     pub(super) group: Name,
     pub(super) epoch: Epoch,
+    pub(super) at: Ms,
     /// The board's command, or `None` for `Adopt` and `Renew`.
     pub(super) board: Option<place::Id>,
 }
@@ -95,6 +96,7 @@
             vm: vm.clone(),
             group,
             epoch,
+            at: self.now,
             board,
         };
         self.commands.insert(id, sent);
@@ -147,6 +149,13 @@
         if report.epoch == sent.epoch {
             // Under one epoch the number only falls, whatever the order of reports.
             adoption.busy = adoption.busy.min(report.former);
+            if adoption.seen.as_ref().is_none_or(|seen| seen.at < sent.at) {
+                let attempts = report.attempts.clone();
+                adoption.seen = Some(request::Seen {
+                    at: sent.at,
+                    attempts,
+                });
+            }
         }
         let current = adoption.epoch().is_some();
         adoption.proven |= id >= floor;
@@ -280,6 +289,7 @@
                     domain: adoption.vm.domain.clone(),
                     slots: adoption.vm.slots,
                     busy: adoption.busy,
+                    seen: adoption.seen.clone(),
                     leaving: adoption.leaving,
                     slowdown: slowdown.copied().unwrap_or(NO_SLOWDOWN),
                 });
--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -5,6 +5,7 @@
 use crate::clock::Ms;
 use crate::control::Id;
 use crate::name::Name;
+use crate::request::Seen;
 use crate::vm::Vm;
 use crate::worker::Epoch;
 
@@ -66,6 +67,8 @@
     pub proven: bool,
     /// Slots that were busy when it was first adopted.
     pub busy: u32,
+    /// What it last reported about our attempts.
+    pub seen: Option<Seen>,
     /// The `Adopt` or `Renew` under way.
     pub waiting: Option<(Id, Ms)>,
     /// When to send the next one.
@@ -90,6 +93,7 @@
             accepted: None,
             proven: false,
             busy: 0,
+            seen: None,
             waiting: None,
             next: Ms::ZERO,
             look: Ms::ZERO,
--- a/crates/decision/src/request.rs
+++ b/crates/decision/src/request.rs
@@ -123,12 +123,23 @@
     pub slots: u32,
     /// Slots in use by requests of former owners when it last reported.
     pub busy: u32,
+    /// What it last reported about this entry's attempts, if it does.
+    pub seen: Option<Seen>,
     /// Whether it receives no new requests.
     pub leaving: bool,
     /// Learned slowdown by batch work present, in percent; 100 is none.
     pub slowdown: u32,
 }
 
+/// A target's report of the attempts in progress there.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Seen {
+    /// When the report was asked for.
+    pub at: Ms,
+    /// The attempts, by number.
+    pub attempts: Vec<u64>,
+}
+
 /// What is known of a peer's request path.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Peer {
--- a/crates/decision/src/request/machine.rs
+++ b/crates/decision/src/request/machine.rs
@@ -1,6 +1,7 @@
 //! The request path's state machine.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -54,6 +55,8 @@
     /// Calls that joined a request of another call.
     pub(super) joined: HashMap<u64, u64>,
     pub(super) flights: HashMap<Attempt, InFlight>,
+    /// Attempts that ended without news, whose slots stay booked.
+    pub(super) doubtful: BTreeSet<Attempt>,
     pub(super) queues: BTreeMap<Name, Queue>,
     pub(super) classes: Classes,
     pub(super) retries: Budget,
@@ -82,6 +85,7 @@
             requests: HashMap::new(),
             joined: HashMap::new(),
             flights: HashMap::new(),
+            doubtful: BTreeSet::new(),
             queues: BTreeMap::new(),
             classes: Classes::default(),
             retries: Budget::default(),
@@ -289,7 +293,9 @@
     }
 
     fn update(&mut self, targets: Vec<super::Target>) {
-        for vm in self.table.update(targets) {
+        let leaving = self.table.update(targets);
+        self.reconcile();
+        for vm in leaving {
             self.actions.push(Action::Note(Note {
                 kind: Kind::Leaving,
                 subject: vm.to_string(),
--- a/crates/decision/src/request/send.rs
+++ b/crates/decision/src/request/send.rs
@@ -16,6 +16,7 @@
 use crate::name::Name;
 use crate::route::Ask;
 use crate::route::Choice;
+use crate::worker::Epoch;
 
 /// One request is sent at most so often, whatever the reason.
 pub(super) const MAX_SENDS: u32 = 4;
@@ -155,12 +156,17 @@
     fn track(&mut self, now: Ms, attempt: Attempt, call: &Call, to: To, timeout: Ms, long: bool) {
         let expires = timeout + MARGIN;
         self.timers.set(expires, Due::Expiry(attempt));
+        let epoch = match &to {
+            To::Target(choice) => self.table.epoch(choice.id),
+            To::Peer(_) => Epoch::default(),
+        };
         let flight = InFlight {
             request: call.id,
             service: call.service.clone(),
             kind: call.kind.clone(),
             to,
             sent: now,
+            epoch,
             expires,
             long,
             live: true,
--- a/crates/decision/src/request/settle.rs
+++ b/crates/decision/src/request/settle.rs
@@ -6,6 +6,7 @@
 use super::Machine;
 use super::Outcome;
 use super::Refusal;
+use super::Seen;
 use super::send::MAX_SENDS;
 use super::work::Due;
 use super::work::InFlight;
@@ -15,6 +16,7 @@
 use crate::clock::Ms;
 use crate::health::Change;
 use crate::route::Choice;
+use crate::route::Table;
 use crate::timeline::Kind;
 use crate::timeline::Note;
 
@@ -22,6 +24,8 @@
 const MAX_FORWARDS: u32 = 2;
 /// A status from here on says that the target failed.
 const FAILED_STATUS: u16 = 500;
+/// A request that was sent this long before a report was asked for has arrived or never will.
+const TRANSIT: Ms = Ms(1_000);
 
 impl Machine {
     /// Takes in the ending of an attempt. Late and duplicate endings find no flight.
@@ -67,10 +71,36 @@
             }
             return;
         }
+        if *ending == Ending::Unknown && self.table.seen(choice.id).is_some() {
+            // The target tells when the request is no longer in progress there.
+            self.doubtful.insert(attempt);
+            if let Some(flight) = self.flights.get_mut(&attempt) {
+                flight.live = false;
+            }
+            return;
+        }
+        self.doubtful.remove(&attempt);
         self.forget(attempt);
         self.table.release(choice.id, flight.long);
     }
 
+    /// Gives back the slots of attempts without news that their targets no longer report.
+    pub(super) fn reconcile(&mut self) {
+        let over = self.doubtful.extract_if(.., |attempt| {
+            let flight = self.flights.get(attempt);
+            flight.is_none_or(|flight| ended(&self.table, *attempt, flight))
+        });
+        for attempt in Vec::from_iter(over) {
+            let Some(flight) = self.flights.get(&attempt).cloned() else {
+                continue;
+            };
+            self.forget(attempt);
+            if let To::Target(choice) = flight.to {
+                self.table.release(choice.id, flight.long);
+            }
+        }
+    }
+
     fn judge(&mut self, now: Ms, choice: Choice, failed: bool) {
         let kind = match self.table.record(now, choice, failed) {
             Change::None => return,
@@ -295,3 +325,17 @@
         }
     }
 }
+
+/// Whether a target no longer runs an attempt. Under a new epoch its report counts the attempt
+/// among those of former owners.
+fn ended(table: &Table, attempt: Attempt, flight: &InFlight) -> bool {
+    let To::Target(choice) = flight.to else {
+        return true;
+    };
+    if !table.owns(choice.id, flight.epoch) {
+        return true;
+    }
+    let after = |seen: &&Seen| seen.at >= flight.sent + TRANSIT;
+    let seen = table.seen(choice.id).filter(after);
+    seen.is_some_and(|seen| !seen.attempts.contains(&attempt.0))
+}
--- a/crates/decision/src/request/work.rs
+++ b/crates/decision/src/request/work.rs
@@ -12,6 +12,7 @@
 use crate::name::Name;
 use crate::queue::Place;
 use crate::route;
+use crate::worker::Epoch;
 
 /// A peer is answered this much before its deadline, so that a refusal reaches it in time and the
 /// outcome is not unknown to it.
@@ -104,6 +105,8 @@
     pub kind: Name,
     pub to: To,
     pub sent: Ms,
+    /// The epoch it was sent under, to a target.
+    pub epoch: Epoch,
     /// When the slot is given back without news.
     pub expires: Ms,
     pub long: bool,
--- a/crates/decision/src/route.rs
+++ b/crates/decision/src/route.rs
@@ -9,6 +9,7 @@
 use crate::health::Change;
 use crate::health::Health;
 use crate::name::Name;
+use crate::request::Seen;
 use crate::request::Target;
 use crate::worker::Epoch;
 
@@ -259,6 +260,19 @@
         &self.entries[id.0 as usize].target.vm
     }
 
+    /// What the target last reported about this entry's attempts.
+    #[must_use]
+    pub fn seen(&self, id: Id) -> Option<&Seen> {
+        self.entries[id.0 as usize].target.seen.as_ref()
+    }
+
+    /// Whether the target is owned under this epoch.
+    #[must_use]
+    pub fn owns(&self, id: Id, epoch: Epoch) -> bool {
+        let entry = &self.entries[id.0 as usize];
+        entry.owned && entry.target.epoch == epoch
+    }
+
     /// The epoch to send with requests.
     #[must_use]
     pub fn epoch(&self, id: Id) -> Epoch {
--- a/crates/decision/src/worker.rs
+++ b/crates/decision/src/worker.rs
@@ -189,6 +189,8 @@
     pub busy: u32,
     /// Those of them that were sent under a lower epoch, by former owners.
     pub former: u32,
+    /// The numbers of the attempts in progress that were sent under the current epoch.
+    pub attempts: Vec<u64>,
     /// Processors and memory used by services when last measured.
     pub service: Size,
     /// Tasks present, ended ones included until acknowledged.
--- a/crates/decision/tests/control/world/workers.rs
+++ b/crates/decision/tests/control/world/workers.rs
@@ -216,6 +216,7 @@
             capacity: self.vm.capacity,
             busy: 0,
             former: 0,
+            attempts: Vec::new(),
             service: Size::ZERO,
             tasks: self.tasks.values().map(|one| one.task.clone()).collect(),
         }
--- a/crates/decision/tests/place/fake/worker.rs
+++ b/crates/decision/tests/place/fake/worker.rs
@@ -84,6 +84,7 @@
             capacity: self.vm.capacity,
             busy: self.busy,
             former: 0,
+            attempts: Vec::new(),
             service: self.service,
             tasks: self.slots.values().map(|slot| slot.task.clone()).collect(),
         }
--- a/crates/decision/tests/request/basics.rs
+++ b/crates/decision/tests/request/basics.rs
@@ -8,6 +8,8 @@
 use decision::request::Machine;
 use decision::request::Outcome;
 use decision::request::Refusal;
+use decision::request::Seen;
+use decision::request::Target;
 use decision::step::Step;
 use decision::ticket::Ticket;
 
@@ -213,3 +215,33 @@
     assert_eq!(replies(&done).len(), 1);
     assert!(machine.idle());
 }
+
+/// Guards against a slot that is given back although its request still runs at the target, behind
+/// a connection that went silent.
+#[test]
+fn a_slot_without_news_is_booked_until_the_target_reports() {
+    let report = |at: u64, attempts: &[u64]| Target {
+        slots: 1,
+        seen: Some(Seen {
+            at: Ms(at),
+            attempts: attempts.to_vec(),
+        }),
+        ..target("v1")
+    };
+    let cases: [(&str, u64, &[u64], u32); 4] = [
+        ("asked for before it can have arrived", 900, &[], 0),
+        ("still running", 6_000, &[1], 0),
+        ("no longer running", 6_000, &[], 1),
+        ("another one running", 6_000, &[2], 1),
+    ];
+    for (case, at, attempts, free) in cases {
+        let mut machine = machine(&["v1"]);
+        machine.step(Ms::ZERO, Event::Targets(vec![report(0, &[])]));
+        let actions = machine.step(Ms(1), Event::Arrived(call(1)));
+        assert_eq!(sent(&actions).len(), 1, "{case}");
+        machine.step(Ms(5_000), Event::Tick);
+        assert_eq!(machine.summary(Ms(5_000)).free, 0, "{case}: without news");
+        machine.step(Ms(7_000), Event::Targets(vec![report(at, attempts)]));
+        assert_eq!(machine.summary(Ms(7_000)).free, free, "{case}");
+    }
+}
--- a/crates/decision/tests/route.rs
+++ b/crates/decision/tests/route.rs
@@ -26,6 +26,7 @@
         domain: name("a"),
         slots: 8,
         busy: 0,
+        seen: None,
         leaving: false,
         slowdown: 100,
     }
--- a/crates/experiment/src/runs.rs
+++ b/crates/experiment/src/runs.rs
@@ -59,7 +59,7 @@
         let worker = &mut self.fleet.workers[vm];
         let newest = worker.model.report().epoch;
         let epoch = if unfenced { newest } else { request.epoch };
-        match worker.model.begin(epoch) {
+        match worker.model.begin(epoch, number(&request.id)) {
             Ok(()) => self.begin(vm, epoch, request),
             Err(Refusal::Full) => self.wait(vm, request),
             Err(_) => {
@@ -118,7 +118,7 @@
         let run = self.fleet.runs.remove(&back)?;
         self.fleet.sent.remove(&back);
         let worker = &mut self.fleet.workers[run.vm];
-        worker.model.finish(run.epoch);
+        worker.model.finish(run.epoch, number(&run.id));
         if let Some(link) = worker.links.get_mut(&back.entry) {
             link.open = link.open.saturating_sub(1);
         }
@@ -178,3 +178,9 @@
     let number = text.and_then(|text| text.split('-').nth(1)?.parse().ok());
     number.expect("bodies of the harness hold the request's number")
 }
+
+/// The number of an attempt, the last part of its id.
+fn number(id: &str) -> u64 {
+    let last = id.rsplit('/').next().unwrap_or_default();
+    u64::from_str_radix(last, 16).unwrap_or_default()
+}
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -153,7 +153,8 @@
         kind: String,
         body: Bytes,
     ) -> Option<Response<Full<Bytes>>> {
-        let began = self.model().begin(epoch);
+        let attempt = number(&request);
+        let began = self.model().begin(epoch, attempt);
         if let Err(refusal) = began {
             if refusal == Refusal::Full {
                 self.behaviour
@@ -175,7 +176,7 @@
         Timer::after(Duration::from_millis(time.0)).await;
         let broken = {
             let mut model = self.model();
-            model.finish(epoch);
+            model.finish(epoch, attempt);
             model.broken
         };
         let now = self.platform.now();
@@ -239,6 +240,12 @@
     ))
 }
 
+/// The number of an attempt, the last part of its id.
+fn number(request: &str) -> u64 {
+    let last = request.rsplit('/').next().unwrap_or_default();
+    last.parse().unwrap_or_default()
+}
+
 /// A response that vouches for the request not having run.
 fn refuse(refusal: Refusal) -> Option<Response<Full<Bytes>>> {
     let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, format!("{refusal:?}"))?;
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -62,7 +62,7 @@
     clock: Ms,
     tasks: BTreeMap<Name, Slot>,
     changes: Vec<Change>,
-    runs: BTreeMap<Epoch, u32>,
+    runs: Vec<(Epoch, u64)>,
     /// Whether every task and request fails at once.
     pub broken: bool,
     /// Speed of tasks in percent, as slowed by whatever else runs.
@@ -83,7 +83,7 @@
             clock: now,
             tasks: BTreeMap::new(),
             changes: Vec::new(),
-            runs: BTreeMap::new(),
+            runs: Vec::new(),
             broken: false,
             speed: 100,
             service: Size::ZERO,
@@ -109,31 +109,30 @@
     /// Requests in progress.
     #[must_use]
     pub fn busy(&self) -> u32 {
-        self.runs.values().sum()
+        u32::try_from(self.runs.len()).unwrap_or(u32::MAX)
     }
 
-    /// Takes a slot for a request sent under `epoch`, or refuses it as not run.
+    /// Takes a slot for an attempt sent under `epoch`, or refuses it as not run.
     ///
     /// # Errors
     ///
     /// The refusal, when the epoch is old or all slots are taken.
-    pub fn begin(&mut self, epoch: Epoch) -> Result<(), Refusal> {
+    pub fn begin(&mut self, epoch: Epoch, attempt: u64) -> Result<(), Refusal> {
         if epoch < self.epoch {
             return Err(Refusal::Stale(self.epoch));
         }
         if self.busy() >= self.vm.slots {
             return Err(Refusal::Full);
         }
-        *self.runs.entry(epoch).or_default() += 1;
+        self.runs.push((epoch, attempt));
         Ok(())
     }
 
-    /// Frees the slot of a request that began under `epoch`.
-    pub fn finish(&mut self, epoch: Epoch) {
-        if let Some(runs) = self.runs.get_mut(&epoch) {
-            *runs = runs.saturating_sub(1);
+    /// Frees the slot of an attempt that began under `epoch`.
+    pub fn finish(&mut self, epoch: Epoch, attempt: u64) {
+        if let Some(index) = self.runs.iter().position(|run| *run == (epoch, attempt)) {
+            self.runs.swap_remove(index);
         }
-        self.runs.retain(|_, runs| *runs > 0);
     }
 
     /// Carries out a command. `need` tells what a task really needs.
@@ -177,12 +176,16 @@
     /// The worker's state.
     #[must_use]
     pub fn report(&self) -> Report {
+        let current = self.runs.iter().filter(|(epoch, _)| *epoch >= self.epoch);
+        let mut attempts: Vec<u64> = current.map(|(_, attempt)| *attempt).collect();
+        attempts.sort_unstable();
         Report {
             vm: self.vm.name.clone(),
             epoch: self.epoch,
             capacity: self.vm.capacity,
             busy: self.busy(),
-            former: self.runs.range(..self.epoch).map(|(_, runs)| runs).sum(),
+            former: self.busy() - u32::try_from(attempts.len()).unwrap_or(u32::MAX),
+            attempts,
             service: self.service,
             tasks: self.tasks.values().map(|slot| slot.task.clone()).collect(),
         }
--- a/crates/target/tests/client.rs
+++ b/crates/target/tests/client.rs
@@ -164,6 +164,7 @@
         capacity: Size::ZERO,
         busy: 0,
         former: 0,
+        attempts: Vec::new(),
         service: Size::ZERO,
         tasks: Vec::new(),
     })
