Keep a slot booked after a target refused a request

Cause: a run on a silent connection goes on at its target after the attempt has timed out, because the target does not see the connection close.

Change: the slot of an attempt that the target refused stays booked until the attempt's timeout and margin, as after a broken connection.

The request path cannot tell a silent connection from a slow answer; it needs an ending of its own or the busy slots that the worker reports.

--- a/crates/decision/src/request/settle.rs
+++ b/crates/decision/src/request/settle.rs
@@ -60,8 +60,10 @@
                 self.measure(now, flight, choice);
             }
         }
-        // After a broken connection the target may still be running the request.
-        if flight.live && *ending == Ending::Unknown && now < flight.expires {
+        // After a broken connection the target may still be running the request. One that refused
+        // it while a slot was free by our count may still run another that we no longer count.
+        let in_doubt = matches!(ending, Ending::Unknown | Ending::NotRun);
+        if flight.live && in_doubt && now < flight.expires {
             if let Some(flight) = self.flights.get_mut(&attempt) {
                 flight.live = false;
             }
