--- a/crates/history/tests/checks/broken.rs
+++ b/crates/history/tests/checks/broken.rs
@@ -114,6 +114,16 @@
                 (5, start("w2", 2, None)),
             ],
         ),
+        // Another worker's crash does not free the attempt's number.
+        (
+            resume,
+            vec![
+                begin(),
+                stop(2),
+                (3, crashed("w3")),
+                (4, start("w2", 1, None)),
+            ],
+        ),
         (lost, vec![(1, recorded(Ending::Completed))]),
         (
             lost,
