Probe the table at once after a pause

Cause: after a pause, failures of operations from before it were taken as the table's present state; the entry backed off for up to 5 s and let peers vouch for its configuration although the table was up again. Change: a pause resets the backoff, and failures from before it are ignored. Conclusion: after a pause the table is asked first.

--- a/crates/decision/src/commit.rs
+++ b/crates/decision/src/commit.rs
@@ -112,6 +112,13 @@
         first
     }
 
+    /// Forgets how long attempts have failed, and lets the next one be made at once.
+    pub fn resume(&mut self, now: Ms) {
+        self.failures = 0;
+        self.until = now;
+        self.since = self.since.map(|_| now);
+    }
+
     /// An attempt succeeded. Returns whether attempts had failed before.
     pub fn succeed(&mut self) -> bool {
         let failed = self.since.is_some();
--- a/crates/decision/src/control/machine.rs
+++ b/crates/decision/src/control/machine.rs
@@ -297,6 +297,7 @@
         self.woke = self.now;
         self.floor = Id(self.ids + 1);
         self.rollout.doubt();
+        self.backoff.resume(self.now);
         for held in self.held.values_mut() {
             held.proven = false;
             for adoption in held.workers.values_mut() {
--- a/crates/decision/src/control/store.rs
+++ b/crates/decision/src/control/store.rs
@@ -148,7 +148,10 @@
     }
 
     pub(super) fn table_ended(&mut self, id: Id, outcome: Outcome) {
-        self.judge(&outcome);
+        // A failure from before a pause says nothing about the table now.
+        if id >= self.floor || !matches!(outcome, Outcome::Unavailable | Outcome::Unknown) {
+            self.judge(&outcome);
+        }
         if self.writer.waits(id) {
             let settled = self.writer.ended(id, &outcome);
             if let Some((purpose, transaction, settled)) = settled {
