--- a/crates/decision/src/request/settle.rs
+++ b/crates/decision/src/request/settle.rs
@@ -18,6 +18,8 @@
 use crate::timeline::Kind;
 use crate::timeline::Note;
 
+/// An entry that cannot serve asks at most so many peers.
+const MAX_FORWARDS: u32 = 2;
 /// A status from here on says that the target failed.
 const FAILED_STATUS: u16 = 500;
 
@@ -30,8 +32,9 @@
         match &flight.to {
             To::Target(choice) => self.end_at_target(now, attempt, &flight, *choice, &ending),
             To::Peer(peer) => {
-                if matches!(ending, Ending::Refused(_) | Ending::NotRun) {
-                    self.peers.refused(peer);
+                match ending {
+                    Ending::Refused(_) | Ending::NotRun => self.peers.refused(peer),
+                    Ending::Answered(_) | Ending::Unknown => self.peers.uncount(peer),
                 }
                 self.forget(attempt);
             }
@@ -116,6 +119,7 @@
         if let To::Target(choice) = flight.to {
             request.tried.push(choice.id);
         }
+        let at_peer = matches!(flight.to, To::Peer(_));
         let repeatable = request.call.repeatable;
         match ending {
             Ending::Answered(answer) if answer.status >= FAILED_STATUS && repeatable => {
@@ -134,8 +138,9 @@
             }
             Ending::Refused(refusal) => {
                 request.refusal = Some(refusal);
-                self.retry(now, id, false);
+                self.keep(now, id);
             }
+            Ending::NotRun if request.route == Route::Serve && at_peer => self.keep(now, id),
             Ending::NotRun => self.retry(now, id, false),
             Ending::Unknown => {
                 request.ran = true;
@@ -144,6 +149,22 @@
         }
     }
 
+    /// A peer refused a request: it waits here if it can be served in time, or goes to one other
+    /// peer if this entry cannot serve at all.
+    fn keep(&mut self, now: Ms, id: u64) {
+        let request = &self.requests[&id];
+        let hopeless = if self.table.capacity() > 0 {
+            self.admission(now, id).is_some()
+        } else {
+            request.sends >= MAX_FORWARDS
+        };
+        if hopeless {
+            self.fail(now, id);
+        } else {
+            self.retry(now, id, false);
+        }
+    }
+
     /// Sends a request again if that is allowed and worthwhile, or ends it. An attempt that may
     /// have run is `paid` for from the retry budget.
     fn retry(&mut self, now: Ms, id: u64, paid: bool) {
@@ -151,7 +172,9 @@
         if !request.flights.is_empty() {
             return;
         }
-        let allowed = !request.ran || request.call.repeatable;
+        // The issuer may have refused it together with other sendings of the same ticket. Another
+        // sending by us could then run although the others were told that it never will.
+        let allowed = request.route == Route::Serve && (!request.ran || request.call.repeatable);
         let worthwhile = request.sends < MAX_SENDS && request.deadline() > now;
         if !allowed || !worthwhile || paid && !self.retries.spend() {
             self.fail(now, id);
@@ -159,19 +182,8 @@
         }
         let request = &self.requests[&id];
         let vm = request.tried.last().map(|id| self.table.vm(*id).clone());
-        if request.route == Route::Serve {
-            self.note(Kind::AttemptFailed, id, vm, "sent again".into());
-            self.enqueue(now, id);
-            return;
-        }
-        let ticket = request.call.ticket.as_ref();
-        match ticket
-            .and_then(|ticket| self.peers.responsible(ticket))
-            .cloned()
-        {
-            Some(peer) => self.forward(now, id, peer),
-            None => self.fail(now, id),
-        }
+        self.note(Kind::AttemptFailed, id, vm, "sent again".into());
+        self.enqueue(now, id);
     }
 
     /// Ends a request without an answer of its own.
@@ -207,7 +219,7 @@
             self.abandon(now, *attempt);
         }
         match (&request.key, &outcome) {
-            (Some(key), Outcome::Refused(_)) => self.release(key),
+            (Some(key), Outcome::Refused(refusal)) if !refusal.is_final() => self.release(key),
             (Some(key), _) => self.settle(now, key, outcome.clone()),
             (None, _) => {}
         }
@@ -236,16 +248,23 @@
 
     /// Lets go the waiters whose deadline has passed.
     pub(super) fn expire(&mut self, now: Ms, id: u64) {
-        self.drop_waiters(now, id, |_, deadline| deadline <= now);
+        self.drop_waiters(now, id, Refusal::Late, |_, deadline| deadline <= now);
     }
 
     /// Lets go a caller that waits no longer.
     pub(super) fn withdraw(&mut self, now: Ms, call: u64) {
         let id = self.joined.get(&call).copied().unwrap_or(call);
-        self.drop_waiters(now, id, |waiter, _| waiter == call);
+        // Nobody hears this refusal, so the ticket stays usable for a retry.
+        self.drop_waiters(now, id, Refusal::Unreachable, |waiter, _| waiter == call);
     }
 
-    fn drop_waiters(&mut self, now: Ms, id: u64, leaves: impl Fn(u64, Ms) -> bool) {
+    fn drop_waiters(
+        &mut self,
+        now: Ms,
+        id: u64,
+        refusal: Refusal,
+        leaves: impl Fn(u64, Ms) -> bool,
+    ) {
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -255,7 +274,7 @@
         }
         let all = request.waiters.iter().all(leaves);
         if all && (request.flights.is_empty() || request.call.repeatable) {
-            self.give_up(now, id, Refusal::Late);
+            self.give_up(now, id, refusal);
             return;
         }
         // It goes on for the others, or for a retry with its ticket.
