Learn interference by share of the worker, and estimates by job

Cause: a slowdown learned per presence of a kind, multiplied over kinds, forbade placement where little batch work ran. Declarations err by job, not by kind.

Change: a pair's harm is learned per share of the worker's processors that the kind holds, added over kinds. Tasks of a job are corrected by its own reports, and by those of its kind before there are any. A failure counts as the task's own only on a worker where no other task failed since its last success; without that rule the fault test lost tasks to a worker that broke after it had worked.

--- a/crates/decision/src/estimate.rs
+++ b/crates/decision/src/estimate.rs
@@ -4,7 +4,7 @@
 use crate::resource::Size;
 
 /// Reports at which what was learned weighs as much as the declaration.
-const EVEN: f64 = 4.0;
+const EVEN: f64 = 1.0;
 
 /// The most that what was learned may weigh.
 const MAX_TRUST: f64 = 0.9;
@@ -18,6 +18,9 @@
 /// Growth of the processors of tasks that are held back by their grant.
 const GROWTH: f64 = 1.25;
 
+/// Growth of the memory of other tasks after one ran out of it. The task itself gets twice as much.
+const EXHAUSTED_GROWTH: f64 = 1.25;
+
 /// The most processors granted, as a multiple of the declaration.
 const MAX_PROCESSORS: f64 = 2.0;
 
@@ -85,8 +88,8 @@
     /// Takes in that a task ran out of memory with this grant.
     pub fn exhausted(&mut self, declared: Size, grant: Size) {
         self.reports = self.reports.saturating_add(1);
-        let doubled = ratio(grant.memory_mb, declared.memory_mb) * 2.0;
-        self.memory = self.memory.max(doubled);
+        let more = ratio(grant.memory_mb, declared.memory_mb) * EXHAUSTED_GROWTH;
+        self.memory = self.memory.max(more);
     }
 
     /// What to grant to a task: never below what was observed, never above `most`.
--- a/crates/decision/src/interference.rs
+++ b/crates/decision/src/interference.rs
@@ -14,8 +14,14 @@
 /// Weight of a new measurement in the base.
 const BASE_WEIGHT: f64 = 0.05;
 
-/// Weight of a new measurement in a pair, divided among the kinds present.
-const PAIR_WEIGHT: f64 = 0.1;
+/// Step of a pair towards what a measurement says. Service times vary, so it is small.
+const RATE: f64 = 0.05;
+
+/// Keeps the step small when little batch work is present.
+const DAMPING: f64 = 0.02;
+
+/// Share of a worker below which batch work counts as absent.
+const NEGLIGIBLE: f64 = 0.02;
 
 /// Weight of a time below the running low mean.
 const LOW_DOWN: f64 = 0.04;
@@ -29,7 +35,7 @@
 
 /// The largest slowdown taken in from one measurement, so that a stray one does not condemn a
 /// pair.
-const MAX_RATIO: f64 = 8.0;
+const MAX_RATIO: f64 = 4.0;
 
 /// The shortest service time taken in, in ms; times are whole milliseconds.
 const MIN_TIME: f64 = 0.5;
@@ -42,21 +48,21 @@
     low: f64,
 }
 
-/// The slowdown of one service by one batch kind.
-#[derive(Clone, Copy, Debug)]
+/// The slowdown of one service by one batch kind. Unknown kinds slow nothing down.
+#[derive(Clone, Copy, Debug, Default)]
 struct Pair {
-    slowdown: f64,
+    /// Added to the ratio of service times by a worker full of tasks of the kind.
+    harm: f64,
     count: u32,
 }
 
-impl Default for Pair {
-    /// Optimistic: an unknown kind slows nothing down.
-    fn default() -> Self {
-        Self {
-            slowdown: 1.0,
-            count: 0,
-        }
-    }
+/// A batch kind on a worker, with the share of the worker's processors that its tasks hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Presence<'a> {
+    /// The kind.
+    pub kind: &'a Name,
+    /// The share, from 0 to 1.
+    pub share: f64,
 }
 
 /// Everything learned about pairs.
@@ -69,40 +75,49 @@
 impl Model {
     /// Takes in a service time seen on a worker where tasks of `present` kinds run. Returns its
     /// ratio to the time without batch work.
-    pub fn measure(&mut self, service: &Name, request: &Name, time: Ms, present: &[Name]) -> f64 {
+    pub fn measure(
+        &mut self,
+        service: &Name,
+        request: &Name,
+        time: Ms,
+        present: &[Presence<'_>],
+    ) -> f64 {
         let time = f64::from(u32::try_from(time.0).unwrap_or(u32::MAX)).max(MIN_TIME);
+        let total: f64 = present.iter().map(|one| one.share).sum();
         let bases = entry(&mut self.bases, service);
         let base = entry(bases, request);
-        base.take(time, present.is_empty());
-        let ratio = (time / base.time()).clamp(1.0 / MAX_RATIO, MAX_RATIO);
+        base.take(time, total < NEGLIGIBLE);
+        let ratio = (time / base.time()).min(MAX_RATIO);
         self.attribute(service, ratio, present);
         ratio
     }
 
-    /// Moves each pair towards what the others present leave unexplained.
-    fn attribute(&mut self, service: &Name, ratio: f64, present: &[Name]) {
-        let expected = self.slowdown(service, present);
+    /// Moves the kinds present towards what explains the ratio, each by its share.
+    fn attribute(&mut self, service: &Name, ratio: f64, present: &[Presence<'_>]) {
+        let unexplained = ratio - self.slowdown(service, present.iter().copied());
+        let squares: f64 = present.iter().map(|one| one.share * one.share).sum();
         let pairs = entry(&mut self.pairs, service);
-        let share = f64::from(u32::try_from(present.len()).unwrap_or(u32::MAX)).max(1.0);
-        for kind in present {
-            let pair = entry(pairs, kind);
-            let unexplained = (ratio / (expected / pair.slowdown)).max(1.0);
-            // The first measurements replace the prior, which is a guess.
-            let early = 1.0 / f64::from(pair.count + 1);
-            let weight = PAIR_WEIGHT.max(early.min(0.5)) / share;
-            pair.slowdown += (unexplained - pair.slowdown) * weight;
+        for one in present.iter().filter(|one| one.share >= NEGLIGIBLE) {
+            let pair = entry(pairs, one.kind);
+            let step = RATE * unexplained * one.share / (squares + DAMPING);
+            pair.harm = (pair.harm + step).max(0.0);
             pair.count = pair.count.saturating_add(1);
         }
     }
 
-    /// The expected slowdown of a service beside these kinds together.
+    /// The expected ratio of a service's times beside these kinds together.
     #[must_use]
-    pub fn slowdown<'a>(&self, service: &Name, present: impl IntoIterator<Item = &'a Name>) -> f64 {
+    pub fn slowdown<'a>(
+        &self,
+        service: &Name,
+        present: impl IntoIterator<Item = Presence<'a>>,
+    ) -> f64 {
         let Some(pairs) = self.pairs.get(service) else {
             return 1.0;
         };
-        let known = present.into_iter().filter_map(|kind| pairs.get(kind));
-        known.map(|pair| pair.slowdown).product()
+        let each = present.into_iter();
+        let harm = each.filter_map(|one| Some(pairs.get(one.kind)?.harm * one.share));
+        1.0 + harm.sum::<f64>()
     }
 
     /// Whether enough was measured of a pair.
--- a/crates/decision/src/naive/place.rs
+++ b/crates/decision/src/naive/place.rs
@@ -145,8 +145,7 @@
         let Some(&worker) = self.ledger.vms.get(vm) else {
             return;
         };
-        let kinds = self.ledger.worker(worker).kinds.iter();
-        let present: Vec<Name> = kinds.map(|(kind, _)| kind.clone()).collect();
+        let present: Vec<_> = self.ledger.worker(worker).presence().collect();
         let ratio = self.model.measure(service, request, time, &present);
         let view = self.view(worker);
         view.ratio += (ratio - view.ratio) * WEIGHT;
--- a/crates/decision/src/place/choose.rs
+++ b/crates/decision/src/place/choose.rs
@@ -6,6 +6,7 @@
 use super::queue::Shape;
 use super::view::View;
 use crate::clock::Ms;
+use crate::interference::Presence;
 use crate::name::Name;
 use crate::resource::Size;
 use crate::task::Any;
@@ -74,7 +75,7 @@
             return self.queue.pop(class);
         }
         let shape = self.queue.class(class).shape.clone();
-        let grant = self.grant(&shape);
+        let grant = self.grant(key, &shape);
         let history = self.ledger.task(key).and_then(Any::history);
         let want = Want {
             class,
@@ -122,9 +123,11 @@
         self.ledger.start(key, worker, grant);
     }
 
-    fn grant(&mut self, shape: &Shape) -> Size {
+    /// What to grant: by the tasks of the same job if one was seen, else by those of its kind.
+    fn grant(&mut self, key: Key, shape: &Shape) -> Size {
         let most = self.most(shape.group);
-        match self.kinds.get(&shape.kind) {
+        let job = self.jobs.get(&self.ledger.piece(key.piece).job.name);
+        match job.or_else(|| self.kinds.get(&shape.kind)) {
             Some(estimate) => estimate.grant(shape.size, shape.memory_floor, most),
             None => {
                 let floor = shape.memory_floor.min(most.memory_mb);
@@ -238,11 +241,11 @@
         let shape = want.shape;
         let load = f64::from(worker.busy) / f64::from(worker.vm.slots.max(1));
         let mut score = 1.0 - tightness(grant, room);
-        let same = worker.kinds.iter().find(|(kind, _)| *kind == shape.kind);
-        let same = same.map_or(0, |(_, count)| *count);
+        let same = worker.kinds.iter().find(|held| held.kind == shape.kind);
+        let same = same.map_or(0, |held| held.count);
         score += f64::from(same) * SPREAD_WEIGHT;
         if worker.busy > 0 {
-            let slowdown = self.expected(shape, worker);
+            let slowdown = self.expected(shape, grant, worker);
             let limit = f64::from(self.ledger.config.document().limits.slowdown) / 100.0;
             if slowdown > limit && load >= LOADED && (same > 0 || !want.patient) {
                 return None;
@@ -253,13 +256,15 @@
     }
 
     /// The expected slowdown of the worst affected service with one more task of the shape.
-    fn expected(&self, shape: &Shape, worker: &Worker) -> f64 {
-        let others = worker.kinds.iter().map(|(kind, _)| kind);
-        let others = others.filter(|kind| **kind != shape.kind);
+    fn expected(&self, shape: &Shape, grant: Size, worker: &Worker) -> f64 {
+        let more = Presence {
+            kind: &shape.kind,
+            share: worker.share(grant.millicores),
+        };
         let services = self.ledger.config.document().services.iter();
         let each = services.map(|service| {
-            let kinds = others.clone().chain([&shape.kind]);
-            self.model.slowdown(&service.name, kinds)
+            let present = worker.presence().chain([more]);
+            self.model.slowdown(&service.name, present)
         });
         each.fold(1.0, f64::max)
     }
--- a/crates/decision/src/place/ledger.rs
+++ b/crates/decision/src/place/ledger.rs
@@ -9,6 +9,7 @@
 use super::Order;
 use crate::clock::Ms;
 use crate::config::Checked;
+use crate::interference::Presence;
 use crate::name::Name;
 use crate::operator::Job;
 use crate::piece;
@@ -52,6 +53,17 @@
     Failed(Key, Booking, Fault, worker::Task),
 }
 
+/// The tasks of one kind on a worker.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The kind.
+    pub kind: Name,
+    /// How many tasks.
+    pub count: u32,
+    /// What they hold of the processors.
+    pub millicores: u32,
+}
+
 /// A worker and what is booked on it.
 #[derive(Debug)]
 pub struct Worker {
@@ -71,8 +83,8 @@
     pub booked: Size,
     /// Tasks of held pieces booked here.
     pub tasks: Vec<Key>,
-    /// How many of them there are of each kind.
-    pub kinds: Vec<(Name, u32)>,
+    /// The kinds among them.
+    pub kinds: Vec<Held>,
     /// Other attempts that it reported.
     pub extra: Vec<worker::Task>,
     /// Whether it leaves.
@@ -214,22 +226,45 @@
         self.limit(reserve).minus(self.booked)
     }
 
-    fn count_kind(&mut self, kind: &Name) {
-        match self.kinds.iter_mut().find(|(known, _)| known == kind) {
-            Some((_, count)) => *count += 1,
-            None => self.kinds.push((kind.clone(), 1)),
+    fn count_kind(&mut self, kind: &Name, millicores: u32) {
+        match self.kinds.iter_mut().find(|held| held.kind == *kind) {
+            Some(held) => {
+                held.count += 1;
+                held.millicores += millicores;
+            }
+            None => self.kinds.push(Held {
+                kind: kind.clone(),
+                count: 1,
+                millicores,
+            }),
         }
     }
 
-    fn discount_kind(&mut self, kind: &Name) {
-        if let Some(at) = self.kinds.iter().position(|(known, _)| known == kind) {
-            self.kinds[at].1 -= 1;
-            if self.kinds[at].1 == 0 {
+    fn discount_kind(&mut self, kind: &Name, millicores: u32) {
+        if let Some(at) = self.kinds.iter().position(|held| held.kind == *kind) {
+            let held = &mut self.kinds[at];
+            held.count -= 1;
+            held.millicores = held.millicores.saturating_sub(millicores);
+            if held.count == 0 {
                 self.kinds.swap_remove(at);
             }
         }
     }
 
+    /// The kinds with the shares of the processors that their tasks hold.
+    pub fn presence(&self) -> impl Iterator<Item = Presence<'_>> + Clone {
+        self.kinds.iter().map(|held| Presence {
+            kind: &held.kind,
+            share: self.share(held.millicores),
+        })
+    }
+
+    /// The share of the worker's processors that this is.
+    #[must_use]
+    pub fn share(&self, millicores: u32) -> f64 {
+        f64::from(millicores) / f64::from(self.capacity.millicores.max(1))
+    }
+
     /// Whether commands may be sent.
     #[must_use]
     pub const fn reachable(&self) -> bool {
@@ -353,7 +388,7 @@
         let worker = worker.expect("worker indices in use stay valid");
         worker.booked = worker.booked.plus(booking.grant);
         worker.tasks.push(key);
-        worker.count_kind(&job.kind);
+        worker.count_kind(&job.kind, booking.grant.millicores);
         match self.held.get_mut(&job.team) {
             Some(held) => *held = held.plus(booking.grant),
             None => {
@@ -370,7 +405,7 @@
         let worker = worker.expect("worker indices in use stay valid");
         worker.booked = worker.booked.minus(booking.grant);
         worker.tasks.retain(|&other| other != key);
-        worker.discount_kind(&job.kind);
+        worker.discount_kind(&job.kind, booking.grant.millicores);
         if let Some(held) = self.held.get_mut(&job.team) {
             *held = held.minus(booking.grant);
         }
--- a/crates/decision/src/place/outcome.rs
+++ b/crates/decision/src/place/outcome.rs
@@ -3,6 +3,8 @@
 use super::board::Board;
 use super::ledger::Key;
 use crate::clock::Ms;
+use crate::estimate::Estimate;
+use crate::operator::Job;
 use crate::quarantine::Change;
 use crate::resource::Size;
 use crate::task::Any;
@@ -26,6 +28,9 @@
 /// The longest such pause.
 const MAX_RETRY: Ms = Ms(30_000);
 
+/// Jobs of which an estimate is kept; they are relearned within seconds.
+const MAX_JOBS: usize = 10_000;
+
 /// Usage is reported with a delay; younger attempts show too little.
 const USAGE_DELAY: Ms = Ms(2_000);
 
@@ -55,24 +60,31 @@
             }
             let first = !std::mem::replace(&mut run.sampled, true);
             let (used, grant) = (run.used, run.booking.grant);
-            let job = &self.ledger.piece(key.piece).job;
-            if !self.kinds.contains_key(&job.kind) {
-                self.kinds.insert(job.kind.clone(), Default::default());
-            }
-            if let Some(estimate) = self.kinds.get_mut(&job.kind) {
+            let job = self.ledger.piece(key.piece).job.clone();
+            self.learn(&job, |estimate| {
                 estimate.used(job.size, grant, used, first);
-            }
+            });
         }
         if proven && self.view(worker).health.quarantined() {
             self.worked(worker);
         }
     }
 
+    /// Corrects what is known of the tasks of a job and of its kind.
+    fn learn(&mut self, job: &Job, correct: impl Fn(&mut Estimate)) {
+        if self.jobs.len() >= MAX_JOBS && !self.jobs.contains_key(&job.name) {
+            self.jobs.clear();
+        }
+        correct(self.jobs.entry(job.name.clone()).or_default());
+        correct(self.kinds.entry(job.kind.clone()).or_default());
+    }
+
     /// A task completed.
     pub(super) fn completed(&mut self, key: Key, booking: Booking, seen: &worker::Task) {
         let job = self.ledger.piece(key.piece).job.clone();
-        let estimate = self.kinds.entry(job.kind).or_default();
-        estimate.completed(job.size, seen.used, job.run_time, seen.progress);
+        self.learn(&job, |estimate| {
+            estimate.completed(job.size, seen.used, job.run_time, seen.progress);
+        });
         if let Some(trouble) = self.troubles.get_mut(&job.name) {
             trouble.succeeded();
         }
@@ -95,14 +107,16 @@
     /// An attempt failed.
     pub(super) fn failed(&mut self, key: Key, booking: Booking, fault: Fault, seen: &worker::Task) {
         let job = self.ledger.piece(key.piece).job.clone();
-        if let Some(history) = self.ledger.history_mut(key) {
-            history.avoid = Some(booking.worker);
-        }
+        let Some(history) = self.ledger.history_mut(key) else {
+            return;
+        };
+        let again = history.avoid.replace(booking.worker) == Some(booking.worker);
         let used = u64::from(seen.used.memory_mb) * 100;
         let grant = u64::from(booking.grant.memory_mb);
         if fault == Fault::Memory && used >= grant * EXHAUSTED {
-            let estimate = self.kinds.entry(job.kind).or_default();
-            estimate.exhausted(job.size, booking.grant);
+            self.learn(&job, |estimate| {
+                estimate.exhausted(job.size, booking.grant);
+            });
             return self.enlarge(key, booking);
         }
         let trouble = self.troubles.entry(job.name).or_default();
@@ -111,19 +125,22 @@
             self.view(booking.worker).health.unproven(now);
             return self.charge(key, true);
         }
-        self.suspect(key, booking.worker);
+        self.suspect(key, booking.worker, again);
     }
 
-    /// A failure that is probably the worker's fault.
-    fn suspect(&mut self, key: Key, worker: u32) {
+    /// A failure that is probably the worker's fault; `again` tells that the task failed there
+    /// before.
+    fn suspect(&mut self, key: Key, worker: u32, again: bool) {
         let now = self.ledger.now;
         let quarantined = self.view(worker).health.quarantined();
         let change = self.view(worker).health.failed(now);
         if quarantined {
             return self.retry_later(key, 1);
         }
-        self.view(worker).suspects.push(key);
-        let works = self.view(worker).health.works();
+        let view = self.view(worker);
+        view.suspects.push(key);
+        // After failures of several tasks in a row the worker itself may have broken.
+        let works = view.health.works() && view.suspects.iter().all(|&other| other == key);
         if change == Change::Quarantined {
             self.refund(worker);
             self.ledger
@@ -131,7 +148,7 @@
             self.reindex(worker);
             return self.retry_later(key, 1);
         }
-        self.charge(key, works);
+        self.charge(key, works && !again);
     }
 
     /// Failures on a worker that is now quarantined do not count against their tasks.
--- a/crates/decision/src/place/watch.rs
+++ b/crates/decision/src/place/watch.rs
@@ -4,9 +4,9 @@
 use super::board::Board;
 use super::ledger::Key;
 use crate::clock::Ms;
+use crate::interference::Presence;
 use crate::name::Name;
 use crate::protect::Action;
-use crate::resource::Size;
 use crate::task::Any;
 use crate::task::Running;
 use crate::task::Why;
@@ -34,12 +34,20 @@
             return;
         };
         let now = self.ledger.now;
-        let mut present = Vec::new();
-        for (kind, _) in &self.ledger.worker(worker).kinds {
-            if self.settled(worker, kind) {
-                present.push(kind.clone());
-            }
-        }
+        let throttled = self.view(worker).throttled.clone();
+        let known = self.ledger.worker(worker);
+        let settled = known
+            .presence()
+            .filter(|one| self.settled(worker, one.kind));
+        let present: Vec<_> = settled
+            .map(|one| match &throttled {
+                Some((kind, share)) if kind == one.kind => Presence {
+                    share: one.share * f64::from(*share) / 100.0,
+                    ..one
+                },
+                _ => one,
+            })
+            .collect();
         let ratio = self.model.measure(service, request, time, &present);
         self.view(worker).guard.measure(now, ratio);
     }
@@ -120,24 +128,17 @@
     fn worst(&self, worker: u32) -> Option<Name> {
         let known = self.ledger.worker(worker);
         let services = &self.ledger.config.document().services;
-        let slowdown = |kind: &Name| {
+        let harm = |one: &Presence<'_>| {
             let each = services.iter();
-            let each = each.map(|service| self.model.slowdown(&service.name, [kind]));
+            let each = each.map(|service| self.model.slowdown(&service.name, [*one]));
             each.fold(1.0, f64::max)
         };
-        let holds = |kind: &Name| {
-            let tasks = known.tasks.iter();
-            let same = tasks.filter(|key| self.ledger.piece(key.piece).job.kind == *kind);
-            let grants = same.filter_map(|&key| self.ledger.task(key)?.booking());
-            grants.fold(Size::ZERO, |sum, booking| sum.plus(booking.grant))
-        };
-        let kinds = known.kinds.iter().map(|(kind, _)| kind);
-        let worst = kinds.max_by(|a, b| {
-            let by_slowdown = slowdown(a).total_cmp(&slowdown(b));
-            let by_size = || holds(a).millicores.cmp(&holds(b).millicores);
-            by_slowdown.then_with(by_size).then_with(|| b.cmp(a))
+        let worst = known.presence().max_by(|a, b| {
+            let by_share = || a.share.total_cmp(&b.share);
+            let by_harm = harm(a).total_cmp(&harm(b));
+            by_harm.then_with(by_share).then_with(|| b.kind.cmp(a.kind))
         });
-        worst.cloned()
+        worst.map(|one| one.kind.clone())
     }
 
     /// Brings the processor shares of all tasks to what is wanted.
