--- a/crates/decision/src/place/outcome.rs
+++ b/crates/decision/src/place/outcome.rs
@@ -16,8 +16,8 @@
 /// Failures of a task on working workers after which it has failed for good.
 const MAX_FAILURES: u32 = 3;
 
-/// Failures after which it has failed for good wherever it ran.
-const MAX_FAILURES_ANYWHERE: u32 = 10;
+/// Failures on workers that may be at fault after which it has failed for good.
+const MAX_SUSPECTED: u32 = 10;
 
 /// The least memory granted after a task ran out of it; a task may declare none.
 const MIN_MEMORY_MB: u32 = 64;
@@ -120,7 +120,8 @@
             return self.enlarge(key, booking);
         }
         let trouble = self.troubles.entry(job.name).or_default();
-        if trouble.failed(booking.worker) {
+        let poison = trouble.failed(booking.worker);
+        if poison && self.view(booking.worker).health.works() {
             let now = self.ledger.now;
             self.view(booking.worker).health.unproven(now);
             return self.charge(key, true);
@@ -155,7 +156,7 @@
     fn refund(&mut self, worker: u32) {
         for key in std::mem::take(&mut self.view(worker).suspects) {
             if let Some(history) = self.ledger.history_mut(key) {
-                history.failures = history.failures.saturating_sub(1);
+                history.suspected = history.suspected.saturating_sub(1);
             }
         }
     }
@@ -179,17 +180,16 @@
         let Some(history) = self.ledger.history_mut(key) else {
             return;
         };
-        history.failures += 1;
-        let failures = history.failures;
-        let most = if fair {
-            MAX_FAILURES
+        if fair {
+            history.failures += 1;
         } else {
-            MAX_FAILURES_ANYWHERE
-        };
-        if failures >= most {
+            history.suspected += 1;
+        }
+        let (failures, suspected) = (history.failures, history.suspected);
+        if failures >= MAX_FAILURES || suspected >= MAX_SUSPECTED {
             self.ledger.give_up(key);
         } else {
-            self.retry_later(key, failures);
+            self.retry_later(key, failures + suspected);
         }
     }
 
--- a/crates/decision/src/task.rs
+++ b/crates/decision/src/task.rs
@@ -52,6 +52,8 @@
     pub evictions: u32,
     /// How often it failed by itself.
     pub failures: u32,
+    /// How often it failed where the worker may be at fault; not stored.
+    pub suspected: u32,
     /// Resumes that the worker refused because the checkpoint was unreadable.
     pub unreadable: u32,
     /// The highest attempt whose end was taken in.
