--- a/crates/experiment/src/runs.rs
+++ b/crates/experiment/src/runs.rs
@@ -4,6 +4,7 @@
 use decision::request::Answer as Whole;
 use decision::request::Call;
 use decision::request::Ending;
+use decision::worker::Epoch;
 use decision::worker::Refusal;
 use history::Fact;
 use history::answer;
@@ -59,7 +60,7 @@
         let newest = worker.model.report().epoch;
         let epoch = if unfenced { newest } else { request.epoch };
         match worker.model.begin(epoch) {
-            Ok(()) => self.begin(vm, request),
+            Ok(()) => self.begin(vm, epoch, request),
             Err(Refusal::Full) => self.wait(vm, request),
             Err(_) => {
                 let hop = self.reach(request.back, vm);
@@ -81,7 +82,7 @@
         self.answer(request.back, hop, Answer::Ended(Ending::NotRun));
     }
 
-    fn begin(&mut self, vm: usize, request: Request) {
+    fn begin(&mut self, vm: usize, shown: Epoch, request: Request) {
         let Request {
             back,
             id,
@@ -101,7 +102,13 @@
             epoch,
             body: call.body.clone(),
         });
-        let run = Run { vm, id, call, took };
+        let run = Run {
+            vm,
+            id,
+            epoch: shown,
+            call,
+            took,
+        };
         self.fleet.runs.insert(back, run);
         let ran = Happening::Worker(vm, Work::Ran(back));
         self.agenda.after(took, ran);
@@ -111,7 +118,7 @@
         let run = self.fleet.runs.remove(&back)?;
         self.fleet.sent.remove(&back);
         let worker = &mut self.fleet.workers[run.vm];
-        worker.model.finish();
+        worker.model.finish(run.epoch);
         if let Some(link) = worker.links.get_mut(&back.entry) {
             link.open = link.open.saturating_sub(1);
         }
