--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -71,6 +71,7 @@
 pub(crate) struct Run {
     pub vm: usize,
     pub id: String,
+    /// The epoch under which the slot was taken.
     pub epoch: Epoch,
     pub call: Arc<Call>,
     pub took: Us,
--- a/crates/experiment/src/runs.rs
+++ b/crates/experiment/src/runs.rs
@@ -82,7 +82,7 @@
         self.answer(request.back, hop, Answer::Ended(Ending::NotRun));
     }
 
-    fn begin(&mut self, vm: usize, counted: Epoch, request: Request) {
+    fn begin(&mut self, vm: usize, shown: Epoch, request: Request) {
         let Request {
             back,
             id,
@@ -105,7 +105,7 @@
         let run = Run {
             vm,
             id,
-            epoch: counted,
+            epoch: shown,
             call,
             took,
         };
