--- a/crates/decision/src/route.rs
+++ b/crates/decision/src/route.rs
@@ -160,12 +160,14 @@
     pub fn update(&mut self, targets: Vec<Target>) -> Vec<Name> {
         let mut leaving = Vec::new();
         let present: HashSet<Name> = targets.iter().map(|target| target.vm.clone()).collect();
-        let gone: Vec<Id> = self
+        let mut gone: Vec<Id> = self
             .ids
             .iter()
             .filter(|(vm, _)| !present.contains(*vm))
             .map(|(_, id)| *id)
             .collect();
+        // Freed ids are used again in this order, and equal seeds have to give equal choices.
+        gone.sort_unstable();
         for id in gone {
             self.entry(id).owned = false;
             self.refresh(id);
