Grant processors by the mean of what tasks of a kind used

Change: observations of memory and of processors are counted apart; processors follow an exponentially weighted mean.

--- a/crates/decision/src/estimate.rs
+++ b/crates/decision/src/estimate.rs
@@ -28,6 +28,9 @@
 /// running out of memory.
 const MAX_RATIO: f64 = 8.0;
 
+/// Weight of a new observation of the use of processors.
+const LOAD_WEIGHT: f64 = 0.1;
+
 /// Weight of a new run time.
 const TIME_WEIGHT: f64 = 0.2;
 
@@ -38,8 +41,11 @@
 /// What is known of one kind, as ratios to the declaration.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Estimate {
-    reports: u32,
+    /// Tasks whose memory was seen.
+    memories: u32,
     memory: f64,
+    /// Tasks whose use of processors was seen.
+    loads: u32,
     processors: f64,
     time: f64,
     times: u32,
@@ -48,8 +54,9 @@
 impl Default for Estimate {
     fn default() -> Self {
         Self {
-            reports: 0,
+            memories: 0,
             memory: 0.0,
+            loads: 0,
             processors: 0.0,
             time: 1.0,
             times: 0,
@@ -61,7 +68,8 @@
     /// Takes in what a running task used; `first` tells that it is its first report.
     pub fn used(&mut self, declared: Size, grant: Size, used: Size, first: bool) {
         if first {
-            self.reports = self.reports.saturating_add(1);
+            self.memories = self.memories.saturating_add(1);
+            self.loads = self.loads.saturating_add(1);
         }
         self.memory = self.memory.max(ratio(used.memory_mb, declared.memory_mb));
         let share = ratio(used.millicores, grant.millicores);
@@ -69,16 +77,13 @@
         if share >= SATURATED {
             processors = (processors * GROWTH).min(MAX_PROCESSORS);
         }
-        self.processors = self.processors.max(processors);
+        let weight = if self.loads <= 1 { 1.0 } else { LOAD_WEIGHT };
+        self.processors += (processors - self.processors) * weight;
     }
 
     /// Takes in a completion after `work` of full-speed run time.
     pub fn completed(&mut self, declared: Size, used: Size, run_time: Ms, work: Ms) {
         self.memory = (self.memory * DECAY).max(ratio(used.memory_mb, declared.memory_mb));
-        self.processors *= DECAY;
-        self.processors = self
-            .processors
-            .max(ratio(used.millicores, declared.millicores));
         let seen = milliseconds(work) / milliseconds(run_time).max(1.0);
         let weight = if self.times == 0 { 1.0 } else { TIME_WEIGHT };
         self.time += (seen - self.time) * weight;
@@ -87,25 +92,18 @@
 
     /// Takes in that a task ran out of memory with this grant.
     pub fn exhausted(&mut self, declared: Size, grant: Size) {
-        self.reports = self.reports.saturating_add(1);
+        self.memories = self.memories.saturating_add(1);
         let more = ratio(grant.memory_mb, declared.memory_mb) * EXHAUSTED_GROWTH;
         self.memory = self.memory.max(more);
     }
 
-    /// What to grant to a task: never below what was observed, never above `most`.
+    /// What to grant to a task, never above `most`. Memory is never below what was observed, because
+    /// a task that lacks it fails; one that lacks processors is only slower.
     #[must_use]
     pub fn grant(&self, declared: Size, memory_floor: u32, most: Size) -> Size {
-        let reports = f64::from(self.reports);
-        let trust = (reports / (reports + EVEN)).min(MAX_TRUST);
-        let mix = |amount: u32, learned: f64| {
-            let mixed = (1.0 - trust) + trust * learned * MARGIN;
-            scale(
-                amount,
-                mixed.max(if self.reports > 0 { learned } else { 0.0 }),
-            )
-        };
-        let processors = mix(declared.millicores, self.processors);
-        let memory = mix(declared.memory_mb, self.memory).max(memory_floor);
+        let processors = scale(declared.millicores, mix(self.loads, self.processors));
+        let memory = mix(self.memories, self.memory).max(self.memory);
+        let memory = scale(declared.memory_mb, memory).max(memory_floor);
         Size {
             millicores: bound(processors, declared.millicores, most.millicores),
             memory_mb: bound(memory, declared.memory_mb, most.memory_mb),
@@ -123,6 +121,13 @@
     }
 }
 
+/// The declaration, as 1, and what was learned, weighted by the number of observations.
+fn mix(observations: u32, learned: f64) -> f64 {
+    let observations = f64::from(observations);
+    let trust = (observations / (observations + EVEN)).min(MAX_TRUST);
+    (1.0 - trust) + trust * learned * MARGIN
+}
+
 /// A corrected amount is cut to the largest worker, but a declaration above it stays visible as
 /// impossible.
 fn bound(amount: u32, declared: u32, most: u32) -> u32 {
--- a/crates/decision/tests/policy.rs
+++ b/crates/decision/tests/policy.rs
@@ -70,6 +70,30 @@
     assert!(estimate.grant(DECLARED, 0, LARGEST).memory_mb >= 2_000);
 }
 
+/// Guards against processors taken away by observations that say nothing of them: a task so starved
+/// runs many times longer than it must.
+#[test]
+fn memory_failures_leave_the_processors_alone() {
+    let mut estimate = Estimate::default();
+    for _ in 0..20 {
+        estimate.exhausted(DECLARED, DECLARED);
+    }
+    assert_eq!(estimate.grant(DECLARED, 0, LARGEST).millicores, 1_000);
+}
+
+/// Guards against one busy task that raises the processors of all later ones, which leaves most of
+/// each worker idle.
+#[test]
+fn processors_follow_the_mean() {
+    let mut estimate = Estimate::default();
+    for index in 0..100 {
+        let millicores = if index % 10 == 0 { 2_000 } else { 200 };
+        estimate.used(DECLARED, LARGEST, size(millicores, 100), true);
+    }
+    let granted = estimate.grant(DECLARED, 0, LARGEST).millicores;
+    assert!((380..=800).contains(&granted), "{granted}");
+}
+
 /// Guards against a declared size above every worker that a cut would hide.
 #[test]
 fn an_impossible_declaration_stays_impossible() {
