--- a/src/daemon/ticks.rs
+++ b/src/daemon/ticks.rs
@@ -1,5 +1,6 @@
 //! Lets time pass for the state machines and reads the list of VMs.
 
+use std::collections::BTreeSet;
 use std::mem;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -44,6 +45,7 @@
 
 async fn tick_control(shell: Arc<Shell>) {
     let mut due = Instant::now();
+    let mut damaged = BTreeSet::new();
     loop {
         for event in measured(&shell) {
             shell.control(event);
@@ -55,6 +57,7 @@
         shell.metrics.load(&load);
         shell.control(control::Event::Load(load));
         shell.control(control::Event::Tick);
+        log_damage(&shell, &mut damaged);
         shell.ticked.store(shell.clock.now().0, Ordering::SeqCst);
         // Ticks missed in a pause are not made up for.
         due = (due + CONTROL_TICK).max(Instant::now());
@@ -62,6 +65,18 @@
     }
 }
 
+/// Logs each row of the table that cannot be decoded, once.
+fn log_damage(shell: &Shell, known: &mut BTreeSet<String>) {
+    let machine = shell.control.lock().expect("no holder of this lock panics");
+    let damaged = machine.damaged();
+    known.retain(|key| damaged.contains_key(key));
+    for (key, error) in damaged {
+        if known.insert(key.clone()) {
+            log::error!("entry={} row={key} cause={error}", shell.identity.entry);
+        }
+    }
+}
+
 fn measured(shell: &Shell) -> Vec<control::Event> {
     let mut measured = shell
         .measured
