--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -160,6 +160,11 @@
         }
     }
 
+    /// Closes the idle connections to an address, which may have gone silent.
+    pub fn forget(&self, to: SocketAddr) {
+        self.lock().remove(&to);
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         self.lock().clear();
--- /dev/null
+++ b/crates/scheduler/src/agent.rs
@@ -0,0 +1,94 @@
+//! How an agent keeps the lease of one worker.
+
+use decision::clock::Ms;
+
+/// The longest wait of a look for an end.
+const WAIT: Ms = Ms(1_000);
+/// The wait of a look before the worker's clock is known.
+const FIRST_WAIT: Ms = Ms::ZERO;
+/// An agent that has not heard from its leader for longer lets leases expire.
+pub const PATIENCE: Ms = crate::leader::AGENT_PATIENCE;
+
+/// One look at a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Plan {
+    /// The end of the lease on the worker's clock, if the lease is renewed.
+    pub deadline: Option<Ms>,
+    /// How long the worker may wait for an end.
+    pub wait: Ms,
+}
+
+/// The lease of a worker as its agent sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Lease {
+    length: Ms,
+    clock: Option<(Ms, Ms)>,
+    renewed: Option<Ms>,
+    is_silent: bool,
+}
+
+impl Lease {
+    /// A lease of this length on a worker that has not answered yet.
+    #[must_use]
+    pub const fn new(length: Ms) -> Self {
+        Self {
+            length,
+            clock: None,
+            renewed: None,
+            is_silent: false,
+        }
+    }
+
+    /// The next look. A silent worker is asked without a renewal, so that its lease ends at a time
+    /// that the leader knows.
+    #[must_use]
+    pub fn plan(&self, now: Ms, heard: Ms) -> Plan {
+        let deadline = self.deadline(now, heard);
+        let wait = if deadline.is_some() { WAIT } else { FIRST_WAIT };
+        Plan { deadline, wait }
+    }
+
+    /// The end of a lease that begins now, on the worker's clock.
+    #[must_use]
+    pub fn deadline(&self, now: Ms, heard: Ms) -> Option<Ms> {
+        if self.is_silent || now.since(heard) > PATIENCE {
+            return None;
+        }
+        let (clock, at) = self.clock?;
+        Some(clock + now.since(at) + self.length)
+    }
+
+    /// Notes that a renewal is sent.
+    pub const fn renew(&mut self, now: Ms) {
+        self.renewed = Some(now);
+    }
+
+    /// Notes an answer with the worker's clock; whether the worker was silent before.
+    pub const fn answered(&mut self, now: Ms, clock: Ms) -> bool {
+        self.clock = Some((clock, now));
+        let was_silent = self.is_silent;
+        self.is_silent = false;
+        was_silent
+    }
+
+    /// Notes that there was no answer, and returns the time since the last renewal.
+    pub const fn missed(&mut self, now: Ms) -> Ms {
+        self.is_silent = true;
+        match self.renewed {
+            Some(at) => now.since(at),
+            None => Ms(now.0),
+        }
+    }
+
+    /// Whether the last look had no answer.
+    #[must_use]
+    pub const fn is_silent(&self) -> bool {
+        self.is_silent
+    }
+
+    /// The time since the last renewal.
+    #[must_use]
+    pub fn age(&self, now: Ms) -> Ms {
+        self.renewed.map_or(Ms(now.0), |at| now.since(at))
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/election.rs
@@ -0,0 +1,60 @@
+//! When an entry takes the lead over.
+//!
+//! The leader writes a beat with the store's steady clock. Only a reader of the store can judge its
+//! age, so an entry that is cut off from the leader alone does not depose it, and a leader that the
+//! store does not serve is replaced.
+
+use std::sync::Arc;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::Epoch;
+
+/// The interval of the leader's beats in the store.
+pub const BEAT: Ms = Ms(600);
+/// The age of a beat at which the leader counts as gone.
+const STALE: Ms = Ms(2_000);
+/// The interval of checks while the leader is not heard.
+pub const CHECK: Ms = Ms(150);
+/// The silence of a leader after which its beat in the store is checked.
+pub const SILENCE: Ms = Ms(1_000);
+
+/// The row that names the leader.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Seat {
+    /// The entry; `None` after it resigned.
+    pub entry: Option<Name>,
+    /// One life of its process.
+    pub instance: u64,
+    /// Where agents connect.
+    pub address: Arc<str>,
+}
+
+/// What the store says about the leader.
+#[derive(Clone, Debug, PartialEq)]
+pub struct View {
+    /// The row with its version.
+    pub seat: Option<(Epoch, Seat)>,
+    /// The age of the last beat of this epoch by the store's clock; `None` when there is none.
+    pub beat_age: Option<Ms>,
+    /// The leader's address refuses connections, or another process answers there.
+    pub is_vacant: bool,
+}
+
+/// Whether this entry should try to become the leader.
+#[must_use]
+pub fn should_run(view: &View, entry: &Name, instance: u64) -> bool {
+    let Some((_, seat)) = &view.seat else {
+        return true;
+    };
+    let Some(holder) = &seat.entry else {
+        return true;
+    };
+    if holder == entry {
+        return seat.instance != instance;
+    }
+    view.is_vacant || view.beat_age.is_some_and(|age| age >= STALE)
+}
--- /dev/null
+++ b/crates/scheduler/src/id.rs
@@ -0,0 +1,152 @@
+//! Identities of jobs, tasks and runs.
+
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
+use serde::Deserialize;
+use serde::Serialize;
+
+const JOB_DIGITS: usize = 16;
+
+/// Run numbers that one epoch can give out before it would reach into the next one.
+const RUNS_PER_EPOCH: u64 = 1 << 20;
+
+quick_error! {
+    /// Why text is not an identity.
+    #[derive(Clone, Copy, Debug, Eq, PartialEq)]
+    pub enum Error {
+        /// A job is named by lower-case hexadecimal digits.
+        Job {
+            display("a job id has 16 lower-case hexadecimal digits")
+        }
+        /// A task is named by its job and three numbers.
+        Task {
+            display("a task id has the form JOB.OCCURRENCE.STEP.INDEX")
+        }
+    }
+}
+
+/// A job, named by its customer.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Job(pub u64);
+
+impl FromStr for Job {
+    type Err = Error;
+
+    fn from_str(raw: &str) -> Result<Self, Error> {
+        let valid = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        if raw.len() != JOB_DIGITS || !raw.bytes().all(valid) {
+            return Err(Error::Job);
+        }
+        match u64::from_str_radix(raw, 16) {
+            Ok(number) => Ok(Self(number)),
+            Err(_) => Err(Error::Job),
+        }
+    }
+}
+
+impl fmt::Display for Job {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// One occurrence of one step of a job.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Step {
+    /// The job.
+    pub job: Job,
+    /// The occurrence, counted from 0.
+    pub occurrence: u32,
+    /// The step, counted from 0.
+    pub step: u16,
+}
+
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+/// A task of a step.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Task {
+    /// The step.
+    pub step: Step,
+    /// The task within the step, counted from 0.
+    pub index: u32,
+}
+
+impl FromStr for Task {
+    type Err = Error;
+
+    fn from_str(raw: &str) -> Result<Self, Error> {
+        let mut parts = raw.split('.');
+        let mut part = || parts.next().ok_or(Error::Task);
+        let job = part()?.parse()?;
+        let occurrence = number(part()?)?;
+        let step = number(part()?)?;
+        let index = number(part()?)?;
+        if parts.next().is_some() {
+            return Err(Error::Task);
+        }
+        let step = Step {
+            job,
+            occurrence,
+            step,
+        };
+        Ok(Self { step, index })
+    }
+}
+
+fn number<T: FromStr>(raw: &str) -> Result<T, Error> {
+    match raw.parse() {
+        Ok(number) => Ok(number),
+        Err(_) => Err(Error::Task),
+    }
+}
+
+impl fmt::Display for Task {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
+
+/// The fencing token of a leader: the store's version of the row that made it the leader.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Epoch(pub u64);
+
+impl fmt::Display for Epoch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// The number of one start of a task. It rises over all leaders without a write for each start.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+pub struct Run(pub u64);
+
+impl Run {
+    /// The run with this count within an epoch.
+    #[must_use]
+    pub const fn new(epoch: Epoch, count: u64) -> Self {
+        Self(epoch.0 * RUNS_PER_EPOCH + count)
+    }
+}
+
+impl fmt::Display for Run {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/leader.rs
@@ -0,0 +1,473 @@
+//! The leader: decides what runs where, learns of ends and makes them durable.
+
+mod assign;
+mod commit;
+mod ends;
+mod looks;
+mod orders;
+mod schedule;
+mod serving;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::config::Config;
+use crate::fleet::Listing;
+use crate::fleet::Worker;
+use crate::id;
+use crate::id::Epoch;
+use crate::id::Run;
+use crate::id::Task;
+use crate::job;
+use crate::message::Beat;
+use crate::message::Note;
+use crate::message::Order;
+use crate::progress::Outcome;
+use crate::progress::Progress;
+use crate::progress::Stage;
+
+pub use self::assign::AGENT_PATIENCE;
+
+/// Time bounds that the platform gives.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// The longest lease of a worker.
+    pub lease: Ms,
+    /// How long ended jobs are remembered.
+    pub retention: Ms,
+    /// How long a serving task may be over its limit before filling tasks must yield.
+    pub harm: Ms,
+}
+
+/// Something that happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The store has an accepted job, in the row of this version.
+    Accepted(id::Job, u64, job::Accepted, Option<Progress>),
+    /// The store has a cancellation.
+    Cancelled(id::Job),
+    /// Workers on which an earlier leader started tasks.
+    Fleet(Vec<Member>),
+    /// All rows that earlier leaders wrote have been read.
+    Recovered,
+    /// A configuration is in force.
+    Config(Arc<Config>),
+    /// The registration of a worker changed or is gone.
+    Listed(Name, Option<Listing>),
+    /// An agent connected.
+    Joined(Name, Name),
+    /// The connection to an agent ended.
+    Left(Name),
+    /// An agent told something.
+    Told(Name, Note),
+    /// A commit is durable.
+    Committed,
+    /// The store did not confirm a commit.
+    Uncommitted,
+    /// Time has passed; the second is the time of day in ms since 1970.
+    Tick(Ms),
+}
+
+/// A worker that must be asked after a change of the leader.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Member {
+    /// Its name.
+    pub worker: Name,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// Its failure domain.
+    pub domain: Name,
+}
+
+/// Rows to write in one transaction, on the condition that this leader is still the leader.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Commit {
+    /// Progress of jobs.
+    pub progress: Vec<(id::Job, Progress)>,
+    /// Jobs whose rows are removed.
+    pub removed: Vec<id::Job>,
+    /// The workers on which tasks may run.
+    pub fleet: Option<Vec<Member>>,
+}
+
+/// Something to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Tell an agent.
+    Send(Name, Order),
+    /// Write to the store; one commit is in progress at a time.
+    Commit(Commit),
+    /// Another leader has taken over.
+    Resign(&'static str),
+    /// Write a log line of `key=value` pairs.
+    Log(String),
+}
+
+/// An agent as the leader knows it.
+#[derive(Clone, Debug)]
+struct Agent {
+    domain: Name,
+    watched: usize,
+}
+
+/// The position of a step among those that wait; the smallest comes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Rank {
+    priority: u32,
+    latest_start: Ms,
+}
+
+/// The state of the leader.
+#[derive(Debug)]
+pub struct Leader {
+    entry: Name,
+    epoch: Epoch,
+    bounds: Bounds,
+    began: Ms,
+    unix: Ms,
+    config: Arc<Config>,
+    is_recovered: bool,
+    workers: BTreeMap<Name, Worker>,
+    fleet: BTreeSet<Member>,
+    jobs: BTreeMap<id::Job, job::Job>,
+    cancelled: BTreeSet<id::Job>,
+    agents: BTreeMap<Name, Agent>,
+    runs: u64,
+    waiting: BTreeSet<(Rank, id::Step)>,
+    ranks: BTreeMap<id::Step, Rank>,
+    unsettled: BTreeMap<(Task, Run), Ms>,
+    committing: Option<commit::InFlight>,
+    commit_after: Ms,
+    clock: Ms,
+    removable: Vec<id::Job>,
+    stored: BTreeSet<Name>,
+    dirty: BTreeMap<id::Job, Ms>,
+    scheduled: BTreeSet<id::Job>,
+    ended: BTreeSet<(Ms, id::Job)>,
+    pacers: BTreeMap<Name, crate::pace::Pacer>,
+    actions: Vec<Action>,
+}
+
+impl Leader {
+    /// A leader of this epoch that knows nothing yet.
+    #[must_use]
+    pub fn new(entry: Name, epoch: Epoch, bounds: Bounds, now: Ms) -> Self {
+        Self {
+            entry,
+            epoch,
+            bounds,
+            began: now,
+            unix: Ms::ZERO,
+            config: Arc::default(),
+            is_recovered: false,
+            workers: BTreeMap::new(),
+            fleet: BTreeSet::new(),
+            jobs: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            agents: BTreeMap::new(),
+            runs: 0,
+            waiting: BTreeSet::new(),
+            ranks: BTreeMap::new(),
+            unsettled: BTreeMap::new(),
+            committing: None,
+            commit_after: Ms::ZERO,
+            clock: now,
+            removable: Vec::new(),
+            stored: BTreeSet::new(),
+            dirty: BTreeMap::new(),
+            scheduled: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            pacers: BTreeMap::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// The epoch, which is the fencing token.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Takes an event in and returns what to do. [`Self::schedule`] comes after the last event of
+    /// a batch.
+    pub fn handle(&mut self, now: Ms, event: Event) -> Vec<Action> {
+        self.clock = now;
+        match event {
+            Event::Accepted(id, row, accepted, progress) => {
+                self.accept(now, id, row, accepted, progress);
+            }
+            Event::Cancelled(id) => self.cancel(now, id),
+            Event::Fleet(members) => self.take_fleet(now, members),
+            Event::Recovered => self.is_recovered = true,
+            Event::Config(config) => self.config = config,
+            Event::Listed(name, listing) => self.list(now, name, listing),
+            Event::Joined(entry, domain) => self.join(now, entry, domain),
+            Event::Left(entry) => self.leave(now, &entry),
+            Event::Told(entry, note) => self.hear(now, &entry, note),
+            Event::Committed => self.finish_commit(now, true),
+            Event::Uncommitted => self.finish_commit(now, false),
+            Event::Tick(unix) => self.tick(now, unix),
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Starts what can be started and writes what must be written.
+    pub fn schedule(&mut self, now: Ms) -> Vec<Action> {
+        if self.is_recovered {
+            self.start_tasks(now);
+            self.begin_commit(now);
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// The stage of a job as customers may be shown it.
+    #[must_use]
+    pub fn stage(&self, id: id::Job) -> Option<Stage> {
+        if !self.is_recovered {
+            return None;
+        }
+        self.jobs.get(&id).map(|job| job.shown)
+    }
+
+    /// The regular message to the agents.
+    #[must_use]
+    pub fn beat(&self, store_age: Ms) -> Beat {
+        Beat {
+            store_age,
+            waiting: self.count_waiting(),
+            full: Vec::new(),
+        }
+    }
+
+    /// Whether all rows are read and every worker has told what it runs.
+    #[must_use]
+    pub fn is_certain(&self) -> bool {
+        self.is_recovered && self.workers.values().all(|worker| worker.is_known)
+    }
+
+    fn count_waiting(&self) -> Vec<(Name, u32)> {
+        let mut counts: BTreeMap<&Name, u32> = BTreeMap::new();
+        for queue in &self.config.queues {
+            counts.insert(&queue.name, 0);
+        }
+        let idle = self
+            .jobs
+            .values()
+            .filter(|job| !job.has_ended() && !job.progress.has_started);
+        for job in idle {
+            *counts.entry(&job.queue).or_default() += 1;
+        }
+        let counts = counts.into_iter();
+        counts.map(|(name, count)| (name.clone(), count)).collect()
+    }
+
+    fn accept(
+        &mut self,
+        now: Ms,
+        id: id::Job,
+        row: u64,
+        accepted: job::Accepted,
+        progress: Option<Progress>,
+    ) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let job = job::Job::new(id, row, accepted, progress, now);
+        let tasks: u32 = job.spec.steps.iter().map(|step| step.count).sum();
+        self.log(format!(
+            "kind=job-learned job={id} queue={} tasks={tasks} row={row} stage={:?}",
+            job.queue, job.shown
+        ));
+        if let Some((_, at)) = job.progress.ended {
+            self.ended.insert((at, id));
+        }
+        let has_ended = job.has_ended();
+        if job.spec.schedule.is_some() && !has_ended {
+            self.scheduled.insert(id);
+        }
+        self.jobs.insert(id, job);
+        if self.cancelled.remove(&id) {
+            self.cancel(now, id);
+        } else if !has_ended {
+            self.begin_due(id);
+        }
+    }
+
+    /// Begins the occurrences of a job that are due.
+    fn begin_due(&mut self, id: id::Job) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let begun = job.begin_due(self.unix);
+        if job.next_occurrence >= job.spec.occurrences() {
+            self.scheduled.remove(&id);
+        }
+        for occurrence in begun {
+            self.offer_occurrence(id, occurrence);
+        }
+    }
+
+    /// Puts the unblocked steps of an occurrence in line.
+    fn offer_occurrence(&mut self, id: id::Job, occurrence: u32) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let steps = job.spec.steps.len();
+        let steps = (0..steps).map(job::number);
+        let open: Vec<u16> = steps
+            .filter(|&step| job.is_unblocked(occurrence, step))
+            .collect();
+        for step in open {
+            self.offer(id::Step {
+                job: id,
+                occurrence,
+                step,
+            });
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.close_occurrence(occurrence, self.unix);
+        }
+        self.mark_changed(id);
+    }
+
+    /// Puts a step in line if it has tasks to start.
+    fn offer(&mut self, step: id::Step) {
+        let Some(rank) = self.rank(step) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return;
+        };
+        let is_unblocked = job.is_unblocked(step.occurrence, step.step);
+        let has_tasks = job
+            .step(step)
+            .is_some_and(|state| !state.startable.is_empty());
+        if has_tasks && is_unblocked && !job.has_ended() && !self.ranks.contains_key(&step) {
+            self.ranks.insert(step, rank);
+            self.waiting.insert((rank, step));
+        }
+    }
+
+    fn rank(&self, step: id::Step) -> Option<Rank> {
+        let job = self.jobs.get(&step.job)?;
+        let remaining = *job.remaining.get(usize::from(step.step))?;
+        let chain = job.remaining.iter().copied().max().unwrap_or_default();
+        let queue = self.config.queue(&job.queue);
+        let (priority, stretch, objective) = match queue {
+            Some(queue) => (queue.priority, queue.stretch, queue.objective),
+            None => (u32::MAX, 1.0, Ms::ZERO),
+        };
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_precision_loss,
+            clippy::cast_sign_loss,
+            reason = "a stretch is a small positive factor"
+        )]
+        let allowed = Ms((chain.0 as f64 * stretch) as u64) + objective;
+        let end = job.learned + allowed;
+        Some(Rank {
+            priority,
+            latest_start: end.since(remaining),
+        })
+    }
+
+    fn withdraw(&mut self, step: id::Step) {
+        if let Some(rank) = self.ranks.remove(&step) {
+            self.waiting.remove(&(rank, step));
+        }
+    }
+
+    fn cancel(&mut self, now: Ms, id: id::Job) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            // The row of the job may come after that of the cancellation.
+            self.cancelled.insert(id);
+            return;
+        };
+        if job.has_ended() {
+            return;
+        }
+        job.end(Outcome::Cancelled, self.unix);
+        self.log(format!("kind=job-cancelled job={id}"));
+        self.retire(now, id);
+    }
+
+    /// Stops what is left of a job that has ended.
+    fn retire(&mut self, now: Ms, id: id::Job) {
+        self.scheduled.remove(&id);
+        self.mark_changed(id);
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if let Some((_, at)) = job.progress.ended {
+            self.ended.insert((at, id));
+        }
+        let mut steps = Vec::new();
+        let mut running = Vec::new();
+        for (&occurrence, states) in &job.occurrences {
+            for (index, state) in states.iter().enumerate() {
+                let step = id::Step {
+                    job: id,
+                    occurrence,
+                    step: job::number(index),
+                };
+                steps.push(step);
+                for (number, task) in (0..).zip(&state.tasks) {
+                    let task_id = Task {
+                        step,
+                        index: number,
+                    };
+                    running.extend(task.runs.iter().map(|active| (task_id, active.run)));
+                }
+            }
+        }
+        for step in steps {
+            self.withdraw(step);
+        }
+        for (task, run) in running {
+            self.stop_run(now, task, run, "job-ended");
+        }
+    }
+
+    /// Notes that the progress of a job has to be written.
+    fn mark_changed(&mut self, id: id::Job) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.version > job.committed {
+            // Ends are written at once, the rest in groups.
+            let due = if job.has_ended() {
+                Ms::ZERO
+            } else {
+                self.now_for_group()
+            };
+            let entry = self.dirty.entry(id).or_insert(due);
+            *entry = (*entry).min(due);
+        }
+    }
+
+    fn tick(&mut self, now: Ms, unix: Ms) {
+        self.unix = unix;
+        let due: Vec<id::Job> = self.scheduled.iter().copied().collect();
+        for id in due {
+            self.begin_due(id);
+        }
+        self.repeat_stops(now);
+        self.expire_leases(now);
+        self.drop_old_jobs();
+        self.protect_serving(now);
+    }
+
+    fn log(&mut self, line: String) {
+        self.actions.push(Action::Log(line));
+    }
+
+    fn send(&mut self, agent: &Name, order: Order) {
+        self.actions.push(Action::Send(agent.clone(), order));
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/leader/assign.rs
@@ -0,0 +1,216 @@
+//! Which agent watches which worker.
+
+use std::collections::BTreeMap;
+
+use decision::clock::Ms;
+use decision::name::Name;
+
+use super::Agent;
+use super::Leader;
+use super::Member;
+use crate::fleet::Listing;
+use crate::fleet::Worker;
+use crate::message::Order;
+use crate::message::Watch;
+
+/// How long an agent goes on to renew leases without a word of the leader.
+pub const AGENT_PATIENCE: Ms = Ms(3_000);
+
+/// Added to a lease before its tasks count as gone, for the slow clock of a worker and messages on
+/// their way.
+const LEASE_SLACK: Ms = Ms(400);
+/// The share by which the clock of a worker may be slow, in percent.
+const CLOCK_SLOW_PERCENT: u64 = 2;
+
+/// Workers that the leader's own agent counts as having besides, since it has other work.
+const LEADER_WEIGHT: usize = 6;
+
+impl Leader {
+    /// The time after the last renewal when all leases of a worker have expired.
+    pub(super) fn lease_end(&self) -> Ms {
+        let lease = self.bounds.lease.0;
+        Ms(lease + lease * CLOCK_SLOW_PERCENT / 100) + LEASE_SLACK
+    }
+
+    /// Takes in the workers on which earlier leaders started tasks.
+    pub(super) fn take_fleet(&mut self, now: Ms, members: Vec<Member>) {
+        for member in members {
+            let lapses = self.first_lapse();
+            let worker = self.workers.entry(member.worker.clone()).or_default();
+            if worker.lapses.is_none() && !worker.is_known {
+                worker.lapses = Some(lapses);
+            }
+            self.stored.insert(member.worker.clone());
+            let name = member.worker.clone();
+            self.fleet.insert(member);
+            self.assign(now, &name);
+        }
+    }
+
+    /// When a worker that never answers this leader has lost what earlier leaders started.
+    fn first_lapse(&self) -> Ms {
+        self.began + AGENT_PATIENCE + self.lease_end()
+    }
+
+    pub(super) fn list(&mut self, now: Ms, name: Name, listing: Option<Listing>) {
+        let lapses = self.first_lapse();
+        let is_new = !self.workers.contains_key(&name);
+        if is_new && listing.is_none() {
+            return;
+        }
+        let worker = self.workers.entry(name.clone()).or_default();
+        if is_new {
+            worker.lapses = Some(lapses);
+        }
+        let change = match (&worker.listing, &listing) {
+            (None, Some(_)) => Some("listed"),
+            (Some(_), None) => Some("unlisted"),
+            (Some(old), Some(new)) if old.is_draining != new.is_draining => Some("draining"),
+            (Some(old), Some(new)) if old.born != new.born => Some("reborn"),
+            _ => None,
+        };
+        let address = |listing: &Option<Listing>| listing.as_ref().map(|l| l.address.clone());
+        let has_moved = listing.is_some() && address(&worker.listing) != address(&listing);
+        worker.listing = listing;
+        let is_unused = worker.listing.is_none() && worker.runs.is_empty() && worker.is_known;
+        if let Some(change) = change {
+            self.log(format!("kind=worker-{change} worker={name}"));
+        }
+        if is_unused {
+            self.unwatch(&name);
+            self.workers.remove(&name);
+        } else if has_moved {
+            self.assign(now, &name);
+        }
+    }
+
+    pub(super) fn join(&mut self, now: Ms, entry: Name, domain: Name) {
+        self.log(format!("kind=agent-joined agent={entry} domain={domain}"));
+        self.agents.insert(entry, Agent { domain, watched: 0 });
+        self.count_watched();
+        let names: Vec<Name> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.assign(now, &name);
+        }
+    }
+
+    pub(super) fn leave(&mut self, now: Ms, entry: &Name) {
+        if self.agents.remove(entry).is_none() {
+            return;
+        }
+        self.log(format!("kind=agent-left agent={entry}"));
+        let lapses = now + AGENT_PATIENCE + self.lease_end();
+        let mut orphans = Vec::new();
+        for (name, worker) in &mut self.workers {
+            if worker.agent.as_ref() == Some(entry) {
+                worker.agent = None;
+                worker.lapses = Some(worker.lapses.unwrap_or(lapses).max(lapses));
+                orphans.push(name.clone());
+            }
+        }
+        for name in orphans {
+            self.doubt_starts(now, &name);
+            self.assign(now, &name);
+        }
+    }
+
+    fn count_watched(&mut self) {
+        let mut counts: BTreeMap<&Name, usize> = BTreeMap::new();
+        for agent in self
+            .workers
+            .values()
+            .filter_map(|worker| worker.agent.as_ref())
+        {
+            *counts.entry(agent).or_default() += 1;
+        }
+        for (name, agent) in &mut self.agents {
+            agent.watched = counts.get(name).copied().unwrap_or(0);
+        }
+    }
+
+    fn domain_of(&self, name: &Name, worker: &Worker) -> Option<Name> {
+        let listed = worker.listing.as_ref().map(|listing| &listing.domain);
+        let stored = self.fleet.iter().find(|member| member.worker == *name);
+        listed.or(stored.map(|member| &member.domain)).cloned()
+    }
+
+    fn address_of(&self, name: &Name, worker: &Worker) -> Option<std::sync::Arc<str>> {
+        let listed = worker.listing.as_ref().map(|listing| &listing.address);
+        let stored = self.fleet.iter().find(|member| member.worker == *name);
+        listed.or(stored.map(|member| &member.address)).cloned()
+    }
+
+    /// Gives a worker to the agent that suits best and tells the agents of a change.
+    pub(super) fn assign(&mut self, _now: Ms, name: &Name) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let domain = self.domain_of(name, worker);
+        let load = |entry: &Name, agent: &Agent| {
+            let weight = if *entry == self.entry {
+                LEADER_WEIGHT
+            } else {
+                0
+            };
+            let is_remote = domain.as_ref() != Some(&agent.domain);
+            (is_remote, agent.watched + weight)
+        };
+        let best = self
+            .agents
+            .iter()
+            .min_by_key(|(entry, agent)| load(entry, agent));
+        let Some((best, best_agent)) = best else {
+            return;
+        };
+        let current = worker.agent.clone();
+        if let Some(agent) = current
+            .as_ref()
+            .and_then(|name| self.agents.get_key_value(name))
+        {
+            let (kept, moved) = (load(agent.0, agent.1), load(best, best_agent));
+            let is_better = kept.0 && !moved.0 || kept.0 == moved.0 && kept.1 > moved.1 + 1;
+            if !is_better || *agent.0 == *best {
+                return self.send_watch(name);
+            }
+        }
+        let best = best.clone();
+        self.unwatch(name);
+        if let Some(agent) = self.agents.get_mut(&best) {
+            agent.watched += 1;
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.agent = Some(best);
+        }
+        self.send_watch(name);
+    }
+
+    /// Tells the agent of a worker where it is and what it may forget.
+    pub(super) fn send_watch(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let (Some(agent), Some(address)) = (worker.agent.clone(), self.address_of(name, worker))
+        else {
+            return;
+        };
+        let watch = Watch {
+            worker: name.clone(),
+            address,
+            acknowledged: worker.born.map(|born| (born, worker.acknowledged)),
+        };
+        self.send(&agent, Order::Watch(watch));
+    }
+
+    pub(super) fn unwatch(&mut self, name: &Name) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let Some(agent) = worker.agent.take() else {
+            return;
+        };
+        if let Some(state) = self.agents.get_mut(&agent) {
+            state.watched = state.watched.saturating_sub(1);
+            self.send(&agent, Order::Unwatch(name.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/leader/commit.rs
@@ -0,0 +1,151 @@
+//! Group commit of progress.
+
+use std::collections::BTreeSet;
+
+use decision::clock::Ms;
+
+use super::Action;
+use super::Commit;
+use super::Leader;
+use super::Member;
+use crate::id;
+
+/// The most jobs in one transaction; the store takes 100 rows.
+const MAX_ROWS: usize = 45;
+
+/// The longest wait of progress that no customer is shown, so that one write carries several ends.
+const GROUP: Ms = Ms(40);
+
+/// The time after an unconfirmed commit until the next one.
+const RETRY: Ms = Ms(100);
+
+/// What a commit in progress makes durable.
+#[derive(Debug)]
+pub(super) struct InFlight {
+    versions: Vec<(id::Job, u64)>,
+    removed: Vec<id::Job>,
+    fleet: Option<BTreeSet<Member>>,
+}
+
+impl Leader {
+    /// When progress that changes now has to be written at the latest.
+    pub(super) fn now_for_group(&self) -> Ms {
+        self.clock + GROUP
+    }
+
+    pub(super) fn begin_commit(&mut self, now: Ms) {
+        if self.committing.is_some() || now < self.commit_after {
+            return;
+        }
+        let fleet = self.changed_fleet();
+        let is_due = self.dirty.values().any(|&due| due <= now);
+        if !is_due && fleet.is_none() && self.removable.is_empty() {
+            return;
+        }
+        let mut changed: Vec<(Ms, id::Job)> =
+            self.dirty.iter().map(|(&id, &due)| (due, id)).collect();
+        changed.sort_unstable();
+        changed.truncate(MAX_ROWS);
+        let mut commit = Commit::default();
+        let mut versions = Vec::new();
+        for (_, id) in changed {
+            self.dirty.remove(&id);
+            if let Some(job) = self.jobs.get(&id) {
+                versions.push((id, job.version));
+                commit.progress.push((id, job.progress.clone()));
+            }
+        }
+        let free = MAX_ROWS - commit.progress.len();
+        let removed = self.removable.len().min(free / 3);
+        commit.removed = self.removable.drain(..removed).collect();
+        commit.fleet = fleet.as_ref().map(|fleet| fleet.iter().cloned().collect());
+        self.committing = Some(InFlight {
+            versions,
+            removed: commit.removed.clone(),
+            fleet,
+        });
+        self.actions.push(Action::Commit(commit));
+    }
+
+    pub(super) fn finish_commit(&mut self, now: Ms, is_durable: bool) {
+        let Some(InFlight {
+            versions,
+            removed,
+            fleet,
+        }) = self.committing.take()
+        else {
+            return;
+        };
+        if !is_durable {
+            self.commit_after = now + RETRY;
+            for (id, _) in versions {
+                self.dirty.insert(id, Ms::ZERO);
+            }
+            self.removable.extend(removed);
+            return;
+        }
+        for (id, version) in versions {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.commit(version);
+            }
+        }
+        if let Some(fleet) = fleet {
+            self.stored = fleet.iter().map(|member| member.worker.clone()).collect();
+            self.fleet = fleet;
+        }
+        self.acknowledge_all();
+    }
+
+    /// The workers on which tasks may run, if the stored set differs.
+    fn changed_fleet(&self) -> Option<BTreeSet<Member>> {
+        let wanted = self.workers.iter().filter_map(|(name, worker)| {
+            let known = self.fleet.iter().find(|member| member.worker == *name);
+            match &worker.listing {
+                Some(listing) => Some(Member {
+                    worker: name.clone(),
+                    address: listing.address.clone(),
+                    domain: listing.domain.clone(),
+                }),
+                None => known.cloned(),
+            }
+        });
+        let wanted: BTreeSet<Member> = wanted.collect();
+        (wanted != self.fleet).then_some(wanted)
+    }
+
+    /// Whether the store knows that tasks may run on a worker.
+    pub(super) fn is_stored(&self, worker: &str) -> bool {
+        self.stored.contains(worker)
+    }
+
+    /// Acknowledges the ends whose effect is durable.
+    fn acknowledge_all(&mut self) {
+        let names: Vec<_> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| !worker.pending.is_empty())
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            self.acknowledge(&name);
+        }
+    }
+
+    /// Removes the rows of jobs that ended long ago.
+    pub(super) fn drop_old_jobs(&mut self) {
+        while let Some(&(at, id)) = self.ended.first() {
+            if self.unix.since(at) <= self.bounds.retention {
+                return;
+            }
+            self.ended.pop_first();
+            let is_quiet = self
+                .jobs
+                .get(&id)
+                .is_some_and(|job| job.committed == job.version);
+            if is_quiet {
+                self.jobs.remove(&id);
+                self.removable.push(id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/leader/ends.rs
@@ -0,0 +1,250 @@
+//! Ends of runs.
+
+use decision::clock::Ms;
+use decision::name::Name;
+
+use super::Leader;
+use crate::fleet::Pending;
+use crate::id;
+use crate::id::Run;
+use crate::id::Task;
+use crate::message::End;
+use crate::message::How;
+use crate::progress::Outcome;
+
+/// Failed runs in a row after which a worker gets no new tasks for a while.
+const MAX_STRIKES: u32 = 3;
+/// How long a worker on which runs fail gets no new tasks.
+const QUARANTINE: Ms = Ms(2_500);
+
+impl Leader {
+    /// Takes an end in, once.
+    pub(super) fn end_run(&mut self, now: Ms, name: &Name, born: Ms, end: &End) {
+        let is_known = self.jobs.contains_key(&end.task.step.job);
+        if !self.is_recovered || !is_known && !self.is_certain() {
+            // The row of the job has not been read yet; the worker tells this end again.
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if worker.born != Some(born)
+            || end.number <= worker.acknowledged
+            || worker.pending.contains_key(&end.number)
+        {
+            return;
+        }
+        worker.pending.insert(end.number, Pending::Settled);
+        let id = end.task;
+        if let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task(id))
+            && end.checkpoint.is_some()
+        {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        match end.how {
+            How::Done => self.complete(now, name, end),
+            How::Failed => self.fail(now, name, end),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone => {
+                let reason = reason(end.how);
+                self.release(now, id, end.run, reason);
+            }
+        }
+    }
+
+    fn complete(&mut self, now: Ms, name: &Name, end: &End) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.strikes = 0;
+        }
+        let id = end.task;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let is_gang = job.step_spec(id.step.step).is_some_and(|spec| spec.is_gang);
+        let before = job.version;
+        let mut is_step_done = false;
+        if is_gang {
+            let count = job.step(id.step).map_or(0, |step| step.tasks.len());
+            for index in (0..).take(count) {
+                is_step_done |= job.complete(Task {
+                    step: id.step,
+                    index,
+                });
+            }
+        } else {
+            is_step_done = job.complete(id);
+        }
+        let version = job.version;
+        if version > before {
+            self.pend(name, end.number, id.step.job, version);
+        }
+        self.log(format!(
+            "kind=run-ended task={id} run={} worker={name} how=done n={}",
+            end.run, end.number
+        ));
+        self.release(now, id, end.run, "done");
+        self.stop_copies(now, id);
+        if is_step_done {
+            self.finish_step(now, id.step);
+        }
+        self.mark_changed(id.step.job);
+    }
+
+    /// Stops the other runs of a task that is done.
+    fn stop_copies(&mut self, now: Ms, id: Task) {
+        let copies: Vec<Run> = self
+            .jobs
+            .get_mut(&id.step.job)
+            .and_then(|job| job.task(id))
+            .map(|task| task.runs.iter().map(|active| active.run).collect())
+            .unwrap_or_default();
+        for run in copies {
+            self.stop_run(now, id, run, "task-done");
+        }
+    }
+
+    fn finish_step(&mut self, now: Ms, step: id::Step) {
+        self.withdraw(step);
+        let unix = self.unix;
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return;
+        };
+        job.close_occurrence(step.occurrence, unix);
+        if job.has_ended() {
+            let waited = now.since(job.learned);
+            self.log(format!(
+                "kind=job-completed job={} ms={}",
+                step.job, waited.0
+            ));
+            return self.retire(now, step.job);
+        }
+        self.offer_occurrence(step.job, step.occurrence);
+    }
+
+    fn fail(&mut self, now: Ms, name: &Name, end: &End) {
+        let id = end.task;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.strikes += 1;
+            if worker.strikes >= MAX_STRIKES {
+                worker.avoid_until = now + QUARANTINE;
+                self.log(format!("kind=worker-quarantined worker={name}"));
+            }
+        }
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let is_lasting = job
+            .step_spec(id.step.step)
+            .is_some_and(|spec| spec.is_lasting);
+        let is_done = job.task(id).is_some_and(|task| {
+            task.failed_on = Some(name.clone());
+            task.is_done
+        });
+        let mut failures = 0;
+        if !is_lasting && !is_done && !job.has_ended() {
+            failures = job.fail(id);
+            let version = job.version;
+            self.pend(name, end.number, id.step.job, version);
+            self.mark_changed(id.step.job);
+        }
+        self.log(format!(
+            "kind=run-ended task={id} run={} worker={name} how=failed n={} failures={failures}",
+            end.run, end.number
+        ));
+        let most = self.max_attempts(id.step.job);
+        if failures >= most {
+            self.fail_job(now, id.step.job, "max-attempts");
+        }
+        self.release(now, id, end.run, "failed");
+    }
+
+    fn max_attempts(&self, id: id::Job) -> u32 {
+        let queue = self.jobs.get(&id).map(|job| &job.queue);
+        let queue = queue.and_then(|name| self.config.queue(name));
+        queue.map_or(1, |queue| queue.max_attempts.max(1))
+    }
+
+    pub(super) fn fail_job(&mut self, now: Ms, id: id::Job, reason: &'static str) {
+        let unix = self.unix;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.has_ended() {
+            return;
+        }
+        job.end(Outcome::Failed, unix);
+        self.log(format!("kind=job-failed job={id} reason={reason}"));
+        self.retire(now, id);
+    }
+
+    fn pend(&mut self, name: &Name, number: u64, job: id::Job, version: u64) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker
+                .pending
+                .insert(number, Pending::Progress(job, version));
+        }
+    }
+
+    /// Acknowledges the ends of a worker whose effect is durable.
+    pub(super) fn acknowledge(&mut self, name: &Name) {
+        let jobs = &self.jobs;
+        let is_durable =
+            |id: id::Job, version: u64| jobs.get(&id).is_none_or(|job| job.committed >= version);
+        let is_news = self
+            .workers
+            .get_mut(name)
+            .is_some_and(|worker| worker.acknowledge(is_durable));
+        if is_news {
+            self.send_watch(name);
+        }
+    }
+
+    /// Gives back what a run held, and puts its task in line again if it has to run again.
+    pub(super) fn release(&mut self, now: Ms, id: Task, run: Run, reason: &'static str) {
+        self.unsettled.remove(&(id, run));
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let Some(spec) = job.spec.steps.get(usize::from(id.step.step)).cloned() else {
+            return;
+        };
+        let Some(task) = job.task(id) else {
+            return;
+        };
+        let Some(active) = task.take(run) else {
+            return;
+        };
+        let is_startable = task.is_startable();
+        if let Some(worker) = self.workers.get_mut(&active.worker) {
+            worker.free(&spec, id, run);
+        }
+        if reason != "done" {
+            self.log(format!(
+                "kind=run-released task={id} run={run} worker={} reason={reason} phase={:?} ms={}",
+                active.worker,
+                active.phase,
+                now.since(active.since).0
+            ));
+        }
+        if is_startable
+            && let Some(step) = self
+                .jobs
+                .get_mut(&id.step.job)
+                .and_then(|job| job.step(id.step))
+        {
+            step.startable.insert(id.index);
+            self.offer(id.step);
+        }
+    }
+}
+
+/// The word for an end in log lines.
+const fn reason(how: How) -> &'static str {
+    match how {
+        How::Done => "done",
+        How::Failed => "failed",
+        How::Stopped => "stopped",
+        How::Lapsed => "lapsed",
+        How::Broken => "gang-broken",
+        How::Alone => "gang-alone",
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/leader/looks.rs
@@ -0,0 +1,334 @@
+//! What agents see on workers.
+
+use std::collections::BTreeSet;
+
+use decision::clock::Ms;
+use decision::name::Name;
+
+use super::Leader;
+use crate::id::Run;
+use crate::id::Task;
+use crate::message::Hello;
+use crate::message::Look;
+use crate::message::Note;
+use crate::message::Order;
+use crate::message::Place;
+use crate::message::Running;
+use crate::task::Active;
+use crate::task::Phase;
+
+/// Looks in a row without a run after which it counts as gone.
+const MISSES: u8 = 3;
+
+impl Leader {
+    pub(super) fn hear(&mut self, now: Ms, entry: &Name, note: Note) {
+        match note {
+            Note::Hello(hello) => self.take_known(now, hello),
+            Note::Beat => {}
+            Note::Look(look) => self.look(now, entry, look),
+            Note::Missed(worker, ago) => self.miss(now, entry, &worker, ago),
+            Note::Started(place, outcome) => self.started(now, &place, outcome),
+            Note::Stopped(place, outcome, at) => self.stopped(now, &place, outcome, at),
+            Note::Ask(number, job) => {
+                let stage = self.stage(job);
+                self.send(entry, Order::Stage(number, stage));
+            }
+        }
+    }
+
+    /// Takes in the runs that an agent knows of from the orders of an earlier leader, on workers
+    /// that have not answered yet.
+    fn take_known(&mut self, now: Ms, hello: Hello) {
+        for (name, ago, places) in hello.known {
+            let lapses =
+                Ms(now.0.saturating_sub(ago.0)) + super::assign::AGENT_PATIENCE + self.lease_end();
+            let Some(worker) = self.workers.get_mut(&name) else {
+                continue;
+            };
+            if worker.is_known {
+                continue;
+            }
+            worker.is_known = true;
+            worker.is_silent = true;
+            worker.lapses = Some(lapses.max(worker.lapses.unwrap_or_default()));
+            for place in places {
+                self.adopt(now, &name, place.born, place.task, place.run, Phase::Unsure);
+            }
+        }
+    }
+
+    fn look(&mut self, now: Ms, entry: &Name, look: Look) {
+        let Some(worker) = self.workers.get_mut(&look.worker) else {
+            return;
+        };
+        if worker.agent.as_ref() != Some(entry) || worker.born.is_some_and(|born| born > look.born)
+        {
+            return;
+        }
+        worker.is_silent = false;
+        worker.lapses = None;
+        if worker.born != Some(look.born) {
+            let is_restart = worker.born.is_some();
+            worker.restart(look.born);
+            if is_restart {
+                self.log(format!(
+                    "kind=worker-restarted worker={} born={}",
+                    look.worker, look.born
+                ));
+            }
+            self.lose_runs(now, &look.worker, Some(look.born), "worker-restarted");
+        }
+        let is_first = self.workers.get_mut(&look.worker).is_some_and(|worker| {
+            let is_first = !worker.is_known;
+            worker.is_known = look.running.is_some() || worker.is_known;
+            is_first && worker.is_known
+        });
+        for end in &look.ended {
+            self.end_run(now, &look.worker, look.born, end);
+        }
+        if let Some(running) = &look.running {
+            self.compare(now, &look, running);
+        }
+        if is_first {
+            self.log(format!(
+                "kind=worker-known worker={} agent={entry} born={} running={} ended={}",
+                look.worker,
+                look.born,
+                look.running.as_ref().map_or(0, Vec::len),
+                look.ended.len()
+            ));
+            self.send_watch(&look.worker);
+        }
+        self.acknowledge(&look.worker);
+    }
+
+    /// Compares what runs with what should run.
+    fn compare(&mut self, now: Ms, look: &Look, running: &[Running]) {
+        let mut seen: BTreeSet<(Task, Run)> = BTreeSet::new();
+        for row in running {
+            seen.insert((row.task, row.run));
+            self.see_run(now, look, row);
+        }
+        let Some(worker) = self.workers.get(&look.worker) else {
+            return;
+        };
+        let absent: Vec<(Task, Run)> = worker.runs.difference(&seen).copied().collect();
+        for (task, run) in absent {
+            self.miss_run(now, look, task, run);
+        }
+        self.note_figures(now, &look.worker, running);
+    }
+
+    fn see_run(&mut self, now: Ms, look: &Look, row: &Running) {
+        let is_over = self
+            .jobs
+            .get(&row.task.step.job)
+            .is_none_or(|job| job.has_ended());
+        let known = self
+            .jobs
+            .get_mut(&row.task.step.job)
+            .and_then(|job| job.task(row.task));
+        let Some(task) = known else {
+            // The row of the job may not have been read yet.
+            if self.is_recovered {
+                self.stop_unknown(look, row.task, row.run);
+            }
+            return;
+        };
+        if row.checkpoint.is_some() {
+            task.checkpoint.clone_from(&row.checkpoint);
+        }
+        let is_done = task.is_done;
+        match task.run(row.run) {
+            Some(active) => {
+                active.misses = 0;
+                active.percent = row.percent;
+                active.figure = row.figure;
+                if matches!(active.phase, Phase::Starting | Phase::Unsure) && !is_over {
+                    active.phase = Phase::Running;
+                    active.since = now;
+                    active.stopped_at = None;
+                    self.unsettled.remove(&(row.task, row.run));
+                    self.mark_started(row.task);
+                }
+            }
+            None => {
+                self.adopt(
+                    now,
+                    &look.worker,
+                    look.born,
+                    row.task,
+                    row.run,
+                    Phase::Running,
+                );
+            }
+        }
+        if is_done || is_over {
+            self.stop_run(now, row.task, row.run, "not-wanted");
+        }
+    }
+
+    /// Books a run that this leader did not start. A second run of a task is stopped.
+    pub(super) fn adopt(
+        &mut self,
+        now: Ms,
+        name: &Name,
+        born: Ms,
+        id: Task,
+        run: Run,
+        phase: Phase,
+    ) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let Some(spec) = job.spec.steps.get(usize::from(id.step.step)).cloned() else {
+            return;
+        };
+        let Some(task) = job.task(id) else {
+            return;
+        };
+        if task.run(run).is_some() {
+            return;
+        }
+        let is_second = !task.runs.is_empty();
+        task.runs.push(Active {
+            worker: name.clone(),
+            born,
+            run,
+            phase,
+            since: now,
+            stopped_at: None,
+            misses: 0,
+            percent: 100,
+            figure: 0,
+        });
+        if let Some(step) = job.step(id.step) {
+            step.startable.remove(&id.index);
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.book(&spec, id, run);
+        }
+        self.log(format!(
+            "kind=run-adopted task={id} run={run} worker={name} second={is_second}"
+        ));
+        if phase == Phase::Running {
+            self.mark_started(id);
+        } else {
+            self.unsettled.insert((id, run), now);
+        }
+        if is_second && !spec.is_speculative {
+            self.stop_run(now, id, run, "second-run");
+        }
+    }
+
+    fn stop_unknown(&mut self, look: &Look, task: Task, run: Run) {
+        let Some(agent) = self.workers.get(&look.worker).and_then(|w| w.agent.clone()) else {
+            return;
+        };
+        self.log(format!(
+            "kind=stop task={task} run={run} worker={} reason=unknown-task",
+            look.worker
+        ));
+        let place = Place {
+            worker: look.worker.clone(),
+            born: look.born,
+            task,
+            run,
+        };
+        self.send(&agent, Order::Stop(place));
+    }
+
+    /// Handles a booked run that a look did not show.
+    fn miss_run(&mut self, now: Ms, look: &Look, id: Task, run: Run) {
+        let Some(active) = self
+            .jobs
+            .get_mut(&id.step.job)
+            .and_then(|job| job.task(id))
+            .and_then(|task| task.run(run))
+        else {
+            return;
+        };
+        let is_stopped = active.stopped_at.is_some_and(|at| look.asked > at);
+        match active.phase {
+            Phase::Starting => {}
+            Phase::Unsure if !is_stopped => {
+                if active.stopped_at.is_none() {
+                    self.stop_run(now, id, run, "start-unanswered");
+                }
+            }
+            Phase::Unsure => self.release(now, id, run, "never-started"),
+            Phase::Stopping if is_stopped => self.release(now, id, run, "stopped"),
+            Phase::Running | Phase::Stopping => {
+                active.misses += 1;
+                if active.misses >= MISSES && active.phase == Phase::Running {
+                    self.stop_run(now, id, run, "not-listed");
+                }
+            }
+        }
+    }
+
+    fn miss(&mut self, now: Ms, entry: &Name, name: &Name, ago: Ms) {
+        let lease = self.lease_end();
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if worker.agent.as_ref() != Some(entry) {
+            return;
+        }
+        let lapses = Ms(now.0.saturating_sub(ago.0)) + lease;
+        let is_news = !worker.is_silent;
+        worker.is_silent = true;
+        if worker.is_known {
+            worker.lapses = Some(worker.lapses.unwrap_or_default().max(lapses));
+        }
+        if is_news {
+            self.log(format!(
+                "kind=worker-silent worker={name} agent={entry} renewed_ago_ms={}",
+                ago.0
+            ));
+        }
+    }
+
+    /// Gives up the runs on workers that were silent until all leases expired.
+    pub(super) fn expire_leases(&mut self, now: Ms) {
+        let expired: Vec<Name> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.lapses.is_some_and(|at| at <= now))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in expired {
+            self.lose_runs(now, &name, None, "lease-expired");
+            let Some(worker) = self.workers.get_mut(&name) else {
+                continue;
+            };
+            worker.is_known = true;
+            worker.is_silent = true;
+            worker.lapses = None;
+            self.log(format!("kind=worker-lapsed worker={name}"));
+            if self.workers.get(&name).is_some_and(|w| w.listing.is_none()) {
+                self.unwatch(&name);
+                self.workers.remove(&name);
+            }
+        }
+    }
+
+    /// Releases the runs on a worker, except those of the incarnation `kept`.
+    fn lose_runs(&mut self, now: Ms, name: &Name, kept: Option<Ms>, reason: &'static str) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let runs: Vec<(Task, Run)> = worker.runs.iter().copied().collect();
+        for (task, run) in runs {
+            let born = self
+                .jobs
+                .get_mut(&task.step.job)
+                .and_then(|job| job.task(task))
+                .and_then(|state| state.run(run))
+                .map(|active| active.born);
+            if born.is_none() || born != kept {
+                self.release(now, task, run, reason);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/leader/orders.rs
@@ -0,0 +1,182 @@
+//! Orders to start and stop, and their outcomes.
+
+use decision::clock::Ms;
+use decision::name::Name;
+
+use super::Action;
+use super::Leader;
+use crate::id::Run;
+use crate::id::Task;
+use crate::message::Order;
+use crate::message::Outcome;
+use crate::message::Place;
+use crate::task::Phase;
+
+/// The time after which an order to stop that had no effect is sent again.
+const STOP_RETRY: Ms = Ms(700);
+/// How long a worker that turned a start away gets no new tasks.
+const TURNED_AWAY: Ms = Ms(500);
+
+impl Leader {
+    pub(super) fn mark_started(&mut self, id: Task) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        if !job.progress.has_started {
+            job.progress.has_started = true;
+            job.touch();
+            self.mark_changed(id.step.job);
+        }
+    }
+
+    pub(super) fn started(&mut self, now: Ms, place: &Place, outcome: Outcome) {
+        let id = place.task;
+        let Some(active) = self
+            .jobs
+            .get_mut(&id.step.job)
+            .and_then(|job| job.task(id))
+            .and_then(|task| task.run(place.run))
+        else {
+            return;
+        };
+        if outcome == Outcome::Done {
+            if active.phase == Phase::Starting {
+                active.phase = Phase::Running;
+                active.since = now;
+            }
+            return self.mark_started(id);
+        }
+        self.log(format!(
+            "kind=start-failed task={id} run={} worker={} outcome={outcome:?}",
+            place.run, place.worker
+        ));
+        match outcome {
+            Outcome::Done => {}
+            Outcome::Fenced => self.actions.push(Action::Resign("fenced by a worker")),
+            Outcome::Unknown => self.doubt(now, id, place.run),
+            Outcome::Invalid => {
+                self.release(now, id, place.run, "refused-as-invalid");
+                self.fail_job(now, id.step.job, "invalid-for-worker");
+            }
+            Outcome::Old | Outcome::Late | Outcome::Ticket => {
+                self.release(now, id, place.run, "start-refused");
+            }
+            Outcome::Room | Outcome::Unsent | Outcome::Unhealthy | Outcome::Reborn => {
+                if let Some(worker) = self.workers.get_mut(&place.worker) {
+                    worker.avoid_until = worker.avoid_until.max(now + TURNED_AWAY);
+                }
+                self.release(now, id, place.run, "start-refused");
+            }
+        }
+    }
+
+    fn doubt(&mut self, now: Ms, id: Task, run: Run) {
+        let Some(active) = self
+            .jobs
+            .get_mut(&id.step.job)
+            .and_then(|job| job.task(id))
+            .and_then(|task| task.run(run))
+        else {
+            return;
+        };
+        if active.phase == Phase::Starting {
+            active.phase = Phase::Unsure;
+            active.since = now;
+            self.unsettled.insert((id, run), now);
+        }
+    }
+
+    /// Starts whose answers are lost with the connection to their agent.
+    pub(super) fn doubt_starts(&mut self, now: Ms, name: &Name) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let runs: Vec<(Task, Run)> = worker.runs.iter().copied().collect();
+        for (task, run) in runs {
+            self.doubt(now, task, run);
+        }
+    }
+
+    /// Orders a run to stop.
+    pub(super) fn stop_run(&mut self, now: Ms, id: Task, run: Run, reason: &'static str) {
+        let Some(active) = self
+            .jobs
+            .get_mut(&id.step.job)
+            .and_then(|job| job.task(id))
+            .and_then(|task| task.run(run))
+        else {
+            return;
+        };
+        let is_news = active.phase != Phase::Stopping;
+        if matches!(active.phase, Phase::Running) {
+            active.phase = Phase::Stopping;
+            active.since = now;
+            active.misses = 0;
+        } else if active.phase == Phase::Starting {
+            active.phase = Phase::Unsure;
+            active.since = now;
+        }
+        active.stopped_at = None;
+        let place = Place {
+            worker: active.worker.clone(),
+            born: active.born,
+            task: id,
+            run,
+        };
+        self.unsettled.insert((id, run), now);
+        if is_news {
+            self.log(format!(
+                "kind=stop task={id} run={run} worker={} reason={reason}",
+                place.worker
+            ));
+        }
+        let agent = self.workers.get(&place.worker);
+        if let Some(agent) = agent.and_then(|worker| worker.agent.clone()) {
+            self.send(&agent, Order::Stop(place));
+        }
+    }
+
+    pub(super) fn stopped(&mut self, now: Ms, place: &Place, outcome: Outcome, at: Ms) {
+        let Some(active) = self
+            .jobs
+            .get_mut(&place.task.step.job)
+            .and_then(|job| job.task(place.task))
+            .and_then(|task| task.run(place.run))
+        else {
+            return;
+        };
+        match outcome {
+            Outcome::Done | Outcome::Old => active.stopped_at = Some(at),
+            Outcome::Fenced => self.actions.push(Action::Resign("fenced by a worker")),
+            Outcome::Reborn => self.release(now, place.task, place.run, "worker-restarted"),
+            other => self.log(format!(
+                "kind=stop-failed task={} run={} worker={} outcome={other:?}",
+                place.task, place.run, place.worker
+            )),
+        }
+    }
+
+    /// Sends orders to stop again that had no effect yet.
+    pub(super) fn repeat_stops(&mut self, now: Ms) {
+        let late: Vec<(Task, Run)> = self
+            .unsettled
+            .iter()
+            .filter(|(_, since)| now.since(**since) >= STOP_RETRY)
+            .map(|(&key, _)| key)
+            .collect();
+        for (task, run) in late {
+            self.unsettled.insert((task, run), now);
+            let is_answered = self
+                .jobs
+                .get_mut(&task.step.job)
+                .and_then(|job| job.task(task))
+                .and_then(|state| state.run(run))
+                .map(|active| active.stopped_at.is_some());
+            match is_answered {
+                None => drop(self.unsettled.remove(&(task, run))),
+                Some(true) => {}
+                Some(false) => self.stop_run(now, task, run, "repeated"),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -0,0 +1,265 @@
+//! Starts waiting tasks, the most urgent first.
+
+use std::collections::BTreeMap;
+
+use decision::clock::Ms;
+use decision::name::Name;
+
+use super::Leader;
+use super::Rank;
+use crate::id;
+use crate::id::Run;
+use crate::id::Task;
+use crate::message::Order;
+use crate::message::Start;
+use crate::place;
+use crate::place::Wish;
+use crate::spec;
+use crate::task::Active;
+use crate::task::Phase;
+
+/// Steps without room that one pass tries before it gives up.
+const MAX_MISFITS: usize = 24;
+/// The most starts of one pass, so that other work of the leader is not held up.
+const MAX_STARTS: usize = 200;
+
+impl Leader {
+    pub(super) fn start_tasks(&mut self, now: Ms) {
+        if !self.is_certain() {
+            return;
+        }
+        let waiting: Vec<(Rank, id::Step)> = self.waiting.iter().copied().collect();
+        let mut misfits = 0;
+        let mut starts = 0;
+        for (_, step) in waiting {
+            let (started, is_whole) = self.start_step(now, step);
+            starts += started;
+            misfits += usize::from(!is_whole);
+            if misfits >= MAX_MISFITS || starts >= MAX_STARTS {
+                return;
+            }
+        }
+    }
+
+    /// Starts the tasks of a step that fit; returns how many, and whether these were all.
+    fn start_step(&mut self, now: Ms, step: id::Step) -> (usize, bool) {
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            self.withdraw(step);
+            return (0, true);
+        };
+        let Some(spec) = job.step_spec(step.step).cloned() else {
+            self.withdraw(step);
+            return (0, true);
+        };
+        let indices: Vec<u32> = job
+            .step(step)
+            .map(|state| state.startable.iter().copied().collect())
+            .unwrap_or_default();
+        let queue = job.queue.clone();
+        let Some(service) = self.config.queue(&queue).map(|queue| queue.service.clone()) else {
+            return (0, false);
+        };
+        let chosen = if spec.is_gang || spec.is_same_rack {
+            self.choose_together(now, step, &spec, &service, &indices)
+        } else {
+            self.choose_each(now, step, &spec, &service, &indices)
+        };
+        let is_whole = chosen.len() == indices.len();
+        if is_whole {
+            self.withdraw(step);
+        }
+        if spec.is_gang && !is_whole {
+            self.unbook(&spec, &chosen);
+            return (0, false);
+        }
+        let count = chosen.len();
+        for (task, run, worker) in chosen {
+            self.start(now, task, run, worker);
+        }
+        (count, is_whole)
+    }
+
+    /// Books a worker for each task that fits anywhere.
+    fn choose_each(
+        &mut self,
+        now: Ms,
+        step: id::Step,
+        spec: &spec::Step,
+        service: &Name,
+        indices: &[u32],
+    ) -> Vec<(Task, Run, Name)> {
+        let mut chosen = Vec::new();
+        for &index in indices {
+            let task = Task { step, index };
+            let run = self.next_run();
+            let Some(worker) = self.book_best(now, task, run, spec, service, None) else {
+                break;
+            };
+            chosen.push((task, run, worker));
+        }
+        chosen
+    }
+
+    /// Books workers for all tasks of a gang, or of a step that should stay on one rack.
+    fn choose_together(
+        &mut self,
+        now: Ms,
+        step: id::Step,
+        spec: &spec::Step,
+        service: &Name,
+        indices: &[u32],
+    ) -> Vec<(Task, Run, Name)> {
+        let shared = self.next_run();
+        let mut racks: Vec<Option<Name>> = Vec::new();
+        if spec.is_same_rack {
+            racks.extend(self.racks_by_room(service).into_iter().map(Some));
+        }
+        racks.push(None);
+        let mut best: Vec<(Task, Run, Name)> = Vec::new();
+        for rack in racks {
+            self.unbook(spec, &best);
+            best.clear();
+            for &index in indices {
+                let task = Task { step, index };
+                let run = if spec.is_gang {
+                    shared
+                } else {
+                    self.next_run()
+                };
+                let found = self.book_best(now, task, run, spec, service, rack.as_ref());
+                let Some(worker) = found else {
+                    break;
+                };
+                best.push((task, run, worker));
+            }
+            let is_whole = best.len() == indices.len();
+            let is_together = rack
+                .as_ref()
+                .is_none_or(|rack| best.iter().all(|(_, _, name)| self.has_label(name, rack)));
+            if is_whole && is_together {
+                break;
+            }
+        }
+        best
+    }
+
+    fn has_label(&self, worker: &Name, label: &Name) -> bool {
+        let listing = self
+            .workers
+            .get(worker)
+            .and_then(|worker| worker.listing.as_ref());
+        listing.is_some_and(|listing| listing.labels.contains(label))
+    }
+
+    /// The racks of a service, the one with the most free processors first.
+    fn racks_by_room(&self, service: &Name) -> Vec<Name> {
+        let mut room: BTreeMap<&Name, u64> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let Some(listing) = &worker.listing else {
+                continue;
+            };
+            // The rack is the last label.
+            let Some(rack) = listing
+                .labels
+                .last()
+                .filter(|_| listing.service == *service)
+            else {
+                continue;
+            };
+            let free = listing.size.minus(worker.booked).millicores;
+            *room.entry(rack).or_default() += u64::from(free);
+        }
+        let mut racks: Vec<(u64, Name)> = room
+            .into_iter()
+            .map(|(rack, free)| (free, rack.clone()))
+            .collect();
+        racks.sort_unstable_by(|a, b| b.cmp(a));
+        racks.into_iter().map(|(_, rack)| rack).collect()
+    }
+
+    fn next_run(&mut self) -> Run {
+        self.runs += 1;
+        Run::new(self.epoch, self.runs)
+    }
+
+    fn book_best(
+        &mut self,
+        now: Ms,
+        task: Task,
+        run: Run,
+        spec: &spec::Step,
+        service: &Name,
+        rack: Option<&Name>,
+    ) -> Option<Name> {
+        let failed_on = self
+            .jobs
+            .get_mut(&task.step.job)
+            .and_then(|job| job.task(task))
+            .and_then(|state| state.failed_on.clone());
+        let wish = Wish {
+            service,
+            spec,
+            step: task.step,
+            failed_on: failed_on.as_ref(),
+            rack,
+        };
+        let stored = self.workers.iter().filter(|(name, _)| self.is_stored(name));
+        let name = place::choose(&wish, stored, now)?;
+        self.workers.get_mut(&name)?.book(spec, task, run);
+        Some(name)
+    }
+
+    fn unbook(&mut self, spec: &spec::Step, chosen: &[(Task, Run, Name)]) {
+        for (task, run, name) in chosen {
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.free(spec, *task, *run);
+            }
+        }
+    }
+
+    fn start(&mut self, now: Ms, id: Task, run: Run, name: Name) {
+        let Some(worker) = self.workers.get(&name) else {
+            return;
+        };
+        let (Some(agent), Some(born)) = (worker.agent.clone(), worker.born) else {
+            return;
+        };
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return;
+        };
+        let payload = job.spec.payload.clone();
+        if let Some(step) = job.step(id.step) {
+            step.startable.remove(&id.index);
+        }
+        let waited = now.since(job.learned);
+        let Some(task) = job.task(id) else {
+            return;
+        };
+        let checkpoint = task.checkpoint.clone();
+        task.runs.push(Active {
+            worker: name.clone(),
+            born,
+            run,
+            phase: Phase::Starting,
+            since: now,
+            stopped_at: None,
+            misses: 0,
+            percent: 100,
+            figure: 0,
+        });
+        self.log(format!(
+            "kind=start task={id} run={run} worker={name} agent={agent} waited_ms={}",
+            waited.0
+        ));
+        let order = Start {
+            worker: name,
+            born,
+            task: id,
+            run,
+            payload,
+            checkpoint,
+            ticket: None,
+        };
+        self.send(&agent, Order::Start(order));
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/message.rs
@@ -0,0 +1,209 @@
+//! What the leader and its agents tell each other.
+
+use std::sync::Arc;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::Epoch;
+use crate::id::Job;
+use crate::id::Run;
+use crate::id::Task;
+use crate::progress::Stage;
+
+/// A worker that an agent shall keep leased and look at.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Watch {
+    /// The worker.
+    pub worker: Name,
+    /// Where it listens.
+    pub address: Arc<str>,
+    /// Ends up to this number may be forgotten, for this incarnation.
+    pub acknowledged: Option<(Ms, u64)>,
+}
+
+/// An order to start a task.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Start {
+    /// Where.
+    pub worker: Name,
+    /// The incarnation of the worker that is meant.
+    pub born: Ms,
+    /// What.
+    pub task: Task,
+    /// The number of the start.
+    pub run: Run,
+    /// The customer's payload.
+    pub payload: Arc<str>,
+    /// Where to resume.
+    pub checkpoint: Option<Arc<str>>,
+    /// The permission of the advice service.
+    pub ticket: Option<Arc<str>>,
+}
+
+/// Identifies one run of a task on a worker.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Place {
+    /// The worker.
+    pub worker: Name,
+    /// The incarnation of the worker that is meant.
+    pub born: Ms,
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub run: Run,
+}
+
+/// What the leader tells an agent.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Order {
+    /// Proves that the leader is alive; sent in an interval.
+    Beat(Beat),
+    /// Keep this worker leased, or change what is known of it.
+    Watch(Watch),
+    /// Leave this worker alone.
+    Unwatch(Name),
+    /// Start a task.
+    Start(Start),
+    /// Stop a run, or make sure that it never starts.
+    Stop(Place),
+    /// Let a run work at this share, in percent.
+    Pace(Place, u8),
+    /// Answers [`Note::Ask`] by its number; `None` is a job that the leader does not know.
+    Stage(u64, Option<Stage>),
+}
+
+/// The regular message of a leader.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Beat {
+    /// The time since the store last confirmed a write of the leader.
+    pub store_age: Ms,
+    /// Accepted jobs of each queue without a started task.
+    pub waiting: Vec<(Name, u32)>,
+    /// Queues that accept no more work for now, with the time after which to return.
+    pub full: Vec<(Name, Ms)>,
+}
+
+/// What runs on a worker.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Running {
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub run: Run,
+    /// The newest checkpoint.
+    pub checkpoint: Option<Arc<str>>,
+    /// The share at which it works, in percent.
+    pub percent: u8,
+    /// Serving tasks: the tail of response times in ms. Others: millicores in use.
+    pub figure: u32,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub enum How {
+    /// It did its work.
+    Done,
+    /// It failed, by its own fault or the worker's.
+    Failed,
+    /// It was stopped by an order.
+    Stopped,
+    /// The lease of the worker expired.
+    Lapsed,
+    /// Another member of the gang ended.
+    Broken,
+    /// The other members of the gang did not come.
+    Alone,
+}
+
+/// The end of a run, kept by the worker until it is acknowledged.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct End {
+    /// The number of the end within the incarnation.
+    pub number: u64,
+    /// The task.
+    pub task: Task,
+    /// The run.
+    pub run: Run,
+    /// How.
+    pub how: How,
+    /// The newest checkpoint.
+    pub checkpoint: Option<Arc<str>>,
+}
+
+/// What an agent saw when it looked at a worker.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Look {
+    /// The worker.
+    pub worker: Name,
+    /// The incarnation.
+    pub born: Ms,
+    /// When the agent asked, on its own clock.
+    pub asked: Ms,
+    /// What runs; `None` when it is not told this time.
+    pub running: Option<Vec<Running>>,
+    /// Ends not told before.
+    pub ended: Vec<End>,
+}
+
+/// How an order to start ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Outcome {
+    /// The worker runs it.
+    Done,
+    /// The worker has seen a higher fencing token.
+    Fenced,
+    /// The run number is not above one seen there.
+    Old,
+    /// It came after its deadline.
+    Late,
+    /// The worker has no room.
+    Room,
+    /// The ticket is not valid.
+    Ticket,
+    /// The worker is another incarnation.
+    Reborn,
+    /// The worker is unhealthy and did nothing.
+    Unhealthy,
+    /// The worker cannot read the order.
+    Invalid,
+    /// Nothing was sent.
+    Unsent,
+    /// There is no answer; it may be done now or later.
+    Unknown,
+}
+
+/// What an agent tells the leader.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Note {
+    /// The first message of a connection.
+    Hello(Hello),
+    /// Proves that the agent is alive.
+    Beat,
+    /// A look at a worker.
+    Look(Look),
+    /// A look failed. The time is since the last one that may have extended the lease.
+    Missed(Name, Ms),
+    /// A start ended in this way.
+    Started(Place, Outcome),
+    /// A stop ended in this way, at this time on the agent's clock.
+    Stopped(Place, Outcome, Ms),
+    /// Asks for the stage of a job; the number comes back with the answer.
+    Ask(u64, Job),
+}
+
+/// How an agent introduces itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Hello {
+    /// The entry.
+    pub entry: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// The epoch that it follows.
+    pub epoch: Epoch,
+    /// Runs that it knows of from earlier orders, by worker, with the time since the last order
+    /// that may have extended the lease.
+    pub known: Vec<(Name, Ms, Vec<Place>)>,
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -21,6 +21,7 @@
 
 Commands:
   entry        Run one entry until SIGTERM
+  serve        Run one entry on the users' platform until SIGTERM
   check        Check a settings file
   demo         Run entries and stand-ins in one process
   submit       Submit a batch job
@@ -85,6 +86,7 @@
     };
     match name.as_str() {
         "entry" => cmd::entry::parse(&mut parser),
+        "serve" => cmd::serve::parse(&mut parser),
         "check" => cmd::check::parse(&mut parser),
         "demo" => cmd::demo::parse(&mut parser),
         "submit" => cmd::submit::parse(&mut parser),
@@ -125,7 +127,15 @@
 
 /// Parses a command whose only option is `--settings FILE`.
 pub(crate) fn settings_file(parser: &mut Parser) -> Result<Option<PathBuf>, Error> {
-    let mut file = None;
+    settings_or(parser, None)
+}
+
+/// Like [`settings_file`], with a file for when the option is not given.
+pub(crate) fn settings_or(
+    parser: &mut Parser,
+    preset: Option<PathBuf>,
+) -> Result<Option<PathBuf>, Error> {
+    let mut file = preset;
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Short('h') | Arg::Long("help") => return Ok(None),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod drain;
 pub mod entry;
 pub mod reconfigure;
+pub mod serve;
 pub mod status;
 pub mod submit;
 pub mod timeline;
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,52 @@
+//! Runs one entry on the users' platform.
+
+use std::env;
+use std::path::PathBuf;
+
+use lexopt::Parser;
+
+use super::Error;
+use super::Run;
+use super::failed;
+use crate::cli;
+use crate::cli::Parsed;
+use crate::serve;
+use crate::serve::options::Options;
+
+/// Help on this command.
+pub const HELP: &str = "\
+Usage: samphiretrail serve [--settings FILE]
+
+Runs one entry on the users' platform. SIGTERM is a graceful shutdown; SIGHUP
+reads the settings again.
+
+Options:
+      --settings FILE  Settings in INI form [default: $SAMPHIRETRAIL_BOOT]
+  -h, --help           Show this help
+";
+
+/// The variable with the path of the settings file.
+const SETTINGS: &str = "SAMPHIRETRAIL_BOOT";
+
+/// The command `serve`.
+#[derive(Debug)]
+pub struct Serve {
+    file: PathBuf,
+}
+
+/// Parses the options.
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+    let preset = env::var_os(SETTINGS).map(PathBuf::from);
+    let file = match cli::settings_or(parser, preset)? {
+        Some(file) => file,
+        None => return Ok(Parsed::Help(HELP)),
+    };
+    Ok(Parsed::Run(Box::new(Serve { file })))
+}
+
+impl Run for Serve {
+    fn run(&self) -> Result<(), Error> {
+        let options = Options::load(&self.file)?;
+        serve::run(&self.file, options).map_err(|error| failed("serve", &error))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod journal;
 pub mod logs;
 pub mod metrics;
+pub mod serve;
 pub mod settings;
--- /dev/null
+++ b/src/serve.rs
@@ -0,0 +1,234 @@
+//! One entry on the users' platform: it serves customers, is an agent of the leader, and leads
+//! itself when the store says so.
+
+mod agent;
+mod clock;
+mod feeds;
+mod frame;
+mod front;
+mod lead;
+mod logbook;
+pub mod options;
+mod peers;
+mod rows;
+mod seat;
+mod watch;
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use adapter::store::Store;
+use adapter::worker;
+use async_signal::Signal;
+use async_signal::Signals;
+use decision::clock::Ms;
+use futures_lite::StreamExt;
+use link::Spawner;
+use link::pool::Limits;
+use link::pool::Pool;
+use link::server::Server;
+use quick_error::quick_error;
+use scheduler::config::Config;
+use smol::Timer;
+use smol::net::TcpListener;
+
+use self::agent::Agent;
+use self::lead::Leading;
+use self::options::Options;
+
+/// Idle connections are kept for longer than the intervals of looks and feeds.
+const IDLE: Duration = Duration::from_millis(10_000);
+/// Idle connections kept for each address: a wide step may start many tasks on a worker.
+const KEPT: usize = 8;
+/// The time to establish a connection.
+const CONNECT: Duration = Duration::from_millis(600);
+/// How long an entry that stops goes on to serve while customers are sent elsewhere.
+const LINGER: Ms = Ms(2_200);
+/// Left of the time to stop for closing connections.
+const STOP_MARGIN: Ms = Ms(1_500);
+
+quick_error! {
+    /// Why an entry cannot run, or a connection between entries ended.
+    #[derive(Debug)]
+    pub enum Error {
+        /// Something that is needed is not to be had.
+        Start(reason: String) {
+            display("{}", reason)
+        }
+        /// The connection to another entry ended.
+        Peer(reason: String) {
+            display("peer: {}", reason)
+        }
+    }
+}
+
+/// What the tasks of an entry share. Each lock is taken for a moment, alone, and never over I/O.
+struct Shared {
+    options: Options,
+    /// Tells one life of this process from another.
+    instance: u64,
+    spawner: Spawner,
+    store: Store,
+    workers: worker::Client,
+    config: Mutex<Option<Arc<Config>>>,
+    agent: Agent,
+    leading: Mutex<Option<Arc<Leading>>>,
+    is_stopping: AtomicBool,
+}
+
+impl Shared {
+    fn new(options: Options) -> Self {
+        let limits = Limits {
+            connect: CONNECT,
+            idle: IDLE,
+            kept: KEPT,
+            ..Limits::default()
+        };
+        let pool = Arc::new(Pool::new(limits));
+        Self {
+            instance: clock::unix().0,
+            spawner: Spawner::default(),
+            store: Store::new(options.store, Arc::clone(&pool)),
+            workers: worker::Client::new(pool),
+            config: Mutex::default(),
+            agent: Agent::default(),
+            leading: Mutex::default(),
+            is_stopping: AtomicBool::new(false),
+            options,
+        }
+    }
+
+    /// The configuration in force.
+    fn config(&self) -> Option<Arc<Config>> {
+        lock(&self.config).clone()
+    }
+
+    /// Puts a configuration in force if it is newer.
+    fn configure(&self, config: Config) -> Option<Arc<Config>> {
+        let mut current = lock(&self.config);
+        if current
+            .as_ref()
+            .is_some_and(|current| current.version >= config.version)
+        {
+            return None;
+        }
+        log::info!(
+            "kind=config-in-force version={} queues={}",
+            config.version,
+            config.queues.len()
+        );
+        let config = Arc::new(config);
+        *current = Some(Arc::clone(&config));
+        Some(config)
+    }
+
+    /// Whether the entry is shutting down.
+    fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::SeqCst)
+    }
+
+    /// What this entry leads, if it does.
+    fn leading(&self) -> Option<Arc<Leading>> {
+        lock(&self.leading).clone()
+    }
+}
+
+/// Takes a lock whose holders never panic.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of this lock panics")
+}
+
+/// Sleeps.
+async fn sleep(time: Ms) {
+    Timer::after(Duration::from_millis(time.0)).await;
+}
+
+/// Runs an entry until SIGTERM.
+///
+/// # Errors
+///
+/// When it cannot start.
+pub fn run(file: &Path, options: Options) -> Result<(), Error> {
+    logbook::start(&options.name, options.log)?;
+    let shared = Arc::new(Shared::new(options));
+    let spawner = Arc::clone(&shared.spawner);
+    smol::block_on(spawner.run(serve(file, shared)))
+}
+
+async fn serve(file: &Path, shared: Arc<Shared>) -> Result<(), Error> {
+    let start =
+        |what: &str, error: &dyn std::error::Error| Error::Start(format!("{what}: {error}"));
+    let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])
+        .map_err(|error| start("signals", &error))?;
+    let options = &shared.options;
+    log::info!(
+        "kind=process-started instance={} domain={} store={}",
+        shared.instance,
+        options.failure_domain,
+        options.store
+    );
+    let listen = async |address: std::net::SocketAddr| {
+        let listener = TcpListener::bind(address).await;
+        listener.map_err(|error| start(&address.to_string(), &error))
+    };
+    let front = front::start(&shared, listen(options.customer).await?)?;
+    let ready = if options.ready == options.customer {
+        None
+    } else {
+        Some(front::start(&shared, listen(options.ready).await?)?)
+    };
+    let _tasks = [
+        shared.spawner.spawn(peers::accept(
+            Arc::clone(&shared),
+            listen(options.peer).await?,
+        )),
+        shared
+            .spawner
+            .spawn(feeds::follow_config(Arc::clone(&shared))),
+        shared.spawner.spawn(seat::follow(Arc::clone(&shared))),
+    ];
+    while let Some(Ok(signal)) = signals.next().await {
+        match signal {
+            Signal::Hup => reload(file, options),
+            _ => break,
+        }
+    }
+    stop(&shared, &front, ready.as_ref()).await;
+    Ok(())
+}
+
+/// Reads the settings again. Addresses and bounds are fixed for the life of a process.
+fn reload(file: &Path, options: &Options) {
+    match Options::load(file) {
+        Ok(new) if new == *options => log::info!("kind=settings-read changed=false"),
+        Ok(_) => log::warn!("kind=settings-read changed=true in_force=at-restart"),
+        Err(error) => log::error!("kind=settings-refused cause={:?}", error.to_string()),
+    }
+}
+
+async fn stop(shared: &Arc<Shared>, front: &Server, ready: Option<&Server>) {
+    log::info!("kind=process-stopping");
+    shared.is_stopping.store(true, Ordering::SeqCst);
+    lead::resign(shared).await;
+    let most = shared.options.stop.since(STOP_MARGIN);
+    sleep(LINGER.min(most)).await;
+    let rest = most.since(LINGER);
+    let closed = async {
+        front.stop().await;
+        true
+    };
+    let late = async {
+        sleep(rest).await;
+        false
+    };
+    let is_closed = smol::future::or(closed, late).await;
+    if let Some(ready) = ready {
+        ready.kill().await;
+    }
+    log::info!("kind=process-stopped all_answered={is_closed}");
+}
--- /dev/null
+++ b/src/serve/agent.rs
@@ -0,0 +1,199 @@
+//! The agent: carries out the leader's orders and tells it what happens.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use futures_channel::oneshot;
+use scheduler::id::Epoch;
+use scheduler::id::Job;
+use scheduler::message::Beat;
+use scheduler::message::Note;
+use scheduler::message::Order;
+use scheduler::message::Outcome;
+use scheduler::message::Place;
+use scheduler::progress::Stage;
+use smol::channel::Sender;
+
+use super::Shared;
+use super::clock;
+use super::lock;
+use super::watch::Watched;
+
+/// The age of a beat after which what it says is no longer used.
+const BEAT_VALID: Ms = Ms(3_000);
+
+/// What an agent knows.
+#[derive(Default)]
+pub(super) struct Agent {
+    state: Mutex<State>,
+    asked: Mutex<Asked>,
+}
+
+#[derive(Default)]
+struct State {
+    epoch: Epoch,
+    heard: Ms,
+    has_order: bool,
+    notes: Option<Sender<Note>>,
+    watched: HashMap<Name, Arc<Watched>>,
+    beat: Beat,
+}
+
+#[derive(Default)]
+struct Asked {
+    next: u64,
+    waiting: HashMap<u64, oneshot::Sender<Option<Stage>>>,
+}
+
+impl Agent {
+    /// Begins to follow a leader. Returns the runs that are known from earlier orders.
+    pub(super) fn begin_session(
+        &self,
+        epoch: Epoch,
+        notes: Sender<Note>,
+    ) -> Vec<(Name, Ms, Vec<Place>)> {
+        log::info!("kind=leader-followed epoch={epoch}");
+        let mut state = lock(&self.state);
+        let now = clock::now();
+        let known = state.watched.drain().map(|(name, watched)| {
+            let (age, places) = watched.known(now);
+            (name, age, places)
+        });
+        let known = known.collect();
+        state.epoch = epoch;
+        state.heard = now;
+        state.has_order = false;
+        state.notes = Some(notes);
+        state.beat.store_age = Ms::ZERO;
+        known
+    }
+
+    /// Stops following a leader; whether it had sent anything.
+    pub(super) fn end_session(&self, epoch: Epoch) -> bool {
+        let mut state = lock(&self.state);
+        if state.epoch != epoch {
+            return true;
+        }
+        state.notes = None;
+        lock(&self.asked).waiting.clear();
+        state.has_order
+    }
+
+    /// When the leader was last heard, and the age of its last confirmed write.
+    pub(super) fn contact(&self) -> (Ms, Ms) {
+        let state = lock(&self.state);
+        (state.heard, state.beat.store_age)
+    }
+
+    /// The epoch followed and when its leader was last heard.
+    pub(super) fn leader(&self) -> (Epoch, Ms) {
+        let state = lock(&self.state);
+        (state.epoch, state.heard)
+    }
+
+    /// The newest beat, if it is not too old.
+    pub(super) fn beat(&self) -> Option<Beat> {
+        let state = lock(&self.state);
+        let is_valid = state.has_order && clock::now().since(state.heard) <= BEAT_VALID;
+        is_valid.then(|| state.beat.clone())
+    }
+
+    /// Tells the leader something, if there is one.
+    pub(super) fn tell(&self, note: Note) {
+        let notes = lock(&self.state).notes.clone();
+        if let Some(notes) = notes {
+            // A session that has ended is followed by one that asks for everything anew.
+            drop(notes.try_send(note));
+        }
+    }
+
+    /// Asks the leader for the stage of a job. The outer `None` means that there is no answer.
+    pub(super) async fn ask(&self, job: Job) -> Option<Option<Stage>> {
+        let notes = lock(&self.state).notes.clone()?;
+        let (sender, receiver) = oneshot::channel();
+        let number = {
+            let mut asked = lock(&self.asked);
+            asked.next += 1;
+            let number = asked.next;
+            asked.waiting.insert(number, sender);
+            number
+        };
+        if notes.try_send(Note::Ask(number, job)).is_err() {
+            lock(&self.asked).waiting.remove(&number);
+            return None;
+        }
+        receiver.await.ok()
+    }
+
+    /// Carries out an order.
+    pub(super) fn obey(&self, shared: &Arc<Shared>, order: Order) {
+        lock(&self.state).has_order = true;
+        match order {
+            Order::Beat(beat) => {
+                let mut state = lock(&self.state);
+                state.heard = clock::now();
+                state.beat = beat;
+            }
+            Order::Watch(watch) => {
+                let mut state = lock(&self.state);
+                let same = state
+                    .watched
+                    .get(&watch.worker)
+                    .filter(|watched| watched.is_at(&watch.address));
+                if let Some(watched) = same {
+                    watched.acknowledge(watch.acknowledged);
+                    return;
+                }
+                let epoch = state.epoch;
+                let name = watch.worker.clone();
+                match Watched::start(shared, epoch, watch) {
+                    Ok(watched) => drop(state.watched.insert(name, watched)),
+                    Err(error) => log::error!("kind=watch-refused worker={name} cause={error}"),
+                }
+            }
+            Order::Unwatch(name) => drop(lock(&self.state).watched.remove(&name)),
+            Order::Start(start) => match self.watched(&start.worker) {
+                Some(watched) => {
+                    let run = watched.start_task(Arc::clone(shared), start);
+                    shared.spawner.spawn(run).detach();
+                }
+                None => {
+                    let place = Place {
+                        worker: start.worker,
+                        born: start.born,
+                        task: start.task,
+                        run: start.run,
+                    };
+                    self.tell(Note::Started(place, Outcome::Unsent));
+                }
+            },
+            Order::Stop(place) => match self.watched(&place.worker) {
+                Some(watched) => {
+                    let run = watched.stop_run(Arc::clone(shared), place);
+                    shared.spawner.spawn(run).detach();
+                }
+                None => self.tell(Note::Stopped(place, Outcome::Unsent, clock::now())),
+            },
+            Order::Pace(place, percent) => {
+                if let Some(watched) = self.watched(&place.worker) {
+                    let run = watched.pace_run(Arc::clone(shared), place, percent);
+                    shared.spawner.spawn(run).detach();
+                }
+            }
+            Order::Stage(number, stage) => {
+                let waiting = lock(&self.asked).waiting.remove(&number);
+                if let Some(waiting) = waiting {
+                    // The customer may have left.
+                    let _ = waiting.send(stage);
+                }
+            }
+        }
+    }
+
+    fn watched(&self, name: &Name) -> Option<Arc<Watched>> {
+        lock(&self.state).watched.get(name).cloned()
+    }
+}
--- /dev/null
+++ b/src/serve/front.rs
@@ -0,0 +1,263 @@
+//! Serves customers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use adapter::front;
+use adapter::store;
+use adapter::store::Transaction;
+use bytes::Bytes;
+use http::Method;
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::HOST;
+use http::header::RETRY_AFTER;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use link::server::Limits;
+use link::server::Server;
+use scheduler::config::Queue;
+use scheduler::id::Job;
+use scheduler::job::Accepted;
+use scheduler::progress::Progress;
+use scheduler::progress::Stage;
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::net::TcpListener;
+
+use super::Error;
+use super::Shared;
+use super::clock;
+use super::rows;
+
+/// How long the leader may take to answer before the store is asked.
+const ASK: Duration = Duration::from_millis(500);
+/// When a customer whose job was not stored shall return, in seconds.
+const RETURN_AFTER: &str = "1";
+
+type Answer = Response<Full<Bytes>>;
+
+/// Serves customers and the platform's question whether the entry is ready.
+pub(super) fn start(shared: &Arc<Shared>, listener: TcpListener) -> Result<Server, Error> {
+    let owned = Arc::clone(shared);
+    let handler = move |request| {
+        let shared = Arc::clone(&owned);
+        async move { handle(&shared, request).await }
+    };
+    Server::start(&shared.spawner, listener, Limits::default(), handler)
+        .map_err(|error| Error::Start(error.to_string()))
+}
+
+async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Answer {
+    if request.method() == Method::GET && request.uri().path() == front::READY_PATH {
+        return ready(shared);
+    }
+    let Some(config) = shared.config() else {
+        return turn_away("no-config", "-");
+    };
+    let path = request.uri().path().to_owned();
+    let host = request.headers().get(HOST);
+    let host = host.and_then(|host| host.to_str().ok()).unwrap_or_default();
+    let host = host.split(':').next().unwrap_or_default();
+    let Some((queue, rest)) = config.find(host, &path) else {
+        return plain(StatusCode::NOT_FOUND);
+    };
+    if rest.is_empty() && request.method() == Method::GET {
+        return count(shared, queue);
+    }
+    let Ok(job) = rest.parse::<Job>() else {
+        log::info!("kind=request-invalid queue={} cause=job-id", queue.name);
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    let method = request.method().clone();
+    match method {
+        Method::POST => submit(shared, queue, config.max_body, job, request).await,
+        Method::GET => show(shared, job).await,
+        Method::DELETE => cancel(shared, job).await,
+        _ => plain(StatusCode::METHOD_NOT_ALLOWED),
+    }
+}
+
+fn ready(shared: &Shared) -> Answer {
+    if shared.config().is_some() && !shared.is_stopping() {
+        plain(StatusCode::OK)
+    } else {
+        plain(StatusCode::SERVICE_UNAVAILABLE)
+    }
+}
+
+fn count(shared: &Shared, queue: &Queue) -> Answer {
+    let Some(beat) = shared.agent.beat() else {
+        return turn_away("no-leader", &queue.name);
+    };
+    let found = beat.waiting.iter().find(|(name, _)| *name == queue.name);
+    json(front::encode_waiting(found.map_or(0, |(_, count)| *count)))
+}
+
+async fn submit(
+    shared: &Shared,
+    queue: &Queue,
+    max_body: usize,
+    job: Job,
+    request: Request<Incoming>,
+) -> Answer {
+    let body = Limited::new(request.into_body(), max_body).collect().await;
+    let body = match body {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            log::info!("kind=job-invalid job={job} cause={:?}", error.to_string());
+            return plain(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+    };
+    let spec = match front::decode(&body) {
+        Ok(spec) => spec,
+        Err(error) => {
+            log::info!("kind=job-invalid job={job} cause={:?}", error.to_string());
+            return plain(StatusCode::BAD_REQUEST);
+        }
+    };
+    let accepted = Accepted {
+        queue: queue.name.clone(),
+        spec,
+        at: clock::unix(),
+    };
+    let transaction = Transaction {
+        expected: vec![(rows::accepted(job), 0)],
+        puts: vec![(rows::accepted(job), rows::encode(&accepted))],
+        removed: Vec::new(),
+    };
+    let begun = clock::now();
+    let result = shared.store.transact(&transaction).await;
+    let ms = clock::now().since(begun).0;
+    match result {
+        Ok(page) => {
+            log::info!(
+                "kind=job-accepted job={job} queue={} row={} ms={ms}",
+                queue.name,
+                page.version
+            );
+            plain(StatusCode::OK)
+        }
+        Err(store::Error::Conflict(_)) => {
+            log::info!(
+                "kind=job-accepted job={job} queue={} again=true",
+                queue.name
+            );
+            plain(StatusCode::OK)
+        }
+        Err(store::Error::Refused(cause)) => {
+            log::warn!("kind=job-refused job={job} ms={ms} cause={cause:?}");
+            turn_away("store-refused", &queue.name)
+        }
+        Err(error) => {
+            log::warn!(
+                "kind=job-unknown job={job} ms={ms} cause={:?}",
+                error.to_string()
+            );
+            plain(StatusCode::GATEWAY_TIMEOUT)
+        }
+    }
+}
+
+/// The stage of a job, from the leader or else from the store. `None` is a job that does not exist.
+async fn find(shared: &Shared, job: Job) -> Result<Option<Stage>, store::Error> {
+    let late = async {
+        Timer::after(ASK).await;
+        None
+    };
+    if let Some(Some(stage)) = shared.agent.ask(job).or(late).await {
+        return Ok(Some(stage));
+    }
+    let key = rows::progress(job);
+    let (row, _) = shared.store.row(key.table, &key.key).await?;
+    if let Some(row) = row {
+        match rows::decode::<Progress>(&row) {
+            Ok(progress) => return Ok(Some(progress.stage())),
+            Err(error) => {
+                log::error!(
+                    "kind=row-ignored table=progress cause={:?}",
+                    error.to_string()
+                );
+            }
+        }
+    }
+    let key = rows::accepted(job);
+    let (row, _) = shared.store.row(key.table, &key.key).await?;
+    Ok(row.map(|_| Stage::Queued))
+}
+
+async fn show(shared: &Shared, job: Job) -> Answer {
+    match find(shared, job).await {
+        Ok(Some(stage)) => json(front::encode_stage(stage)),
+        Ok(None) => {
+            log::info!("kind=job-missing job={job}");
+            plain(StatusCode::GONE)
+        }
+        Err(error) => {
+            log::warn!("kind=stage-unknown job={job} cause={:?}", error.to_string());
+            turn_away("stage-unknown", "-")
+        }
+    }
+}
+
+async fn cancel(shared: &Shared, job: Job) -> Answer {
+    match find(shared, job).await {
+        Ok(Some(Stage::Ended(_))) => return plain(StatusCode::OK),
+        Ok(Some(_)) => {}
+        Ok(None) => return plain(StatusCode::GONE),
+        Err(error) => {
+            log::warn!(
+                "kind=cancel-unknown job={job} cause={:?}",
+                error.to_string()
+            );
+            return turn_away("stage-unknown", "-");
+        }
+    }
+    let transaction = Transaction {
+        expected: Vec::new(),
+        puts: vec![(rows::cancelled(job), Vec::new())],
+        removed: Vec::new(),
+    };
+    match shared.store.transact(&transaction).await {
+        Ok(_) => {
+            log::info!("kind=cancel-accepted job={job}");
+            plain(StatusCode::OK)
+        }
+        Err(store::Error::Refused(cause)) => {
+            log::warn!("kind=cancel-refused job={job} cause={cause:?}");
+            turn_away("store-refused", "-")
+        }
+        Err(error) => {
+            log::warn!(
+                "kind=cancel-unknown job={job} cause={:?}",
+                error.to_string()
+            );
+            plain(StatusCode::GATEWAY_TIMEOUT)
+        }
+    }
+}
+
+fn turn_away(reason: &str, queue: &str) -> Answer {
+    log::info!("kind=request-refused queue={queue} reason={reason}");
+    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
+    let value = http::HeaderValue::from_static(RETURN_AFTER);
+    answer.headers_mut().insert(RETRY_AFTER, value);
+    answer
+}
+
+fn plain(status: StatusCode) -> Answer {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = status;
+    answer
+}
+
+fn json(body: Vec<u8>) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    let value = http::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, value);
+    answer
+}
--- /dev/null
+++ b/src/serve/lead.rs
@@ -0,0 +1,371 @@
+//! Runs the leader's decisions.
+
+use std::collections::BTreeMap;
+use std::mem;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use adapter::store::Error;
+use adapter::store::Transaction;
+use decision::clock::Ms;
+use decision::name::Name;
+use scheduler::election;
+use scheduler::election::Seat;
+use scheduler::id::Epoch;
+use scheduler::leader::Action;
+use scheduler::leader::Bounds;
+use scheduler::leader::Commit;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::message::Hello;
+use scheduler::message::Note;
+use scheduler::message::Order;
+use smol::Timer;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+use smol::future::FutureExt;
+
+use super::Shared;
+use super::clock;
+use super::feeds;
+use super::lock;
+use super::peers;
+use super::rows;
+use super::sleep;
+
+/// The interval of ticks.
+const TICK: Ms = Ms(50);
+/// Events of one batch, after which tasks are started.
+const BATCH: usize = 256;
+
+/// What reaches the leader.
+#[derive(Debug)]
+pub(super) enum Input {
+    Event(Event),
+    Joined(Hello, u64, Sender<Vec<Order>>),
+    Left(Name, u64),
+    Deposed(&'static str),
+}
+
+/// The access of other tasks to the leader.
+#[derive(Debug)]
+pub(super) struct Leading {
+    pub(super) epoch: Epoch,
+    pub(super) inputs: Sender<Input>,
+    connections: AtomicU64,
+    /// When the store last confirmed a write of this leader.
+    confirmed: AtomicU64,
+    /// The store's clock at that time.
+    store_now: AtomicU64,
+}
+
+impl Leading {
+    pub(super) fn send(&self, input: Input) {
+        // A leader that has ended takes nothing in, which is no loss: its successor asks anew.
+        drop(self.inputs.try_send(input));
+    }
+
+    pub(super) fn tell(&self, event: Event) {
+        self.send(Input::Event(event));
+    }
+
+    /// Introduces an agent and returns the number of its connection.
+    pub(super) fn join(&self, hello: Hello, out: Sender<Vec<Order>>) -> u64 {
+        let connection = self.connections.fetch_add(1, Ordering::SeqCst);
+        self.send(Input::Joined(hello, connection, out));
+        connection
+    }
+
+    fn confirm(&self, store_now: Ms) {
+        self.store_now.fetch_max(store_now.0, Ordering::SeqCst);
+        self.confirmed.store(clock::now().0, Ordering::SeqCst);
+    }
+
+    fn store_age(&self) -> Ms {
+        clock::now().since(Ms(self.confirmed.load(Ordering::SeqCst)))
+    }
+
+    /// The store's clock now, as far as it is known.
+    fn store_clock(&self) -> Ms {
+        Ms(self.store_now.load(Ordering::SeqCst)) + self.store_age()
+    }
+}
+
+/// Leads until another entry does.
+pub(super) async fn lead(shared: &Arc<Shared>, epoch: Epoch, store_now: Ms) {
+    let (inputs, queue) = smol::channel::unbounded();
+    let leading = Arc::new(Leading {
+        epoch,
+        inputs: inputs.clone(),
+        connections: AtomicU64::new(0),
+        confirmed: AtomicU64::new(clock::now().0),
+        store_now: AtomicU64::new(store_now.0),
+    });
+    log::info!("kind=lead-begun epoch={epoch}");
+    *lock(&shared.leading) = Some(Arc::clone(&leading));
+    let spawn = |task| shared.spawner.spawn(task);
+    let tasks = [
+        spawn(Box::pin(feeds::follow_jobs(Arc::clone(shared), inputs.clone())) as Work),
+        spawn(Box::pin(feeds::follow_workers(
+            Arc::clone(shared),
+            inputs.clone(),
+        ))),
+        spawn(Box::pin(write_beats(
+            Arc::clone(shared),
+            Arc::clone(&leading),
+        ))),
+        spawn(Box::pin(join_self(
+            Arc::clone(shared),
+            Arc::clone(&leading),
+        ))),
+    ];
+    let mut desk = Desk::new(shared, &leading, queue);
+    let reason = desk.run().await;
+    drop(tasks);
+    *lock(&shared.leading) = None;
+    shared.agent.end_session(epoch);
+    log::warn!("kind=lead-ended epoch={epoch} reason={reason:?}");
+}
+
+type Work = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// The leader's own agent, without a connection.
+async fn join_self(shared: Arc<Shared>, leading: Arc<Leading>) {
+    let (notes, told) = smol::channel::unbounded();
+    let (out, orders) = smol::channel::unbounded();
+    let entry = shared.options.name.clone();
+    let relay = async {
+        while let Ok(note) = told.recv().await {
+            if let Note::Hello(hello) = note {
+                leading.join(hello, out.clone());
+            } else {
+                leading.tell(Event::Told(entry.clone(), note));
+            }
+        }
+    };
+    let session = async {
+        peers::session(&shared, leading.epoch, notes, orders).await;
+    };
+    relay.or(session).await;
+}
+
+/// Writes a beat in an interval.
+async fn write_beats(shared: Arc<Shared>, leading: Arc<Leading>) {
+    loop {
+        let beat = rows::Beat {
+            epoch: leading.epoch.0,
+            at: leading.store_clock().0,
+        };
+        let transaction = Transaction {
+            expected: vec![(rows::seat(), leading.epoch.0)],
+            puts: vec![(rows::beat(), rows::encode(&beat))],
+            removed: Vec::new(),
+        };
+        match shared.store.transact(&transaction).await {
+            Ok(page) => leading.confirm(page.now),
+            Err(Error::Conflict(_)) => leading.send(Input::Deposed("the store has another leader")),
+            Err(error) => log::warn!("kind=beat-unconfirmed cause={:?}", error.to_string()),
+        }
+        sleep(election::BEAT).await;
+    }
+}
+
+/// Gives the lead up, so that another entry takes it at once.
+pub(super) async fn resign(shared: &Arc<Shared>) {
+    let Some(leading) = shared.leading() else {
+        return;
+    };
+    let seat = Seat {
+        entry: None,
+        instance: shared.instance,
+        address: Arc::from(""),
+    };
+    let transaction = Transaction {
+        expected: vec![(rows::seat(), leading.epoch.0)],
+        puts: vec![(rows::seat(), rows::encode(&seat))],
+        removed: Vec::new(),
+    };
+    match shared.store.transact(&transaction).await {
+        Ok(_) => leading.send(Input::Deposed("resigned")),
+        Err(error) => log::warn!("kind=resign-failed cause={:?}", error.to_string()),
+    }
+}
+
+/// The leader with its connections.
+struct Desk {
+    shared: Arc<Shared>,
+    leading: Arc<Leading>,
+    queue: Receiver<Input>,
+    leader: Leader,
+    agents: BTreeMap<Name, (u64, Sender<Vec<Order>>)>,
+    outgoing: BTreeMap<Name, Vec<Order>>,
+    resigned: Option<&'static str>,
+}
+
+impl Desk {
+    fn new(shared: &Arc<Shared>, leading: &Arc<Leading>, queue: Receiver<Input>) -> Self {
+        let options = &shared.options;
+        let bounds = Bounds {
+            lease: options.lease,
+            retention: options.retention,
+            harm: options.harm,
+        };
+        Self {
+            leader: Leader::new(options.name.clone(), leading.epoch, bounds, clock::now()),
+            shared: Arc::clone(shared),
+            leading: Arc::clone(leading),
+            queue,
+            agents: BTreeMap::new(),
+            outgoing: BTreeMap::new(),
+            resigned: None,
+        }
+    }
+
+    async fn run(&mut self) -> &'static str {
+        if let Some(config) = self.shared.config() {
+            self.handle(Event::Config(config));
+        }
+        let mut tick_due = clock::now();
+        let mut beat_due = clock::now();
+        loop {
+            if let Some(reason) = self.resigned {
+                return reason;
+            }
+            let queue = self.queue.clone();
+            let next = async { queue.recv().await.ok() };
+            let pause = Duration::from_millis(tick_due.since(clock::now()).0);
+            let timer = async {
+                Timer::after(pause).await;
+                None
+            };
+            if let Some(input) = next.or(timer).await {
+                self.take(input);
+            }
+            for _ in 1..BATCH {
+                let Ok(input) = self.queue.try_recv() else {
+                    break;
+                };
+                self.take(input);
+            }
+            let now = clock::now();
+            if now >= tick_due {
+                tick_due = now + TICK;
+                self.handle(Event::Tick(clock::unix()));
+            }
+            if now >= beat_due {
+                beat_due = now + peers::BEAT;
+                self.send_beats();
+            }
+            let actions = self.leader.schedule(now);
+            self.perform(actions);
+            self.flush();
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => self.handle(event),
+            Input::Joined(hello, connection, out) => {
+                let entry = hello.entry.clone();
+                let domain = hello.domain.clone();
+                if self.agents.contains_key(&entry) {
+                    self.handle(Event::Left(entry.clone()));
+                }
+                self.agents.insert(entry.clone(), (connection, out));
+                self.handle(Event::Told(entry.clone(), Note::Hello(hello)));
+                self.handle(Event::Joined(entry, domain));
+                self.send_beats();
+            }
+            Input::Left(entry, connection) => {
+                let is_current = self
+                    .agents
+                    .get(&entry)
+                    .is_some_and(|(current, _)| *current == connection);
+                if is_current {
+                    self.agents.remove(&entry);
+                    self.outgoing.remove(&entry);
+                    self.handle(Event::Left(entry));
+                }
+            }
+            Input::Deposed(reason) => self.resigned = Some(reason),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let actions = self.leader.handle(clock::now(), event);
+        self.perform(actions);
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(agent, order) => self.outgoing.entry(agent).or_default().push(order),
+                Action::Commit(commit) => self.commit(&commit),
+                Action::Resign(reason) => self.resigned = Some(reason),
+                Action::Log(line) => log::info!("epoch={} {line}", self.leading.epoch),
+            }
+        }
+    }
+
+    fn send_beats(&mut self) {
+        let beat = self.leader.beat(self.leading.store_age());
+        for agent in self.agents.keys() {
+            let orders = self.outgoing.entry(agent.clone()).or_default();
+            orders.push(Order::Beat(beat.clone()));
+        }
+    }
+
+    fn flush(&mut self) {
+        for (agent, orders) in mem::take(&mut self.outgoing) {
+            if let Some((_, out)) = self.agents.get(&agent) {
+                // A connection that has ended is reported on its own.
+                drop(out.try_send(orders));
+            }
+        }
+    }
+
+    fn commit(&self, commit: &Commit) {
+        let transaction = transaction(self.leading.epoch, commit);
+        let shared = Arc::clone(&self.shared);
+        let leading = Arc::clone(&self.leading);
+        let write = async move {
+            let input = match shared.store.transact(&transaction).await {
+                Ok(page) => {
+                    leading.confirm(page.now);
+                    Input::Event(Event::Committed)
+                }
+                Err(Error::Conflict(_)) => Input::Deposed("the store has another leader"),
+                Err(error) => {
+                    log::warn!("kind=commit-unconfirmed cause={:?}", error.to_string());
+                    Input::Event(Event::Uncommitted)
+                }
+            };
+            leading.send(input);
+        };
+        self.shared.spawner.spawn(write).detach();
+    }
+}
+
+fn transaction(epoch: Epoch, commit: &Commit) -> Transaction {
+    let progress = commit.progress.iter();
+    let mut puts: Vec<_> = progress
+        .map(|(job, progress)| (rows::progress(*job), rows::encode(progress)))
+        .collect();
+    if let Some(fleet) = &commit.fleet {
+        puts.push((rows::members(), rows::encode(fleet)));
+    }
+    let removed = commit.removed.iter().flat_map(|&job| {
+        [
+            rows::accepted(job),
+            rows::cancelled(job),
+            rows::progress(job),
+        ]
+    });
+    Transaction {
+        expected: vec![(rows::seat(), epoch.0)],
+        puts,
+        removed: removed.collect(),
+    }
+}
--- /dev/null
+++ b/src/serve/peers.rs
@@ -0,0 +1,279 @@
+//! Connections between the leader and its agents.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use scheduler::election;
+use scheduler::election::Seat;
+use scheduler::id::Epoch;
+use scheduler::leader::Event;
+use scheduler::message::Hello;
+use scheduler::message::Note;
+use scheduler::message::Order;
+use smol::Timer;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+use smol::future::FutureExt;
+use smol::net::TcpListener;
+use smol::net::TcpStream;
+
+use super::Error;
+use super::Shared;
+use super::clock;
+use super::frame;
+use super::lead::Input;
+use super::sleep;
+
+/// The interval of beats on a connection.
+pub(super) const BEAT: Ms = Ms(400);
+/// The silence after which a connection counts as lost.
+const SILENCE: Ms = Ms(1_400);
+/// The time to establish a connection.
+const CONNECT: Ms = Ms(600);
+/// The pause after a failed accept.
+const ACCEPT_PAUSE: Ms = Ms(50);
+/// The age of the leader's last confirmed write at which an agent looks for a new leader.
+const STORE_AGE: Ms = Ms(1_800);
+
+/// How following a leader ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Ending {
+    /// The address refuses connections, or nobody leads there.
+    TurnedAway,
+    /// The connection was lost, or the leader is in trouble.
+    Lost,
+}
+
+/// Follows the leader until the connection is lost.
+pub(super) async fn follow(shared: &Arc<Shared>, epoch: Epoch, seat: &Seat) -> Ending {
+    let address: SocketAddr = match seat.address.parse() {
+        Ok(address) => address,
+        Err(error) => {
+            log::error!(
+                "kind=seat-unusable address={:?} cause={error}",
+                seat.address
+            );
+            return Ending::Lost;
+        }
+    };
+    let connect = async {
+        TcpStream::connect(address)
+            .await
+            .map_err(|error| error.kind())
+    };
+    let late = async {
+        sleep(CONNECT).await;
+        Err(std::io::ErrorKind::TimedOut)
+    };
+    let stream = match connect.or(late).await {
+        Ok(stream) => stream,
+        Err(kind) => {
+            log::warn!("kind=leader-unreachable epoch={epoch} cause={kind}");
+            return if kind == std::io::ErrorKind::ConnectionRefused {
+                Ending::TurnedAway
+            } else {
+                Ending::Lost
+            };
+        }
+    };
+    drop(stream.set_nodelay(true));
+    let (notes, outgoing) = smol::channel::unbounded();
+    let (incoming, orders) = smol::channel::unbounded();
+    let pump = pump(stream, outgoing, incoming);
+    let session = session(shared, epoch, notes, orders);
+    let ended = async {
+        let error = pump.await;
+        log::warn!(
+            "kind=leader-lost epoch={epoch} cause={:?}",
+            error.to_string()
+        );
+        false
+    };
+    let was_served = session.or(ended).await;
+    let had_order = shared.agent.end_session(epoch);
+    if was_served || had_order {
+        Ending::Lost
+    } else {
+        Ending::TurnedAway
+    }
+}
+
+/// Moves notes and orders over a connection until it fails.
+async fn pump(stream: TcpStream, outgoing: Receiver<Note>, incoming: Sender<Vec<Order>>) -> Error {
+    let mut reader = stream.clone();
+    let mut writer = stream;
+    let read = async {
+        loop {
+            let orders = match frame::read(&mut reader).await {
+                Ok(orders) => orders,
+                Err(error) => return error,
+            };
+            if incoming.send(orders).await.is_err() {
+                return Error::Peer("the session ended".into());
+            }
+        }
+    };
+    let write = async {
+        while let Ok(first) = outgoing.recv().await {
+            let mut notes = vec![first];
+            notes.extend(std::iter::from_fn(|| outgoing.try_recv().ok()));
+            if let Err(error) = frame::write(&mut writer, &notes).await {
+                return error;
+            }
+        }
+        Error::Peer("the session ended".into())
+    };
+    read.or(write).await
+}
+
+/// Carries out the orders of a leader; returns whether it served this agent at all.
+pub(super) async fn session(
+    shared: &Arc<Shared>,
+    epoch: Epoch,
+    notes: Sender<Note>,
+    orders: Receiver<Vec<Order>>,
+) -> bool {
+    let hello = Hello {
+        entry: shared.options.name.clone(),
+        domain: shared.options.failure_domain.clone(),
+        epoch,
+        known: shared.agent.begin_session(epoch, notes.clone()),
+    };
+    if notes.send(Note::Hello(hello)).await.is_err() {
+        return false;
+    }
+    let mut beat_due = clock::now() + BEAT;
+    loop {
+        let next = async { orders.recv().await.ok() };
+        let pause = Duration::from_millis(beat_due.since(clock::now()).0);
+        let timer = async {
+            Timer::after(pause).await;
+            Some(Vec::new())
+        };
+        let Some(list) = next.or(timer).await else {
+            return false;
+        };
+        let now = clock::now();
+        if now >= beat_due {
+            beat_due = now + BEAT;
+            if notes.send(Note::Beat).await.is_err() {
+                return true;
+            }
+        }
+        for order in list {
+            shared.agent.obey(shared, order);
+        }
+        let (heard, store_age) = shared.agent.contact();
+        if now.since(heard) > SILENCE {
+            log::warn!("kind=leader-silent epoch={epoch} ms={}", now.since(heard).0);
+            return true;
+        }
+        if store_age > STORE_AGE && is_deposable(shared, epoch).await {
+            return true;
+        }
+    }
+}
+
+/// Whether the store says that the leader is gone, or has another one.
+async fn is_deposable(shared: &Shared, epoch: Epoch) -> bool {
+    let Ok(page) = shared.store.read(super::rows::LEAD, "", 8).await else {
+        return false;
+    };
+    let seat = page
+        .rows
+        .iter()
+        .find(|row| row.key == super::rows::seat().key);
+    if seat.is_some_and(|row| row.version != epoch.0) {
+        return true;
+    }
+    let beat = page
+        .rows
+        .iter()
+        .find(|row| row.key == super::rows::beat().key);
+    let beat = beat.and_then(|row| super::rows::decode::<super::rows::Beat>(row).ok());
+    beat.is_some_and(|beat| page.now.since(Ms(beat.at)) >= election::SILENCE + election::SILENCE)
+}
+
+/// Accepts agents for the life of the process.
+pub(super) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                drop(stream.set_nodelay(true));
+                let serving = serve(Arc::clone(&shared), stream);
+                shared.spawner.spawn(serving).detach();
+            }
+            Err(error) => {
+                log::warn!("kind=accept-failed cause={:?}", error.to_string());
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Serves one agent as the leader.
+async fn serve(shared: Arc<Shared>, stream: TcpStream) {
+    let mut reader = stream.clone();
+    let mut writer = stream;
+    let Ok(first) = timely(&mut reader).await else {
+        return;
+    };
+    let Some(Note::Hello(hello)) = first.into_iter().next() else {
+        return;
+    };
+    let Some(leading) = shared
+        .leading()
+        .filter(|leading| leading.epoch == hello.epoch)
+    else {
+        return;
+    };
+    let (out, orders) = smol::channel::unbounded();
+    let entry = hello.entry.clone();
+    let connection = leading.join(hello, out);
+    let read = read_notes(&mut reader, &leading.inputs, &entry);
+    let write = async {
+        while let Ok(first) = orders.recv().await {
+            let mut batch: Vec<Order> = first;
+            while let Ok(more) = orders.try_recv() {
+                batch.extend(more);
+            }
+            if let Err(error) = frame::write(&mut writer, &batch).await {
+                return error;
+            }
+        }
+        Error::Peer("the leader ended".into())
+    };
+    let error = read.or(write).await;
+    log::warn!(
+        "kind=agent-lost agent={entry} cause={:?}",
+        error.to_string()
+    );
+    leading.send(Input::Left(entry, connection));
+}
+
+async fn read_notes(reader: &mut TcpStream, inputs: &Sender<Input>, entry: &Name) -> Error {
+    loop {
+        let notes = match timely(reader).await {
+            Ok(notes) => notes,
+            Err(error) => return error,
+        };
+        for note in notes {
+            let event = Event::Told(entry.clone(), note);
+            if inputs.send(Input::Event(event)).await.is_err() {
+                return Error::Peer("the leader ended".into());
+            }
+        }
+    }
+}
+
+/// Reads notes unless the agent is silent.
+async fn timely(reader: &mut TcpStream) -> Result<Vec<Note>, Error> {
+    let late = async {
+        sleep(SILENCE).await;
+        Err(Error::Peer("silent".into()))
+    };
+    frame::read(reader).or(late).await
+}
--- /dev/null
+++ b/src/serve/rows.rs
@@ -0,0 +1,102 @@
+//! The rows that entries keep in the platform's store.
+
+use adapter::store::Key;
+use adapter::store::Row;
+use quick_error::quick_error;
+use scheduler::id::Job;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Accepted jobs and cancellations, so that one feed tells of both.
+pub(super) const JOBS: &str = "jobs";
+/// Progress of jobs.
+pub(super) const PROGRESS: &str = "progress";
+/// Workers on which tasks may run.
+pub(super) const FLEET: &str = "fleet";
+/// The leader and its beat.
+pub(super) const LEAD: &str = "lead";
+
+const ACCEPTED: char = 'j';
+const CANCELLED: char = 'c';
+const SEAT: &str = "seat";
+const BEAT: &str = "beat";
+const MEMBERS: &str = "members";
+
+quick_error! {
+    /// Why a row cannot be read.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The key has another form.
+        Key(key: String) {
+            display("row {:?} has an unknown key", key)
+        }
+        /// The value has another form.
+        Value(key: String, cause: String) {
+            display("row {:?} cannot be read: {}", key, cause)
+        }
+    }
+}
+
+/// The last sign of life of a leader.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub(super) struct Beat {
+    /// The leader's epoch.
+    pub(super) epoch: u64,
+    /// When, on the store's clock in ms.
+    pub(super) at: u64,
+}
+
+/// A row of the table of jobs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Kind {
+    Accepted(Job),
+    Cancelled(Job),
+}
+
+pub(super) fn seat() -> Key {
+    Key::new(LEAD, SEAT)
+}
+
+pub(super) fn beat() -> Key {
+    Key::new(LEAD, BEAT)
+}
+
+pub(super) fn members() -> Key {
+    Key::new(FLEET, MEMBERS)
+}
+
+pub(super) fn accepted(job: Job) -> Key {
+    Key::new(JOBS, format!("{ACCEPTED}{job}"))
+}
+
+pub(super) fn cancelled(job: Job) -> Key {
+    Key::new(JOBS, format!("{CANCELLED}{job}"))
+}
+
+pub(super) fn progress(job: Job) -> Key {
+    Key::new(PROGRESS, job.to_string())
+}
+
+/// What a row of the table of jobs is about.
+pub(super) fn kind(key: &str) -> Result<Kind, Error> {
+    let unknown = || Error::Key(key.into());
+    let (first, rest) = key.split_at_checked(1).ok_or_else(unknown)?;
+    let job: Job = rest.parse().map_err(|_error| unknown())?;
+    match first.chars().next() {
+        Some(ACCEPTED) => Ok(Kind::Accepted(job)),
+        Some(CANCELLED) => Ok(Kind::Cancelled(job)),
+        _ => Err(unknown()),
+    }
+}
+
+/// The bytes of a value.
+pub(super) fn encode(value: &impl Serialize) -> Vec<u8> {
+    rmp_serde::to_vec(value).expect("rows hold plain data")
+}
+
+/// The value of a row.
+pub(super) fn decode<T: DeserializeOwned>(row: &Row) -> Result<T, Error> {
+    rmp_serde::from_slice(&row.value)
+        .map_err(|error| Error::Value(row.key.clone(), error.to_string()))
+}
--- /dev/null
+++ b/src/serve/seat.rs
@@ -0,0 +1,133 @@
+//! Finds the leader, follows it, and takes the lead when it is gone.
+
+use std::sync::Arc;
+
+use adapter::store::Error;
+use adapter::store::Page;
+use adapter::store::Transaction;
+use decision::clock::Ms;
+use scheduler::election;
+use scheduler::election::Seat;
+use scheduler::election::View;
+use scheduler::id::Epoch;
+
+use super::Shared;
+use super::lead;
+use super::peers;
+use super::peers::Ending;
+use super::rows;
+use super::sleep;
+
+/// Connections in a row that the leader's address turned away before it counts as vacant.
+const VACANT_AFTER: u32 = 2;
+
+/// The view of the store on the leader, with what a takeover depends on.
+struct Found {
+    view: View,
+    seat_version: u64,
+    beat_version: u64,
+    now: Ms,
+}
+
+/// Follows the leader for the life of the process.
+pub(super) async fn follow(shared: Arc<Shared>) {
+    let mut turned_away = 0;
+    loop {
+        if shared.is_stopping() && shared.leading().is_none() && turned_away > 0 {
+            // Another entry leads soon; until then there is nobody to follow.
+            turned_away = 0;
+        }
+        let found = match look(&shared, turned_away).await {
+            Ok(found) => found,
+            Err(error) => {
+                log::warn!("kind=seat-unread cause={:?}", error.to_string());
+                sleep(election::CHECK).await;
+                continue;
+            }
+        };
+        let is_mine = found
+            .view
+            .seat
+            .as_ref()
+            .is_some_and(|(_, seat)| seat.instance == shared.instance && seat.entry.is_some());
+        if is_mine && let Some((epoch, _)) = found.view.seat {
+            lead::lead(&shared, epoch, found.now).await;
+            continue;
+        }
+        let should_run = election::should_run(&found.view, &shared.options.name, shared.instance);
+        if should_run && !shared.is_stopping() {
+            run(&shared, &found).await;
+            turned_away = 0;
+            continue;
+        }
+        let Some((epoch, seat)) = found.view.seat.filter(|(_, seat)| seat.entry.is_some()) else {
+            sleep(election::CHECK).await;
+            continue;
+        };
+        match peers::follow(&shared, epoch, &seat).await {
+            Ending::TurnedAway => turned_away += 1,
+            Ending::Lost => turned_away = 0,
+        }
+        sleep(election::CHECK).await;
+    }
+}
+
+async fn look(shared: &Shared, turned_away: u32) -> Result<Found, Error> {
+    let page = shared.store.read(rows::LEAD, "", 8).await?;
+    let row = |key: &str| page.rows.iter().find(|row| row.key == key);
+    let seat_row = row(&rows::seat().key);
+    let beat_row = row(&rows::beat().key);
+    let seat = seat_row.and_then(|row| match rows::decode::<Seat>(row) {
+        Ok(seat) => Some((Epoch(row.version), seat)),
+        Err(error) => {
+            log::error!("kind=row-ignored table=lead cause={:?}", error.to_string());
+            None
+        }
+    });
+    let beat = beat_row.and_then(|row| rows::decode::<rows::Beat>(row).ok());
+    let beat_age = beat.map(|beat| page.now.since(Ms(beat.at)));
+    Ok(Found {
+        view: View {
+            seat,
+            beat_age,
+            is_vacant: turned_away >= VACANT_AFTER,
+        },
+        seat_version: seat_row.map_or(0, |row| row.version),
+        beat_version: beat_row.map_or(0, |row| row.version),
+        now: page.now,
+    })
+}
+
+/// Tries to become the leader; the next look at the store tells who is.
+async fn run(shared: &Shared, found: &Found) {
+    let seat = Seat {
+        entry: Some(shared.options.name.clone()),
+        instance: shared.instance,
+        address: Arc::from(shared.options.peer.to_string()),
+    };
+    let beat = rows::Beat {
+        epoch: 0,
+        at: found.now.0,
+    };
+    let transaction = Transaction {
+        expected: vec![
+            (rows::seat(), found.seat_version),
+            (rows::beat(), found.beat_version),
+        ],
+        puts: vec![
+            (rows::seat(), rows::encode(&seat)),
+            (rows::beat(), rows::encode(&beat)),
+        ],
+        removed: Vec::new(),
+    };
+    let result: Result<Page, Error> = shared.store.transact(&transaction).await;
+    match result {
+        Ok(page) => log::info!(
+            "kind=lead-won epoch={} beat_age_ms={:?} vacant={}",
+            page.version,
+            found.view.beat_age.map(|age| age.0),
+            found.view.is_vacant
+        ),
+        Err(error) => log::info!("kind=lead-not-won cause={:?}", error.to_string()),
+    }
+}
--- /dev/null
+++ b/src/serve/watch.rs
@@ -0,0 +1,267 @@
+//! Calls to one worker: looks that renew its lease, starts, stops and paces.
+
+use std::collections::BTreeMap;
+use std::net::AddrParseError;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::Weak;
+
+use adapter::worker::Error;
+use adapter::worker::Held;
+use adapter::worker::Hold;
+use decision::clock::Ms;
+use decision::name::Name;
+use scheduler::agent::Lease;
+use scheduler::agent::PATIENCE;
+use scheduler::id::Epoch;
+use scheduler::message::Look;
+use scheduler::message::Note;
+use scheduler::message::Outcome;
+use scheduler::message::Place;
+use scheduler::message::Start;
+use scheduler::message::Watch;
+use smol::Task;
+use smol::channel::Receiver;
+use smol::channel::Sender;
+use smol::future::FutureExt;
+
+use super::Shared;
+use super::clock;
+use super::lock;
+use super::sleep;
+
+/// The pause after a look without an answer.
+const RETRY: Ms = Ms(200);
+/// The longest wait for the leader to acknowledge ends before the next look.
+const ACKNOWLEDGE: Ms = Ms(250);
+/// What runs is told at least in this interval.
+const REPORT: Ms = Ms(900);
+
+/// A worker that this agent watches. Each lock is taken for a moment, alone, and never over I/O.
+pub(super) struct Watched {
+    name: Name,
+    address: SocketAddr,
+    raw_address: Arc<str>,
+    epoch: Epoch,
+    lease: Mutex<Lease>,
+    acknowledged: Mutex<Option<(Ms, u64)>>,
+    acknowledgement: (Sender<()>, Receiver<()>),
+    /// Runs that may be on the worker, with the time of the order.
+    known: Mutex<BTreeMap<Place, Ms>>,
+    looking: Mutex<Option<Task<()>>>,
+}
+
+impl Watched {
+    /// Starts to watch a worker.
+    pub(super) fn start(
+        shared: &Arc<Shared>,
+        epoch: Epoch,
+        watch: Watch,
+    ) -> Result<Arc<Self>, AddrParseError> {
+        let watched = Arc::new(Self {
+            name: watch.worker,
+            address: watch.address.parse()?,
+            raw_address: watch.address,
+            epoch,
+            lease: Mutex::new(Lease::new(shared.options.lease)),
+            acknowledged: Mutex::new(watch.acknowledged),
+            acknowledgement: smol::channel::bounded(1),
+            known: Mutex::default(),
+            looking: Mutex::default(),
+        });
+        let looks = look_on(Arc::clone(shared), Arc::downgrade(&watched));
+        *lock(&watched.looking) = Some(shared.spawner.spawn(looks));
+        Ok(watched)
+    }
+
+    pub(super) fn is_at(&self, address: &str) -> bool {
+        *self.raw_address == *address
+    }
+
+    pub(super) fn acknowledge(&self, acknowledged: Option<(Ms, u64)>) {
+        *lock(&self.acknowledged) = acknowledged;
+        // One signal in the queue is enough.
+        let _ = self.acknowledgement.0.try_send(());
+    }
+
+    /// The time since the last renewal, and the runs that may be on the worker.
+    pub(super) fn known(&self, now: Ms) -> (Ms, Vec<Place>) {
+        let age = lock(&self.lease).age(now);
+        (age, lock(&self.known).keys().cloned().collect())
+    }
+
+    pub(super) async fn start_task(self: Arc<Self>, shared: Arc<Shared>, start: Start) {
+        let (_, heard) = shared.agent.leader();
+        let now = clock::now();
+        let place = Place {
+            worker: start.worker.clone(),
+            born: start.born,
+            task: start.task,
+            run: start.run,
+        };
+        let deadline = {
+            let mut lease = lock(&self.lease);
+            let deadline = lease.deadline(now, heard);
+            if deadline.is_some() {
+                lease.renew(now);
+            }
+            deadline
+        };
+        let Some(deadline) = deadline else {
+            return shared.agent.tell(Note::Started(place, Outcome::Unsent));
+        };
+        lock(&self.known).insert(place.clone(), now);
+        let workers = &shared.workers;
+        let outcome = workers
+            .start(self.address, self.epoch, deadline, &start)
+            .await;
+        if !matches!(outcome, Outcome::Done | Outcome::Unknown) {
+            lock(&self.known).remove(&place);
+        }
+        shared.agent.tell(Note::Started(place, outcome));
+        if outcome == Outcome::Unknown {
+            self.look_now(&shared).await;
+        }
+    }
+
+    pub(super) async fn stop_run(self: Arc<Self>, shared: Arc<Shared>, place: Place) {
+        let outcome = shared.workers.stop(self.address, self.epoch, &place).await;
+        shared
+            .agent
+            .tell(Note::Stopped(place, outcome, clock::now()));
+        if outcome == Outcome::Done || outcome == Outcome::Old {
+            self.look_now(&shared).await;
+        }
+    }
+
+    pub(super) async fn pace_run(self: Arc<Self>, shared: Arc<Shared>, place: Place, percent: u8) {
+        let workers = shared.workers.clone();
+        let outcome = workers
+            .pace(self.address, self.epoch, &place, percent)
+            .await;
+        if outcome != Outcome::Done {
+            log::warn!(
+                "kind=pace-failed task={} run={} worker={} outcome={outcome:?}",
+                place.task,
+                place.run,
+                place.worker
+            );
+        }
+    }
+
+    fn hold(&self, deadline: Option<Ms>, wait: Ms) -> Hold {
+        let acknowledged = *lock(&self.acknowledged);
+        Hold {
+            epoch: self.epoch,
+            deadline,
+            acknowledged: acknowledged.map_or(0, |(_, number)| number),
+            wait,
+        }
+    }
+
+    /// Looks once, without a wait and without a renewal.
+    async fn look_now(&self, shared: &Shared) {
+        // The millisecond makes sure that the look comes after the answer before it.
+        sleep(Ms(1)).await;
+        let asked = clock::now();
+        let hold = self.hold(None, Ms::ZERO);
+        if let Ok(held) = shared.workers.hold(&self.name, self.address, hold).await {
+            self.report(shared, asked, held, true);
+        }
+    }
+
+    /// Looks in turn, renewing the lease; returns how long to pause.
+    async fn look(&self, shared: &Shared, told: &mut Ms) -> Ms {
+        let (_, heard) = shared.agent.leader();
+        let asked = clock::now();
+        if asked.since(heard) > PATIENCE {
+            return RETRY;
+        }
+        let plan = {
+            let mut lease = lock(&self.lease);
+            let plan = lease.plan(asked, heard);
+            if plan.deadline.is_some() {
+                lease.renew(asked);
+            }
+            plan
+        };
+        let hold = self.hold(plan.deadline, plan.wait);
+        match shared.workers.hold(&self.name, self.address, hold).await {
+            Ok(held) => {
+                let now = clock::now();
+                let was_silent = lock(&self.lease).answered(now, held.clock);
+                let has_ends = !held.ended.is_empty();
+                let is_due = now.since(*told) >= REPORT || was_silent;
+                if is_due {
+                    *told = now;
+                }
+                if is_due || has_ends {
+                    self.report(shared, asked, held, is_due);
+                }
+                if has_ends {
+                    self.wait_for_acknowledgement().await;
+                }
+                Ms::ZERO
+            }
+            Err(error) => {
+                let now = clock::now();
+                log::info!(
+                    "kind=look-failed worker={} ms={} cause={:?}",
+                    self.name,
+                    now.since(asked).0,
+                    error.to_string()
+                );
+                if matches!(error, Error::Fenced) {
+                    return PATIENCE;
+                }
+                let ago = lock(&self.lease).missed(now);
+                shared.agent.tell(Note::Missed(self.name.clone(), ago));
+                RETRY
+            }
+        }
+    }
+
+    async fn wait_for_acknowledgement(&self) {
+        let told = async {
+            // The channel lives as long as this value.
+            let _ = self.acknowledgement.1.recv().await;
+        };
+        told.or(sleep(ACKNOWLEDGE)).await;
+    }
+
+    fn report(&self, shared: &Shared, asked: Ms, held: Held, with_running: bool) {
+        {
+            let mut known = lock(&self.known);
+            known.retain(|_, since| *since >= asked);
+            for row in &held.running {
+                let place = Place {
+                    worker: self.name.clone(),
+                    born: held.born,
+                    task: row.task,
+                    run: row.run,
+                };
+                known.entry(place).or_insert(Ms::ZERO);
+            }
+        }
+        shared.agent.tell(Note::Look(Look {
+            worker: self.name.clone(),
+            born: held.born,
+            asked,
+            running: with_running.then_some(held.running),
+            ended: held.ended,
+        }));
+    }
+}
+
+/// Looks at a worker for as long as it is watched.
+async fn look_on(shared: Arc<Shared>, watched: Weak<Watched>) {
+    let mut told = Ms::ZERO;
+    while let Some(watched) = watched.upgrade() {
+        let pause = watched.look(&shared, &mut told).await;
+        drop(watched);
+        if pause > Ms::ZERO {
+            sleep(pause).await;
+        }
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,12 +7,23 @@
 use std::time::Duration;
 
 use decision::name::Name;
-use ini::Ini;
 use quick_error::quick_error;
 
 use self::source::Source;
 
-mod source;
+pub(crate) mod source;
+
+/// Every section with its keys.
+const KEYS: source::Keys = &[
+    ("entry", &["name", "failure_domain", "seeds", "log"]),
+    ("listen", &["caller", "operator", "peer"]),
+    ("platform", &["table", "objects", "vms"]),
+    ("limits", &["threads", "connections", "events"]),
+    (
+        "times",
+        &["connect_ms", "command_ms", "peer_ms", "vms_ms", "stop_ms"],
+    ),
+];
 
 quick_error! {
     /// A settings error with its place.
@@ -131,13 +142,7 @@
     /// The first thing that is wrong, with its place.
     pub fn load(path: &Path) -> Result<Self, Error> {
         let file = path.display().to_string();
-        match fs::read(path) {
-            Ok(bytes) => match String::from_utf8(bytes) {
-                Ok(text) => Self::parse(&file, &text),
-                Err(error) => Err(not_text(file, &error)),
-            },
-            Err(error) => Err(Error::At(file, 0, "file".into(), error.to_string())),
-        }
+        Self::parse(&file, &read_text(path)?)
     }
 
     /// Reads the text of a file named `file`.
@@ -146,10 +151,7 @@
     ///
     /// The first thing that is wrong, with its place.
     pub fn parse(file: &str, text: &str) -> Result<Self, Error> {
-        let ini = Ini::load_from_str(text).map_err(|error| {
-            Error::At(file.into(), error.line, "syntax".into(), error.msg.into())
-        })?;
-        let source = Source::new(file, text, ini)?;
+        let source = Source::new(file, text, KEYS)?;
         let settings = Self {
             entry: entry(&source)?,
             listen: listen(&source)?,
@@ -161,6 +163,15 @@
     }
 }
 
+/// Reads a settings file.
+pub(crate) fn read_text(path: &Path) -> Result<String, Error> {
+    let file = path.display().to_string();
+    match fs::read(path) {
+        Ok(bytes) => String::from_utf8(bytes).map_err(|error| not_text(file, &error)),
+        Err(error) => Err(Error::At(file, 0, "file".into(), error.to_string())),
+    }
+}
+
 fn not_text(file: String, error: &std::string::FromUtf8Error) -> Error {
     let good = &error.as_bytes()[..error.utf8_error().valid_up_to()];
     let line = 1 + good.iter().filter(|byte| **byte == b'\n').count();
@@ -186,7 +197,7 @@
     parts.filter(|part| !part.is_empty()).map(remote).collect()
 }
 
-fn level(raw: &str) -> Result<log::LevelFilter, String> {
+pub(crate) fn level(raw: &str) -> Result<log::LevelFilter, String> {
     raw.parse()
         .map_err(|_error| "must be off, error, warn, info, debug or trace".into())
 }
@@ -235,7 +246,7 @@
     })
 }
 
-fn within(raw: &str, least: u32, most: u32) -> Result<u32, String> {
+pub(crate) fn within(raw: &str, least: u32, most: u32) -> Result<u32, String> {
     match raw.parse() {
         Ok(number) if (least..=most).contains(&number) => Ok(number),
         _ => Err(format!("must be a number from {least} to {most}")),
@@ -248,7 +259,7 @@
 }
 
 /// An address that others can connect to, but the port may be 0.
-fn specific(raw: &str) -> Result<SocketAddr, String> {
+pub(crate) fn specific(raw: &str) -> Result<SocketAddr, String> {
     let address = address(raw)?;
     if address.ip().is_unspecified() {
         return Err("must be an address that peers can connect to".into());
@@ -257,7 +268,7 @@
 }
 
 /// An address to connect to.
-fn remote(raw: &str) -> Result<SocketAddr, String> {
+pub(crate) fn remote(raw: &str) -> Result<SocketAddr, String> {
     let address = specific(raw)?;
     if address.port() == 0 {
         return Err("must have a port above 0".into());
--- a/src/settings/source.rs
+++ b/src/settings/source.rs
@@ -6,21 +6,13 @@
 
 use super::Error;
 
-/// Every section with its keys.
-const KEYS: [(&str, &[&str]); 5] = [
-    ("entry", &["name", "failure_domain", "seeds", "log"]),
-    ("listen", &["caller", "operator", "peer"]),
-    ("platform", &["table", "objects", "vms"]),
-    ("limits", &["threads", "connections", "events"]),
-    (
-        "times",
-        &["connect_ms", "command_ms", "peer_ms", "vms_ms", "stop_ms"],
-    ),
-];
+/// The sections of a file, each with its keys.
+pub(crate) type Keys = &'static [(&'static str, &'static [&'static str])];
 
 /// A parsed file and the places of what it holds.
-pub(super) struct Source<'a> {
+pub(crate) struct Source<'a> {
     file: &'a str,
+    allowed: Keys,
     ini: Ini,
     sections: HashMap<String, usize>,
     keys: HashMap<(String, String), usize>,
@@ -28,9 +20,13 @@
 
 impl<'a> Source<'a> {
     /// Finds the place of each key and refuses unknown and repeated ones.
-    pub(super) fn new(file: &'a str, text: &str, ini: Ini) -> Result<Self, Error> {
+    pub(crate) fn new(file: &'a str, text: &str, allowed: Keys) -> Result<Self, Error> {
+        let ini = Ini::load_from_str(text).map_err(|error| {
+            Error::At(file.into(), error.line, "syntax".into(), error.msg.into())
+        })?;
         let mut source = Self {
             file,
+            allowed,
             ini,
             sections: HashMap::new(),
             keys: HashMap::new(),
@@ -51,7 +47,7 @@
             return self.take_section(section, number);
         }
         let key = line.split(['=', ':']).next().unwrap_or_default().trim();
-        let allowed = KEYS.iter().find(|(name, _)| name == section);
+        let allowed = self.allowed.iter().find(|(name, _)| name == section);
         if !allowed.is_some_and(|(_, keys)| keys.contains(&key)) {
             return Err(self.at(number, key, "unknown key"));
         }
@@ -63,7 +59,7 @@
     }
 
     fn take_section(&mut self, section: &str, number: usize) -> Result<(), Error> {
-        if !KEYS.iter().any(|(name, _)| *name == section) {
+        if !self.allowed.iter().any(|(name, _)| *name == section) {
             return Err(self.at(number, section, "unknown section"));
         }
         if self.sections.insert(section.into(), number).is_some() {
@@ -73,7 +69,7 @@
     }
 
     /// The value of a key that must be there.
-    pub(super) fn required<T>(
+    pub(crate) fn required<T>(
         &self,
         section: &str,
         key: &str,
@@ -90,7 +86,7 @@
     }
 
     /// The value of a key that may be absent.
-    pub(super) fn optional<T>(
+    pub(crate) fn optional<T>(
         &self,
         section: &str,
         key: &str,
