--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -2,12 +2,12 @@
 
 use decision::clock::Ms;
 
+use crate::leader::AGENT_PATIENCE;
+
 /// The longest wait of a look for an end.
 const WAIT: Ms = Ms(1_000);
 /// The wait of a look before the worker's clock is known.
 const FIRST_WAIT: Ms = Ms::ZERO;
-/// An agent that has not heard from its leader for longer lets leases expire.
-pub const PATIENCE: Ms = crate::leader::AGENT_PATIENCE;
 
 /// One look at a worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -51,7 +51,7 @@
     /// The end of a lease that begins now, on the worker's clock.
     #[must_use]
     pub fn deadline(&self, now: Ms, heard: Ms) -> Option<Ms> {
-        if self.is_silent || now.since(heard) > PATIENCE {
+        if self.is_silent || now.since(heard) > AGENT_PATIENCE {
             return None;
         }
         let (clock, at) = self.clock?;
--- a/crates/scheduler/src/election.rs
+++ b/crates/scheduler/src/election.rs
@@ -33,6 +33,14 @@
     pub address: Arc<str>,
 }
 
+impl Seat {
+    /// Whether this life of an entry's process holds the seat.
+    #[must_use]
+    pub fn is_held_by(&self, entry: &Name, instance: u64) -> bool {
+        self.entry.as_ref() == Some(entry) && self.instance == instance
+    }
+}
+
 /// What the store says about the leader.
 #[derive(Clone, Debug, PartialEq)]
 pub struct View {
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -32,7 +32,8 @@
 use crate::progress::Progress;
 use crate::progress::Stage;
 
-pub use self::assign::AGENT_PATIENCE;
+/// How long an agent goes on to renew leases without a word of the leader.
+pub const AGENT_PATIENCE: Ms = Ms(3_000);
 
 /// Time bounds that the platform gives.
 #[derive(Clone, Copy, Debug)]
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -5,6 +5,7 @@
 use decision::clock::Ms;
 use decision::name::Name;
 
+use super::AGENT_PATIENCE;
 use super::Agent;
 use super::Leader;
 use super::Member;
@@ -13,9 +14,6 @@
 use crate::message::Order;
 use crate::message::Watch;
 
-/// How long an agent goes on to renew leases without a word of the leader.
-pub const AGENT_PATIENCE: Ms = Ms(3_000);
-
 /// Added to a lease before its tasks count as gone, for the slow clock of a worker and messages on
 /// their way.
 const LEASE_SLACK: Ms = Ms(400);
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -5,6 +5,7 @@
 use decision::clock::Ms;
 use decision::name::Name;
 
+use super::AGENT_PATIENCE;
 use super::Leader;
 use crate::id::Run;
 use crate::id::Task;
@@ -40,8 +41,7 @@
     /// that have not answered yet.
     fn take_known(&mut self, now: Ms, hello: Hello) {
         for (name, ago, places) in hello.known {
-            let lapses =
-                Ms(now.0.saturating_sub(ago.0)) + super::assign::AGENT_PATIENCE + self.lease_end();
+            let lapses = Ms(now.0.saturating_sub(ago.0)) + AGENT_PATIENCE + self.lease_end();
             let Some(worker) = self.workers.get_mut(&name) else {
                 continue;
             };
--- /dev/null
+++ b/crates/scheduler/tests/election.rs
@@ -0,0 +1,74 @@
+//! Who takes the lead, and when.
+
+use std::sync::Arc;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use scheduler::election;
+use scheduler::election::Seat;
+use scheduler::election::View;
+use scheduler::id::Epoch;
+
+fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("test names are valid")
+}
+
+fn seat(entry: Option<&str>, instance: u64) -> Seat {
+    Seat {
+        entry: entry.map(name),
+        instance,
+        address: Arc::from("10.0.0.1:7720"),
+    }
+}
+
+fn view(seat: Option<Seat>, beat_age: u64, is_vacant: bool) -> View {
+    View {
+        seat: seat.map(|seat| (Epoch(7), seat)),
+        beat_age: Some(Ms(beat_age)),
+        is_vacant,
+    }
+}
+
+#[test]
+fn an_entry_runs_only_where_the_store_shows_no_living_leader() {
+    let cases = [
+        ("no leader yet", view(None, 0, false), true),
+        ("resigned", view(Some(seat(None, 1)), 0, false), true),
+        ("alive", view(Some(seat(Some("b"), 1)), 500, false), false),
+        (
+            "stale beat",
+            view(Some(seat(Some("b"), 1)), 5_000, false),
+            true,
+        ),
+        (
+            "nobody listens",
+            view(Some(seat(Some("b"), 1)), 100, true),
+            true,
+        ),
+        (
+            "own earlier life",
+            view(Some(seat(Some("a"), 1)), 100, false),
+            true,
+        ),
+        (
+            "this life",
+            view(Some(seat(Some("a"), 9)), 100, false),
+            false,
+        ),
+    ];
+    for (case, view, expected) in cases {
+        assert_eq!(
+            election::should_run(&view, &name("a"), 9),
+            expected,
+            "{case}"
+        );
+    }
+}
+
+#[test]
+fn entries_that_started_in_the_same_millisecond_do_not_share_a_seat() {
+    let seat = seat(Some("a"), 9);
+    assert!(seat.is_held_by(&name("a"), 9));
+    assert!(!seat.is_held_by(&name("b"), 9));
+    assert!(!seat.is_held_by(&name("a"), 8));
+}
--- a/src/serve/seat.rs
+++ b/src/serve/seat.rs
@@ -49,7 +49,7 @@
             .view
             .seat
             .as_ref()
-            .is_some_and(|(_, seat)| seat.instance == shared.instance && seat.entry.is_some());
+            .is_some_and(|(_, seat)| seat.is_held_by(&shared.options.name, shared.instance));
         if is_mine && let Some((epoch, _)) = found.view.seat {
             lead::lead(&shared, epoch, found.now).await;
             continue;
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -13,8 +13,8 @@
 use decision::clock::Ms;
 use decision::name::Name;
 use scheduler::agent::Lease;
-use scheduler::agent::PATIENCE;
 use scheduler::id::Epoch;
+use scheduler::leader::AGENT_PATIENCE;
 use scheduler::message::Look;
 use scheduler::message::Note;
 use scheduler::message::Outcome;
@@ -175,7 +175,7 @@
     async fn look(&self, shared: &Shared, told: &mut Ms) -> Ms {
         let (_, heard) = shared.agent.leader();
         let asked = clock::now();
-        if asked.since(heard) > PATIENCE {
+        if asked.since(heard) > AGENT_PATIENCE {
             return RETRY;
         }
         let plan = {
@@ -213,7 +213,7 @@
                     error.to_string()
                 );
                 if matches!(error, Error::Fenced) {
-                    return PATIENCE;
+                    return AGENT_PATIENCE;
                 }
                 let ago = lock(&self.lease).missed(now);
                 shared.agent.tell(Note::Missed(self.name.clone(), ago));
