Wait for the workers' own word after a takeover

Change: what agents tell is kept until the rows are read; accounts are used only for workers that do not answer; runs of unknown jobs are adopted when their row arrives.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -11,6 +11,7 @@
 use crate::id;
 use crate::id::Run;
 use crate::id::Task;
+use crate::message::Place;
 use crate::spec;
 
 /// What a worker's registration says.
@@ -52,6 +53,8 @@
     pub born: Option<Ms>,
     /// Whether it has told this leader what it runs.
     pub is_known: bool,
+    /// What its last agent knows of the orders of an earlier leader.
+    pub account: Option<Vec<Place>>,
     /// Whether the last look failed.
     pub is_silent: bool,
     /// When its leases have expired if it stays silent.
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -28,6 +28,7 @@
 use crate::message::Beat;
 use crate::message::Note;
 use crate::message::Order;
+use crate::message::Place;
 use crate::progress::Outcome;
 use crate::progress::Progress;
 use crate::progress::Stage;
@@ -134,6 +135,10 @@
     unix: Ms,
     config: Arc<Config>,
     is_recovered: bool,
+    /// What agents told before the rows of earlier leaders were read.
+    early: Vec<(Name, Note)>,
+    /// Runs of jobs that this leader has not learned of, with the time when they were seen first.
+    strays: BTreeMap<Place, Ms>,
     workers: BTreeMap<Name, Worker>,
     fleet: BTreeSet<Member>,
     jobs: BTreeMap<id::Job, job::Job>,
@@ -167,6 +172,8 @@
             unix: Ms::ZERO,
             config: Arc::default(),
             is_recovered: false,
+            early: Vec::new(),
+            strays: BTreeMap::new(),
             workers: BTreeMap::new(),
             fleet: BTreeSet::new(),
             jobs: BTreeMap::new(),
@@ -205,7 +212,7 @@
             }
             Event::Cancelled(id) => self.cancel(now, id),
             Event::Fleet(members) => self.take_fleet(now, members),
-            Event::Recovered => self.is_recovered = true,
+            Event::Recovered => self.recover(now),
             Event::Config(config) => self.config = config,
             Event::Listed(name, listing) => self.list(now, name, listing),
             Event::Joined(entry, domain) => self.join(now, entry, domain),
@@ -252,6 +259,19 @@
         self.is_recovered && self.workers.values().all(|worker| worker.is_known)
     }
 
+    fn recover(&mut self, now: Ms) {
+        self.is_recovered = true;
+        self.log(format!(
+            "kind=recovered jobs={} workers={} ms={}",
+            self.jobs.len(),
+            self.workers.len(),
+            now.since(self.began).0
+        ));
+        for (entry, note) in std::mem::take(&mut self.early) {
+            self.hear(now, &entry, note);
+        }
+    }
+
     fn count_waiting(&self) -> Vec<(Name, u32)> {
         let mut counts: BTreeMap<&Name, u32> = BTreeMap::new();
         for queue in &self.config.queues {
@@ -298,6 +318,7 @@
         } else if !has_ended {
             self.begin_due(id);
         }
+        self.adopt_strays(now, id);
     }
 
     /// Begins the occurrences of a job that are due.
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -20,11 +20,6 @@
 impl Leader {
     /// Takes an end in, once.
     pub(super) fn end_run(&mut self, now: Ms, name: &Name, born: Ms, end: &End) {
-        let is_known = self.jobs.contains_key(&end.task.step.job);
-        if !self.is_recovered || !is_known && !self.is_certain() {
-            // The row of the job has not been read yet; the worker tells this end again.
-            return;
-        }
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -7,6 +7,7 @@
 
 use super::AGENT_PATIENCE;
 use super::Leader;
+use crate::id;
 use crate::id::Run;
 use crate::id::Task;
 use crate::message::Hello;
@@ -21,8 +22,16 @@
 /// Looks in a row without a run after which it counts as gone.
 const MISSES: u8 = 3;
 
+/// How long a run of an unknown job is left alone.
+const STRAY: Ms = Ms(2_000);
+
 impl Leader {
     pub(super) fn hear(&mut self, now: Ms, entry: &Name, note: Note) {
+        let needs_jobs = !matches!(note, Note::Ask(..) | Note::Beat);
+        if needs_jobs && !self.is_recovered {
+            self.early.push((entry.clone(), note));
+            return;
+        }
         match note {
             Note::Hello(hello) => self.take_known(now, hello),
             Note::Beat => {}
@@ -37,26 +46,36 @@
         }
     }
 
-    /// Takes in the runs that an agent knows of from the orders of an earlier leader, on workers
-    /// that have not answered yet.
+    /// Keeps what an agent knows of workers from the orders of an earlier leader, for the case that
+    /// they do not answer. A worker that answers also tells of ends, which the agent does not know.
     fn take_known(&mut self, now: Ms, hello: Hello) {
+        let lease = AGENT_PATIENCE + self.lease_end();
         for (name, ago, places) in hello.known {
-            let lapses = Ms(now.0.saturating_sub(ago.0)) + AGENT_PATIENCE + self.lease_end();
             let Some(worker) = self.workers.get_mut(&name) else {
                 continue;
             };
-            if worker.is_known {
-                continue;
-            }
-            worker.is_known = true;
-            worker.is_silent = true;
-            worker.lapses = Some(lapses.max(worker.lapses.unwrap_or_default()));
-            for place in places {
-                self.adopt(now, &name, place.born, place.task, place.run, Phase::Unsure);
+            if !worker.is_known {
+                let lapses = Ms(now.0.saturating_sub(ago.0)) + lease;
+                worker.lapses = Some(lapses.max(worker.lapses.unwrap_or_default()));
+                worker.account = Some(places);
             }
         }
     }
 
+    /// Books what an earlier leader started on a worker that does not answer.
+    fn use_account(&mut self, now: Ms, name: &Name) {
+        let Some(worker) = self.workers.get_mut(name).filter(|worker| !worker.is_known) else {
+            return;
+        };
+        let Some(places) = worker.account.take() else {
+            return;
+        };
+        worker.is_known = true;
+        for place in places {
+            self.adopt(now, name, place.born, place.task, place.run, Phase::Unsure);
+        }
+    }
+
     fn look(&mut self, now: Ms, entry: &Name, look: Look) {
         let Some(worker) = self.workers.get_mut(&look.worker) else {
             return;
@@ -129,11 +148,7 @@
             .get_mut(&row.task.step.job)
             .and_then(|job| job.task(row.task));
         let Some(task) = known else {
-            // The row of the job may not have been read yet.
-            if self.is_recovered {
-                self.stop_unknown(look, row.task, row.run);
-            }
-            return;
+            return self.see_stray(now, look, row.task, row.run);
         };
         if row.checkpoint.is_some() {
             task.checkpoint.clone_from(&row.checkpoint);
@@ -221,23 +236,49 @@
         }
     }
 
-    fn stop_unknown(&mut self, look: &Look, task: Task, run: Run) {
-        let Some(agent) = self.workers.get(&look.worker).and_then(|w| w.agent.clone()) else {
-            return;
-        };
-        self.log(format!(
-            "kind=stop task={task} run={run} worker={} reason=unknown-task",
-            look.worker
-        ));
+    /// Handles a run of a job that this leader has not learned of: its row may be on the way.
+    fn see_stray(&mut self, now: Ms, look: &Look, task: Task, run: Run) {
         let place = Place {
             worker: look.worker.clone(),
             born: look.born,
             task,
             run,
         };
+        let since = *self.strays.entry(place.clone()).or_insert(now);
+        if now.since(since) < STRAY {
+            return;
+        }
+        let worker = self.workers.get(&look.worker);
+        let Some(agent) = worker.and_then(|worker| worker.agent.clone()) else {
+            return;
+        };
+        self.log(format!(
+            "kind=stop task={task} run={run} worker={} reason=unknown-job",
+            look.worker
+        ));
         self.send(&agent, Order::Stop(place));
     }
 
+    /// Books the runs of a job that were seen before it was learned of.
+    pub(super) fn adopt_strays(&mut self, now: Ms, id: id::Job) {
+        let found: Vec<Place> = self
+            .strays
+            .keys()
+            .filter(|place| place.task.step.job == id)
+            .cloned()
+            .collect();
+        for place in found {
+            self.strays.remove(&place);
+            let Place {
+                worker,
+                born,
+                task,
+                run,
+            } = place;
+            self.adopt(now, &worker, born, task, run, Phase::Unsure);
+        }
+    }
+
     /// Handles a booked run that a look did not show.
     fn miss_run(&mut self, now: Ms, look: &Look, id: Task, run: Run) {
         let Some(active) = self
@@ -281,6 +322,7 @@
         if worker.is_known {
             worker.lapses = Some(worker.lapses.unwrap_or_default().max(lapses));
         }
+        self.use_account(now, name);
         if is_news {
             self.log(format!(
                 "kind=worker-silent worker={name} agent={entry} renewed_ago_ms={}",
