--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -11,6 +11,8 @@
 use crate::id;
 use crate::id::Run;
 use crate::id::Task;
+use crate::interference::Image;
+use crate::interference::Model;
 use crate::message::Place;
 use crate::spec;
 
@@ -42,6 +44,71 @@
     Progress(id::Job, u64),
 }
 
+/// What the tasks of a step take from a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim {
+    /// What counts against the worker's size: of filling tasks no processors.
+    pub size: Size,
+    /// The processors asked for, in thousandths of a core.
+    pub millicores: u32,
+    /// How the tasks share the worker.
+    pub kind: Kind,
+    /// What they run.
+    pub image: Image,
+}
+
+/// How tasks share a worker.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Kind {
+    /// They use what they asked for.
+    Plain,
+    /// They use processor time that others leave.
+    Filling,
+    /// They answer their own users, with a tail of this limit in ms, if there is one.
+    Serving(Option<f64>),
+}
+
+impl Claim {
+    /// The claim of a step.
+    #[must_use]
+    pub fn new(step: &spec::Step, model: &mut Model) -> Self {
+        #[expect(
+            clippy::cast_precision_loss,
+            reason = "a limit of response times is far below the precision of a float"
+        )]
+        let kind = if step.is_filling {
+            Kind::Filling
+        } else if step.is_lasting {
+            Kind::Serving(step.tail_limit.map(|limit| limit.0.max(1) as f64))
+        } else {
+            Kind::Plain
+        };
+        let size = if step.is_filling {
+            Size {
+                millicores: 0,
+                ..step.need
+            }
+        } else {
+            step.need
+        };
+        Self {
+            size,
+            millicores: step.need.millicores,
+            kind,
+            image: model.image(step.image.as_ref()),
+        }
+    }
+}
+
+/// Serving tasks of one image on a worker.
+#[derive(Clone, Copy, Debug)]
+pub struct Servers {
+    /// How many there are.
+    pub count: u32,
+    /// The limit of the tail of response times, in ms.
+    pub limit: f64,
+}
+
 /// A worker.
 #[derive(Clone, Debug, Default)]
 pub struct Worker {
@@ -65,6 +132,10 @@
     pub filling: u32,
     /// Millicores booked by lasting runs.
     pub serving: u32,
+    /// Millicores that filling runs asked for, by image.
+    pub loads: BTreeMap<Image, u32>,
+    /// Serving runs with a limit, by image.
+    pub servers: BTreeMap<Image, Servers>,
     /// Runs that hold room.
     pub runs: BTreeSet<(Task, Run)>,
     /// Tasks of each step here, for limits of tasks on one worker.
@@ -77,43 +148,64 @@
     pub strikes: u32,
     /// No new tasks before this time.
     pub avoid_until: Ms,
-    /// No new filling tasks before this time.
-    pub no_filling_until: Ms,
 }
 
 impl Worker {
     /// Books room for a run.
-    pub fn book(&mut self, step: &spec::Step, task: Task, run: Run) {
+    pub fn book(&mut self, claim: &Claim, task: Task, run: Run) {
         if !self.runs.insert((task, run)) {
             return;
         }
-        self.booked = self.booked.plus(counted(step));
+        self.booked = self.booked.plus(claim.size);
         *self.steps.entry(task.step).or_default() += 1;
-        if step.is_filling {
-            self.filling += step.need.millicores;
-        }
-        if step.is_lasting {
-            self.serving += step.need.millicores;
+        match claim.kind {
+            Kind::Plain => {}
+            Kind::Filling => {
+                self.filling += claim.millicores;
+                *self.loads.entry(claim.image).or_default() += claim.millicores;
+            }
+            Kind::Serving(limit) => {
+                self.serving += claim.millicores;
+                if let Some(limit) = limit {
+                    let servers = self.servers.entry(claim.image);
+                    servers.or_insert(Servers { count: 0, limit }).count += 1;
+                }
+            }
         }
     }
 
     /// Gives the room of a run back.
-    pub fn free(&mut self, step: &spec::Step, task: Task, run: Run) {
+    pub fn free(&mut self, claim: &Claim, task: Task, run: Run) {
         if !self.runs.remove(&(task, run)) {
             return;
         }
-        self.booked = self.booked.minus(counted(step));
+        self.booked = self.booked.minus(claim.size);
         if let Some(count) = self.steps.get_mut(&task.step) {
             *count -= 1;
             if *count == 0 {
                 self.steps.remove(&task.step);
             }
         }
-        if step.is_filling {
-            self.filling = self.filling.saturating_sub(step.need.millicores);
-        }
-        if step.is_lasting {
-            self.serving = self.serving.saturating_sub(step.need.millicores);
+        match claim.kind {
+            Kind::Plain => {}
+            Kind::Filling => {
+                self.filling = self.filling.saturating_sub(claim.millicores);
+                if let Some(load) = self.loads.get_mut(&claim.image) {
+                    *load = load.saturating_sub(claim.millicores);
+                    if *load == 0 {
+                        self.loads.remove(&claim.image);
+                    }
+                }
+            }
+            Kind::Serving(_) => {
+                self.serving = self.serving.saturating_sub(claim.millicores);
+                if let Some(servers) = self.servers.get_mut(&claim.image) {
+                    servers.count -= 1;
+                    if servers.count == 0 {
+                        self.servers.remove(&claim.image);
+                    }
+                }
+            }
         }
     }
 
@@ -143,16 +235,3 @@
         self.acknowledged > before
     }
 }
-
-/// What a task takes from a worker's size.
-#[must_use]
-pub const fn counted(step: &spec::Step) -> Size {
-    if step.is_filling {
-        Size {
-            millicores: 0,
-            ..step.need
-        }
-    } else {
-        step.need
-    }
-}
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -9,7 +9,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fleet::Claim;
 use crate::id;
+use crate::interference::Model;
 use crate::progress::Outcome;
 use crate::progress::Progress;
 use crate::progress::Stage;
@@ -61,6 +63,8 @@
     pub learned: Ms,
     /// The store's version of its row.
     pub row: u64,
+    /// What the tasks of each step take from a worker.
+    pub claims: Vec<Claim>,
     /// The longest chain of estimates from each step to the end.
     pub remaining: Vec<Ms>,
     /// What a new leader has to know.
@@ -85,12 +89,16 @@
         row: u64,
         accepted: Accepted,
         progress: Option<Progress>,
+        model: &mut Model,
         now: Ms,
     ) -> Self {
+        let steps = accepted.spec.steps.iter();
+        let claims = steps.map(|step| Claim::new(step, model)).collect();
         let progress = progress.unwrap_or_default();
         Self {
             id,
             queue: accepted.queue,
+            claims,
             remaining: accepted.spec.remaining(),
             spec: Arc::new(accepted.spec),
             learned: now,
@@ -175,6 +183,12 @@
             .get_mut(usize::from(id.step))
     }
 
+    /// What a task of a step takes from a worker.
+    #[must_use]
+    pub fn claim(&self, step: u16) -> Option<Claim> {
+        self.claims.get(usize::from(step)).copied()
+    }
+
     /// What the customer said of a step.
     #[must_use]
     pub fn step_spec(&self, step: u16) -> Option<&spec::Step> {
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -24,11 +24,13 @@
 use crate::id::Epoch;
 use crate::id::Run;
 use crate::id::Task;
+use crate::interference::Model;
 use crate::job;
 use crate::message::Beat;
 use crate::message::Note;
 use crate::message::Order;
 use crate::message::Place;
+use crate::pace::Pacer;
 use crate::progress::Outcome;
 use crate::progress::Progress;
 use crate::progress::Stage;
@@ -156,7 +158,8 @@
     dirty: BTreeMap<id::Job, Ms>,
     scheduled: BTreeSet<id::Job>,
     ended: BTreeSet<(Ms, id::Job)>,
-    pacers: BTreeMap<Name, crate::pace::Pacer>,
+    pacers: BTreeMap<Name, Pacer>,
+    model: Model,
     actions: Vec<Action>,
 }
 
@@ -192,6 +195,7 @@
             scheduled: BTreeSet::new(),
             ended: BTreeSet::new(),
             pacers: BTreeMap::new(),
+            model: Model::default(),
             actions: Vec::new(),
         }
     }
@@ -299,7 +303,7 @@
         if self.jobs.contains_key(&id) {
             return;
         }
-        let job = job::Job::new(id, row, accepted, progress, now);
+        let job = job::Job::new(id, row, accepted, progress, &mut self.model, now);
         let tasks: u32 = job.spec.steps.iter().map(|step| step.count).sum();
         self.log(format!(
             "kind=job-learned job={id} queue={} tasks={tasks} row={row} stage={:?}",
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -199,7 +199,7 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
             return;
         };
-        let Some(spec) = job.spec.steps.get(usize::from(id.step.step)).cloned() else {
+        let Some(claim) = job.claim(id.step.step) else {
             return;
         };
         let Some(task) = job.task(id) else {
@@ -210,7 +210,7 @@
         };
         let is_startable = task.is_startable();
         if let Some(worker) = self.workers.get_mut(&active.worker) {
-            worker.free(&spec, id, run);
+            worker.free(&claim, id, run);
         }
         if reason != "done" {
             self.log(format!(
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -196,9 +196,12 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
             return;
         };
-        let Some(spec) = job.spec.steps.get(usize::from(id.step.step)).cloned() else {
+        let Some(claim) = job.claim(id.step.step) else {
             return;
         };
+        let is_speculative = job
+            .step_spec(id.step.step)
+            .is_some_and(|spec| spec.is_speculative);
         let Some(task) = job.task(id) else {
             return;
         };
@@ -214,14 +217,15 @@
             since: now,
             stopped_at: None,
             misses: 0,
-            percent: 100,
+            share: None,
+            percent: 0,
             figure: 0,
         });
         if let Some(step) = job.step(id.step) {
             step.startable.remove(&id.index);
         }
         if let Some(worker) = self.workers.get_mut(name) {
-            worker.book(&spec, id, run);
+            worker.book(&claim, id, run);
         }
         self.log(format!(
             "kind=run-adopted task={id} run={run} worker={name} second={is_second}"
@@ -231,7 +235,7 @@
         } else {
             self.unsettled.insert((id, run), now);
         }
-        if is_second && !spec.is_speculative {
+        if is_second && !is_speculative {
             self.stop_run(now, id, run, "second-run");
         }
     }
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -7,6 +7,7 @@
 
 use super::Leader;
 use super::Rank;
+use crate::fleet::Claim;
 use crate::id;
 use crate::id::Run;
 use crate::id::Task;
@@ -14,7 +15,6 @@
 use crate::message::Start;
 use crate::place;
 use crate::place::Wish;
-use crate::spec;
 use crate::task::Active;
 use crate::task::Phase;
 
@@ -51,6 +51,9 @@
             self.withdraw(step);
             return (0, true);
         };
+        let Some(claim) = job.claim(step.step) else {
+            return (0, false);
+        };
         let indices: Vec<u32> = job
             .step(step)
             .map(|state| state.startable.iter().copied().collect())
@@ -59,17 +62,25 @@
         let Some(service) = self.config.queue(&queue).map(|queue| queue.service.clone()) else {
             return (0, false);
         };
+        let wish = Wish {
+            service: &service,
+            spec: &spec,
+            claim: &claim,
+            step,
+            failed_on: None,
+            rack: None,
+        };
         let chosen = if spec.is_gang || spec.is_same_rack {
-            self.choose_together(now, step, &spec, &service, &indices)
+            self.choose_together(now, &wish, &indices)
         } else {
-            self.choose_each(now, step, &spec, &service, &indices)
+            self.choose_each(now, &wish, &indices)
         };
         let is_whole = chosen.len() == indices.len();
         if is_whole {
             self.withdraw(step);
         }
         if spec.is_gang && !is_whole {
-            self.unbook(&spec, &chosen);
+            self.unbook(&claim, &chosen);
             return (0, false);
         }
         let count = chosen.len();
@@ -80,19 +91,15 @@
     }
 
     /// Books a worker for each task that fits anywhere.
-    fn choose_each(
-        &mut self,
-        now: Ms,
-        step: id::Step,
-        spec: &spec::Step,
-        service: &Name,
-        indices: &[u32],
-    ) -> Vec<(Task, Run, Name)> {
+    fn choose_each(&mut self, now: Ms, wish: &Wish<'_>, indices: &[u32]) -> Vec<(Task, Run, Name)> {
         let mut chosen = Vec::new();
         for &index in indices {
-            let task = Task { step, index };
+            let task = Task {
+                step: wish.step,
+                index,
+            };
             let run = self.next_run();
-            let Some(worker) = self.book_best(now, task, run, spec, service, None) else {
+            let Some(worker) = self.book_best(now, wish, task, run, None) else {
                 break;
             };
             chosen.push((task, run, worker));
@@ -104,29 +111,30 @@
     fn choose_together(
         &mut self,
         now: Ms,
-        step: id::Step,
-        spec: &spec::Step,
-        service: &Name,
+        wish: &Wish<'_>,
         indices: &[u32],
     ) -> Vec<(Task, Run, Name)> {
         let shared = self.next_run();
         let mut racks: Vec<Option<Name>> = Vec::new();
-        if spec.is_same_rack {
-            racks.extend(self.racks_by_room(service).into_iter().map(Some));
+        if wish.spec.is_same_rack {
+            racks.extend(self.racks_by_room(wish.service).into_iter().map(Some));
         }
         racks.push(None);
         let mut best: Vec<(Task, Run, Name)> = Vec::new();
         for rack in racks {
-            self.unbook(spec, &best);
+            self.unbook(wish.claim, &best);
             best.clear();
             for &index in indices {
-                let task = Task { step, index };
-                let run = if spec.is_gang {
+                let task = Task {
+                    step: wish.step,
+                    index,
+                };
+                let run = if wish.spec.is_gang {
                     shared
                 } else {
                     self.next_run()
                 };
-                let found = self.book_best(now, task, run, spec, service, rack.as_ref());
+                let found = self.book_best(now, wish, task, run, rack.as_ref());
                 let Some(worker) = found else {
                     break;
                 };
@@ -185,10 +193,9 @@
     fn book_best(
         &mut self,
         now: Ms,
+        wish: &Wish<'_>,
         task: Task,
         run: Run,
-        spec: &spec::Step,
-        service: &Name,
         rack: Option<&Name>,
     ) -> Option<Name> {
         let failed_on = self
@@ -197,22 +204,20 @@
             .and_then(|job| job.task(task))
             .and_then(|state| state.failed_on.clone());
         let wish = Wish {
-            service,
-            spec,
-            step: task.step,
             failed_on: failed_on.as_ref(),
             rack,
+            ..*wish
         };
         let stored = self.workers.iter().filter(|(name, _)| self.is_stored(name));
-        let name = place::choose(&wish, stored, now)?;
-        self.workers.get_mut(&name)?.book(spec, task, run);
+        let name = place::choose(&wish, &self.model, stored, now)?;
+        self.workers.get_mut(&name)?.book(wish.claim, task, run);
         Some(name)
     }
 
-    fn unbook(&mut self, spec: &spec::Step, chosen: &[(Task, Run, Name)]) {
+    fn unbook(&mut self, claim: &Claim, chosen: &[(Task, Run, Name)]) {
         for (task, run, name) in chosen {
             if let Some(worker) = self.workers.get_mut(name) {
-                worker.free(spec, *task, *run);
+                worker.free(claim, *task, *run);
             }
         }
     }
@@ -244,7 +249,8 @@
             since: now,
             stopped_at: None,
             misses: 0,
-            percent: 100,
+            share: Some(100),
+            percent: 0,
             figure: 0,
         });
         self.log(format!(
--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -1,71 +1,181 @@
-//! Keeps filling tasks from slowing lasting tasks beyond their limits.
+//! Keeps filling tasks from slowing serving tasks beyond their limits.
 
 use decision::clock::Ms;
 use decision::name::Name;
 
 use super::Leader;
+use crate::fleet::Kind;
 use crate::id::Run;
 use crate::id::Task;
+use crate::interference::Image;
 use crate::message::Order;
 use crate::message::Place;
 use crate::message::Running;
-use crate::pace::Pacer;
 use crate::task::Phase;
 
+/// A press of a filling run on a serving one, as a logarithm, below which it is not paced.
+const HARMLESS: f64 = 0.05;
+/// What a full lasting task reports as its progress, in percent.
+const AT_WORK: u8 = 100;
+
+/// A filling run on a worker.
+struct Filling {
+    task: Task,
+    run: Run,
+    image: Image,
+    load: f64,
+    share: Option<u8>,
+}
+
+/// A serving run on a worker.
+struct Serving {
+    image: Image,
+    tail: f64,
+    limit: f64,
+}
+
 impl Leader {
     /// Takes in the figures of a look and paces the filling runs of the worker.
     pub(super) fn note_figures(&mut self, now: Ms, name: &Name, running: &[Running]) {
-        let mut tail_percent = None;
+        let (serving, filling) = self.sort_figures(name, running);
+        self.learn_figures(&serving, &filling);
+        let worst = serving
+            .iter()
+            .map(|serving| serving.tail / serving.limit)
+            .fold(0.0, f64::max);
+        if serving.is_empty() || filling.is_empty() {
+            self.pacers.remove(name);
+            return self.set_paces(name, &filling, |_| 100, worst);
+        }
+        let share = self
+            .pacers
+            .entry(name.clone())
+            .or_default()
+            .update(now, worst);
+        let size = f64::from(self.size_of(name));
+        let harmful: Vec<bool> = filling
+            .iter()
+            .map(|filling| self.is_harmful(&serving, filling, size))
+            .collect();
+        let mut harmful = harmful.into_iter();
+        let pace = move |_: &Filling| {
+            if harmful.next().unwrap_or_default() {
+                share
+            } else {
+                100
+            }
+        };
+        self.set_paces(name, &filling, pace, worst);
+    }
+
+    fn sort_figures(&self, name: &Name, running: &[Running]) -> (Vec<Serving>, Vec<Filling>) {
+        let mut serving = Vec::new();
         let mut filling = Vec::new();
+        let size = self.size_of(name);
         for row in running {
-            let Some(spec) = self
-                .jobs
-                .get(&row.task.step.job)
-                .and_then(|job| job.step_spec(row.task.step.step))
-            else {
+            let job = self.jobs.get(&row.task.step.job);
+            let Some(claim) = job.and_then(|job| job.claim(row.task.step.step)) else {
                 continue;
             };
-            if let Some(limit) = spec.tail_limit {
-                let percent = u64::from(row.figure) * 100 / limit.0.max(1);
-                tail_percent = tail_percent.max(Some(percent));
-            }
-            if spec.is_filling {
-                filling.push((row.task, row.run, row.percent));
+            match claim.kind {
+                Kind::Plain | Kind::Serving(None) => {}
+                Kind::Filling => filling.push(Filling {
+                    task: row.task,
+                    run: row.run,
+                    image: claim.image,
+                    load: f64::from(row.figure) / f64::from(size),
+                    share: self.share(row.task, row.run),
+                }),
+                Kind::Serving(Some(limit)) => {
+                    if row.percent >= AT_WORK && row.figure > 0 {
+                        serving.push(Serving {
+                            image: claim.image,
+                            tail: f64::from(row.figure),
+                            limit,
+                        });
+                    }
+                }
             }
         }
-        let (Some(tail_percent), false) = (tail_percent, filling.is_empty()) else {
-            self.pacers.remove(name);
-            return self.restore_pace(name, &filling);
-        };
-        let pacer = self
-            .pacers
-            .entry(name.clone())
-            .or_insert_with(Pacer::default);
-        let share = pacer.update(now, tail_percent);
-        for (task, run, percent) in filling {
-            if percent != share {
-                self.pace(name, task, run, share, tail_percent);
+        (serving, filling)
+    }
+
+    /// The processors of a worker, in thousandths of a core.
+    fn size_of(&self, name: &Name) -> u32 {
+        let listing = self
+            .workers
+            .get(name)
+            .and_then(|worker| worker.listing.as_ref());
+        listing.map_or(1, |listing| listing.size.millicores.max(1))
+    }
+
+    fn learn_figures(&mut self, serving: &[Serving], filling: &[Filling]) {
+        let mut loads: Vec<(Image, f64)> = Vec::new();
+        for filling in filling {
+            match loads.iter_mut().find(|(image, _)| *image == filling.image) {
+                Some((_, load)) => *load += filling.load,
+                None => loads.push((filling.image, filling.load)),
             }
         }
+        for serving in serving {
+            self.model
+                .learn(serving.image, serving.tail, serving.limit, &loads);
+        }
     }
 
-    fn restore_pace(&mut self, name: &Name, filling: &[(Task, Run, u8)]) {
-        for &(task, run, percent) in filling {
-            if percent < 100 {
-                self.pace(name, task, run, 100, 0);
+    /// Whether a filling run presses a serving run that is near its limit.
+    fn is_harmful(&self, serving: &[Serving], filling: &Filling, size: f64) -> bool {
+        let job = self.jobs.get(&filling.task.step.job);
+        let claim = job.and_then(|job| job.claim(filling.task.step.step));
+        let asked = claim.map_or(0.0, |claim| f64::from(claim.millicores) / size);
+        let load = filling.load.max(asked);
+        serving
+            .iter()
+            .any(|serving| self.model.press(serving.image, filling.image) * load > HARMLESS)
+    }
+
+    fn set_paces(
+        &mut self,
+        name: &Name,
+        filling: &[Filling],
+        mut pace: impl FnMut(&Filling) -> u8,
+        worst: f64,
+    ) {
+        for filling in filling {
+            let share = pace(filling);
+            if filling.share != Some(share) {
+                self.pace(name, filling.task, filling.run, share, worst);
             }
         }
     }
 
-    fn pace(&mut self, name: &Name, task: Task, run: Run, share: u8, tail_percent: u64) {
+    /// The share that a run was last ordered to work at.
+    fn share(&self, id: Task, run: Run) -> Option<u8> {
+        let job = self.jobs.get(&id.step.job)?;
+        let steps = job.occurrences.get(&id.step.occurrence)?;
+        let step = steps.get(usize::from(id.step.step))?;
+        let task = step.tasks.get(id.index as usize)?;
+        let active = task.runs.iter().find(|active| active.run == run)?;
+        active.share
+    }
+
+    fn pace(&mut self, name: &Name, task: Task, run: Run, share: u8, worst: f64) {
         let Some(worker) = self.workers.get(name) else {
             return;
         };
         let (Some(agent), Some(born)) = (worker.agent.clone(), worker.born) else {
             return;
         };
+        if let Some(active) = self
+            .jobs
+            .get_mut(&task.step.job)
+            .and_then(|job| job.task(task))
+            .and_then(|state| state.run(run))
+        {
+            active.share = Some(share);
+        }
         self.log(format!(
-            "kind=pace task={task} run={run} worker={name} percent={share} tail_percent={tail_percent}"
+            "kind=pace task={task} run={run} worker={name} percent={share} tail_of_limit={worst:.2}"
         ));
         let place = Place {
             worker: name.clone(),
@@ -89,36 +199,33 @@
             if let Some(pacer) = self.pacers.get_mut(&name) {
                 pacer.restart(now);
             }
-            for (task, run) in self.filling_runs(&name) {
+            for (task, run) in self.pressing_runs(&name) {
                 self.stop_run(now, task, run, "serving-tail-over-limit");
             }
-            if let Some(worker) = self.workers.get_mut(&name) {
-                worker.no_filling_until = now + self.bounds.harm;
-            }
         }
     }
 
-    fn filling_runs(&mut self, name: &Name) -> Vec<(Task, Run)> {
+    /// The filling runs that press a serving run on a worker.
+    fn pressing_runs(&self, name: &Name) -> Vec<(Task, Run)> {
         let Some(worker) = self.workers.get(name) else {
             return Vec::new();
         };
-        let runs: Vec<(Task, Run)> = worker.runs.iter().copied().collect();
-        let mut filling = Vec::new();
-        for (task, run) in runs {
-            let Some(job) = self.jobs.get_mut(&task.step.job) else {
-                continue;
-            };
-            let is_filling = job
-                .step_spec(task.step.step)
-                .is_some_and(|spec| spec.is_filling);
-            let is_running = job
-                .task(task)
-                .and_then(|state| state.run(run))
-                .is_some_and(|active| active.phase == Phase::Running);
-            if is_filling && is_running {
-                filling.push((task, run));
-            }
-        }
-        filling
+        let is_pressing = |task: &Task, run: &Run| {
+            let job = self.jobs.get(&task.step.job)?;
+            let claim = job.claim(task.step.step)?;
+            let steps = job.occurrences.get(&task.step.occurrence)?;
+            let state = steps.get(usize::from(task.step.step))?;
+            let state = state.tasks.get(task.index as usize)?;
+            let active = state.runs.iter().find(|active| active.run == *run)?;
+            let presses = worker
+                .servers
+                .keys()
+                .any(|&serving| self.model.press(serving, claim.image) > 1.0);
+            Some(claim.kind == Kind::Filling && active.phase == Phase::Running && presses)
+        };
+        let runs = worker.runs.iter();
+        runs.filter(|(task, run)| is_pressing(task, run).unwrap_or_default())
+            .copied()
+            .collect()
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod election;
 pub mod fleet;
 pub mod id;
+pub mod interference;
 pub mod job;
 pub mod leader;
 pub mod message;
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -95,7 +95,7 @@
     pub run: Run,
     /// The newest checkpoint.
     pub checkpoint: Option<Arc<str>>,
-    /// The share at which it works, in percent.
+    /// How much of its work is done, in percent; 100 for a lasting task that is at work.
     pub percent: u8,
     /// Serving tasks: the tail of response times in ms. Others: millicores in use.
     pub figure: u32,
--- a/crates/scheduler/src/pace.rs
+++ b/crates/scheduler/src/pace.rs
@@ -5,12 +5,12 @@
 
 use decision::clock::Ms;
 
-/// Below this tail, in percent of the limit, the share rises.
-const CALM_PERCENT: u64 = 70;
-/// Above this tail, in percent of the limit, the share falls.
-const NEAR_PERCENT: u64 = 88;
-/// Above this tail, in percent of the limit, the share falls to the least.
-const OVER_PERCENT: u64 = 100;
+/// Below this tail, as a share of the limit, the share of the tasks rises.
+const CALM: f64 = 0.7;
+/// Above this tail, as a share of the limit, the share of the tasks falls.
+const NEAR: f64 = 0.88;
+/// Above this tail, as a share of the limit, the share of the tasks falls to the least.
+const OVER: f64 = 1.0;
 /// The least share that a filling task keeps, in percent.
 const LEAST_SHARE: u8 = 10;
 /// By how much the share rises with each look, in percent.
@@ -37,9 +37,9 @@
 }
 
 impl Pacer {
-    /// Takes in the worst tail on the worker, in percent of its limit, and returns the share.
-    pub fn update(&mut self, now: Ms, tail_percent: u64) -> u8 {
-        if tail_percent < OVER_PERCENT {
+    /// Takes in the worst tail on the worker as a share of its limit, and returns the share.
+    pub fn update(&mut self, now: Ms, tail: f64) -> u8 {
+        if tail < OVER {
             self.over_since = None;
         } else if self.over_since.is_none() {
             self.over_since = Some(now);
@@ -47,11 +47,11 @@
         if now.since(self.changed) < SETTLE {
             return self.share;
         }
-        let share = if tail_percent >= OVER_PERCENT {
+        let share = if tail >= OVER {
             LEAST_SHARE
-        } else if tail_percent >= NEAR_PERCENT {
+        } else if tail >= NEAR {
             (self.share / 2).max(LEAST_SHARE)
-        } else if tail_percent < CALM_PERCENT {
+        } else if tail < CALM {
             (self.share + RISE).min(100)
         } else {
             self.share
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -6,10 +6,13 @@
 use decision::clock::Ms;
 use decision::name::Name;
 
+use crate::fleet::Claim;
+use crate::fleet::Kind;
 use crate::fleet::Listing;
 use crate::fleet::Worker;
-use crate::fleet::counted;
 use crate::id;
+use crate::interference::Image;
+use crate::interference::Model;
 use crate::spec;
 
 /// The share of its booked processors that a lasting task uses, in percent, as far as filling
@@ -22,8 +25,14 @@
 const RACK_POINTS: i64 = 2_000;
 /// The penalty of the worker on which the task failed last, in points.
 const FAILED_HERE_POINTS: i64 = 3_000;
-/// The penalty of a filling task beside lasting ones, in points for a fully booked worker.
-const BESIDE_SERVING_POINTS: i64 = 300;
+/// The penalty of a filling task for what it adds to the tails of serving ones, in points for a
+/// factor of e.
+const PRESS_POINTS: f64 = 900.0;
+/// The bonus of a worker for a serving task beside others of its image, in points for each: images
+/// that suffer from the same filling work are kept together.
+const SAME_IMAGE_POINTS: i64 = 120;
+/// How far below its limit a tail is expected to stay, as a logarithm.
+const TAIL_MARGIN: f64 = 0.25;
 
 /// What a task looks for.
 #[derive(Clone, Copy, Debug)]
@@ -32,6 +41,8 @@
     pub service: &'a Name,
     /// What the customer said of the step.
     pub spec: &'a spec::Step,
+    /// What a task takes.
+    pub claim: &'a Claim,
     /// The step.
     pub step: id::Step,
     /// The worker on which the task failed last.
@@ -60,18 +71,24 @@
         Some(label) => listing.labels.contains(label),
         None => true,
     };
-    has_label && listing.service == *wish.service && counted(wish.spec).fits(listing.size)
+    has_label && listing.service == *wish.service && wish.claim.size.fits(listing.size)
 }
 
 /// The points of a worker for a task, or `None` when it does not fit. More is better.
 #[must_use]
-pub fn points(wish: &Wish<'_>, name: &Name, worker: &Worker, now: Ms) -> Option<i64> {
+pub fn points(
+    wish: &Wish<'_>,
+    model: &Model,
+    name: &Name,
+    worker: &Worker,
+    now: Ms,
+) -> Option<i64> {
     let listing = worker.listing.as_ref()?;
     if !is_open(worker, now) || !is_suitable(wish, listing) {
         return None;
     }
     let room = listing.size.minus(worker.booked);
-    if !counted(wish.spec).fits(room) {
+    if !wish.claim.size.fits(room) {
         return None;
     }
     if let Some(most) = wish.spec.per_worker {
@@ -81,14 +98,26 @@
         }
     }
     let idle = idle_millicores(listing, worker);
-    let is_crowded = idle < i64::from(wish.spec.need.millicores) || worker.no_filling_until > now;
-    if wish.spec.is_filling && is_crowded {
+    if wish.spec.is_filling && idle < i64::from(wish.claim.millicores) {
         return None;
     }
     let mut points = idle * 1_000 / i64::from(listing.size.millicores.max(1));
-    if wish.spec.is_filling {
-        let serving = i64::from(worker.serving);
-        points -= serving * BESIDE_SERVING_POINTS / i64::from(listing.size.millicores.max(1));
+    match wish.claim.kind {
+        Kind::Plain => {}
+        Kind::Filling => {
+            let added = press(wish.claim, model, listing, worker)?;
+            #[expect(
+                clippy::cast_possible_truncation,
+                reason = "points are small numbers; the cast saturates"
+            )]
+            let penalty = (added * PRESS_POINTS) as i64;
+            points -= penalty;
+        }
+        Kind::Serving(_) => {
+            let servers = worker.servers.get(&wish.claim.image);
+            let same = servers.map_or(0, |servers| i64::from(servers.count));
+            points += same * SAME_IMAGE_POINTS;
+        }
     }
     if wish.failed_on == Some(name) {
         points -= FAILED_HERE_POINTS;
@@ -101,6 +130,34 @@
     Some(points)
 }
 
+/// What a filling task adds to the tails on a worker, or `None` when one would be over its limit.
+fn press(claim: &Claim, model: &Model, listing: &Listing, worker: &Worker) -> Option<f64> {
+    let load = share(claim.millicores, listing);
+    let mut added = 0.0;
+    for (&serving, servers) in &worker.servers {
+        let press = model.press(serving, claim.image) * load;
+        let excess = model.excess(serving, servers.limit, loads(listing, worker));
+        if press > TAIL_MARGIN / 5.0 && excess + press > -TAIL_MARGIN {
+            return None;
+        }
+        added += press * f64::from(servers.count);
+    }
+    Some(added)
+}
+
+/// The loads of filling tasks on a worker, as shares of its processors.
+pub fn loads<'a>(
+    listing: &'a Listing,
+    worker: &'a Worker,
+) -> impl Iterator<Item = (Image, f64)> + 'a {
+    let loads = worker.loads.iter();
+    loads.map(|(&image, &millicores)| (image, share(millicores, listing)))
+}
+
+fn share(millicores: u32, listing: &Listing) -> f64 {
+    f64::from(millicores) / f64::from(listing.size.millicores.max(1))
+}
+
 /// Processor time that the runs on a worker are expected to leave.
 fn idle_millicores(listing: &Listing, worker: &Worker) -> i64 {
     let serving = worker.serving * SERVING_USE_PERCENT / 100;
@@ -114,11 +171,12 @@
 /// The best worker for a task.
 pub fn choose<'a>(
     wish: &Wish<'_>,
+    model: &Model,
     workers: impl Iterator<Item = (&'a Name, &'a Worker)>,
     now: Ms,
 ) -> Option<Name> {
     let scored = workers.filter_map(|(name, worker)| {
-        let points = points(wish, name, worker, now)?;
+        let points = points(wish, model, name, worker, now)?;
         Some((points, name))
     });
     let best = scored.max_by_key(|&(points, _)| points)?;
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -37,7 +37,9 @@
     pub stopped_at: Option<Ms>,
     /// Looks in a row that did not show it although it was running.
     pub misses: u8,
-    /// The share at which it works, in percent.
+    /// The share that it was last ordered to work at, in percent, if that is known.
+    pub share: Option<u8>,
+    /// How much of its work is done, in percent; 100 for a lasting task that is at work.
     pub percent: u8,
     /// The newest figure of the worker on it.
     pub figure: u32,
