--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -162,6 +162,7 @@
                 if matches!(active.phase, Phase::Starting | Phase::Unsure) && !is_over {
                     active.phase = Phase::Running;
                     active.since = now;
+                    active.stop_sent = None;
                     active.stopped_at = None;
                     self.unsettled.remove(&(row.task, row.run));
                     self.mark_started(row.task);
@@ -215,6 +216,7 @@
             run,
             phase,
             since: now,
+            stop_sent: None,
             stopped_at: None,
             misses: 0,
             share: None,
--- a/crates/scheduler/src/leader/orders.rs
+++ b/crates/scheduler/src/leader/orders.rs
@@ -107,7 +107,14 @@
         else {
             return;
         };
-        let is_news = active.phase != Phase::Stopping;
+        if active
+            .stop_sent
+            .is_some_and(|at| now.since(at) < STOP_RETRY)
+        {
+            return;
+        }
+        let is_news = active.stop_sent.is_none();
+        active.stop_sent = Some(now);
         if matches!(active.phase, Phase::Running) {
             active.phase = Phase::Stopping;
             active.since = now;
@@ -117,6 +124,7 @@
             active.since = now;
         }
         active.stopped_at = None;
+        let is_unsure = active.phase == Phase::Unsure;
         let place = Place {
             worker: active.worker.clone(),
             born: active.born,
@@ -132,7 +140,12 @@
         }
         let agent = self.workers.get(&place.worker);
         if let Some(agent) = agent.and_then(|worker| worker.agent.clone()) {
-            self.send(&agent, Order::Stop(place));
+            let order = if is_unsure {
+                Order::Void(place)
+            } else {
+                Order::Stop(place)
+            };
+            self.send(&agent, order);
         }
     }
 
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -247,6 +247,7 @@
             run,
             phase: Phase::Starting,
             since: now,
+            stop_sent: None,
             stopped_at: None,
             misses: 0,
             share: Some(100),
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -67,8 +67,10 @@
     Unwatch(Name),
     /// Start a task.
     Start(Start),
-    /// Stop a run, or make sure that it never starts.
+    /// Stop a run.
     Stop(Place),
+    /// Make sure that a run whose start got no answer never starts, and look whether it has.
+    Void(Place),
     /// Let a run work at this share, in percent.
     Pace(Place, u8),
     /// Answers [`Note::Ask`] by its number; `None` is a job that the leader does not know.
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -33,6 +33,8 @@
     pub phase: Phase,
     /// Since when it is in this phase.
     pub since: Ms,
+    /// When the last order to stop was sent.
+    pub stop_sent: Option<Ms>,
     /// When the worker answered the order to stop, on the clock of the agent.
     pub stopped_at: Option<Ms>,
     /// Looks in a row that did not show it although it was running.
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -170,13 +170,8 @@
                     self.tell(Note::Started(place, Outcome::Unsent));
                 }
             },
-            Order::Stop(place) => match self.watched(&place.worker) {
-                Some(watched) => {
-                    let run = watched.stop_run(Arc::clone(shared), place);
-                    shared.spawner.spawn(run).detach();
-                }
-                None => self.tell(Note::Stopped(place, Outcome::Unsent, clock::now())),
-            },
+            Order::Stop(place) => self.stop(shared, place, false),
+            Order::Void(place) => self.stop(shared, place, true),
             Order::Pace(place, percent) => {
                 if let Some(watched) = self.watched(&place.worker) {
                     let run = watched.pace_run(Arc::clone(shared), place, percent);
@@ -193,6 +188,16 @@
         }
     }
 
+    fn stop(&self, shared: &Arc<Shared>, place: Place, looks_after: bool) {
+        match self.watched(&place.worker) {
+            Some(watched) => {
+                let run = watched.stop_run(Arc::clone(shared), place, looks_after);
+                shared.spawner.spawn(run).detach();
+            }
+            None => self.tell(Note::Stopped(place, Outcome::Unsent, clock::now())),
+        }
+    }
+
     fn watched(&self, name: &Name) -> Option<Arc<Watched>> {
         lock(&self.state).watched.get(name).cloned()
     }
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -125,12 +125,17 @@
         }
     }
 
-    pub(super) async fn stop_run(self: Arc<Self>, shared: Arc<Shared>, place: Place) {
+    pub(super) async fn stop_run(
+        self: Arc<Self>,
+        shared: Arc<Shared>,
+        place: Place,
+        looks_after: bool,
+    ) {
         let outcome = shared.workers.stop(self.address, self.epoch, &place).await;
         shared
             .agent
             .tell(Note::Stopped(place, outcome, clock::now()));
-        if outcome == Outcome::Done || outcome == Outcome::Old {
+        if looks_after && matches!(outcome, Outcome::Done | Outcome::Old) {
             self.look_now(&shared).await;
         }
     }
