Acknowledge ends by incarnation and count failed runs once

Cause: (1) an agent sent the number of ends acknowledged to one life of a worker to its next life, whose ends count anew, so ends were forgotten unread; found by the new fake world (seed 1, workers crash). Change: acknowledgements carry the incarnation; failures are kept by run.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -24,6 +24,7 @@
     length: Ms,
     clock: Option<(Ms, Ms)>,
     renewed: Option<Ms>,
+    born: Option<Ms>,
     is_silent: bool,
 }
 
@@ -35,6 +36,7 @@
             length,
             clock: None,
             renewed: None,
+            born: None,
             is_silent: false,
         }
     }
@@ -63,9 +65,20 @@
         self.renewed = Some(now);
     }
 
-    /// Notes an answer with the worker's clock; whether the worker was silent before.
-    pub const fn answered(&mut self, now: Ms, clock: Ms) -> bool {
+    /// The number up to which ends may be forgotten, from what the leader said of an incarnation.
+    /// Another incarnation counts its ends anew.
+    #[must_use]
+    pub fn acknowledged(&self, told: Option<(Ms, u64)>) -> u64 {
+        match told {
+            Some((born, number)) if self.born == Some(born) => number,
+            _ => 0,
+        }
+    }
+
+    /// Notes an answer with the worker's clock and incarnation; whether it was silent before.
+    pub const fn answered(&mut self, now: Ms, clock: Ms, born: Ms) -> bool {
         self.clock = Some((clock, now));
+        self.born = Some(born);
         let was_silent = self.is_silent;
         self.is_silent = false;
         was_silent
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -1,11 +1,14 @@
 //! The durable progress of a job: what a new leader cannot learn from the workers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use decision::clock::Ms;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::Run;
+
 /// How a job ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
@@ -33,8 +36,9 @@
 pub struct Step {
     /// One bit for each task that is done.
     pub done: Vec<u64>,
-    /// Failed runs by task, where there are any.
-    pub failures: BTreeMap<u32, u32>,
+    /// Failed runs by task, where there are any. Their numbers tell apart an end that a later
+    /// leader is told again.
+    pub failures: BTreeMap<u32, BTreeSet<Run>>,
 }
 
 impl Step {
--- /dev/null
+++ b/crates/scheduler/tests/world/mod.rs
@@ -0,0 +1,697 @@
+//! A leader, its agents, a store and workers in virtual time, with faults and fixed seeds.
+
+pub mod worker;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::resource::Size;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use scheduler::agent::Lease;
+use scheduler::config::Config;
+use scheduler::config::Queue;
+use scheduler::config::Service;
+use scheduler::fleet::Listing;
+use scheduler::id;
+use scheduler::id::Epoch;
+use scheduler::id::Task;
+use scheduler::job::Accepted;
+use scheduler::leader::Action;
+use scheduler::leader::Bounds;
+use scheduler::leader::Commit;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::leader::Member;
+use scheduler::message::Hello;
+use scheduler::message::How;
+use scheduler::message::Look;
+use scheduler::message::Note;
+use scheduler::message::Order;
+use scheduler::message::Outcome;
+use scheduler::message::Place;
+use scheduler::message::Start;
+use scheduler::progress::Progress;
+use scheduler::progress::Stage;
+use scheduler::spec;
+use worker::Busy;
+use worker::MAX_LEASE;
+use worker::Worker;
+
+/// Failed runs after which a task has failed.
+pub const MAX_ATTEMPTS: u32 = 6;
+const TICK: u64 = 50;
+const LOOK: u64 = 100;
+const CALL_TIMEOUT: u64 = 800;
+const DELAY: u64 = 2;
+const COMMIT: u64 = 6;
+
+/// Shares of calls and writes that go wrong.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// The call is done and its answer lost.
+    pub lost_answer: f64,
+    /// The call is done seconds later, without an answer.
+    pub late: f64,
+    /// A run fails.
+    pub failed_run: f64,
+    /// The store does not confirm a commit that it did.
+    pub lost_commit: f64,
+}
+
+struct Watch {
+    lease: Lease,
+    epoch: Epoch,
+    acknowledged: Option<(Ms, u64)>,
+    known: BTreeSet<Place>,
+}
+
+#[derive(Default)]
+struct Agent {
+    epoch: Epoch,
+    heard: u64,
+    watches: BTreeMap<Name, Watch>,
+}
+
+enum Happening {
+    Order(Name, Epoch, Order),
+    Note(Epoch, Name, Note),
+    Called(Call),
+    Look(Name, Name, Epoch),
+    Commit(Epoch, bool),
+}
+
+/// An order on its way to a worker.
+struct Call {
+    agent: Name,
+    epoch: Epoch,
+    place: Place,
+    deadline: Option<u64>,
+    is_answered: bool,
+    sent: u64,
+    looks_after: bool,
+}
+
+pub struct World {
+    pub now: u64,
+    pub faults: Faults,
+    pub workers: BTreeMap<Name, Worker>,
+    pub broken: Vec<String>,
+    /// Failed runs by task.
+    pub failures: BTreeMap<Task, u32>,
+    pub leader: Option<Leader>,
+    epoch: u64,
+    /// Leaders that were replaced and have not noticed.
+    stale: Vec<Leader>,
+    agents: BTreeMap<Name, Agent>,
+    jobs: BTreeMap<id::Job, (u64, Accepted)>,
+    cancelled: BTreeSet<id::Job>,
+    progress: BTreeMap<id::Job, Progress>,
+    fleet: Vec<Member>,
+    done: BTreeSet<Task>,
+    acknowledged_done: BTreeSet<Task>,
+    random: StdRng,
+    queue: BTreeMap<(u64, u64), Happening>,
+    sequence: u64,
+    unlisted: BTreeSet<Name>,
+}
+
+pub fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("test names are valid")
+}
+
+pub fn size(millicores: u32) -> Size {
+    Size {
+        millicores,
+        memory_mb: 1_000,
+        accelerators: 0,
+    }
+}
+
+/// A job of steps of this many tasks, each after the one before.
+pub fn chain(counts: &[u32], estimate: u64) -> spec::Job {
+    let steps = (0..).zip(counts).map(|(index, &count)| spec::Step {
+        count,
+        need: size(1_000),
+        estimate: Ms(estimate),
+        after: if index == 0 {
+            Vec::new()
+        } else {
+            vec![index - 1]
+        },
+        ..spec::Step::default()
+    });
+    spec::Job {
+        payload: Arc::from("payload"),
+        steps: steps.collect(),
+        schedule: None,
+    }
+}
+
+fn config() -> Config {
+    Config {
+        version: 1,
+        queues: vec![Queue {
+            name: name("queue"),
+            host: Arc::from("host"),
+            prefix: Arc::from("/q/"),
+            service: name("service"),
+            priority: 0,
+            max_attempts: MAX_ATTEMPTS,
+            stretch: 1.5,
+            objective: Ms(250),
+            needs_ticket: false,
+        }],
+        services: vec![Service {
+            name: name("service"),
+            is_spare: false,
+        }],
+        max_body: 1_000,
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, workers: usize, agents: usize) -> Self {
+        let big = Size {
+            millicores: 8_000,
+            memory_mb: 64_000,
+            accelerators: 0,
+        };
+        let worker_names = (0..workers).map(|index| name(&format!("w{index}")));
+        let agent_names = (0..agents).map(|index| name(&format!("e{index}")));
+        Self {
+            now: 1_000,
+            faults: Faults::default(),
+            workers: worker_names
+                .map(|name| (name, Worker::new(big, 0)))
+                .collect(),
+            broken: Vec::new(),
+            failures: BTreeMap::new(),
+            leader: None,
+            epoch: 10,
+            stale: Vec::new(),
+            agents: agent_names.map(|name| (name, Agent::default())).collect(),
+            jobs: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            fleet: Vec::new(),
+            done: BTreeSet::new(),
+            acknowledged_done: BTreeSet::new(),
+            random: StdRng::seed_from_u64(seed),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            unlisted: BTreeSet::new(),
+        }
+    }
+
+    fn push(&mut self, at: u64, happening: Happening) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), happening);
+    }
+
+    fn chance(&mut self, share: f64) -> bool {
+        share > 0.0 && self.random.random_bool(share)
+    }
+
+    /// Makes the first entry the leader; an earlier leader goes on with its own agent only.
+    pub fn elect(&mut self, keeps_old: bool) {
+        if let Some(old) = self.leader.take()
+            && keeps_old
+        {
+            self.stale.push(old);
+        }
+        self.epoch += 7;
+        let bounds = Bounds {
+            lease: Ms(MAX_LEASE),
+            retention: Ms(120_000),
+            harm: Ms(4_000),
+        };
+        let epoch = Epoch(self.epoch);
+        let leader = Leader::new(name("e0"), epoch, bounds, Ms(self.now));
+        self.leader = Some(leader);
+        self.tell(Event::Config(Arc::new(config())));
+        self.tell(Event::Fleet(self.fleet.clone()));
+        let agents: Vec<Name> = self.agents.keys().cloned().collect();
+        for entry in agents {
+            self.join(&entry, epoch);
+        }
+        for (id, (row, accepted)) in self.jobs.clone() {
+            let progress = self.progress.get(&id).cloned();
+            self.tell(Event::Accepted(id, row, accepted, progress));
+        }
+        for id in self.cancelled.clone() {
+            self.tell(Event::Cancelled(id));
+        }
+        self.tell(Event::Recovered);
+        let workers: Vec<Name> = self.workers.keys().cloned().collect();
+        for worker in workers {
+            self.list(&worker);
+        }
+    }
+
+    fn join(&mut self, entry: &Name, epoch: Epoch) {
+        let now = self.now;
+        let Some(agent) = self.agents.get_mut(entry) else {
+            return;
+        };
+        let known = std::mem::take(&mut agent.watches)
+            .into_iter()
+            .map(|(worker, watch)| {
+                let age = watch.lease.age(Ms(now));
+                (worker, age, watch.known.into_iter().collect())
+            });
+        let hello = Hello {
+            entry: entry.clone(),
+            domain: name("d"),
+            epoch,
+            known: known.collect(),
+        };
+        agent.epoch = epoch;
+        agent.heard = now;
+        self.tell(Event::Told(entry.clone(), Note::Hello(hello)));
+        self.tell(Event::Joined(entry.clone(), name("d")));
+    }
+
+    /// Tells the leader of a worker's registration.
+    pub fn list(&mut self, worker: &Name) {
+        let state = &self.workers[worker];
+        let listing = Listing {
+            service: name("service"),
+            address: Arc::from("10.0.0.1:1"),
+            domain: name("d"),
+            size: state.size,
+            labels: vec![name("r0")],
+            born: state.born,
+            is_draining: false,
+        };
+        let listing = (!self.unlisted.contains(worker)).then_some(listing);
+        self.tell(Event::Listed(worker.clone(), listing));
+    }
+
+    pub fn unlist(&mut self, worker: &Name) {
+        self.unlisted.insert(worker.clone());
+        self.list(worker);
+    }
+
+    pub fn submit(&mut self, number: u64, spec: spec::Job) {
+        let id = id::Job(number);
+        let accepted = Accepted {
+            queue: name("queue"),
+            spec,
+            at: Ms(self.now),
+        };
+        self.jobs.insert(id, (self.epoch + 1, accepted.clone()));
+        self.tell(Event::Accepted(id, self.epoch + 1, accepted, None));
+    }
+
+    pub fn cancel(&mut self, number: u64) {
+        self.cancelled.insert(id::Job(number));
+        self.tell(Event::Cancelled(id::Job(number)));
+    }
+
+    /// The worker loses all it ran and starts again.
+    pub fn crash(&mut self, worker: &Name, down: u64) {
+        let size = self.workers[worker].size;
+        let mut fresh = Worker::new(size, self.now);
+        fresh.dark_until = self.now + down;
+        self.workers.insert(worker.clone(), fresh);
+        self.list(worker);
+    }
+
+    /// The worker runs on without a path to anybody.
+    pub fn cut(&mut self, worker: &Name, time: u64) {
+        let until = self.now + time;
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.dark_until = until;
+            worker.is_cut = true;
+        }
+    }
+
+    fn tell(&mut self, event: Event) {
+        let now = Ms(self.now);
+        let Some(leader) = &mut self.leader else {
+            return;
+        };
+        let epoch = leader.epoch();
+        let actions = leader.handle(now, event);
+        self.perform(epoch, actions);
+    }
+
+    fn perform(&mut self, epoch: Epoch, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(agent, order) => {
+                    self.push(self.now + DELAY, Happening::Order(agent, epoch, order));
+                }
+                Action::Commit(commit) => self.commit(epoch, commit),
+                Action::Resign(_) | Action::Log(_) => {}
+            }
+        }
+    }
+
+    fn commit(&mut self, epoch: Epoch, commit: Commit) {
+        if epoch.0 != self.epoch {
+            return;
+        }
+        let is_lost = self.chance(self.faults.lost_commit);
+        for (id, progress) in commit.progress {
+            self.progress.insert(id, progress);
+        }
+        if let Some(fleet) = commit.fleet {
+            self.fleet = fleet;
+        }
+        self.push(self.now + COMMIT, Happening::Commit(epoch, !is_lost));
+    }
+
+    /// Plays until the time given.
+    pub fn run(&mut self, until: u64) {
+        while self.now < until {
+            self.now += 1;
+            self.advance_workers();
+            while let Some(entry) = self.queue.first_entry() {
+                if entry.key().0 > self.now {
+                    break;
+                }
+                let happening = entry.remove();
+                self.happen(happening);
+            }
+            if self.now.is_multiple_of(TICK) {
+                let unix = Ms(self.now);
+                self.tell(Event::Tick(unix));
+                for agent in self.agents.values_mut() {
+                    agent.heard = self.now;
+                }
+            }
+            self.schedule();
+        }
+    }
+
+    fn schedule(&mut self) {
+        let now = Ms(self.now);
+        if let Some(leader) = &mut self.leader {
+            let epoch = leader.epoch();
+            let actions = leader.schedule(now);
+            self.perform(epoch, actions);
+        }
+        let mut stale = std::mem::take(&mut self.stale);
+        for leader in &mut stale {
+            let epoch = leader.epoch();
+            let actions = leader.schedule(now);
+            let own = name("e0");
+            for action in actions {
+                if let Action::Send(agent, order) = action
+                    && agent == own
+                {
+                    self.push(self.now + DELAY, Happening::Order(agent, epoch, order));
+                }
+            }
+        }
+        self.stale = stale;
+    }
+
+    fn advance_workers(&mut self) {
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            if worker.dark_until > now && !worker.is_cut {
+                continue;
+            }
+            if worker.dark_until <= now {
+                worker.is_cut = false;
+            }
+            for (task, how) in worker.advance(now) {
+                match how {
+                    How::Done => drop(self.done.insert(task)),
+                    How::Failed => *self.failures.entry(task).or_default() += 1,
+                    _ => {}
+                }
+            }
+        }
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Order(agent, epoch, order) => self.obey(&agent, epoch, order),
+            Happening::Note(epoch, agent, note) => {
+                if epoch.0 == self.epoch {
+                    self.tell(Event::Told(agent, note));
+                }
+            }
+            Happening::Called(call) => self.arrive(call),
+            Happening::Look(agent, worker, epoch) => self.look(&agent, &worker, epoch, true),
+            Happening::Commit(epoch, is_durable) => {
+                if epoch.0 == self.epoch {
+                    let event = if is_durable {
+                        Event::Committed
+                    } else {
+                        Event::Uncommitted
+                    };
+                    self.tell(event);
+                }
+            }
+        }
+    }
+
+    fn obey(&mut self, entry: &Name, epoch: Epoch, order: Order) {
+        let now = self.now;
+        let Some(agent) = self.agents.get_mut(entry) else {
+            return;
+        };
+        let is_own_stale = epoch < agent.epoch && *entry == name("e0");
+        if epoch < agent.epoch && !is_own_stale {
+            return;
+        }
+        match order {
+            Order::Watch(watch) => {
+                let is_new = !agent.watches.contains_key(&watch.worker);
+                let state = agent.watches.entry(watch.worker.clone()).or_insert(Watch {
+                    lease: Lease::new(Ms(MAX_LEASE)),
+                    epoch,
+                    acknowledged: None,
+                    known: BTreeSet::new(),
+                });
+                state.acknowledged = watch.acknowledged;
+                if is_new {
+                    self.push(now, Happening::Look(entry.clone(), watch.worker, epoch));
+                }
+            }
+            Order::Unwatch(worker) => drop(agent.watches.remove(&worker)),
+            Order::Start(start) => self.send_start(entry, epoch, &start),
+            Order::Stop(place) => self.send_stop(entry, epoch, place, false),
+            Order::Void(place) => self.send_stop(entry, epoch, place, true),
+            Order::Beat(_) | Order::Pace(..) | Order::Stage(..) => {}
+        }
+    }
+
+    fn send_start(&mut self, entry: &Name, epoch: Epoch, start: &Start) {
+        let now = Ms(self.now);
+        let place = Place {
+            worker: start.worker.clone(),
+            born: start.born,
+            task: start.task,
+            run: start.run,
+        };
+        let watch = self
+            .agents
+            .get_mut(entry)
+            .and_then(|agent| agent.watches.get_mut(&start.worker));
+        let Some(deadline) = watch.and_then(|watch| {
+            let deadline = watch.lease.deadline(now, now)?;
+            watch.lease.renew(now);
+            watch.known.insert(place.clone());
+            Some(deadline.0)
+        }) else {
+            let note = Note::Started(place, Outcome::Unsent);
+            return self.push(
+                self.now + DELAY,
+                Happening::Note(epoch, entry.clone(), note),
+            );
+        };
+        self.call(entry, epoch, place, Some(deadline), false);
+    }
+
+    fn send_stop(&mut self, entry: &Name, epoch: Epoch, place: Place, looks_after: bool) {
+        self.call(entry, epoch, place, None, looks_after);
+    }
+
+    fn call(
+        &mut self,
+        entry: &Name,
+        epoch: Epoch,
+        place: Place,
+        deadline: Option<u64>,
+        looks_after: bool,
+    ) {
+        let is_late = self.chance(self.faults.late);
+        let is_lost = is_late || self.chance(self.faults.lost_answer);
+        let delay = if is_late {
+            self.random.random_range(1_000..12_000)
+        } else {
+            DELAY
+        };
+        let call = Call {
+            agent: entry.clone(),
+            epoch,
+            place,
+            deadline,
+            is_answered: !is_lost,
+            sent: self.now,
+            looks_after,
+        };
+        if is_lost {
+            self.answer(&call, Outcome::Unknown, self.now + CALL_TIMEOUT);
+        }
+        self.push(self.now + delay, Happening::Called(call));
+    }
+
+    fn answer(&mut self, call: &Call, outcome: Outcome, at: u64) {
+        let place = call.place.clone();
+        let note = if call.deadline.is_some() {
+            Note::Started(place, outcome)
+        } else {
+            Note::Stopped(place, outcome, Ms(at))
+        };
+        let happening = Happening::Note(call.epoch, call.agent.clone(), note);
+        self.push(at, happening);
+    }
+
+    /// An order reaches its worker.
+    fn arrive(&mut self, call: Call) {
+        let now = self.now;
+        let is_failing = self.chance(self.faults.failed_run);
+        let millis = self.random.random_range(100..1_500);
+        let Some(worker) = self.workers.get_mut(&call.place.worker) else {
+            return;
+        };
+        if worker.dark_until > now {
+            if call.is_answered {
+                self.answer(&call, Outcome::Unknown, call.sent + CALL_TIMEOUT);
+            }
+            return;
+        }
+        let (task, run) = (call.place.task, call.place.run);
+        let outcome = if !worker.obeys(call.epoch) {
+            Outcome::Fenced
+        } else if let Some(deadline) = call.deadline {
+            let was_there = worker.busy.contains_key(&task);
+            let busy = Busy {
+                run,
+                ends_at: now + millis,
+                how: if is_failing { How::Failed } else { How::Done },
+                size: size(1_000),
+            };
+            let outcome = worker.start(now, task, busy, deadline);
+            if outcome == Outcome::Done && !was_there {
+                self.check_start(&call);
+            }
+            outcome
+        } else {
+            worker.stop(now, task, run)
+        };
+        if call.is_answered {
+            self.answer(&call, outcome, now + DELAY);
+        }
+        if call.looks_after {
+            let (agent, worker) = (call.agent.clone(), call.place.worker.clone());
+            self.look(&agent, &worker, call.epoch, false);
+        }
+    }
+
+    fn check_start(&mut self, call: &Call) {
+        let (task, now) = (call.place.task, self.now);
+        let here = &call.place.worker;
+        let others = self.workers.iter().filter(|(name, _)| *name != here);
+        let elsewhere = others
+            .filter(|(_, worker)| worker.busy.contains_key(&task))
+            .map(|(name, _)| name.clone())
+            .next();
+        if let Some(other) = elsewhere {
+            self.broken
+                .push(format!("{now}: {task} runs on {other} and {here}"));
+        }
+        if self.acknowledged_done.contains(&task) {
+            self.broken
+                .push(format!("{now}: {task} is done and starts again"));
+        }
+        let worker = &self.workers[here];
+        if !worker.booked().fits(worker.size) {
+            self.broken.push(format!("{now}: {here} is over its size"));
+        }
+        let spec = &self.jobs[&task.step.job].1.spec;
+        for &before in &spec.steps[usize::from(task.step.step)].after {
+            for index in 0..spec.steps[usize::from(before)].count {
+                let step = id::Step {
+                    step: before,
+                    ..task.step
+                };
+                if !self.done.contains(&Task { step, index }) {
+                    self.broken
+                        .push(format!("{now}: {task} starts before step {before}"));
+                }
+            }
+        }
+    }
+
+    fn look(&mut self, entry: &Name, name: &Name, epoch: Epoch, repeats: bool) {
+        let now = self.now;
+        if repeats {
+            let again = Happening::Look(entry.clone(), name.clone(), epoch);
+            self.push(now + LOOK, again);
+        }
+        let Some(watch) = self
+            .agents
+            .get_mut(entry)
+            .and_then(|agent| agent.watches.get_mut(name))
+            .filter(|watch| watch.epoch == epoch)
+        else {
+            return;
+        };
+        let plan = watch.lease.plan(Ms(now), Ms(now));
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if plan.deadline.is_some() {
+            watch.lease.renew(Ms(now));
+        }
+        if worker.dark_until > now {
+            let ago = watch.lease.missed(Ms(now));
+            let note = Note::Missed(name.clone(), ago);
+            return self.push(now + DELAY, Happening::Note(epoch, entry.clone(), note));
+        }
+        if !worker.obeys(epoch) {
+            return;
+        }
+        if let Some(deadline) = plan.deadline {
+            worker.extend(now, deadline.0);
+        }
+        let upto = watch.lease.acknowledged(watch.acknowledged);
+        watch
+            .lease
+            .answered(Ms(now), Ms(worker.clock(now)), worker.born);
+        let (kept, forgotten): (Vec<_>, Vec<_>) = std::mem::take(&mut worker.ends)
+            .into_iter()
+            .partition(|end| end.number > upto);
+        worker.ends = kept;
+        let done = forgotten.into_iter().filter(|end| end.how == How::Done);
+        self.acknowledged_done.extend(done.map(|end| end.task));
+        let look = Look {
+            worker: name.clone(),
+            born: worker.born,
+            asked: Ms(now),
+            running: Some(worker.running()),
+            ended: worker.ends.clone(),
+        };
+        watch
+            .known
+            .retain(|place| worker.busy.contains_key(&place.task));
+        let note = Note::Look(look);
+        self.push(now + DELAY, Happening::Note(epoch, entry.clone(), note));
+    }
+
+    pub fn stage(&self, number: u64) -> Option<Stage> {
+        self.leader.as_ref()?.stage(id::Job(number))
+    }
+}
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -156,11 +156,11 @@
     }
 
     fn hold(&self, deadline: Option<Ms>, wait: Ms) -> Hold {
-        let acknowledged = *lock(&self.acknowledged);
+        let told = *lock(&self.acknowledged);
         Hold {
             epoch: self.epoch,
             deadline,
-            acknowledged: acknowledged.map_or(0, |(_, number)| number),
+            acknowledged: lock(&self.lease).acknowledged(told),
             wait,
         }
     }
@@ -195,7 +195,7 @@
         match shared.workers.hold(&self.name, self.address, hold).await {
             Ok(held) => {
                 let now = clock::now();
-                let was_silent = lock(&self.lease).answered(now, held.clock);
+                let was_silent = lock(&self.lease).answered(now, held.clock, held.born);
                 let has_ends = !held.ended.is_empty();
                 let is_due = now.since(*told) >= REPORT || was_silent;
                 if is_due {
