--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -120,6 +120,23 @@
     watched: usize,
 }
 
+/// Sums over all workers, processors in thousandths of a core.
+#[derive(Default)]
+struct Load {
+    workers: usize,
+    silent: usize,
+    capacity: u64,
+    booked: u64,
+    serving: u64,
+    filling: u64,
+    runs: usize,
+}
+
+/// The interval of log lines on the load.
+const LOAD_INTERVAL: Ms = Ms(1_000);
+/// The interval of log lines on what is believed of images.
+const MODEL_INTERVAL: Ms = Ms(5_000);
+
 /// The position of a step among those that wait; the smallest comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Rank {
@@ -152,6 +169,8 @@
     unsettled: BTreeMap<(Task, Run), Ms>,
     committing: Option<commit::InFlight>,
     commit_after: Ms,
+    load_logged: Ms,
+    model_logged: Ms,
     clock: Ms,
     removable: Vec<id::Job>,
     stored: BTreeSet<Name>,
@@ -188,6 +207,8 @@
             unsettled: BTreeMap::new(),
             committing: None,
             commit_after: Ms::ZERO,
+            load_logged: Ms::ZERO,
+            model_logged: Ms::ZERO,
             clock: now,
             removable: Vec::new(),
             stored: BTreeSet::new(),
@@ -479,6 +500,10 @@
 
     fn tick(&mut self, now: Ms, unix: Ms) {
         self.unix = unix;
+        if now.since(self.load_logged) >= LOAD_INTERVAL {
+            self.load_logged = now;
+            self.log_load(now);
+        }
         let due: Vec<id::Job> = self.scheduled.iter().copied().collect();
         for id in due {
             self.begin_due(id);
@@ -489,6 +514,46 @@
         self.protect_serving(now);
     }
 
+    /// Logs what is booked and what waits.
+    fn log_load(&mut self, now: Ms) {
+        let mut load = Load::default();
+        for worker in self.workers.values() {
+            let Some(listing) = &worker.listing else {
+                continue;
+            };
+            load.workers += 1;
+            load.silent += usize::from(worker.is_silent);
+            load.capacity += u64::from(listing.size.millicores);
+            load.booked += u64::from(worker.booked.millicores);
+            load.serving += u64::from(worker.serving);
+            load.filling += u64::from(worker.filling);
+            load.runs += worker.runs.len();
+        }
+        let waiting = self.waiting.len();
+        let unsettled = self.unsettled.len();
+        let Load {
+            workers,
+            silent,
+            capacity,
+            booked,
+            serving,
+            filling,
+            runs,
+        } = load;
+        self.log(format!(
+            "kind=load workers={workers} silent={silent} capacity={capacity} booked={booked} \
+             serving={serving} filling={filling} runs={runs} waiting_steps={waiting} \
+             unsettled={unsettled} agents={}",
+            self.agents.len()
+        ));
+        if now.since(self.model_logged) >= MODEL_INTERVAL {
+            self.model_logged = now;
+            for line in self.model.describe() {
+                self.log(format!("kind=interference {line}"));
+            }
+        }
+    }
+
     fn log(&mut self, line: String) {
         self.actions.push(Action::Log(line));
     }
--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -15,6 +15,8 @@
 
 /// A press of a filling run on a serving one, as a logarithm, below which it is not paced.
 const HARMLESS: f64 = 0.05;
+/// What filling runs add to a tail, as a logarithm, below which it is not theirs.
+const PRESSED: f64 = 0.1;
 /// What a full lasting task reports as its progress, in percent.
 const AT_WORK: u8 = 100;
 
@@ -39,8 +41,10 @@
     pub(super) fn note_figures(&mut self, now: Ms, name: &Name, running: &[Running]) {
         let (serving, filling) = self.sort_figures(name, running);
         self.learn_figures(&serving, &filling);
+        // A tail that no filling run presses rises with its own load, and pacing does not help.
         let worst = serving
             .iter()
+            .filter(|serving| self.pressed(serving, &filling) > PRESSED)
             .map(|serving| serving.tail / serving.limit)
             .fold(0.0, f64::max);
         if serving.is_empty() || filling.is_empty() {
@@ -109,6 +113,17 @@
         listing.map_or(1, |listing| listing.size.millicores.max(1))
     }
 
+    /// What the filling runs add to a tail at full pace, as a logarithm.
+    fn pressed(&self, serving: &Serving, filling: &[Filling]) -> f64 {
+        filling
+            .iter()
+            .map(|filling| {
+                let share = f64::from(filling.share.unwrap_or(100).max(1)) / 100.0;
+                self.model.press(serving.image, filling.image) * filling.load / share
+            })
+            .sum()
+    }
+
     fn learn_figures(&mut self, serving: &[Serving], filling: &[Filling]) {
         let mut loads: Vec<(Image, f64)> = Vec::new();
         for filling in filling {
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -17,7 +17,7 @@
 
 /// The share of its booked processors that a lasting task uses, in percent, as far as filling
 /// tasks may count on the rest.
-const SERVING_USE_PERCENT: u32 = 55;
+const SERVING_USE_PERCENT: u32 = 50;
 
 /// The penalty of a worker on which runs failed one after the other, in points for each.
 const STRIKE_POINTS: i64 = 400;
@@ -32,7 +32,7 @@
 /// that suffer from the same filling work are kept together.
 const SAME_IMAGE_POINTS: i64 = 120;
 /// How far below its limit a tail is expected to stay, as a logarithm.
-const TAIL_MARGIN: f64 = 0.25;
+const TAIL_MARGIN: f64 = 0.4;
 
 /// What a task looks for.
 #[derive(Clone, Copy, Debug)]
