Keep room and ends of runs whose job a new leader has not learned of

Change: accounts hold ended runs; workers with unknown runs take no new tasks; such ends wait; a stale beat must stay unchanged for 0.9 s while the store serves; a single lost answer no longer makes a worker silent.

--- a/crates/scheduler/src/election.rs
+++ b/crates/scheduler/src/election.rs
@@ -17,6 +17,9 @@
 pub const BEAT: Ms = Ms(600);
 /// The age of a beat at which the leader counts as gone.
 const STALE: Ms = Ms(2_000);
+/// How long a stale beat must stay unchanged while the store serves, so that a leader has the time
+/// to write one after an outage.
+pub const UNCHANGED: Ms = Ms(900);
 /// The interval of checks while the leader is not heard.
 pub const CHECK: Ms = Ms(150);
 /// The silence of a leader after which its beat in the store is checked.
@@ -48,6 +51,8 @@
     pub seat: Option<(Epoch, Seat)>,
     /// The age of the last beat of this epoch by the store's clock; `None` when there is none.
     pub beat_age: Option<Ms>,
+    /// How long this entry has seen the same beat while the store served it.
+    pub unchanged: Ms,
     /// The leader's address refuses connections, or another process answers there.
     pub is_vacant: bool,
 }
@@ -64,5 +69,33 @@
     if holder == entry {
         return seat.instance != instance;
     }
-    view.is_vacant || view.beat_age.is_some_and(|age| age >= STALE)
+    let is_stale = view.beat_age.is_some_and(|age| age >= STALE);
+    view.is_vacant || is_stale && view.unchanged >= UNCHANGED
+}
+
+/// Follows the beat of the leader over several reads of the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Observer {
+    /// The version of the beat, and when it was read first.
+    beat: Option<(u64, Ms)>,
+    /// When the store was read last.
+    read: Ms,
+}
+
+/// A longer pause between two reads hides what happened meanwhile.
+const GAP: Ms = Ms(1_200);
+
+impl Observer {
+    /// Takes in a read and returns how long the beat has been seen unchanged.
+    pub fn observe(&mut self, now: Ms, version: u64) -> Ms {
+        let is_gap = now.since(self.read) > GAP;
+        self.read = now;
+        match self.beat {
+            Some((seen, since)) if seen == version && !is_gap => now.since(since),
+            _ => {
+                self.beat = Some((version, now));
+                Ms::ZERO
+            }
+        }
+    }
 }
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -40,6 +40,8 @@
 pub enum Pending {
     /// It may be forgotten.
     Settled,
+    /// Its job is not known, since this time: the row may be on the way.
+    Unknown(Ms),
     /// It may be forgotten when this version of the job's progress is durable.
     Progress(id::Job, u64),
 }
@@ -138,6 +140,8 @@
     pub servers: BTreeMap<Image, Servers>,
     /// Runs that hold room.
     pub runs: BTreeSet<(Task, Run)>,
+    /// Runs of jobs that the leader has not learned of; their size is not known.
+    pub strays: BTreeSet<(Task, Run)>,
     /// Tasks of each step here, for limits of tasks on one worker.
     pub steps: BTreeMap<id::Step, u32>,
     /// Ends seen and not acknowledged.
@@ -213,6 +217,7 @@
     pub fn restart(&mut self, born: Ms) {
         self.born = Some(born);
         self.pending.clear();
+        self.strays.clear();
         self.acknowledged = 0;
         self.strikes = 0;
         self.avoid_until = Ms::ZERO;
@@ -224,6 +229,7 @@
         while let Some((&number, pending)) = self.pending.first_key_value() {
             let is_settled = match *pending {
                 Pending::Settled => true,
+                Pending::Unknown(_) => false,
                 Pending::Progress(job, version) => is_durable(job, version),
             };
             if !is_settled {
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -4,6 +4,7 @@
 use decision::name::Name;
 
 use super::Leader;
+use super::looks::STRAY;
 use crate::fleet::Pending;
 use crate::id;
 use crate::id::Run;
@@ -20,13 +21,20 @@
 impl Leader {
     /// Takes an end in, once.
     pub(super) fn end_run(&mut self, now: Ms, name: &Name, born: Ms, end: &End) {
+        let is_learned = self.jobs.contains_key(&end.task.step.job);
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
-        if worker.born != Some(born)
-            || end.number <= worker.acknowledged
-            || worker.pending.contains_key(&end.number)
-        {
+        if worker.born != Some(born) || end.number <= worker.acknowledged {
+            return;
+        }
+        let since = match worker.pending.get(&end.number) {
+            Some(Pending::Unknown(since)) => *since,
+            Some(_) => return,
+            None => now,
+        };
+        if !is_learned && now.since(since) < STRAY {
+            worker.pending.insert(end.number, Pending::Unknown(since));
             return;
         }
         worker.pending.insert(end.number, Pending::Settled);
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -22,8 +22,8 @@
 /// Looks in a row without a run after which it counts as gone.
 const MISSES: u8 = 3;
 
-/// How long a run of an unknown job is left alone.
-const STRAY: Ms = Ms(2_000);
+/// How long a run or an end of an unknown job is left alone.
+pub(super) const STRAY: Ms = Ms(10_000);
 
 impl Leader {
     pub(super) fn hear(&mut self, now: Ms, entry: &Name, note: Note) {
@@ -128,9 +128,10 @@
             seen.insert((row.task, row.run));
             self.see_run(now, look, row);
         }
-        let Some(worker) = self.workers.get(&look.worker) else {
+        let Some(worker) = self.workers.get_mut(&look.worker) else {
             return;
         };
+        worker.strays.retain(|stray| seen.contains(stray));
         let absent: Vec<(Task, Run)> = worker.runs.difference(&seen).copied().collect();
         for (task, run) in absent {
             self.miss_run(now, look, task, run);
@@ -250,6 +251,9 @@
             task,
             run,
         };
+        if let Some(worker) = self.workers.get_mut(&look.worker) {
+            worker.strays.insert((task, run));
+        }
         let since = *self.strays.entry(place.clone()).or_insert(now);
         if now.since(since) < STRAY {
             return;
@@ -281,6 +285,9 @@
                 task,
                 run,
             } = place;
+            if let Some(worker) = self.workers.get_mut(&worker) {
+                worker.strays.remove(&(task, run));
+            }
             self.adopt(now, &worker, born, task, run, Phase::Unsure);
         }
     }
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -5,6 +5,7 @@
 use decision::clock::Ms;
 use decision::name::Name;
 use scheduler::election;
+use scheduler::election::Observer;
 use scheduler::election::Seat;
 use scheduler::election::View;
 use scheduler::id::Epoch;
@@ -25,6 +26,7 @@
     View {
         seat: seat.map(|seat| (Epoch(7), seat)),
         beat_age: Some(Ms(beat_age)),
+        unchanged: Ms(1_000),
         is_vacant,
     }
 }
@@ -72,3 +74,25 @@
     assert!(!seat.is_held_by(&name("b"), 9));
     assert!(!seat.is_held_by(&name("a"), 8));
 }
+
+#[test]
+fn a_leader_has_time_to_write_a_beat_after_an_outage() {
+    let mut observer = Observer::default();
+    // Reads at these times, with the version of the beat and how long it is unchanged.
+    let cases = [
+        (1_000, 5, 0),
+        (1_500, 5, 500),
+        // The store did not serve for a while.
+        (6_000, 5, 0),
+        (6_150, 5, 150),
+        (6_300, 6, 0),
+        (6_900, 6, 600),
+    ];
+    for (now, version, unchanged) in cases {
+        let seen = observer.observe(Ms(now), version);
+        assert_eq!(seen, Ms(unchanged), "at {now}");
+    }
+    let mut view = view(Some(seat(Some("b"), 1)), 5_000, false);
+    view.unchanged = Ms(150);
+    assert!(!election::should_run(&view, &name("a"), 9));
+}
--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use scheduler::id::Job;
 use scheduler::progress::Outcome;
 use scheduler::progress::Stage;
 use world::Faults;
@@ -153,3 +154,24 @@
         assert_kept(&world, seed, "attempts");
     }
 }
+
+#[test]
+fn runs_of_jobs_that_a_new_leader_has_not_learned_of_hold_their_room() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, 3, 3);
+        world.elect(false);
+        world.run(1_200);
+        world.submit(100, chain(&[20], 800));
+        world.hidden.insert(Job(100));
+        world.run(1_230 + seed);
+        world.elect(false);
+        for job in 0..JOBS {
+            world.submit(job, chain(&[6], 800));
+        }
+        world.run(1_700 + seed);
+        world.reveal();
+        world.run(60_000);
+        assert_kept(&world, seed, "hidden");
+        assert_completed(&world, seed, "hidden");
+    }
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -118,6 +118,8 @@
     queue: BTreeMap<(u64, u64), Happening>,
     sequence: u64,
     unlisted: BTreeSet<Name>,
+    /// Jobs whose rows a new leader has not read yet.
+    pub hidden: BTreeSet<id::Job>,
 }
 
 pub fn name(raw: &str) -> Name {
@@ -205,6 +207,7 @@
             queue: BTreeMap::new(),
             sequence: 0,
             unlisted: BTreeSet::new(),
+            hidden: BTreeSet::new(),
         }
     }
 
@@ -240,6 +243,9 @@
             self.join(&entry, epoch);
         }
         for (id, (row, accepted)) in self.jobs.clone() {
+            if self.hidden.contains(&id) {
+                continue;
+            }
             let progress = self.progress.get(&id).cloned();
             self.tell(Event::Accepted(id, row, accepted, progress));
         }
@@ -308,6 +314,14 @@
         self.tell(Event::Accepted(id, self.epoch + 1, accepted, None));
     }
 
+    /// Tells the leader of the hidden jobs.
+    pub fn reveal(&mut self) {
+        for id in std::mem::take(&mut self.hidden) {
+            let (row, accepted) = self.jobs[&id].clone();
+            self.tell(Event::Accepted(id, row, accepted, None));
+        }
+    }
+
     pub fn cancel(&mut self, number: u64) {
         self.cancelled.insert(id::Job(number));
         self.tell(Event::Cancelled(id::Job(number)));
@@ -684,9 +698,10 @@
             running: Some(worker.running()),
             ended: worker.ends.clone(),
         };
-        watch
-            .known
-            .retain(|place| worker.busy.contains_key(&place.task));
+        watch.known.retain(|place| {
+            let has_ended = worker.ends.iter().any(|end| end.run == place.run);
+            has_ended || worker.busy.contains_key(&place.task)
+        });
         let note = Note::Look(look);
         self.push(now + DELAY, Happening::Note(epoch, entry.clone(), note));
     }
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -7,6 +7,7 @@
 use decision::clock::Ms;
 use decision::name::Name;
 use scheduler::election;
+use scheduler::election::Observer;
 use scheduler::election::Seat;
 use scheduler::id::Epoch;
 use scheduler::leader::Event;
@@ -25,6 +26,7 @@
 use super::clock;
 use super::frame;
 use super::lead::Input;
+use super::rows;
 use super::sleep;
 
 /// The interval of beats on a connection.
@@ -146,6 +148,8 @@
         return false;
     }
     let mut beat_due = clock::now() + BEAT;
+    let mut store_due = beat_due;
+    let mut observer = Observer::default();
     loop {
         let next = async { orders.recv().await.ok() };
         let pause = Duration::from_millis(beat_due.since(clock::now()).0);
@@ -171,30 +175,29 @@
             log::warn!("kind=leader-silent epoch={epoch} ms={}", now.since(heard).0);
             return true;
         }
-        if store_age > STORE_AGE && is_deposable(shared, epoch).await {
+        if store_age > STORE_AGE
+            && now >= store_due
+            && is_deposed(shared, epoch, &mut observer).await
+        {
             return true;
         }
+        if now >= store_due {
+            store_due = now + BEAT;
+        }
     }
 }
 
-/// Whether the store says that the leader is gone, or has another one.
-async fn is_deposable(shared: &Shared, epoch: Epoch) -> bool {
-    let Ok(page) = shared.store.read(super::rows::LEAD, "", 8).await else {
+/// Whether the store serves this entry and shows that the leader is gone, or is another one.
+async fn is_deposed(shared: &Shared, epoch: Epoch, observer: &mut Observer) -> bool {
+    let Ok(page) = shared.store.read(rows::LEAD, "", 8).await else {
         return false;
     };
-    let seat = page
-        .rows
-        .iter()
-        .find(|row| row.key == super::rows::seat().key);
-    if seat.is_some_and(|row| row.version != epoch.0) {
+    let row = |key: &str| page.rows.iter().find(|row| row.key == key);
+    if row(&rows::seat().key).is_some_and(|row| row.version != epoch.0) {
         return true;
     }
-    let beat = page
-        .rows
-        .iter()
-        .find(|row| row.key == super::rows::beat().key);
-    let beat = beat.and_then(|row| super::rows::decode::<super::rows::Beat>(row).ok());
-    beat.is_some_and(|beat| page.now.since(Ms(beat.at)) >= election::SILENCE + election::SILENCE)
+    let version = row(&rows::beat().key).map_or(0, |row| row.version);
+    observer.observe(clock::now(), version) >= election::UNCHANGED
 }
 
 /// Accepts agents for the life of the process.
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -220,7 +220,15 @@
                 if matches!(error, Error::Fenced) {
                     return AGENT_PATIENCE;
                 }
-                let ago = lock(&self.lease).missed(now);
+                let (ago, is_first) = {
+                    let mut lease = lock(&self.lease);
+                    let is_first = !lease.is_silent();
+                    (lease.missed(now), is_first)
+                };
+                if is_first {
+                    // A single answer may be lost; the next look asks over another connection.
+                    return Ms::ZERO;
+                }
                 shared.agent.tell(Note::Missed(self.name.clone(), ago));
                 RETRY
             }
@@ -239,12 +247,15 @@
         {
             let mut known = lock(&self.known);
             known.retain(|_, since| *since >= asked);
-            for row in &held.running {
+            // An end that is not acknowledged may be all that a new leader learns of a run.
+            let running = held.running.iter().map(|row| (row.task, row.run));
+            let ended = held.ended.iter().map(|end| (end.task, end.run));
+            for (task, run) in running.chain(ended) {
                 let place = Place {
                     worker: self.name.clone(),
                     born: held.born,
-                    task: row.task,
-                    run: row.run,
+                    task,
+                    run,
                 };
                 known.entry(place).or_insert(Ms::ZERO);
             }
