Relay writes and the configuration through the leader; depose by one observer

Change: writes for customers go through the leader when the store does not serve the entry; the leader passes the configuration on, and takes it from an agent; readiness needs the store or the leader; one observer of the beat for the life of the process; the check does not block the session. Jobs that can still meet their objective go before those that cannot.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -273,6 +273,7 @@
     pub fn beat(&self, store_age: Ms) -> Beat {
         Beat {
             store_age,
+            config: self.config.version,
             waiting: self.count_waiting(),
             full: Vec::new(),
         }
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -27,14 +27,18 @@
 
 impl Leader {
     pub(super) fn hear(&mut self, now: Ms, entry: &Name, note: Note) {
-        let needs_jobs = !matches!(note, Note::Ask(..) | Note::Beat);
+        let needs_jobs = !matches!(
+            note,
+            Note::Ask(..) | Note::Beat | Note::Config(_) | Note::Store(..)
+        );
         if needs_jobs && !self.is_recovered {
             self.early.push((entry.clone(), note));
             return;
         }
         match note {
             Note::Hello(hello) => self.take_known(now, hello),
-            Note::Beat => {}
+            // The embedder carries these out.
+            Note::Beat | Note::Config(_) | Note::Store(..) => {}
             Note::Look(look) => self.look(now, entry, look),
             Note::Missed(worker, ago) => self.miss(now, entry, &worker, ago),
             Note::Started(place, outcome) => self.started(now, &place, outcome),
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -28,7 +28,7 @@
         if !self.is_certain() {
             return;
         }
-        let waiting: Vec<(Rank, id::Step)> = self.waiting.iter().copied().collect();
+        let waiting = self.in_order(now);
         let mut misfits = 0;
         let mut starts = 0;
         for (_, step) in waiting {
@@ -41,6 +41,14 @@
         }
     }
 
+    /// The waiting steps by urgency. Within a priority, steps that can still meet the objective come
+    /// before those that cannot, so that after a burst new jobs are in time instead of all late.
+    fn in_order(&self, now: Ms) -> Vec<(Rank, id::Step)> {
+        let mut waiting: Vec<(Rank, id::Step)> = self.waiting.iter().copied().collect();
+        waiting.sort_by_key(|(rank, _)| (rank.priority, rank.latest_start < now));
+        waiting
+    }
+
     /// Starts the tasks of a step that fit; returns how many, and whether these were all.
     fn start_step(&mut self, now: Ms, step: id::Step) -> (usize, bool) {
         let Some(job) = self.jobs.get_mut(&step.job) else {
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -11,6 +11,7 @@
 use crate::id::Job;
 use crate::id::Run;
 use crate::id::Task;
+use crate::job::Accepted;
 use crate::progress::Stage;
 
 /// A worker that an agent shall keep leased and look at.
@@ -73,6 +74,10 @@
     Void(Place),
     /// Let a run work at this share, in percent.
     Pace(Place, u8),
+    /// The configuration, as the operator wrote it, for agents that the store does not serve.
+    Config(Arc<[u8]>),
+    /// Answers [`Note::Store`] by its number.
+    Stored(u64, Storage),
     /// Answers [`Note::Ask`] by its number; `None` is a job that the leader does not know.
     Stage(u64, Option<Stage>),
 }
@@ -82,6 +87,8 @@
 pub struct Beat {
     /// The time since the store last confirmed a write of the leader.
     pub store_age: Ms,
+    /// The version of the configuration that the leader has.
+    pub config: u64,
     /// Accepted jobs of each queue without a started task.
     pub waiting: Vec<(Name, u32)>,
     /// Queues that accept no more work for now, with the time after which to return.
@@ -192,10 +199,36 @@
     Started(Place, Outcome),
     /// A stop ended in this way, at this time on the agent's clock.
     Stopped(Place, Outcome, Ms),
+    /// A configuration that the agent has and the leader has not.
+    Config(Arc<[u8]>),
+    /// Asks to write for a customer, since the store does not serve the agent.
+    Store(u64, Request),
     /// Asks for the stage of a job; the number comes back with the answer.
     Ask(u64, Job),
 }
 
+/// A write that an entry makes for a customer. To repeat it has no further effect.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Request {
+    /// Accept a job.
+    Accept(Job, Accepted),
+    /// Cancel a job.
+    Cancel(Job),
+}
+
+/// How a write for a customer ended.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Storage {
+    /// It is durable.
+    Done,
+    /// It was durable before.
+    Again,
+    /// It is not done and never will be.
+    Refused,
+    /// It may be done now or later.
+    Unknown,
+}
+
 /// How an agent introduces itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Hello {
--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -175,3 +175,23 @@
         assert_completed(&world, seed, "hidden");
     }
 }
+
+#[test]
+fn promises_hold_while_agents_lose_their_connections() {
+    for seed in 0..SEEDS {
+        let mut world = busy_world(seed);
+        world.faults.lost_answer = 0.05;
+        world.faults.late = 0.03;
+        for turn in 0..12 {
+            world.run(1_100 + turn * 430 + seed * 7);
+            world.reconnect(&name(&format!("e{}", turn % 3)), 20 + turn * 13);
+            if turn == 7 {
+                world.elect(true);
+            }
+        }
+        world.faults = Faults::default();
+        world.run(60_000);
+        assert_kept(&world, seed, "reconnects");
+        assert_completed(&world, seed, "reconnects");
+    }
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -259,6 +259,15 @@
         }
     }
 
+    /// An agent loses its connection to the leader and connects again.
+    pub fn reconnect(&mut self, entry: &Name, gap: u64) {
+        self.tell(Event::Left(entry.clone()));
+        let until = self.now + gap;
+        self.run(until);
+        let epoch = Epoch(self.epoch);
+        self.join(entry, epoch);
+    }
+
     fn join(&mut self, entry: &Name, epoch: Epoch) {
         let now = self.now;
         let Some(agent) = self.agents.get_mut(entry) else {
@@ -496,7 +505,11 @@
             Order::Start(start) => self.send_start(entry, epoch, &start),
             Order::Stop(place) => self.send_stop(entry, epoch, place, false),
             Order::Void(place) => self.send_stop(entry, epoch, place, true),
-            Order::Beat(_) | Order::Pace(..) | Order::Stage(..) => {}
+            Order::Beat(_)
+            | Order::Config(_)
+            | Order::Pace(..)
+            | Order::Stage(..)
+            | Order::Stored(..) => {}
         }
     }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -6,6 +6,7 @@
 mod feeds;
 mod frame;
 mod front;
+mod keep;
 mod lead;
 mod logbook;
 pub mod options;
@@ -34,6 +35,7 @@
 use link::server::Server;
 use quick_error::quick_error;
 use scheduler::config::Config;
+use scheduler::election::Observer;
 use smol::Timer;
 use smol::net::TcpListener;
 
@@ -75,7 +77,12 @@
     spawner: Spawner,
     store: Store,
     workers: worker::Client,
-    config: Mutex<Option<Arc<Config>>>,
+    /// The configuration in force, with its form in the store.
+    config: Mutex<Option<(Arc<Config>, Arc<[u8]>)>>,
+    /// Whether the store serves this entry.
+    is_stored: AtomicBool,
+    /// Follows the beat of the leader in the store.
+    observer: Mutex<Observer>,
     agent: Agent,
     leading: Mutex<Option<Arc<Leading>>>,
     is_stopping: AtomicBool,
@@ -96,6 +103,8 @@
             store: Store::new(options.store, Arc::clone(&pool)),
             workers: worker::Client::new(pool),
             config: Mutex::default(),
+            is_stored: AtomicBool::new(true),
+            observer: Mutex::default(),
             agent: Agent::default(),
             leading: Mutex::default(),
             is_stopping: AtomicBool::new(false),
@@ -105,26 +114,70 @@
 
     /// The configuration in force.
     fn config(&self) -> Option<Arc<Config>> {
-        lock(&self.config).clone()
+        let current = lock(&self.config);
+        current.as_ref().map(|(config, _)| Arc::clone(config))
     }
 
-    /// Puts a configuration in force if it is newer.
-    fn configure(&self, config: Config) -> Option<Arc<Config>> {
-        let mut current = lock(&self.config);
-        if current
+    /// The configuration in force as the operator wrote it, if it is newer than this version.
+    fn newer_config(&self, version: u64) -> Option<Arc<[u8]>> {
+        let current = lock(&self.config);
+        let newer = current
             .as_ref()
-            .is_some_and(|current| current.version >= config.version)
+            .filter(|(config, _)| config.version > version);
+        newer.map(|(_, raw)| Arc::clone(raw))
+    }
+
+    /// Puts a configuration in force if it can be read and is newer.
+    fn take_config(&self, raw: &[u8]) {
+        let config = match adapter::config::decode(raw) {
+            Ok(config) => Arc::new(config),
+            Err(error) => {
+                log::error!("kind=config-refused cause={:?}", error.to_string());
+                return;
+            }
+        };
         {
-            return None;
+            let mut current = lock(&self.config);
+            if current
+                .as_ref()
+                .is_some_and(|(current, _)| current.version >= config.version)
+            {
+                return;
+            }
+            *current = Some((Arc::clone(&config), Arc::from(raw)));
         }
         log::info!(
             "kind=config-in-force version={} queues={}",
             config.version,
             config.queues.len()
         );
-        let config = Arc::new(config);
-        *current = Some(Arc::clone(&config));
-        Some(config)
+        if let Some(leading) = self.leading() {
+            leading.configure(config, Arc::from(raw));
+        }
+    }
+
+    /// Takes in a read of the leader's beat and returns how long it has been unchanged.
+    fn observe_beat(&self, version: u64) -> Ms {
+        lock(&self.observer).observe(clock::now(), version)
+    }
+
+    /// Notes whether the store serves this entry.
+    fn note_store(&self, is_served: bool) {
+        let was_served = self.is_stored.swap(is_served, Ordering::SeqCst);
+        if was_served != is_served {
+            log::warn!("kind=store-served served={is_served}");
+        }
+    }
+
+    /// Whether the store serves this entry.
+    fn is_stored(&self) -> bool {
+        self.is_stored.load(Ordering::SeqCst)
+    }
+
+    /// Whether a customer's request can be served here, by the store or through the leader.
+    fn is_ready(&self) -> bool {
+        let has_way = self.is_stored() || self.agent.beat().is_some();
+        self.config().is_some() && has_way && !self.is_stopping()
     }
 
     /// Whether the entry is shutting down.
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -14,6 +14,8 @@
 use scheduler::message::Order;
 use scheduler::message::Outcome;
 use scheduler::message::Place;
+use scheduler::message::Request;
+use scheduler::message::Storage;
 use scheduler::progress::Stage;
 use smol::channel::Sender;
 
@@ -42,10 +44,16 @@
     beat: Beat,
 }
 
+/// What the leader answers to a question.
+enum Answer {
+    Stage(Option<Stage>),
+    Stored(Storage),
+}
+
 #[derive(Default)]
 struct Asked {
     next: u64,
-    waiting: HashMap<u64, oneshot::Sender<Option<Stage>>>,
+    waiting: HashMap<u64, oneshot::Sender<Answer>>,
 }
 
 impl Agent {
@@ -112,6 +120,21 @@
 
     /// Asks the leader for the stage of a job. The outer `None` means that there is no answer.
     pub(super) async fn ask(&self, job: Job) -> Option<Option<Stage>> {
+        match self.question(|number| Note::Ask(number, job)).await? {
+            Answer::Stage(stage) => Some(stage),
+            Answer::Stored(_) => None,
+        }
+    }
+
+    /// Asks the leader to write for a customer. `None` means that there is no answer.
+    pub(super) async fn store(&self, request: Request) -> Option<Storage> {
+        match self.question(|number| Note::Store(number, request)).await? {
+            Answer::Stored(storage) => Some(storage),
+            Answer::Stage(_) => None,
+        }
+    }
+
+    async fn question(&self, note: impl FnOnce(u64) -> Note) -> Option<Answer> {
         let notes = lock(&self.state).notes.clone()?;
         let (sender, receiver) = oneshot::channel();
         let number = {
@@ -121,21 +144,35 @@
             asked.waiting.insert(number, sender);
             number
         };
-        if notes.try_send(Note::Ask(number, job)).is_err() {
+        if notes.try_send(note(number)).is_err() {
             lock(&self.asked).waiting.remove(&number);
             return None;
         }
         receiver.await.ok()
     }
 
+    fn answer(&self, number: u64, answer: Answer) {
+        let waiting = lock(&self.asked).waiting.remove(&number);
+        if let Some(waiting) = waiting {
+            // The customer may have left.
+            let _ = waiting.send(answer);
+        }
+    }
+
     /// Carries out an order.
     pub(super) fn obey(&self, shared: &Arc<Shared>, order: Order) {
         lock(&self.state).has_order = true;
         match order {
             Order::Beat(beat) => {
-                let mut state = lock(&self.state);
-                state.heard = clock::now();
-                state.beat = beat;
+                let known = beat.config;
+                {
+                    let mut state = lock(&self.state);
+                    state.heard = clock::now();
+                    state.beat = beat;
+                }
+                if let Some(raw) = shared.newer_config(known) {
+                    self.tell(Note::Config(raw));
+                }
             }
             Order::Watch(watch) => {
                 let mut state = lock(&self.state);
@@ -178,13 +215,9 @@
                     shared.spawner.spawn(run).detach();
                 }
             }
-            Order::Stage(number, stage) => {
-                let waiting = lock(&self.asked).waiting.remove(&number);
-                if let Some(waiting) = waiting {
-                    // The customer may have left.
-                    let _ = waiting.send(stage);
-                }
-            }
+            Order::Config(raw) => shared.take_config(&raw),
+            Order::Stage(number, stage) => self.answer(number, Answer::Stage(stage)),
+            Order::Stored(number, storage) => self.answer(number, Answer::Stored(storage)),
         }
     }
 
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -86,6 +86,7 @@
     }
 
     fn note_served(&mut self) {
+        self.shared.note_store(true);
         if !self.is_served {
             self.is_served = true;
             log::info!(
@@ -97,6 +98,7 @@
     }
 
     async fn note_failed(&mut self, error: &Error) {
+        self.shared.note_store(false);
         if self.is_served {
             self.is_served = false;
             log::warn!(
@@ -149,22 +151,8 @@
 }
 
 fn take_config(shared: &Shared, row: &Row) {
-    if row.key != config::KEY || row.is_removed {
-        return;
-    }
-    match config::decode(&row.value) {
-        Ok(config) => {
-            if let Some(config) = shared.configure(config)
-                && let Some(leading) = shared.leading()
-            {
-                leading.tell(Event::Config(config));
-            }
-        }
-        Err(error) => log::error!(
-            "kind=config-refused row={} cause={:?}",
-            row.version,
-            error.to_string()
-        ),
+    if row.key == config::KEY && !row.is_removed {
+        shared.take_config(&row.value);
     }
 }
 
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -5,7 +5,6 @@
 
 use adapter::front;
 use adapter::store;
-use adapter::store::Transaction;
 use bytes::Bytes;
 use http::Method;
 use http::Request;
@@ -23,6 +22,8 @@
 use scheduler::config::Queue;
 use scheduler::id::Job;
 use scheduler::job::Accepted;
+use scheduler::message::Request as Write;
+use scheduler::message::Storage;
 use scheduler::progress::Progress;
 use scheduler::progress::Stage;
 use smol::Timer;
@@ -32,6 +33,7 @@
 use super::Error;
 use super::Shared;
 use super::clock;
+use super::keep;
 use super::rows;
 
 /// How long the leader may take to answer before the store is asked.
@@ -83,7 +85,7 @@
 }
 
 fn ready(shared: &Shared) -> Answer {
-    if shared.config().is_some() && !shared.is_stopping() {
+    if shared.is_ready() {
         plain(StatusCode::OK)
     } else {
         plain(StatusCode::SERVICE_UNAVAILABLE)
@@ -125,41 +127,17 @@
         spec,
         at: clock::unix(),
     };
-    let transaction = Transaction {
-        expected: vec![(rows::accepted(job), 0)],
-        puts: vec![(rows::accepted(job), rows::encode(&accepted))],
-        removed: Vec::new(),
-    };
     let begun = clock::now();
-    let result = shared.store.transact(&transaction).await;
+    let storage = keep::keep(shared, Write::Accept(job, accepted)).await;
     let ms = clock::now().since(begun).0;
-    match result {
-        Ok(page) => {
-            log::info!(
-                "kind=job-accepted job={job} queue={} row={} ms={ms}",
-                queue.name,
-                page.version
-            );
-            plain(StatusCode::OK)
-        }
-        Err(store::Error::Conflict(_)) => {
-            log::info!(
-                "kind=job-accepted job={job} queue={} again=true",
-                queue.name
-            );
-            plain(StatusCode::OK)
-        }
-        Err(store::Error::Refused(cause)) => {
-            log::warn!("kind=job-refused job={job} ms={ms} cause={cause:?}");
-            turn_away("store-refused", &queue.name)
-        }
-        Err(error) => {
-            log::warn!(
-                "kind=job-unknown job={job} ms={ms} cause={:?}",
-                error.to_string()
-            );
-            plain(StatusCode::GATEWAY_TIMEOUT)
-        }
+    log::info!(
+        "kind=job-submitted job={job} queue={} ms={ms} outcome={storage:?}",
+        queue.name
+    );
+    match storage {
+        Storage::Done | Storage::Again => plain(StatusCode::OK),
+        Storage::Refused => turn_away("store-refused", &queue.name),
+        Storage::Unknown => plain(StatusCode::GATEWAY_TIMEOUT),
     }
 }
 
@@ -217,27 +195,12 @@
             return turn_away("stage-unknown", "-");
         }
     }
-    let transaction = Transaction {
-        expected: Vec::new(),
-        puts: vec![(rows::cancelled(job), Vec::new())],
-        removed: Vec::new(),
-    };
-    match shared.store.transact(&transaction).await {
-        Ok(_) => {
-            log::info!("kind=cancel-accepted job={job}");
-            plain(StatusCode::OK)
-        }
-        Err(store::Error::Refused(cause)) => {
-            log::warn!("kind=cancel-refused job={job} cause={cause:?}");
-            turn_away("store-refused", "-")
-        }
-        Err(error) => {
-            log::warn!(
-                "kind=cancel-unknown job={job} cause={:?}",
-                error.to_string()
-            );
-            plain(StatusCode::GATEWAY_TIMEOUT)
-        }
+    let storage = keep::keep(shared, Write::Cancel(job)).await;
+    log::info!("kind=cancel-submitted job={job} outcome={storage:?}");
+    match storage {
+        Storage::Done | Storage::Again => plain(StatusCode::OK),
+        Storage::Refused => turn_away("store-refused", "-"),
+        Storage::Unknown => plain(StatusCode::GATEWAY_TIMEOUT),
     }
 }
 
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -11,6 +11,7 @@
 use adapter::store::Transaction;
 use decision::clock::Ms;
 use decision::name::Name;
+use scheduler::config::Config;
 use scheduler::election;
 use scheduler::election::Seat;
 use scheduler::id::Epoch;
@@ -22,6 +23,8 @@
 use scheduler::message::Hello;
 use scheduler::message::Note;
 use scheduler::message::Order;
+use scheduler::message::Request;
+use scheduler::message::Storage;
 use smol::Timer;
 use smol::channel::Receiver;
 use smol::channel::Sender;
@@ -30,6 +33,7 @@
 use super::Shared;
 use super::clock;
 use super::feeds;
+use super::keep;
 use super::lock;
 use super::peers;
 use super::rows;
@@ -46,6 +50,8 @@
     Event(Event),
     Joined(Hello, u64, Sender<Vec<Order>>),
     Left(Name, u64),
+    Config(Arc<Config>, Arc<[u8]>),
+    Stored(Name, u64, Storage),
     Deposed(&'static str),
 }
 
@@ -71,6 +77,11 @@
         self.send(Input::Event(event));
     }
 
+    /// Passes a new configuration on to all agents.
+    pub(super) fn configure(&self, config: Arc<Config>, raw: Arc<[u8]>) {
+        self.send(Input::Config(config, raw));
+    }
+
     /// Introduces an agent and returns the number of its connection.
     pub(super) fn join(&self, hello: Hello, out: Sender<Vec<Order>>) -> u64 {
         let connection = self.connections.fetch_add(1, Ordering::SeqCst);
@@ -266,7 +277,22 @@
 
     fn take(&mut self, input: Input) {
         match input {
+            Input::Event(Event::Told(entry, Note::Store(number, request))) => {
+                self.store(entry, number, request);
+            }
+            Input::Event(Event::Told(_, Note::Config(raw))) => self.shared.take_config(&raw),
             Input::Event(event) => self.handle(event),
+            Input::Config(config, raw) => {
+                self.handle(Event::Config(config));
+                for agent in self.agents.keys() {
+                    let orders = self.outgoing.entry(agent.clone()).or_default();
+                    orders.push(Order::Config(Arc::clone(&raw)));
+                }
+            }
+            Input::Stored(entry, number, storage) => {
+                let orders = self.outgoing.entry(entry).or_default();
+                orders.push(Order::Stored(number, storage));
+            }
             Input::Joined(hello, connection, out) => {
                 let entry = hello.entry.clone();
                 let domain = hello.domain.clone();
@@ -274,6 +300,10 @@
                     self.handle(Event::Left(entry.clone()));
                 }
                 self.agents.insert(entry.clone(), (connection, out));
+                if let Some(raw) = self.shared.newer_config(0) {
+                    let orders = self.outgoing.entry(entry.clone()).or_default();
+                    orders.push(Order::Config(raw));
+                }
                 self.handle(Event::Told(entry.clone(), Note::Hello(hello)));
                 self.handle(Event::Joined(entry, domain));
                 self.send_beats();
@@ -326,6 +356,17 @@
         }
     }
 
+    /// Writes for a customer of an agent that the store does not serve.
+    fn store(&self, entry: Name, number: u64, request: Request) {
+        let shared = Arc::clone(&self.shared);
+        let leading = Arc::clone(&self.leading);
+        let write = async move {
+            let storage = keep::write(&shared, &request).await;
+            leading.send(Input::Stored(entry, number, storage));
+        };
+        self.shared.spawner.spawn(write).detach();
+    }
+
     fn commit(&self, commit: &Commit) {
         let transaction = transaction(self.leading.epoch, commit);
         let shared = Arc::clone(&self.shared);
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -7,17 +7,18 @@
 use decision::clock::Ms;
 use decision::name::Name;
 use scheduler::election;
-use scheduler::election::Observer;
 use scheduler::election::Seat;
 use scheduler::id::Epoch;
 use scheduler::leader::Event;
 use scheduler::message::Hello;
 use scheduler::message::Note;
 use scheduler::message::Order;
+use smol::Task;
 use smol::Timer;
 use smol::channel::Receiver;
 use smol::channel::Sender;
 use smol::future::FutureExt;
+use smol::future::poll_once;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 
@@ -148,8 +149,8 @@
         return false;
     }
     let mut beat_due = clock::now() + BEAT;
-    let mut store_due = beat_due;
-    let mut observer = Observer::default();
+    let mut check_due = beat_due;
+    let mut check: Option<Task<bool>> = None;
     loop {
         let next = async { orders.recv().await.ok() };
         let pause = Duration::from_millis(beat_due.since(clock::now()).0);
@@ -175,20 +176,34 @@
             log::warn!("kind=leader-silent epoch={epoch} ms={}", now.since(heard).0);
             return true;
         }
-        if store_age > STORE_AGE
-            && now >= store_due
-            && is_deposed(shared, epoch, &mut observer).await
-        {
-            return true;
+        if store_age > STORE_AGE && check.is_none() && now >= check_due {
+            check_due = now + BEAT;
+            let owned = Arc::clone(shared);
+            check = Some(
+                shared
+                    .spawner
+                    .spawn(async move { is_deposed(&owned, epoch).await }),
+            );
+        }
+        let checked = match &mut check {
+            Some(task) => poll_once(task).await,
+            None => None,
+        };
+        if checked.is_some() {
+            check = None;
         }
-        if now >= store_due {
-            store_due = now + BEAT;
+        if checked == Some(true) {
+            log::warn!(
+                "kind=leader-deposed epoch={epoch} store_age_ms={}",
+                store_age.0
+            );
+            return true;
         }
     }
 }
 
 /// Whether the store serves this entry and shows that the leader is gone, or is another one.
-async fn is_deposed(shared: &Shared, epoch: Epoch, observer: &mut Observer) -> bool {
+async fn is_deposed(shared: &Shared, epoch: Epoch) -> bool {
     let Ok(page) = shared.store.read(rows::LEAD, "", 8).await else {
         return false;
     };
@@ -197,7 +212,7 @@
         return true;
     }
     let version = row(&rows::beat().key).map_or(0, |row| row.version);
-    observer.observe(clock::now(), version) >= election::UNCHANGED
+    shared.observe_beat(version) >= election::UNCHANGED
 }
 
 /// Accepts agents for the life of the process.
--- a/src/serve/seat.rs
+++ b/src/serve/seat.rs
@@ -7,13 +7,11 @@
 use adapter::store::Transaction;
 use decision::clock::Ms;
 use scheduler::election;
-use scheduler::election::Observer;
 use scheduler::election::Seat;
 use scheduler::election::View;
 use scheduler::id::Epoch;
 
 use super::Shared;
-use super::clock;
 use super::lead;
 use super::peers;
 use super::peers::Ending;
@@ -34,13 +32,12 @@
 /// Follows the leader for the life of the process.
 pub(super) async fn follow(shared: Arc<Shared>) {
     let mut turned_away = 0;
-    let mut observer = Observer::default();
     loop {
         if shared.is_stopping() && shared.leading().is_none() && turned_away > 0 {
             // Another entry leads soon; until then there is nobody to follow.
             turned_away = 0;
         }
-        let found = match look(&shared, turned_away, &mut observer).await {
+        let found = match look(&shared, turned_away).await {
             Ok(found) => found,
             Err(error) => {
                 log::warn!("kind=seat-unread cause={:?}", error.to_string());
@@ -75,7 +72,7 @@
     }
 }
 
-async fn look(shared: &Shared, turned_away: u32, observer: &mut Observer) -> Result<Found, Error> {
+async fn look(shared: &Shared, turned_away: u32) -> Result<Found, Error> {
     let page = shared.store.read(rows::LEAD, "", 8).await?;
     let row = |key: &str| page.rows.iter().find(|row| row.key == key);
     let seat_row = row(&rows::seat().key);
@@ -89,7 +86,7 @@
     });
     let beat = beat_row.and_then(|row| rows::decode::<rows::Beat>(row).ok());
     let beat_version = beat_row.map_or(0, |row| row.version);
-    let unchanged = observer.observe(clock::now(), beat_version);
+    let unchanged = shared.observe_beat(beat_version);
     let beat_age = beat.map(|beat| page.now.since(Ms(beat.at)));
     Ok(Found {
         view: View {
