Move tasks away from draining workers

Cause: tasks that last ran on a draining worker until it left, and then until their lease expired, since nothing told that the worker had gone. Change: runs that save their progress or last are stopped on a draining worker when there is room elsewhere; a worker that drained, is unregistered and does not listen has ended. A test drains a worker with lasting tasks.

--- a/crates/link/src/pool.rs
+++ b/crates/link/src/pool.rs
@@ -38,7 +38,7 @@
     #[derive(Debug)]
     pub enum Error {
         /// No connection was established or nothing was written, so the request did not arrive.
-        Unsent(cause: String) {
+        Unsent(cause: Cause) {
             display("not sent: {}", cause)
         }
         /// The connection was established: the request may have arrived.
@@ -48,6 +48,36 @@
     }
 }
 
+/// Why a request was not sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Cause {
+    text: String,
+    is_refused: bool,
+}
+
+impl Cause {
+    /// Whether nobody listens at the address.
+    #[must_use]
+    pub const fn is_refused(&self) -> bool {
+        self.is_refused
+    }
+}
+
+impl From<String> for Cause {
+    fn from(text: String) -> Self {
+        Self {
+            text,
+            is_refused: false,
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.text)
+    }
+}
+
 /// Bounds of a pool.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -156,7 +186,9 @@
         let connection = self.connect(to, limit).await?;
         match self.exchange(to, connection, request).await {
             Exchange::Ended(result) => result,
-            Exchange::Returned(_) => Err(Error::Unsent("the connection closed".into())),
+            Exchange::Returned(_) => Err(Error::Unsent(Cause::from(
+                "the connection closed".to_owned(),
+            ))),
         }
     }
 
@@ -211,14 +243,16 @@
             Timer::after(limit).await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
-        let stream = opened
-            .or(late)
-            .await
-            .map_err(|error: std::io::Error| Error::Unsent(format!("{to}: {error}")))?;
+        let stream = opened.or(late).await.map_err(|error: std::io::Error| {
+            Error::Unsent(Cause {
+                text: format!("{to}: {error}"),
+                is_refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
+            })
+        })?;
         let (sender, driver) = Builder::new()
             .handshake(FuturesIo::new(stream))
             .await
-            .map_err(|error| Error::Unsent(format!("{to}: {error}")))?;
+            .map_err(|error| Error::Unsent(Cause::from(format!("{to}: {error}"))))?;
         Ok(Connection {
             sender,
             driver,
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -77,7 +77,7 @@
             .map_err(|error| Error::Unsent(error.to_string()))?;
         let response = self.pool.send(to, request, limit).await;
         let response = response.map_err(|error| match error {
-            pool::Error::Unsent(cause) => Error::Unsent(cause),
+            pool::Error::Unsent(cause) => Error::Unsent(cause.to_string()),
             pool::Error::Broken(cause) => Error::Broken(cause),
         })?;
         match response.status() {
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -116,6 +116,8 @@
 pub struct Worker {
     /// Its registration, while there is one.
     pub listing: Option<Listing>,
+    /// Its last registration said that it drains.
+    pub was_draining: bool,
     /// The agent that watches it.
     pub agent: Option<Name>,
     /// The incarnation last seen.
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -2,6 +2,7 @@
 
 mod assign;
 mod commit;
+mod drain;
 mod ends;
 mod looks;
 mod orders;
@@ -169,6 +170,7 @@
     unsettled: BTreeMap<(Task, Run), Ms>,
     committing: Option<commit::InFlight>,
     commit_after: Ms,
+    drained: Ms,
     load_logged: Ms,
     model_logged: Ms,
     clock: Ms,
@@ -207,6 +209,7 @@
             unsettled: BTreeMap::new(),
             committing: None,
             commit_after: Ms::ZERO,
+            drained: Ms::ZERO,
             load_logged: Ms::ZERO,
             model_logged: Ms::ZERO,
             clock: now,
@@ -513,6 +516,7 @@
         self.expire_leases(now);
         self.drop_old_jobs();
         self.protect_serving(now);
+        self.move_from_draining(now);
     }
 
     /// Logs what is booked and what waits.
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -69,6 +69,9 @@
         };
         let address = |listing: &Option<Listing>| listing.as_ref().map(|l| l.address.clone());
         let has_moved = listing.is_some() && address(&worker.listing) != address(&listing);
+        if let Some(listing) = &listing {
+            worker.was_draining = listing.is_draining;
+        }
         worker.listing = listing;
         let is_unused = worker.listing.is_none() && worker.runs.is_empty() && worker.is_known;
         if let Some(change) = change {
--- /dev/null
+++ b/crates/scheduler/src/leader/drain.rs
@@ -0,0 +1,79 @@
+//! Moves tasks away from workers that drain.
+
+use decision::clock::Ms;
+use decision::name::Name;
+
+use super::Leader;
+use crate::fleet::Claim;
+use crate::fleet::Kind;
+use crate::id::Run;
+use crate::id::Task;
+use crate::place;
+use crate::place::Wish;
+use crate::task::Phase;
+
+/// The interval at which draining workers are looked over.
+const INTERVAL: Ms = Ms(200);
+
+impl Leader {
+    /// Stops runs on draining workers that can go on elsewhere. Short tasks without checkpoints
+    /// are left to end.
+    pub(super) fn move_from_draining(&mut self, now: Ms) {
+        if now.since(self.drained) < INTERVAL || !self.is_certain() {
+            return;
+        }
+        self.drained = now;
+        let draining = self.workers.iter().filter(|(_, worker)| {
+            let listing = worker.listing.as_ref();
+            listing.is_some_and(|listing| listing.is_draining) && !worker.runs.is_empty()
+        });
+        let names: Vec<Name> = draining.map(|(name, _)| name.clone()).collect();
+        for name in names {
+            self.move_runs(now, &name);
+        }
+    }
+
+    fn move_runs(&mut self, now: Ms, name: &Name) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let runs: Vec<(Task, Run)> = worker.runs.iter().copied().collect();
+        for (task, run) in runs {
+            let Some(claim) = self.movable(task, run) else {
+                continue;
+            };
+            if let Some(target) = self.find_room(now, &claim, task) {
+                self.log(format!(
+                    "kind=move task={task} run={run} from={name} to={target}"
+                ));
+                self.stop_run(now, task, run, "worker-draining");
+            }
+        }
+    }
+
+    /// The claim of a run that loses little when it is stopped.
+    fn movable(&mut self, id: Task, run: Run) -> Option<Claim> {
+        let job = self.jobs.get_mut(&id.step.job)?;
+        let claim = job.claim(id.step.step)?;
+        let saves = job.step_spec(id.step.step)?.has_checkpoints;
+        let active = job.task(id)?.run(run)?;
+        let is_running = active.phase == Phase::Running;
+        let is_cheap = saves || matches!(claim.kind, Kind::Serving(_));
+        (is_running && is_cheap).then_some(claim)
+    }
+
+    fn find_room(&self, now: Ms, claim: &Claim, id: Task) -> Option<Name> {
+        let job = self.jobs.get(&id.step.job)?;
+        let queue = self.config.queue(&job.queue)?;
+        let wish = Wish {
+            service: &queue.service,
+            spec: job.step_spec(id.step.step)?,
+            claim,
+            step: id.step,
+            failed_on: None,
+            rack: None,
+        };
+        let stored = self.workers.iter().filter(|(name, _)| self.is_stored(name));
+        place::choose(&wish, &self.model, stored, now)
+    }
+}
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -12,6 +12,7 @@
 use crate::id::Task;
 use crate::message::Hello;
 use crate::message::Look;
+use crate::message::Missed;
 use crate::message::Note;
 use crate::message::Order;
 use crate::message::Place;
@@ -40,7 +41,7 @@
             // The embedder carries these out.
             Note::Beat | Note::Config(_) | Note::Store(..) => {}
             Note::Look(look) => self.look(now, entry, look),
-            Note::Missed(worker, ago) => self.miss(now, entry, &worker, ago),
+            Note::Missed(missed) => self.miss(now, entry, &missed),
             Note::Started(place, outcome) => self.started(now, &place, outcome),
             Note::Stopped(place, outcome, at) => self.stopped(now, &place, outcome, at),
             Note::Ask(number, job) => {
@@ -325,7 +326,8 @@
         }
     }
 
-    fn miss(&mut self, now: Ms, entry: &Name, name: &Name, ago: Ms) {
+    fn miss(&mut self, now: Ms, entry: &Name, missed: &Missed) {
+        let (name, ago) = (&missed.worker, missed.renewed);
         let lease = self.lease_end();
         let Some(worker) = self.workers.get_mut(name) else {
             return;
@@ -336,10 +338,18 @@
         let lapses = Ms(now.0.saturating_sub(ago.0)) + lease;
         let is_news = !worker.is_silent;
         worker.is_silent = true;
+        let has_left = worker.was_draining && worker.listing.is_none() && missed.is_closed;
         if worker.is_known {
             worker.lapses = Some(worker.lapses.unwrap_or_default().max(lapses));
         }
         self.use_account(now, name);
+        if has_left {
+            // A worker that drained, is no longer registered and does not listen has ended.
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.lapses = Some(now);
+            }
+            return self.expire_leases(now);
+        }
         if is_news {
             self.log(format!(
                 "kind=worker-silent worker={name} agent={entry} renewed_ago_ms={}",
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -157,6 +157,17 @@
     pub ended: Vec<End>,
 }
 
+/// Looks at a worker that failed.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Missed {
+    /// The worker.
+    pub worker: Name,
+    /// The time since the last order that may have extended the lease.
+    pub renewed: Ms,
+    /// Nobody listens at its address.
+    pub is_closed: bool,
+}
+
 /// How an order to start ended.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
@@ -193,8 +204,8 @@
     Beat,
     /// A look at a worker.
     Look(Look),
-    /// A look failed. The time is since the last one that may have extended the lease.
-    Missed(Name, Ms),
+    /// Looks failed.
+    Missed(Missed),
     /// A start ended in this way.
     Started(Place, Outcome),
     /// A stop ended in this way, at this time on the agent's clock.
--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -195,3 +195,23 @@
         assert_completed(&world, seed, "reconnects");
     }
 }
+
+#[test]
+fn lasting_tasks_move_away_from_a_draining_worker() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, 4, 3);
+        world.elect(false);
+        world.run(1_500);
+        let mut spec = chain(&[8], 60_000);
+        spec.steps[0].is_lasting = true;
+        world.lasts = true;
+        world.submit(0, spec);
+        world.run(3_000);
+        world.drain(&name("w0"));
+        world.run(5_000);
+        let left = world.workers[&name("w0")].busy.len();
+        let all: usize = world.workers.values().map(|worker| worker.busy.len()).sum();
+        assert_eq!((left, all), (0, 8), "seed {seed}");
+        assert_kept(&world, seed, "draining");
+    }
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -30,6 +30,7 @@
 use scheduler::message::Hello;
 use scheduler::message::How;
 use scheduler::message::Look;
+use scheduler::message::Missed;
 use scheduler::message::Note;
 use scheduler::message::Order;
 use scheduler::message::Outcome;
@@ -99,6 +100,8 @@
 pub struct World {
     pub now: u64,
     pub faults: Faults,
+    /// Runs do not end by themselves.
+    pub lasts: bool,
     pub workers: BTreeMap<Name, Worker>,
     pub broken: Vec<String>,
     /// Failed runs by task.
@@ -118,6 +121,7 @@
     queue: BTreeMap<(u64, u64), Happening>,
     sequence: u64,
     unlisted: BTreeSet<Name>,
+    draining: BTreeSet<Name>,
     /// Jobs whose rows a new leader has not read yet.
     pub hidden: BTreeSet<id::Job>,
 }
@@ -188,6 +192,7 @@
         Self {
             now: 1_000,
             faults: Faults::default(),
+            lasts: false,
             workers: worker_names
                 .map(|name| (name, Worker::new(big, 0)))
                 .collect(),
@@ -207,6 +212,7 @@
             queue: BTreeMap::new(),
             sequence: 0,
             unlisted: BTreeSet::new(),
+            draining: BTreeSet::new(),
             hidden: BTreeSet::new(),
         }
     }
@@ -301,12 +307,18 @@
             size: state.size,
             labels: vec![name("r0")],
             born: state.born,
-            is_draining: false,
+            is_draining: self.draining.contains(worker),
         };
         let listing = (!self.unlisted.contains(worker)).then_some(listing);
         self.tell(Event::Listed(worker.clone(), listing));
     }
 
+    /// The worker says that it drains.
+    pub fn drain(&mut self, worker: &Name) {
+        self.draining.insert(worker.clone());
+        self.list(worker);
+    }
+
     pub fn unlist(&mut self, worker: &Name) {
         self.unlisted.insert(worker.clone());
         self.list(worker);
@@ -589,7 +601,11 @@
     fn arrive(&mut self, call: Call) {
         let now = self.now;
         let is_failing = self.chance(self.faults.failed_run);
-        let millis = self.random.random_range(100..1_500);
+        let millis = if self.lasts {
+            1_000_000
+        } else {
+            self.random.random_range(100..1_500)
+        };
         let Some(worker) = self.workers.get_mut(&call.place.worker) else {
             return;
         };
@@ -685,7 +701,11 @@
         }
         if worker.dark_until > now {
             let ago = watch.lease.missed(Ms(now));
-            let note = Note::Missed(name.clone(), ago);
+            let note = Note::Missed(Missed {
+                worker: name.clone(),
+                renewed: ago,
+                is_closed: false,
+            });
             return self.push(now + DELAY, Happening::Note(epoch, entry.clone(), note));
         }
         if !worker.obeys(epoch) {
--- a/src/demo/shop.rs
+++ b/src/demo/shop.rs
@@ -143,7 +143,7 @@
         let limit = Duration::from_millis((DEADLINE + GRACE).0);
         let response = match request(order) {
             Ok(request) => self.pool.send(door.address, request, limit).await,
-            Err(error) => Err(Error::Unsent(error.to_string())),
+            Err(error) => Err(Error::Unsent(error.to_string().into())),
         };
         let ticket = response
             .as_ref()
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -16,6 +16,7 @@
 use scheduler::id::Epoch;
 use scheduler::leader::AGENT_PATIENCE;
 use scheduler::message::Look;
+use scheduler::message::Missed;
 use scheduler::message::Note;
 use scheduler::message::Outcome;
 use scheduler::message::Place;
@@ -229,7 +230,11 @@
                     // A single answer may be lost; the next look asks over another connection.
                     return Ms::ZERO;
                 }
-                shared.agent.tell(Note::Missed(self.name.clone(), ago));
+                shared.agent.tell(Note::Missed(Missed {
+                    worker: self.name.clone(),
+                    renewed: ago,
+                    is_closed: matches!(error, Error::Closed),
+                }));
                 RETRY
             }
         }
