Store accepted jobs in eight parts; a lost relay is no refusal

Change: jobs lie in eight parts; only an entry that the store does not serve relays; two tries together are refused only if both were; commits carry the beat.

--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -120,21 +120,23 @@
 
     /// Asks the leader for the stage of a job. The outer `None` means that there is no answer.
     pub(super) async fn ask(&self, job: Job) -> Option<Option<Stage>> {
-        match self.question(|number| Note::Ask(number, job)).await? {
-            Answer::Stage(stage) => Some(stage),
-            Answer::Stored(_) => None,
+        match self.question(|number| Note::Ask(number, job))?.await {
+            Ok(Answer::Stage(stage)) => Some(stage),
+            Ok(Answer::Stored(_)) | Err(_) => None,
         }
     }
 
-    /// Asks the leader to write for a customer. `None` means that there is no answer.
+    /// Asks the leader to write for a customer. `None` means that nothing was asked.
     pub(super) async fn store(&self, request: Request) -> Option<Storage> {
-        match self.question(|number| Note::Store(number, request)).await? {
-            Answer::Stored(storage) => Some(storage),
-            Answer::Stage(_) => None,
+        let answer = self.question(|number| Note::Store(number, request))?;
+        match answer.await {
+            Ok(Answer::Stored(storage)) => Some(storage),
+            // The connection was lost; the leader may have written.
+            Ok(Answer::Stage(_)) | Err(_) => Some(Storage::Unknown),
         }
     }
 
-    async fn question(&self, note: impl FnOnce(u64) -> Note) -> Option<Answer> {
+    fn question(&self, note: impl FnOnce(u64) -> Note) -> Option<oneshot::Receiver<Answer>> {
         let notes = lock(&self.state).notes.clone()?;
         let (sender, receiver) = oneshot::channel();
         let number = {
@@ -148,7 +150,7 @@
             lock(&self.asked).waiting.remove(&number);
             return None;
         }
-        receiver.await.ok()
+        Some(receiver)
     }
 
     fn answer(&self, number: u64, answer: Answer) {
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -113,11 +113,22 @@
 
 /// Reads a table. The version is that of the first page, so that a feed from it misses nothing.
 async fn read_table(shared: &Shared, table: &str) -> Result<(Vec<Row>, u64), Error> {
+    let mut rows: Vec<Row> = Vec::new();
+    let mut version = u64::MAX;
+    for part in rows::parts(table) {
+        let (more, seen) = read_part(shared, table, part).await?;
+        rows.extend(more);
+        version = version.min(seen);
+    }
+    Ok((rows, version))
+}
+
+async fn read_part(shared: &Shared, table: &str, part: &str) -> Result<(Vec<Row>, u64), Error> {
     let mut rows: Vec<Row> = Vec::new();
     let mut version = None;
     let mut from = String::new();
     loop {
-        let page = shared.store.read(table, &from, PAGE).await?;
+        let page = shared.store.read(table, part, &from, PAGE).await?;
         version = version.or(Some(page.version));
         let Some(last) = page.rows.last() else {
             break;
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -151,7 +151,7 @@
         return Ok(Some(stage));
     }
     let key = rows::progress(job);
-    let (row, _) = shared.store.row(key.table, &key.key).await?;
+    let (row, _) = shared.store.row(&key).await?;
     if let Some(row) = row {
         match rows::decode::<Progress>(&row) {
             Ok(progress) => return Ok(Some(progress.stage())),
@@ -164,7 +164,7 @@
         }
     }
     let key = rows::accepted(job);
-    let (row, _) = shared.store.row(key.table, &key.key).await?;
+    let (row, _) = shared.store.row(&key).await?;
     Ok(row.map(|_| Stage::Queued))
 }
 
--- a/src/serve/keep.rs
+++ b/src/serve/keep.rs
@@ -18,21 +18,23 @@
 /// Makes a write durable. The leader is asked when the store does not serve this entry; to write
 /// twice has no further effect.
 pub(super) async fn keep(shared: &Shared, request: Request) -> Storage {
-    if !shared.is_stored() {
-        if let Some(storage) = relay(shared, request.clone()).await {
-            return storage;
-        }
+    if shared.is_stored() {
         return write(shared, &request).await;
     }
-    let storage = write(shared, &request).await;
-    if matches!(storage, Storage::Done | Storage::Again) || shared.leading().is_some() {
-        return storage;
+    match relay(shared, request.clone()).await {
+        Some(relayed @ (Storage::Done | Storage::Again)) => relayed,
+        Some(relayed) => either(relayed, write(shared, &request).await),
+        None => write(shared, &request).await,
     }
-    match relay(shared, request).await {
-        // The own write may still be done.
-        Some(Storage::Refused) if storage == Storage::Unknown => Storage::Unknown,
-        Some(relayed) => relayed,
-        None => storage,
+}
+
+/// What is known of a write that was tried in two ways.
+const fn either(first: Storage, second: Storage) -> Storage {
+    match (first, second) {
+        (Storage::Done | Storage::Again, _) => first,
+        (_, Storage::Done | Storage::Again) => second,
+        (Storage::Refused, Storage::Refused) => Storage::Refused,
+        _ => Storage::Unknown,
     }
 }
 
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use adapter::store::Error;
+use adapter::store::Key;
 use adapter::store::Transaction;
 use decision::clock::Ms;
 use decision::name::Name;
@@ -98,6 +99,15 @@
         clock::now().since(Ms(self.confirmed.load(Ordering::SeqCst)))
     }
 
+    /// The row that shows that this leader is alive.
+    fn beat(&self) -> (Key, Vec<u8>) {
+        let beat = rows::Beat {
+            epoch: self.epoch.0,
+            at: self.store_clock().0,
+        };
+        (rows::beat(), rows::encode(&beat))
+    }
+
     /// The store's clock now, as far as it is known.
     fn store_clock(&self) -> Ms {
         Ms(self.store_now.load(Ordering::SeqCst)) + self.store_age()
@@ -164,14 +174,17 @@
 
 /// Writes a beat in an interval.
 async fn write_beats(shared: Arc<Shared>, leading: Arc<Leading>) {
+    let mut is_first = true;
     loop {
-        let beat = rows::Beat {
-            epoch: leading.epoch.0,
-            at: leading.store_clock().0,
-        };
+        if !is_first && leading.store_age() < election::BEAT {
+            // A commit has carried a beat.
+            sleep(election::BEAT.since(leading.store_age())).await;
+            continue;
+        }
+        is_first = false;
         let transaction = Transaction {
             expected: vec![(rows::seat(), leading.epoch.0)],
-            puts: vec![(rows::beat(), rows::encode(&beat))],
+            puts: vec![leading.beat()],
             removed: Vec::new(),
         };
         match shared.store.transact(&transaction).await {
@@ -368,7 +381,7 @@
     }
 
     fn commit(&self, commit: &Commit) {
-        let transaction = transaction(self.leading.epoch, commit);
+        let transaction = transaction(&self.leading, commit);
         let shared = Arc::clone(&self.shared);
         let leading = Arc::clone(&self.leading);
         let write = async move {
@@ -389,11 +402,12 @@
     }
 }
 
-fn transaction(epoch: Epoch, commit: &Commit) -> Transaction {
+fn transaction(leading: &Leading, commit: &Commit) -> Transaction {
     let progress = commit.progress.iter();
     let mut puts: Vec<_> = progress
         .map(|(job, progress)| (rows::progress(*job), rows::encode(progress)))
         .collect();
+    puts.push(leading.beat());
     if let Some(fleet) = &commit.fleet {
         puts.push((rows::members(), rows::encode(fleet)));
     }
@@ -405,7 +419,7 @@
         ]
     });
     Transaction {
-        expected: vec![(rows::seat(), epoch.0)],
+        expected: vec![(rows::seat(), leading.epoch.0)],
         puts,
         removed: removed.collect(),
     }
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -204,7 +204,7 @@
 
 /// Whether the store serves this entry and shows that the leader is gone, or is another one.
 async fn is_deposed(shared: &Shared, epoch: Epoch) -> bool {
-    let Ok(page) = shared.store.read(rows::LEAD, "", 8).await else {
+    let Ok(page) = shared.store.read(rows::LEAD, rows::WHOLE, "", 8).await else {
         return false;
     };
     let row = |key: &str| page.rows.iter().find(|row| row.key == key);
--- a/src/serve/rows.rs
+++ b/src/serve/rows.rs
@@ -17,6 +17,12 @@
 /// The leader and its beat.
 pub(super) const LEAD: &str = "lead";
 
+/// The part of tables that are not divided. Progress is in the part of the leader's row, on whose
+/// version each commit depends.
+pub(super) const WHOLE: &str = "";
+/// The parts of the table of jobs: a slow store does the transactions of a part one after another.
+pub(super) const JOB_PARTS: [&str; 8] = ["0", "1", "2", "3", "4", "5", "6", "7"];
+
 const ACCEPTED: char = 'j';
 const CANCELLED: char = 'c';
 const SEAT: &str = "seat";
@@ -55,27 +61,37 @@
 }
 
 pub(super) fn seat() -> Key {
-    Key::new(LEAD, SEAT)
+    Key::new(LEAD, WHOLE, SEAT)
 }
 
 pub(super) fn beat() -> Key {
-    Key::new(LEAD, BEAT)
+    Key::new(LEAD, WHOLE, BEAT)
 }
 
 pub(super) fn members() -> Key {
-    Key::new(FLEET, MEMBERS)
+    Key::new(FLEET, WHOLE, MEMBERS)
+}
+
+fn part(job: Job) -> &'static str {
+    let parts = JOB_PARTS.len() as u64;
+    JOB_PARTS[(job.0 % parts) as usize]
+}
+
+/// The parts of a table.
+pub(super) fn parts(table: &str) -> &'static [&'static str] {
+    if table == JOBS { &JOB_PARTS } else { &[WHOLE] }
 }
 
 pub(super) fn accepted(job: Job) -> Key {
-    Key::new(JOBS, format!("{ACCEPTED}{job}"))
+    Key::new(JOBS, part(job), format!("{ACCEPTED}{job}"))
 }
 
 pub(super) fn cancelled(job: Job) -> Key {
-    Key::new(JOBS, format!("{CANCELLED}{job}"))
+    Key::new(JOBS, part(job), format!("{CANCELLED}{job}"))
 }
 
 pub(super) fn progress(job: Job) -> Key {
-    Key::new(PROGRESS, job.to_string())
+    Key::new(PROGRESS, WHOLE, job.to_string())
 }
 
 /// What a row of the table of jobs is about.
--- a/src/serve/seat.rs
+++ b/src/serve/seat.rs
@@ -73,7 +73,7 @@
 }
 
 async fn look(shared: &Shared, turned_away: u32) -> Result<Found, Error> {
-    let page = shared.store.read(rows::LEAD, "", 8).await?;
+    let page = shared.store.read(rows::LEAD, rows::WHOLE, "", 8).await?;
     let row = |key: &str| page.rows.iter().find(|row| row.key == key);
     let seat_row = row(&rows::seat().key);
     let beat_row = row(&rows::beat().key);
