--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -11,6 +11,7 @@
 use crate::message::Order;
 use crate::message::Place;
 use crate::message::Running;
+use crate::pace;
 use crate::task::Phase;
 
 /// A press of a filling run on a serving one, as a logarithm, below which it is not paced.
@@ -146,6 +147,7 @@
         let load = filling.load.max(asked);
         serving
             .iter()
+            .filter(|serving| serving.tail / serving.limit > pace::CALM)
             .any(|serving| self.model.press(serving.image, filling.image) * load > HARMLESS)
     }
 
--- a/crates/scheduler/src/pace.rs
+++ b/crates/scheduler/src/pace.rs
@@ -6,7 +6,7 @@
 use decision::clock::Ms;
 
 /// Below this tail, as a share of the limit, the share of the tasks rises.
-const CALM: f64 = 0.7;
+pub const CALM: f64 = 0.7;
 /// Above this tail, as a share of the limit, the share of the tasks falls.
 const NEAR: f64 = 0.88;
 /// Above this tail, as a share of the limit, the share of the tasks falls to the least.
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -30,7 +30,7 @@
 const PRESS_POINTS: f64 = 900.0;
 /// The bonus of a worker for a serving task beside others of its image, in points for each: images
 /// that suffer from the same filling work are kept together.
-const SAME_IMAGE_POINTS: i64 = 120;
+const SAME_IMAGE_POINTS: i64 = 500;
 /// How far below its limit a tail is expected to stay, as a logarithm.
 const TAIL_MARGIN: f64 = 0.4;
 
