--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -4,8 +4,10 @@
 
 use crate::leader::AGENT_PATIENCE;
 
-/// The longest wait of a look for an end.
-const WAIT: Ms = Ms(1_000);
+/// What runs is told to the leader in this interval, so that no look waits for an end for longer.
+pub const REPORT: Ms = Ms(800);
+/// The shortest wait of a look for an end.
+const LEAST_WAIT: Ms = Ms(50);
 /// The wait of a look before the worker's clock is known.
 const FIRST_WAIT: Ms = Ms::ZERO;
 
@@ -41,12 +43,16 @@
         }
     }
 
-    /// The next look. A silent worker is asked without a renewal, so that its lease ends at a time
+    /// The next look, after what runs was told at `told`. A silent worker is asked without a renewal, so that its lease ends at a time
     /// that the leader knows.
     #[must_use]
-    pub fn plan(&self, now: Ms, heard: Ms) -> Plan {
+    pub fn plan(&self, now: Ms, heard: Ms, told: Ms) -> Plan {
         let deadline = self.deadline(now, heard);
-        let wait = if deadline.is_some() { WAIT } else { FIRST_WAIT };
+        let wait = if deadline.is_some() {
+            (told + REPORT).since(now).max(LEAST_WAIT)
+        } else {
+            FIRST_WAIT
+        };
         Plan { deadline, wait }
     }
 
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -154,6 +154,8 @@
     pub strikes: u32,
     /// No new tasks before this time.
     pub avoid_until: Ms,
+    /// Serving tasks are over their limits, so that it takes no new filling tasks.
+    pub is_halted: bool,
 }
 
 impl Worker {
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -515,7 +515,6 @@
         self.repeat_stops(now);
         self.expire_leases(now);
         self.drop_old_jobs();
-        self.protect_serving(now);
         self.move_from_draining(now);
     }
 
--- a/crates/scheduler/src/leader/drain.rs
+++ b/crates/scheduler/src/leader/drain.rs
@@ -52,7 +52,7 @@
     }
 
     /// The claim of a run that loses little when it is stopped.
-    fn movable(&mut self, id: Task, run: Run) -> Option<Claim> {
+    pub(super) fn movable(&mut self, id: Task, run: Run) -> Option<Claim> {
         let job = self.jobs.get_mut(&id.step.job)?;
         let claim = job.claim(id.step.step)?;
         let saves = job.step_spec(id.step.step)?.has_checkpoints;
@@ -62,7 +62,8 @@
         (is_running && is_cheap).then_some(claim)
     }
 
-    fn find_room(&self, now: Ms, claim: &Claim, id: Task) -> Option<Name> {
+    /// The best worker for a task now.
+    pub(super) fn find_room(&self, now: Ms, claim: &Claim, id: Task) -> Option<Name> {
         let job = self.jobs.get(&id.step.job)?;
         let queue = self.config.queue(&job.queue)?;
         let wish = Wish {
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -108,6 +108,8 @@
             };
             let run = self.next_run();
             let Some(worker) = self.book_best(now, wish, task, run, None) else {
+                // The number was not used.
+                self.runs -= 1;
                 break;
             };
             chosen.push((task, run, worker));
--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -12,12 +12,15 @@
 use crate::message::Place;
 use crate::message::Running;
 use crate::pace;
-use crate::task::Phase;
 
 /// A press of a filling run on a serving one, as a logarithm, below which it is not paced.
 const HARMLESS: f64 = 0.05;
 /// What filling runs add to a tail, as a logarithm, below which it is not theirs.
 const PRESSED: f64 = 0.1;
+/// The share, in percent, at which a run is moved rather than slowed further.
+const MOVE_SHARE: u8 = 30;
+/// The most runs moved after one look.
+const MAX_MOVES: usize = 2;
 /// What a full lasting task reports as its progress, in percent.
 const AT_WORK: u8 = 100;
 
@@ -42,21 +45,27 @@
     pub(super) fn note_figures(&mut self, now: Ms, name: &Name, running: &[Running]) {
         let (serving, filling) = self.sort_figures(name, running);
         self.learn_figures(&serving, &filling);
+        if serving.is_empty() || filling.is_empty() {
+            self.pacers.remove(name);
+            self.halt(name, false);
+            return self.set_paces(name, &filling, |_| 100, 0.0);
+        }
+        let of_limit = |serving: &Serving| serving.tail / serving.limit;
+        let worst = serving.iter().map(of_limit).fold(0.0, f64::max);
         // A tail that no filling run presses rises with its own load, and pacing does not help.
-        let worst = serving
+        let pressed = serving
             .iter()
             .filter(|serving| self.pressed(serving, &filling) > PRESSED)
-            .map(|serving| serving.tail / serving.limit)
+            .map(of_limit)
             .fold(0.0, f64::max);
-        if serving.is_empty() || filling.is_empty() {
-            self.pacers.remove(name);
-            return self.set_paces(name, &filling, |_| 100, worst);
+        let pacer = self.pacers.entry(name.clone()).or_default();
+        let is_halted = pacer.guard(now, worst);
+        let share = pacer.update(now, pressed);
+        self.halt(name, is_halted);
+        if is_halted {
+            self.set_paces(name, &filling, |_| 0, worst);
+            return self.move_slowed(now, name, &filling);
         }
-        let share = self
-            .pacers
-            .entry(name.clone())
-            .or_default()
-            .update(now, worst);
         let size = f64::from(self.size_of(name));
         let harmful: Vec<bool> = filling
             .iter()
@@ -71,6 +80,48 @@
             }
         };
         self.set_paces(name, &filling, pace, worst);
+        if share <= MOVE_SHARE {
+            self.move_slowed(now, name, &filling);
+        }
+    }
+
+    /// Moves runs that have been slowed down to where they press nobody: a step waits for its
+    /// slowest task.
+    fn move_slowed(&mut self, now: Ms, name: &Name, filling: &[Filling]) {
+        let slowed = filling
+            .iter()
+            .filter(|filling| filling.share.is_some_and(|share| share <= MOVE_SHARE));
+        let slowed: Vec<(Task, Run)> = slowed.map(|filling| (filling.task, filling.run)).collect();
+        let mut moved = 0;
+        for (task, run) in slowed {
+            let Some(claim) = self.movable(task, run) else {
+                continue;
+            };
+            let Some(target) = self.find_room(now, &claim, task) else {
+                continue;
+            };
+            if target == *name || moved >= MAX_MOVES {
+                continue;
+            }
+            moved += 1;
+            self.log(format!(
+                "kind=move task={task} run={run} from={name} to={target}"
+            ));
+            self.stop_run(now, task, run, "slowed-for-serving");
+        }
+    }
+
+    /// Keeps new filling runs away from a worker whose serving tasks are over their limits.
+    fn halt(&mut self, name: &Name, is_halted: bool) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if worker.is_halted != is_halted {
+            worker.is_halted = is_halted;
+            self.log(format!(
+                "kind=filling-halted worker={name} halted={is_halted}"
+            ));
+        }
     }
 
     fn sort_figures(&self, name: &Name, running: &[Running]) -> (Vec<Serving>, Vec<Filling>) {
@@ -202,47 +253,4 @@
         };
         self.send(&agent, Order::Pace(place, share));
     }
-
-    /// Stops filling runs where pacing alone did not help in time.
-    pub(super) fn protect_serving(&mut self, now: Ms) {
-        let limit = Ms(self.bounds.harm.0 / 2);
-        let harmed: Vec<Name> = self
-            .pacers
-            .iter()
-            .filter(|(_, pacer)| pacer.is_over_for(now, limit))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in harmed {
-            if let Some(pacer) = self.pacers.get_mut(&name) {
-                pacer.restart(now);
-            }
-            for (task, run) in self.pressing_runs(&name) {
-                self.stop_run(now, task, run, "serving-tail-over-limit");
-            }
-        }
-    }
-
-    /// The filling runs that press a serving run on a worker.
-    fn pressing_runs(&self, name: &Name) -> Vec<(Task, Run)> {
-        let Some(worker) = self.workers.get(name) else {
-            return Vec::new();
-        };
-        let is_pressing = |task: &Task, run: &Run| {
-            let job = self.jobs.get(&task.step.job)?;
-            let claim = job.claim(task.step.step)?;
-            let steps = job.occurrences.get(&task.step.occurrence)?;
-            let state = steps.get(usize::from(task.step.step))?;
-            let state = state.tasks.get(task.index as usize)?;
-            let active = state.runs.iter().find(|active| active.run == *run)?;
-            let presses = worker
-                .servers
-                .keys()
-                .any(|&serving| self.model.press(serving, claim.image) > 1.0);
-            Some(claim.kind == Kind::Filling && active.phase == Phase::Running && presses)
-        };
-        let runs = worker.runs.iter();
-        runs.filter(|(task, run)| is_pressing(task, run).unwrap_or_default())
-            .copied()
-            .collect()
-    }
 }
--- a/crates/scheduler/src/pace.rs
+++ b/crates/scheduler/src/pace.rs
@@ -18,12 +18,20 @@
 /// The least time between two changes: a figure covers the last half second.
 const SETTLE: Ms = Ms(600);
 
+/// How long a tail may be over its limit until all filling tasks halt.
+const HALT_AFTER: Ms = Ms(1_000);
+/// After a halt of this length a tail that is still over its limit has another cause.
+const HALT: Ms = Ms(2_200);
+
 /// The pace of one worker.
 #[derive(Clone, Debug)]
 pub struct Pacer {
     share: u8,
     changed: Ms,
     over_since: Option<Ms>,
+    halted_since: Option<Ms>,
+    /// A halt has shown that the filling tasks are not the cause.
+    is_cleared: bool,
 }
 
 impl Default for Pacer {
@@ -32,18 +40,16 @@
             share: 100,
             changed: Ms::ZERO,
             over_since: None,
+            halted_since: None,
+            is_cleared: false,
         }
     }
 }
 
 impl Pacer {
-    /// Takes in the worst tail on the worker as a share of its limit, and returns the share.
+    /// Takes in the worst tail that is believed to be pressed, as a share of its limit, and returns
+    /// the share for the tasks that press it.
     pub fn update(&mut self, now: Ms, tail: f64) -> u8 {
-        if tail < OVER {
-            self.over_since = None;
-        } else if self.over_since.is_none() {
-            self.over_since = Some(now);
-        }
         if now.since(self.changed) < SETTLE {
             return self.share;
         }
@@ -63,15 +69,32 @@
         share
     }
 
-    /// Whether the tail has been over its limit for this long.
-    #[must_use]
-    pub fn is_over_for(&self, now: Ms, limit: Ms) -> bool {
-        self.over_since
-            .is_some_and(|since| now.since(since) >= limit)
-    }
-
-    /// Counts the time over the limit from now on.
-    pub const fn restart(&mut self, now: Ms) {
-        self.over_since = Some(now);
+    /// Takes in the worst tail of all, as a share of its limit, and returns whether all filling
+    /// tasks shall halt: what is believed of their presses may be wrong.
+    pub fn guard(&mut self, now: Ms, tail: f64) -> bool {
+        // A figure is rough: one just below the limit does not end the time over it.
+        if tail < NEAR {
+            self.over_since = None;
+            self.is_cleared = false;
+            if self.halted_since.take().is_some() {
+                self.share = LEAST_SHARE;
+                self.changed = now;
+            }
+            return false;
+        }
+        let over_since = *self.over_since.get_or_insert(now);
+        match self.halted_since {
+            Some(since) if now.since(since) >= HALT => {
+                self.halted_since = None;
+                self.is_cleared = true;
+                false
+            }
+            Some(_) => true,
+            None if self.is_cleared || now.since(over_since) < HALT_AFTER => false,
+            None => {
+                self.halted_since = Some(now);
+                true
+            }
+        }
     }
 }
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -99,7 +99,8 @@
         }
     }
     let idle = idle_millicores(listing, worker);
-    if wish.spec.is_filling && idle < i64::from(wish.claim.millicores) {
+    let is_crowded = worker.is_halted || idle < i64::from(wish.claim.millicores);
+    if wish.spec.is_filling && is_crowded {
         return None;
     }
     let mut points = idle * 1_000 / i64::from(listing.size.millicores.max(1));
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -692,7 +692,7 @@
         else {
             return;
         };
-        let plan = watch.lease.plan(Ms(now), Ms(now));
+        let plan = watch.lease.plan(Ms(now), Ms(now), Ms(now));
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -13,6 +13,7 @@
 use decision::clock::Ms;
 use decision::name::Name;
 use scheduler::agent::Lease;
+use scheduler::agent::REPORT;
 use scheduler::id::Epoch;
 use scheduler::leader::AGENT_PATIENCE;
 use scheduler::message::Look;
@@ -36,8 +37,6 @@
 const RETRY: Ms = Ms(200);
 /// The longest wait for the leader to acknowledge ends before the next look.
 const ACKNOWLEDGE: Ms = Ms(250);
-/// What runs is told at least in this interval.
-const REPORT: Ms = Ms(900);
 
 /// A worker that this agent watches. Each lock is taken for a moment, alone, and never over I/O.
 pub(super) struct Watched {
@@ -186,7 +185,7 @@
         }
         let plan = {
             let mut lease = lock(&self.lease);
-            let plan = lease.plan(asked, heard);
+            let plan = lease.plan(asked, heard, *told);
             if plan.deadline.is_some() {
                 lease.renew(asked);
             }
