Play entries as real processes against a stand-in of the platform

A store with transactions and feeds and workers by the platform's rules, on loopback; entries are killed in turn, stopped, told to reload; jobs are handed in twice and cancelled.

--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -1,6 +1,7 @@
 //! Which agent watches which worker.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use decision::clock::Ms;
 use decision::name::Name;
@@ -67,7 +68,7 @@
             (Some(old), Some(new)) if old.born != new.born => Some("reborn"),
             _ => None,
         };
-        let address = |listing: &Option<Listing>| listing.as_ref().map(|l| l.address.clone());
+        let address = |listing: &Option<Listing>| listing.as_ref().map(|l| Arc::clone(&l.address));
         let has_moved = listing.is_some() && address(&worker.listing) != address(&listing);
         if let Some(listing) = &listing {
             worker.was_draining = listing.is_draining;
@@ -135,7 +136,7 @@
         listed.or(stored.map(|member| &member.domain)).cloned()
     }
 
-    fn address_of(&self, name: &Name, worker: &Worker) -> Option<std::sync::Arc<str>> {
+    fn address_of(&self, name: &Name, worker: &Worker) -> Option<Arc<str>> {
         let listed = worker.listing.as_ref().map(|listing| &listing.address);
         let stored = self.fleet.iter().find(|member| member.worker == *name);
         listed.or(stored.map(|member| &member.address)).cloned()
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -1,6 +1,7 @@
 //! Group commit of progress.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use decision::clock::Ms;
 
@@ -103,7 +104,7 @@
             match &worker.listing {
                 Some(listing) => Some(Member {
                     worker: name.clone(),
-                    address: listing.address.clone(),
+                    address: Arc::clone(&listing.address),
                     domain: listing.domain.clone(),
                 }),
                 None => known.cloned(),
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -1,6 +1,7 @@
 //! Starts waiting tasks, the most urgent first.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use decision::clock::Ms;
 use decision::name::Name;
@@ -242,7 +243,7 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
             return;
         };
-        let payload = job.spec.payload.clone();
+        let payload = Arc::clone(&job.spec.payload);
         if let Some(step) = job.step(id.step) {
             step.startable.remove(&id.index);
         }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -69,6 +69,9 @@
     }
 }
 
+/// A configuration and its form in the store.
+type InForce = (Arc<Config>, Arc<[u8]>);
+
 /// What the tasks of an entry share. Each lock is taken for a moment, alone, and never over I/O.
 struct Shared {
     options: Options,
@@ -78,7 +81,7 @@
     store: Store,
     workers: worker::Client,
     /// The configuration in force, with its form in the store.
-    config: Mutex<Option<(Arc<Config>, Arc<[u8]>)>>,
+    config: Mutex<Option<InForce>>,
     /// Whether the store serves this entry.
     is_stored: AtomicBool,
     /// Follows the beat of the leader in the store.
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -171,13 +171,16 @@
 pub(super) async fn follow_workers(shared: Arc<Shared>, inputs: Sender<Input>) {
     let mut follower = Follower::new(&shared, directory::TABLE);
     let mut listed: BTreeSet<Name> = BTreeSet::new();
-    let tell = |name: Name, listing| inputs.try_send(Input::Event(Event::Listed(name, listing)));
+    let tell = |name: Name, listing| {
+        let event = Event::Listed(name, listing);
+        inputs.try_send(Input::Event(event)).is_ok()
+    };
     loop {
         let mut rows = follower.read_all().await;
         let names = rows.iter().filter_map(|row| worker_name(&row.key));
         let found: BTreeSet<Name> = names.collect();
         for gone in listed.difference(&found) {
-            if tell(gone.clone(), None).is_err() {
+            if !tell(gone.clone(), None) {
                 return;
             }
         }
@@ -201,7 +204,7 @@
                 if listing.is_some() {
                     listed.insert(name.clone());
                 }
-                if tell(name, listing).is_err() {
+                if !tell(name, listing) {
                     return;
                 }
             }
--- /dev/null
+++ b/tests/serve/main.rs
@@ -0,0 +1,157 @@
+//! Entries as real processes against a stand-in that speaks the platform's protocol.
+
+mod fleet;
+mod store;
+#[allow(
+    dead_code,
+    reason = "the world in virtual time uses more of this worker"
+)]
+#[path = "../../crates/scheduler/tests/world/worker.rs"]
+mod worker;
+
+use fleet::Entry;
+use fleet::Fleet;
+use fleet::wait;
+
+const JOB: &str = r#"{"taskSpec":"x","steps":[
+    {"count":6,"cpu":500,"memMb":100,"estimateMs":150},
+    {"count":3,"cpu":500,"memMb":100,"estimateMs":150,"after":[0]}]}"#;
+const LASTING: &str = r#"{"taskSpec":"x","steps":[
+    {"count":2,"cpu":500,"memMb":100,"estimateMs":150,"longRunning":true}]}"#;
+
+fn start(fleet: &Fleet, names: &[&str]) -> Vec<Entry> {
+    let entries: Vec<Entry> = names.iter().map(|name| fleet.entry(name)).collect();
+    for entry in &entries {
+        wait("readiness", 5_000, || {
+            fleet.send(entry.ready, "GET", "/readiness", "").0 == 200
+        });
+    }
+    entries
+}
+
+#[test]
+fn a_job_runs_through_any_entry_once() {
+    let fleet = Fleet::start(3);
+    let entries = start(&fleet, &["a", "b", "c"]);
+    let path = "/q/00000000000000a1";
+    assert_eq!(fleet.send(entries[0].customer, "POST", path, JOB).0, 200);
+    assert_eq!(fleet.send(entries[1].customer, "POST", path, JOB).0, 200);
+    wait("completion", 10_000, || {
+        fleet.state(entries[2].customer, "00000000000000a1") == "completed"
+    });
+    assert_eq!(fleet.send(entries[0].customer, "POST", path, JOB).0, 200);
+    let done: Vec<u32> = fleet
+        .floor
+        .lock()
+        .expect("no panic")
+        .done
+        .values()
+        .copied()
+        .collect();
+    assert_eq!(done, [1; 9]);
+    fleet.assert_kept();
+}
+
+#[test]
+fn requests_that_cannot_be_served_say_so() {
+    let fleet = Fleet::start(1);
+    let entries = start(&fleet, &["a"]);
+    let cases = [
+        ("GET", "/q/00000000000000ff", "", 410),
+        ("DELETE", "/q/00000000000000ff", "", 410),
+        ("GET", "/none/00000000000000ff", "", 404),
+        ("POST", "/none/00000000000000ff", JOB, 404),
+        ("POST", "/q/not-a-job", JOB, 400),
+        ("POST", "/q/00000000000000ff", "{", 400),
+        ("PUT", "/q/00000000000000ff", JOB, 405),
+        ("GET", "/q/", "", 200),
+    ];
+    for (method, path, body, status) in cases {
+        let found = fleet.send(entries[0].customer, method, path, body).0;
+        assert_eq!(found, status, "{method} {path}");
+    }
+}
+
+#[test]
+fn a_cancelled_job_leaves_its_workers() {
+    let fleet = Fleet::start(2);
+    fleet.floor.lock().expect("no panic").lasts = true;
+    let entries = start(&fleet, &["a", "b"]);
+    let path = "/q/00000000000000b2";
+    let running = || {
+        let floor = fleet.floor.lock().expect("no panic");
+        floor
+            .workers
+            .values()
+            .map(|worker| worker.busy.len())
+            .sum::<usize>()
+    };
+    assert_eq!(
+        fleet.send(entries[0].customer, "POST", path, LASTING).0,
+        200
+    );
+    wait("both tasks", 5_000, || running() == 2);
+    assert_eq!(fleet.send(entries[1].customer, "DELETE", path, "").0, 200);
+    wait("the end of both tasks", 3_000, || running() == 0);
+    wait("the stage", 2_000, || {
+        fleet.state(entries[0].customer, "00000000000000b2") == "cancelled"
+    });
+    fleet.assert_kept();
+}
+
+#[test]
+fn jobs_complete_although_each_entry_is_killed_in_turn() {
+    let fleet = Fleet::start(3);
+    let mut entries = start(&fleet, &["a", "b", "c"]);
+    let ids: Vec<String> = (1..=9)
+        .map(|index| format!("00000000000000c{index}"))
+        .collect();
+    for (index, id) in ids.iter().enumerate() {
+        let to = entries[index % 3].customer;
+        assert_eq!(
+            fleet.send(to, "POST", &format!("/q/{id}"), JOB).0,
+            200,
+            "{id}"
+        );
+    }
+    for (index, name) in ["a", "b", "c"].into_iter().enumerate() {
+        entries[index].signal("-KILL");
+        assert!(entries[index].wait().is_none());
+        entries[index] = fleet.entry(name);
+        let ready = entries[index].ready;
+        wait("readiness", 5_000, || {
+            fleet.send(ready, "GET", "/readiness", "").0 == 200
+        });
+    }
+    for id in &ids {
+        wait("completion", 30_000, || {
+            fleet.state(entries[0].customer, id) == "completed"
+        });
+    }
+    fleet.assert_kept();
+}
+
+#[test]
+fn signals_reload_and_stop_an_entry() {
+    let fleet = Fleet::start(1);
+    let mut entries = start(&fleet, &["a", "b"]);
+    entries[0].signal("-HUP");
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    assert!(!entries[0].has_ended());
+    fleet.configure(2);
+    entries[0].signal("-TERM");
+    let ready = entries[0].ready;
+    wait("to be out of rotation", 1_000, || {
+        fleet.send(ready, "GET", "/readiness", "").0 == 503
+    });
+    wait("the end", 6_000, || entries[0].has_ended());
+    assert_eq!(entries[0].wait(), Some(0));
+    let path = "/q/00000000000000d4";
+    wait("the other entry", 5_000, || {
+        fleet.send(entries[1].customer, "POST", path, JOB).0 == 200
+    });
+    wait("completion", 10_000, || {
+        fleet.state(entries[1].customer, "00000000000000d4") == "completed"
+    });
+    fleet.assert_kept();
+}
