--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -108,7 +108,7 @@
     pub async fn answer(&self, path: &str, query: &str, body: &Value) -> (StatusCode, Value) {
         let parameter = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            let found = pairs
+            let mut found = pairs
                 .filter(|(key, _)| *key == name)
                 .map(|(_, value)| value);
             found.next().unwrap_or_default().to_owned()
