Refuse at once where there is no way to the store

Change: an entry that the store does not serve tries nothing and refuses, which is then true; two writes without an answer count as a silent store. Test with real processes and a silent store.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -20,6 +20,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -54,6 +55,9 @@
 /// Left of the time to stop for closing connections.
 const STOP_MARGIN: Ms = Ms(1_500);
 
+/// Writes in a row without an answer after which the store counts as silent.
+const MAX_UNANSWERED: u32 = 2;
+
 quick_error! {
     /// Why an entry cannot run, or a connection between entries ended.
     #[derive(Debug)]
@@ -84,6 +88,8 @@
     config: Mutex<Option<InForce>>,
     /// Whether the store serves this entry.
     is_stored: AtomicBool,
+    /// Writes for customers in a row that had no answer.
+    unanswered: AtomicU32,
     /// Follows the beat of the leader in the store.
     observer: Mutex<Observer>,
     agent: Agent,
@@ -107,6 +113,7 @@
             workers: worker::Client::new(pool),
             config: Mutex::default(),
             is_stored: AtomicBool::new(true),
+            unanswered: AtomicU32::new(0),
             observer: Mutex::default(),
             agent: Agent::default(),
             leading: Mutex::default(),
@@ -172,6 +179,16 @@
         }
     }
 
+    /// Notes whether a write for a customer had an answer. Several without one in a row show that
+    /// the store is silent before the feeds do.
+    fn note_write(&self, is_answered: bool) {
+        if is_answered {
+            self.unanswered.store(0, Ordering::SeqCst);
+        } else if self.unanswered.fetch_add(1, Ordering::SeqCst) + 1 >= MAX_UNANSWERED {
+            self.note_store(false);
+        }
+    }
+
     /// Whether the store serves this entry.
     fn is_stored(&self) -> bool {
         self.is_stored.load(Ordering::SeqCst)
--- a/src/serve/keep.rs
+++ b/src/serve/keep.rs
@@ -16,25 +16,24 @@
 const RELAY: Duration = Duration::from_millis(1_000);
 
 /// Makes a write durable. The leader is asked when the store does not serve this entry; to write
-/// twice has no further effect.
+/// twice has no further effect. Without a way to the store nothing is tried, so that the refusal
+/// is true.
 pub(super) async fn keep(shared: &Shared, request: Request) -> Storage {
     if shared.is_stored() {
         return write(shared, &request).await;
     }
-    match relay(shared, request.clone()).await {
-        Some(relayed @ (Storage::Done | Storage::Again)) => relayed,
-        Some(relayed) => either(relayed, write(shared, &request).await),
-        None => write(shared, &request).await,
+    if shared.leading().is_some() {
+        return Storage::Refused;
     }
+    relay(shared, request).await.unwrap_or(Storage::Refused)
 }
 
-/// What is known of a write that was tried in two ways.
-const fn either(first: Storage, second: Storage) -> Storage {
-    match (first, second) {
-        (Storage::Done | Storage::Again, _) => first,
-        (_, Storage::Done | Storage::Again) => second,
-        (Storage::Refused, Storage::Refused) => Storage::Refused,
-        _ => Storage::Unknown,
+/// Makes a write for an agent that the store does not serve.
+pub(super) async fn write_for(shared: &Shared, request: &Request) -> Storage {
+    if shared.is_stored() {
+        write(shared, request).await
+    } else {
+        Storage::Refused
     }
 }
 
@@ -50,7 +49,7 @@
 }
 
 /// Writes to the store.
-pub(super) async fn write(shared: &Shared, request: &Request) -> Storage {
+async fn write(shared: &Shared, request: &Request) -> Storage {
     let transaction = match request {
         Request::Accept(job, accepted) => Transaction {
             expected: vec![(rows::accepted(*job), 0)],
@@ -63,7 +62,9 @@
             removed: Vec::new(),
         },
     };
-    match shared.store.transact(&transaction).await {
+    let result = shared.store.transact(&transaction).await;
+    shared.note_write(!matches!(result, Err(store::Error::Unknown(_))));
+    match result {
         Ok(_) => Storage::Done,
         Err(store::Error::Conflict(_)) => Storage::Again,
         Err(store::Error::Refused(cause)) => {
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -374,7 +374,7 @@
         let shared = Arc::clone(&self.shared);
         let leading = Arc::clone(&self.leading);
         let write = async move {
-            let storage = keep::write(&shared, &request).await;
+            let storage = keep::write_for(&shared, &request).await;
             leading.send(Input::Stored(entry, number, storage));
         };
         self.shared.spawner.spawn(write).detach();
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -155,3 +155,35 @@
     });
     fleet.assert_kept();
 }
+
+#[test]
+fn a_silent_store_means_quick_and_true_refusals() {
+    let fleet = Fleet::start(2);
+    let entries = start(&fleet, &["a", "b"]);
+    fleet.store.silence(true);
+    let mut refused = Vec::new();
+    wait("refusals", 15_000, || {
+        let id = format!("00000000000000e{}", refused.len() % 10);
+        let begun = std::time::Instant::now();
+        let (status, _) = fleet.send(entries[0].customer, "POST", &format!("/q/{id}"), JOB);
+        let is_quick = begun.elapsed().as_millis() < 500;
+        refused.push((id, status));
+        status == 503 && is_quick
+    });
+    let (last, _) = refused.pop().expect("a refusal");
+    fleet.store.silence(false);
+    let path = "/q/00000000000000ef";
+    wait("service", 10_000, || {
+        fleet.send(entries[1].customer, "POST", path, JOB).0 == 200
+    });
+    wait("completion", 10_000, || {
+        fleet.state(entries[1].customer, "00000000000000ef") == "completed"
+    });
+    assert_eq!(
+        fleet
+            .send(entries[1].customer, "GET", &format!("/q/{last}"), "")
+            .0,
+        410
+    );
+    fleet.assert_kept();
+}
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -26,6 +28,7 @@
 pub struct Store {
     state: Arc<Mutex<State>>,
     begun: Instant,
+    is_silent: Arc<AtomicBool>,
 }
 
 fn text(value: &Value, name: &str) -> String {
@@ -45,9 +48,15 @@
         Self {
             state: Arc::default(),
             begun: Instant::now(),
+            is_silent: Arc::default(),
         }
     }
 
+    /// Answers no call, or answers again.
+    pub fn silence(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::SeqCst);
+    }
+
     /// Writes a row as the operator or a worker does.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let mut state = self.state.lock().expect("no panic");
@@ -106,6 +115,9 @@
 
     /// Answers a call.
     pub async fn answer(&self, path: &str, query: &str, body: &Value) -> (StatusCode, Value) {
+        while self.is_silent.load(Ordering::SeqCst) {
+            Timer::after(Duration::from_millis(20)).await;
+        }
         let parameter = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             let mut found = pairs
