--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -9,19 +9,26 @@
 use super::print;
 use crate::cli;
 use crate::cli::Parsed;
+use crate::serve::options::Options;
+use crate::settings;
 use crate::settings::Settings;
 
 /// Help on this command.
 pub const HELP: &str = "\
 Usage: samphiretrail check --settings FILE
 
-Checks a settings file and starts nothing. An error names file, line and key.
+Checks a settings file of `entry`, or of `serve` (which has a section bounds),
+and starts nothing. An error names file, line and key.
 
 Options:
-      --settings FILE  Settings in INI form; docs/example.ini shows all keys
+      --settings FILE  Settings in INI form; docs/example.ini and
+                       deploy/settings.ini show all keys
   -h, --help           Show this help
 ";
 
+/// The section that only settings of `serve` have.
+const BOUNDS: &str = "[bounds]";
+
 /// The command `check`.
 #[derive(Debug)]
 pub struct Check {
@@ -38,6 +45,11 @@
 
 impl Run for Check {
     fn run(&self) -> Result<(), Error> {
+        let text = settings::read_text(&self.file)?;
+        if text.lines().any(|line| line.trim() == BOUNDS) {
+            let options = Options::load(&self.file)?;
+            return print(&format!("ok {options}\n"));
+        }
         let settings = Settings::load(&self.file)?;
         print(&format!("ok entry={}\n", settings.entry.name))
     }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -6,6 +6,7 @@
 mod feeds;
 mod frame;
 mod front;
+mod gauge;
 mod keep;
 mod lead;
 mod logbook;
@@ -15,6 +16,7 @@
 mod seat;
 mod watch;
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -41,6 +43,7 @@
 use smol::net::TcpListener;
 
 use self::agent::Agent;
+use self::gauge::Gauge;
 use self::lead::Leading;
 use self::options::Options;
 
@@ -93,12 +96,13 @@
     /// Follows the beat of the leader in the store.
     observer: Mutex<Observer>,
     agent: Agent,
+    gauge: Gauge,
     leading: Mutex<Option<Arc<Leading>>>,
     is_stopping: AtomicBool,
 }
 
 impl Shared {
-    fn new(options: Options) -> Self {
+    fn new(options: Options) -> Result<Self, Error> {
         let limits = Limits {
             connect: CONNECT,
             idle: IDLE,
@@ -106,7 +110,8 @@
             ..Limits::default()
         };
         let pool = Arc::new(Pool::new(limits));
-        Self {
+        Ok(Self {
+            gauge: Gauge::new()?,
             instance: clock::unix().0,
             spawner: Spawner::default(),
             store: Store::new(options.store, Arc::clone(&pool)),
@@ -119,7 +124,7 @@
             leading: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             options,
-        }
+        })
     }
 
     /// The configuration in force.
@@ -228,7 +233,7 @@
 /// When it cannot start.
 pub fn run(file: &Path, options: Options) -> Result<(), Error> {
     logbook::start(&options.name, options.log)?;
-    let shared = Arc::new(Shared::new(options));
+    let shared = Arc::new(Shared::new(options)?);
     let spawner = Arc::clone(&shared.spawner);
     smol::block_on(spawner.run(serve(file, shared)))
 }
@@ -245,7 +250,7 @@
         options.failure_domain,
         options.store
     );
-    let listen = async |address: std::net::SocketAddr| {
+    let listen = async |address: SocketAddr| {
         let listener = TcpListener::bind(address).await;
         listener.map_err(|error| start(&address.to_string(), &error))
     };
@@ -255,6 +260,10 @@
     } else {
         Some(front::start(&shared, listen(options.ready).await?)?)
     };
+    let _metrics = match options.metrics {
+        Some(address) => serve_metrics(&shared, address).await,
+        None => None,
+    };
     let _tasks = [
         shared.spawner.spawn(peers::accept(
             Arc::clone(&shared),
@@ -275,6 +284,23 @@
     Ok(())
 }
 
+/// Serves metrics, without which an entry works all the same.
+async fn serve_metrics(shared: &Arc<Shared>, address: SocketAddr) -> Option<Server> {
+    let listener = TcpListener::bind(address)
+        .await
+        .map_err(|error| Error::Start(error.to_string()));
+    match listener.and_then(|listener| gauge::serve(shared, listener)) {
+        Ok(server) => Some(server),
+        Err(error) => {
+            log::error!(
+                "kind=metrics-off address={address} cause={:?}",
+                error.to_string()
+            );
+            None
+        }
+    }
+}
+
 /// Reads the settings again. Addresses and bounds are fixed for the life of a process.
 fn reload(file: &Path, options: &Options) {
     match Options::load(file) {
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -59,7 +59,7 @@
         return ready(shared);
     }
     let Some(config) = shared.config() else {
-        return turn_away("no-config", "-");
+        return turn_away(shared, "no-config", "-");
     };
     let path = request.uri().path().to_owned();
     let host = request.headers().get(HOST);
@@ -94,7 +94,7 @@
 
 fn count(shared: &Shared, queue: &Queue) -> Answer {
     let Some(beat) = shared.agent.beat() else {
-        return turn_away("no-leader", &queue.name);
+        return turn_away(shared, "no-leader", &queue.name);
     };
     let found = beat.waiting.iter().find(|(name, _)| *name == queue.name);
     json(front::encode_waiting(found.map_or(0, |(_, count)| *count)))
@@ -129,14 +129,16 @@
     };
     let begun = clock::now();
     let storage = keep::keep(shared, Write::Accept(job, accepted)).await;
-    let ms = clock::now().since(begun).0;
+    let time = clock::now().since(begun);
+    shared.gauge.submission(storage, time);
+    let ms = time.0;
     log::info!(
         "kind=job-submitted job={job} queue={} ms={ms} outcome={storage:?}",
         queue.name
     );
     match storage {
         Storage::Done | Storage::Again => plain(StatusCode::OK),
-        Storage::Refused => turn_away("store-refused", &queue.name),
+        Storage::Refused => turn_away(shared, "store-refused", &queue.name),
         Storage::Unknown => plain(StatusCode::GATEWAY_TIMEOUT),
     }
 }
@@ -177,7 +179,7 @@
         }
         Err(error) => {
             log::warn!("kind=stage-unknown job={job} cause={:?}", error.to_string());
-            turn_away("stage-unknown", "-")
+            turn_away(shared, "stage-unknown", "-")
         }
     }
 }
@@ -192,19 +194,20 @@
                 "kind=cancel-unknown job={job} cause={:?}",
                 error.to_string()
             );
-            return turn_away("stage-unknown", "-");
+            return turn_away(shared, "stage-unknown", "-");
         }
     }
     let storage = keep::keep(shared, Write::Cancel(job)).await;
     log::info!("kind=cancel-submitted job={job} outcome={storage:?}");
     match storage {
         Storage::Done | Storage::Again => plain(StatusCode::OK),
-        Storage::Refused => turn_away("store-refused", "-"),
+        Storage::Refused => turn_away(shared, "store-refused", "-"),
         Storage::Unknown => plain(StatusCode::GATEWAY_TIMEOUT),
     }
 }
 
-fn turn_away(reason: &str, queue: &str) -> Answer {
+fn turn_away(shared: &Shared, reason: &'static str, queue: &str) -> Answer {
+    shared.gauge.refusal(reason);
     log::info!("kind=request-refused queue={queue} reason={reason}");
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
     let value = http::HeaderValue::from_static(RETURN_AFTER);
--- /dev/null
+++ b/src/serve/gauge.rs
@@ -0,0 +1,133 @@
+//! Counters and histograms of an entry on the users' platform, in Prometheus text.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use decision::clock::Ms;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use link::server::Limits;
+use link::server::Server;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use scheduler::message::Storage;
+use smol::net::TcpListener;
+
+use super::Error;
+use super::Shared;
+
+/// Upper bounds of the histograms, in ms.
+const BOUNDS: [f64; 9] = [2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 1_000.0, 5_000.0];
+
+/// The instruments of an entry.
+pub(super) struct Gauge {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    submissions: Counter<u64>,
+    starts: Counter<u64>,
+    ends: Counter<u64>,
+    refusals: Counter<u64>,
+    leads: Counter<u64>,
+    feeds_lost: Counter<u64>,
+    writes: Histogram<f64>,
+    looks: Histogram<f64>,
+}
+
+impl Gauge {
+    /// Fresh instruments.
+    pub(super) fn new() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|error| Error::Start(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("samphiretrail");
+        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
+        let histogram = |name, about| {
+            let builder = meter.f64_histogram(name).with_description(about);
+            builder.with_boundaries(BOUNDS.into()).build()
+        };
+        Ok(Self {
+            submissions: counter("submissions", "Submitted and cancelled jobs by outcome"),
+            starts: counter("starts", "Orders to start by outcome"),
+            ends: counter("ends", "Ends of runs that workers listed, by how"),
+            refusals: counter("refusals", "Requests of customers refused, by reason"),
+            leads: counter("leads", "Times that this entry became the leader"),
+            feeds_lost: counter("feeds_lost", "Feeds of the store that broke off, by table"),
+            writes: histogram("write_ms", "Time to make a customer's write durable"),
+            looks: histogram("look_ms", "Time of looks at workers beyond their wait"),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    pub(super) fn submission(&self, storage: Storage, time: Ms) {
+        let outcome = KeyValue::new("outcome", format!("{storage:?}").to_lowercase());
+        self.submissions.add(1, &[outcome]);
+        self.writes.record(milliseconds(time), &[]);
+    }
+
+    pub(super) fn start(&self, outcome: scheduler::message::Outcome) {
+        let outcome = KeyValue::new("outcome", format!("{outcome:?}").to_lowercase());
+        self.starts.add(1, &[outcome]);
+    }
+
+    pub(super) fn end(&self, how: scheduler::message::How) {
+        let how = KeyValue::new("how", format!("{how:?}").to_lowercase());
+        self.ends.add(1, &[how]);
+    }
+
+    pub(super) fn refusal(&self, reason: &'static str) {
+        self.refusals.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
+    pub(super) fn lead(&self) {
+        self.leads.add(1, &[]);
+    }
+
+    pub(super) fn feed_lost(&self, table: &'static str) {
+        self.feeds_lost.add(1, &[KeyValue::new("table", table)]);
+    }
+
+    pub(super) fn look(&self, time: Ms) {
+        self.looks.record(milliseconds(time), &[]);
+    }
+
+    /// All metrics.
+    pub(super) fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        match TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
+            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "times are far below the precision of a float"
+)]
+const fn milliseconds(time: Ms) -> f64 {
+    time.0 as f64
+}
+
+/// Serves the metrics.
+pub(super) fn serve(shared: &Arc<Shared>, listener: TcpListener) -> Result<Server, Error> {
+    let owned = Arc::clone(shared);
+    let handler = move |_: Request<Incoming>| {
+        let text = owned.gauge.text();
+        async move { Response::new(Full::new(Bytes::from(text))) }
+    };
+    Server::start(&shared.spawner, listener, Limits::default(), handler)
+        .map_err(|error| Error::Start(error.to_string()))
+}
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -125,6 +125,7 @@
         store_now: AtomicU64::new(store_now.0),
     });
     log::info!("kind=lead-begun epoch={epoch}");
+    shared.gauge.lead();
     *lock(&shared.leading) = Some(Arc::clone(&leading));
     let spawn = |task| shared.spawner.spawn(task);
     let tasks = [
@@ -337,6 +338,11 @@
     }
 
     fn handle(&mut self, event: Event) {
+        if let Event::Told(_, Note::Look(look)) = &event {
+            for end in &look.ended {
+                self.shared.gauge.end(end.how);
+            }
+        }
         let actions = self.leader.handle(clock::now(), event);
         self.perform(actions);
     }
--- a/src/serve/options.rs
+++ b/src/serve/options.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry on the users' platform.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -51,6 +52,26 @@
     pub stop: Ms,
 }
 
+impl fmt::Display for Options {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "entry={} failure_domain={} customer={} ready={} peer={} store={} lease_ms={} \
+             retention_ms={} harm_ms={} stop_ms={}",
+            self.name,
+            self.failure_domain,
+            self.customer,
+            self.ready,
+            self.peer,
+            self.store,
+            self.lease.0,
+            self.retention.0,
+            self.harm.0,
+            self.stop.0
+        )
+    }
+}
+
 impl Options {
     /// Reads a file.
     ///
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use samphiretrail::serve::options::Options;
 use samphiretrail::settings::Error;
 use samphiretrail::settings::Limits;
 use samphiretrail::settings::Settings;
@@ -107,3 +108,36 @@
         "{error}"
     );
 }
+
+const SERVE: &str = "[entry]\nname = a\nfailure_domain = z\n[listen]\n\
+    customer = 10.0.0.1:1\nready = 10.0.0.1:2\npeer = 10.0.0.1:3\n[platform]\n\
+    store = 10.0.0.9:4\n[bounds]\nlease_ms = 6000\nretention_s = 120\nharm_ms = 4000\n\
+    stop_s = 6\n";
+
+#[test]
+fn settings_of_serve_are_checked_with_their_place() {
+    let options = Options::parse("f", SERVE).expect("these settings are valid");
+    assert_eq!(options.retention.0, 120_000);
+    let cases = [
+        (
+            "lease_ms = 6000",
+            "lease_ms = 0",
+            "f:11: lease_ms: must be a number from 1 to 3600000",
+        ),
+        (
+            "peer = 10.0.0.1:3",
+            "peer = x",
+            "f:7: peer: must be an IP address and a port",
+        ),
+        ("stop_s = 6", "stops = 6", "f:14: stops: unknown key"),
+        (
+            "store = 10.0.0.9:4",
+            "",
+            "f:8: store: missing in section platform",
+        ),
+    ];
+    for (old, new, expected) in cases {
+        let error = Options::parse("f", &SERVE.replace(old, new)).expect_err(new);
+        assert_eq!(error.to_string(), expected);
+    }
+}
