--- a/crates/scheduler/src/election.rs
+++ b/crates/scheduler/src/election.rs
@@ -25,6 +25,23 @@
 /// The silence of a leader after which its beat in the store is checked.
 pub const SILENCE: Ms = Ms(1_000);
 
+/// A share of a processor that leads a large fleet without being late.
+const STRONG: f64 = 0.2;
+/// A share of a processor that leads a small fleet without being late.
+const FAIR: f64 = 0.1;
+
+/// How long an entry leaves the lead to stronger ones before it runs itself.
+#[must_use]
+pub fn deference(processor_share: f64) -> Ms {
+    if processor_share >= STRONG {
+        Ms::ZERO
+    } else if processor_share >= FAIR {
+        Ms(120)
+    } else {
+        Ms(400)
+    }
+}
+
 /// The row that names the leader.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Seat {
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -96,3 +96,11 @@
     view.unchanged = Ms(150);
     assert!(!election::should_run(&view, &name("a"), 9));
 }
+
+#[test]
+fn stronger_entries_run_first() {
+    let waits = [0.5, 0.1, 0.05].map(election::deference);
+    assert!(waits.is_sorted());
+    assert_eq!(waits[0], Ms::ZERO);
+    assert!(waits[2] < election::SILENCE);
+}
--- a/src/serve/options.rs
+++ b/src/serve/options.rs
@@ -14,22 +14,29 @@
 
 /// Every section with its keys.
 const KEYS: Keys = &[
-    ("entry", &["name", "failure_domain", "log"]),
+    (
+        "entry",
+        &["name", "failure_domain", "processor_share", "log"],
+    ),
     ("listen", &["customer", "ready", "peer", "metrics"]),
     ("platform", &["store"]),
     ("bounds", &["lease_ms", "retention_s", "harm_ms", "stop_s"]),
 ];
 
+/// The most processors that a process gets.
+const MOST_PROCESSORS: f64 = 1_024.0;
 /// The longest bound that makes sense, in its unit.
 const MOST: u32 = 3_600_000;
 
 /// Settings of an entry on the users' platform.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Options {
     /// The name, unique among entries.
     pub name: Name,
     /// The failure domain that the VM is in.
     pub failure_domain: Name,
+    /// The share of a processor that the process gets.
+    pub processor_share: f64,
     /// The least severe log level written.
     pub log: log::LevelFilter,
     /// Where customers connect.
@@ -98,6 +105,9 @@
         Ok(Self {
             name: source.required("entry", "name", name)?,
             failure_domain: source.required("entry", "failure_domain", name)?,
+            processor_share: source
+                .optional("entry", "processor_share", share)?
+                .unwrap_or(1.0),
             log: source
                 .optional("entry", "log", settings::level)?
                 .unwrap_or(log::LevelFilter::Info),
@@ -113,3 +123,12 @@
         })
     }
 }
+
+fn share(raw: &str) -> Result<f64, String> {
+    match raw.parse() {
+        Ok(share) if share > 0.0 && share <= MOST_PROCESSORS => Ok(share),
+        _ => Err(format!(
+            "must be a number above 0 and up to {MOST_PROCESSORS}"
+        )),
+    }
+}
--- a/src/serve/seat.rs
+++ b/src/serve/seat.rs
@@ -32,6 +32,7 @@
 /// Follows the leader for the life of the process.
 pub(super) async fn follow(shared: Arc<Shared>) {
     let mut turned_away = 0;
+    let mut has_deferred = false;
     loop {
         if shared.is_stopping() && shared.leading().is_none() && turned_away > 0 {
             // Another entry leads soon; until then there is nobody to follow.
@@ -55,6 +56,13 @@
             continue;
         }
         let should_run = election::should_run(&found.view, &shared.options.name, shared.instance);
+        if should_run && !shared.is_stopping() && !has_deferred {
+            // The next look shows whether a stronger entry leads by then.
+            has_deferred = true;
+            sleep(election::deference(shared.options.processor_share)).await;
+            continue;
+        }
+        has_deferred = false;
         if should_run && !shared.is_stopping() {
             run(&shared, &found).await;
             turned_away = 0;
