--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -1,5 +1,6 @@
 //! The leader: decides what runs where, learns of ends and makes them durable.
 
+mod advice;
 mod assign;
 mod commit;
 mod drain;
@@ -75,6 +76,11 @@
     Committed,
     /// The store did not confirm a commit.
     Uncommitted,
+    /// The advice service answered for a step: the workers that may run it, with their tickets, and
+    /// how long these are valid.
+    Advised(id::Step, Vec<(Name, Arc<str>)>, Ms),
+    /// The advice service did not answer for a step.
+    Unadvised(id::Step),
     /// Time has passed; the second is the time of day in ms since 1970.
     Tick(Ms),
 }
@@ -108,6 +114,8 @@
     Send(Name, Order),
     /// Write to the store; one commit is in progress at a time.
     Commit(Commit),
+    /// Ask the advice service which of these workers may run a step.
+    Advise(id::Step, Vec<Name>),
     /// Another leader has taken over.
     Resign(&'static str),
     /// Write a log line of `key=value` pairs.
@@ -180,6 +188,7 @@
     scheduled: BTreeSet<id::Job>,
     ended: BTreeSet<(Ms, id::Job)>,
     pacers: BTreeMap<Name, Pacer>,
+    advice: advice::Desk,
     model: Model,
     actions: Vec<Action>,
 }
@@ -219,6 +228,7 @@
             scheduled: BTreeSet::new(),
             ended: BTreeSet::new(),
             pacers: BTreeMap::new(),
+            advice: advice::Desk::default(),
             model: Model::default(),
             actions: Vec::new(),
         }
@@ -248,6 +258,8 @@
             Event::Told(entry, note) => self.hear(now, &entry, note),
             Event::Committed => self.finish_commit(now, true),
             Event::Uncommitted => self.finish_commit(now, false),
+            Event::Advised(step, tickets, valid) => self.advised(now, step, tickets, valid),
+            Event::Unadvised(step) => self.unadvised(now, step),
             Event::Tick(unix) => self.tick(now, unix),
         }
         std::mem::take(&mut self.actions)
@@ -479,6 +491,7 @@
         }
         for step in steps {
             self.withdraw(step);
+            self.advice.forget(step);
         }
         for (task, run) in running {
             self.stop_run(now, task, run, "job-ended");
--- a/crates/scheduler/src/leader/drain.rs
+++ b/crates/scheduler/src/leader/drain.rs
@@ -71,6 +71,7 @@
             spec: job.step_spec(id.step.step)?,
             claim,
             step: id.step,
+            tickets: None,
             failed_on: None,
             rack: None,
         };
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -107,6 +107,7 @@
 
     fn finish_step(&mut self, now: Ms, step: id::Step) {
         self.withdraw(step);
+        self.advice.forget(step);
         let unix = self.unix;
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return;
--- a/crates/scheduler/src/leader/orders.rs
+++ b/crates/scheduler/src/leader/orders.rs
@@ -58,7 +58,11 @@
                 self.release(now, id, place.run, "refused-as-invalid");
                 self.fail_job(now, id.step.job, "invalid-for-worker");
             }
-            Outcome::Old | Outcome::Late | Outcome::Ticket => {
+            Outcome::Ticket => {
+                self.advice.drop_ticket(id.step, &place.worker);
+                self.release(now, id, place.run, "ticket-refused");
+            }
+            Outcome::Old | Outcome::Late => {
                 self.release(now, id, place.run, "start-refused");
             }
             Outcome::Room | Outcome::Unsent | Outcome::Unhealthy | Outcome::Reborn => {
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -1,6 +1,7 @@
 //! Starts waiting tasks, the most urgent first.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use decision::clock::Ms;
@@ -68,14 +69,17 @@
             .map(|state| state.startable.iter().copied().collect())
             .unwrap_or_default();
         let queue = job.queue.clone();
-        let Some(service) = self.config.queue(&queue).map(|queue| queue.service.clone()) else {
+        let Some(queue) = self.config.queue(&queue) else {
             return (0, false);
         };
+        let (service, needs_ticket) = (queue.service.clone(), queue.needs_ticket);
+        let tickets = needs_ticket.then(|| self.ticketed(step, now));
         let wish = Wish {
             service: &service,
             spec: &spec,
             claim: &claim,
             step,
+            tickets: tickets.as_ref(),
             failed_on: None,
             rack: None,
         };
@@ -87,6 +91,8 @@
         let is_whole = chosen.len() == indices.len();
         if is_whole {
             self.withdraw(step);
+        } else if needs_ticket {
+            self.ask_advice(now, &wish);
         }
         if spec.is_gang && !is_whole {
             self.unbook(&claim, &chosen);
@@ -99,6 +105,13 @@
         (count, is_whole)
     }
 
+    /// The workers with a ticket for a step.
+    fn ticketed(&self, step: id::Step, now: Ms) -> BTreeSet<Name> {
+        let names = self.workers.keys();
+        let names = names.filter(|name| self.advice.ticket(step, name, now).is_some());
+        names.cloned().collect()
+    }
+
     /// Books a worker for each task that fits anywhere.
     fn choose_each(&mut self, now: Ms, wish: &Wish<'_>, indices: &[u32]) -> Vec<(Task, Run, Name)> {
         let mut chosen = Vec::new();
@@ -240,6 +253,7 @@
         let (Some(agent), Some(born)) = (worker.agent.clone(), worker.born) else {
             return;
         };
+        let ticket = self.advice.ticket(id.step, &name, now);
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
             return;
         };
@@ -276,7 +290,7 @@
             run,
             payload,
             checkpoint,
-            ticket: None,
+            ticket,
         };
         self.send(&agent, Order::Start(order));
     }
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -3,6 +3,8 @@
 //! Answers a fleet that is mostly booked by lasting tasks and gets bursts of wide steps: filling
 //! tasks go where booked tasks leave processor time, other tasks keep to the worker's size.
 
+use std::collections::BTreeSet;
+
 use decision::clock::Ms;
 use decision::name::Name;
 
@@ -45,6 +47,8 @@
     pub claim: &'a Claim,
     /// The step.
     pub step: id::Step,
+    /// The workers with a ticket for the step, where the queue needs one.
+    pub tickets: Option<&'a BTreeSet<Name>>,
     /// The worker on which the task failed last.
     pub failed_on: Option<&'a Name>,
     /// The rack that the other tasks of the step are on.
@@ -88,6 +92,9 @@
     if !is_open(worker, now) || !is_suitable(wish, listing) {
         return None;
     }
+    if wish.tickets.is_some_and(|tickets| !tickets.contains(name)) {
+        return None;
+    }
     let room = listing.size.minus(worker.booked);
     if !wish.claim.size.fits(room) {
         return None;
--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -215,3 +215,20 @@
         assert_kept(&world, seed, "draining");
     }
 }
+
+#[test]
+fn steps_of_a_queue_with_a_policy_start_with_tickets_only() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, 5, 3);
+        world.needs_ticket = true;
+        world.elect(false);
+        for job in 0..JOBS {
+            world.submit(job, chain(&[4, 3, 2], 800));
+        }
+        world.run(3_000);
+        world.elect(true);
+        world.run(60_000);
+        assert_kept(&world, seed, "tickets");
+        assert_completed(&world, seed, "tickets");
+    }
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -50,6 +50,8 @@
 const CALL_TIMEOUT: u64 = 800;
 const DELAY: u64 = 2;
 const COMMIT: u64 = 6;
+const ADVICE: u64 = 25;
+const TICKET: u64 = 900;
 
 /// Shares of calls and writes that go wrong.
 #[derive(Clone, Copy, Debug, Default)]
@@ -84,6 +86,7 @@
     Called(Call),
     Look(Name, Name, Epoch),
     Commit(Epoch, bool),
+    Advice(Epoch, id::Step, Vec<Name>),
 }
 
 /// An order on its way to a worker.
@@ -100,6 +103,8 @@
 pub struct World {
     pub now: u64,
     pub faults: Faults,
+    /// Starts need a ticket of the advice service.
+    pub needs_ticket: bool,
     /// Runs do not end by themselves.
     pub lasts: bool,
     pub workers: BTreeMap<Name, Worker>,
@@ -158,7 +163,11 @@
     }
 }
 
-fn config() -> Config {
+fn is_allowed(worker: &Name) -> bool {
+    worker.ends_with(['0', '2', '4', '6', '8'])
+}
+
+fn config(needs_ticket: bool) -> Config {
     Config {
         version: 1,
         queues: vec![Queue {
@@ -170,7 +179,7 @@
             max_attempts: MAX_ATTEMPTS,
             stretch: 1.5,
             objective: Ms(250),
-            needs_ticket: false,
+            needs_ticket,
         }],
         services: vec![Service {
             name: name("service"),
@@ -193,6 +202,7 @@
             now: 1_000,
             faults: Faults::default(),
             lasts: false,
+            needs_ticket: false,
             workers: worker_names
                 .map(|name| (name, Worker::new(big, 0)))
                 .collect(),
@@ -242,7 +252,7 @@
         let epoch = Epoch(self.epoch);
         let leader = Leader::new(name("e0"), epoch, bounds, Ms(self.now));
         self.leader = Some(leader);
-        self.tell(Event::Config(Arc::new(config())));
+        self.tell(Event::Config(Arc::new(config(self.needs_ticket))));
         self.tell(Event::Fleet(self.fleet.clone()));
         let agents: Vec<Name> = self.agents.keys().cloned().collect();
         for entry in agents {
@@ -383,6 +393,9 @@
                     self.push(self.now + DELAY, Happening::Order(agent, epoch, order));
                 }
                 Action::Commit(commit) => self.commit(epoch, commit),
+                Action::Advise(step, workers) => {
+                    self.push(self.now + ADVICE, Happening::Advice(epoch, step, workers));
+                }
                 Action::Resign(_) | Action::Log(_) => {}
             }
         }
@@ -477,6 +490,11 @@
             }
             Happening::Called(call) => self.arrive(call),
             Happening::Look(agent, worker, epoch) => self.look(&agent, &worker, epoch, true),
+            Happening::Advice(epoch, step, workers) => {
+                if epoch.0 == self.epoch {
+                    self.advise(step, workers);
+                }
+            }
             Happening::Commit(epoch, is_durable) => {
                 if epoch.0 == self.epoch {
                     let event = if is_durable {
@@ -490,6 +508,14 @@
         }
     }
 
+    /// Only workers with an even number may run a step.
+    fn advise(&mut self, step: id::Step, workers: Vec<Name>) {
+        let good = workers.into_iter().filter(|name| is_allowed(name));
+        let tickets = good.map(|name| (name, Arc::from(format!("ticket-{step}"))));
+        let tickets = tickets.collect();
+        self.tell(Event::Advised(step, tickets, Ms(TICKET)));
+    }
+
     fn obey(&mut self, entry: &Name, epoch: Epoch, order: Order) {
         let now = self.now;
         let Some(agent) = self.agents.get_mut(entry) else {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -26,6 +26,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use adapter::advice;
 use adapter::store::Store;
 use adapter::worker;
 use async_signal::Signal;
@@ -87,6 +88,7 @@
     spawner: Spawner,
     store: Store,
     workers: worker::Client,
+    advice: Option<advice::Client>,
     /// The configuration in force, with its form in the store.
     config: Mutex<Option<InForce>>,
     /// Whether the store serves this entry.
@@ -115,6 +117,9 @@
             instance: clock::unix().0,
             spawner: Spawner::default(),
             store: Store::new(options.store, Arc::clone(&pool)),
+            advice: options
+                .advice
+                .map(|address| advice::Client::new(address, Arc::clone(&pool))),
             workers: worker::Client::new(pool),
             config: Mutex::default(),
             is_stored: AtomicBool::new(true),
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -16,6 +16,7 @@
 use scheduler::election;
 use scheduler::election::Seat;
 use scheduler::id::Epoch;
+use scheduler::id::Step;
 use scheduler::leader::Action;
 use scheduler::leader::Bounds;
 use scheduler::leader::Commit;
@@ -352,6 +353,7 @@
             match action {
                 Action::Send(agent, order) => self.outgoing.entry(agent).or_default().push(order),
                 Action::Commit(commit) => self.commit(&commit),
+                Action::Advise(step, workers) => self.advise(step, workers),
                 Action::Resign(reason) => self.resigned = Some(reason),
                 Action::Log(line) => log::info!("epoch={} {line}", self.leading.epoch),
             }
@@ -375,6 +377,30 @@
         }
     }
 
+    /// Asks the advice service.
+    fn advise(&self, step: Step, workers: Vec<Name>) {
+        let shared = Arc::clone(&self.shared);
+        let leading = Arc::clone(&self.leading);
+        let ask = async move {
+            let Some(client) = &shared.advice else {
+                log::error!("kind=advice-missing step={step} cause=no-address");
+                return leading.tell(Event::Unadvised(step));
+            };
+            let event = match client.ask(step, &workers).await {
+                Ok(advice) => Event::Advised(step, advice.tickets, advice.valid),
+                Err(error) => {
+                    log::warn!(
+                        "kind=advice-missing step={step} cause={:?}",
+                        error.to_string()
+                    );
+                    Event::Unadvised(step)
+                }
+            };
+            leading.tell(event);
+        };
+        self.shared.spawner.spawn(ask).detach();
+    }
+
     /// Writes for a customer of an agent that the store does not serve.
     fn store(&self, entry: Name, number: u64, request: Request) {
         let shared = Arc::clone(&self.shared);
--- a/src/serve/options.rs
+++ b/src/serve/options.rs
@@ -19,7 +19,7 @@
         &["name", "failure_domain", "processor_share", "log"],
     ),
     ("listen", &["customer", "ready", "peer", "metrics"]),
-    ("platform", &["store"]),
+    ("platform", &["store", "advice"]),
     ("bounds", &["lease_ms", "retention_s", "harm_ms", "stop_s"]),
 ];
 
@@ -49,6 +49,8 @@
     pub metrics: Option<SocketAddr>,
     /// The store.
     pub store: SocketAddr,
+    /// The advice service, where queues need tickets.
+    pub advice: Option<SocketAddr>,
     /// The longest lease of a worker.
     pub lease: Ms,
     /// How long ended jobs are remembered.
@@ -116,6 +118,7 @@
             peer: source.required("listen", "peer", settings::specific)?,
             metrics: source.optional("listen", "metrics", settings::specific)?,
             store: source.required("platform", "store", settings::remote)?,
+            advice: source.optional("platform", "advice", optional)?.flatten(),
             lease: bound("lease_ms", 1)?,
             retention: bound("retention_s", 1_000)?,
             harm: bound("harm_ms", 1)?,
@@ -132,3 +135,12 @@
         )),
     }
 }
+
+/// An address, or nothing.
+fn optional(raw: &str) -> Result<Option<SocketAddr>, String> {
+    if raw.is_empty() {
+        Ok(None)
+    } else {
+        settings::remote(raw).map(Some)
+    }
+}
