Add a soak of real processes with signals and loopback proxies

Entries are killed, stopped, frozen and told to end; the store and workers are stalled or reset behind proxies; jobs go on being handed in; double runs, starts after done and sizes are checked while it runs.

--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -33,6 +33,7 @@
 use smol::Timer;
 use smol::net::TcpListener;
 
+use crate::proxy::Proxy;
 use crate::store::Store;
 use crate::worker::Busy;
 use crate::worker::Worker;
@@ -54,7 +55,8 @@
     spawner: Spawner,
     pub store: Store,
     pub floor: Arc<Mutex<Floor>>,
-    store_address: SocketAddr,
+    pub store_proxy: Proxy,
+    pub worker_proxies: Vec<Proxy>,
     begun: Instant,
     pool: Pool,
 }
@@ -73,11 +75,13 @@
             let store = served.clone();
             async move { store.answer(&path, &query, &body).await }
         });
-        let fleet = Self {
+        let store_proxy = Proxy::start(&spawner, store_address);
+        let mut fleet = Self {
             spawner,
             store,
             floor,
-            store_address,
+            store_proxy,
+            worker_proxies: Vec::new(),
             begun,
             pool: Pool::new(Limits::default()),
         };
@@ -96,7 +100,7 @@
         self.store.put("op", "config", &config.to_string());
     }
 
-    fn add_worker(&self, index: usize) {
+    fn add_worker(&mut self, index: usize) {
         let id = format!("i-{index}");
         let size = Size {
             millicores: 2_000,
@@ -113,10 +117,12 @@
             let (shared, name) = (Arc::clone(&shared), name.clone());
             async move { answer(&shared, &name, begun, &path, &body).await }
         });
-        let row = json!({"service": "s", "address": address.to_string(), "zone": "z",
+        let proxy = Proxy::start(&self.spawner, address);
+        let row = json!({"service": "s", "address": proxy.address.to_string(), "zone": "z",
             "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seqNo": 1,
             "capacity": {"cpu": 2000, "memMb": 4000, "gpu": 0}, "labels": ["a", "r1"],
             "born": born});
+        self.worker_proxies.push(proxy);
         self.store.put("servers", &id, &row.to_string());
     }
 
@@ -131,7 +137,7 @@
             "[entry]\nname = {name}\nfailure_domain = z\n[listen]\ncustomer = {customer}\n\
              ready = {ready}\npeer = {peer}\n[platform]\nstore = {}\n[bounds]\nlease_ms = 6000\n\
              retention_s = 120\nharm_ms = 4000\nstop_s = 6\n",
-            self.store_address
+            self.store_proxy.address
         );
         let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("serve-{name}-{}.ini", customer.port()));
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -1,6 +1,8 @@
 //! Entries as real processes against a stand-in that speaks the platform's protocol.
 
 mod fleet;
+mod proxy;
+mod soak;
 mod store;
 #[allow(
     dead_code,
