Name things by the field's terms

The leader's row is a record, the embedder's loop a driver, tests have deliveries; notes are handled, steps enqueued and dequeued, starts marked unsure.

--- a/crates/scheduler/src/election.rs
+++ b/crates/scheduler/src/election.rs
@@ -32,7 +32,7 @@
 
 /// How long an entry leaves the lead to stronger ones before it runs itself.
 #[must_use]
-pub fn deference(processor_share: f64) -> Ms {
+pub fn candidacy_delay(processor_share: f64) -> Ms {
     if processor_share >= STRONG {
         Ms::ZERO
     } else if processor_share >= FAIR {
@@ -44,7 +44,7 @@
 
 /// The row that names the leader.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Seat {
+pub struct Record {
     /// The entry; `None` after it resigned.
     pub entry: Option<Name>,
     /// One life of its process.
@@ -53,8 +53,8 @@
     pub address: Arc<str>,
 }
 
-impl Seat {
-    /// Whether this life of an entry's process holds the seat.
+impl Record {
+    /// Whether this life of an entry's process holds the record.
     #[must_use]
     pub fn is_held_by(&self, entry: &Name, instance: u64) -> bool {
         self.entry.as_ref() == Some(entry) && self.instance == instance
@@ -65,7 +65,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct View {
     /// The row with its version.
-    pub seat: Option<(Epoch, Seat)>,
+    pub record: Option<(Epoch, Record)>,
     /// The age of the last beat of this epoch by the store's clock; `None` when there is none.
     pub beat_age: Option<Ms>,
     /// How long this entry has seen the same beat while the store served it.
@@ -77,14 +77,14 @@
 /// Whether this entry should try to become the leader.
 #[must_use]
 pub fn should_run(view: &View, entry: &Name, instance: u64) -> bool {
-    let Some((_, seat)) = &view.seat else {
+    let Some((_, record)) = &view.record else {
         return true;
     };
-    let Some(holder) = &seat.entry else {
+    let Some(holder) = &record.entry else {
         return true;
     };
     if holder == entry {
-        return seat.instance != instance;
+        return record.instance != instance;
     }
     let is_stale = view.beat_age.is_some_and(|age| age >= STALE);
     view.is_vacant || is_stale && view.unchanged >= UNCHANGED
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -143,7 +143,7 @@
     /// Runs that hold room.
     pub runs: BTreeSet<(Task, Run)>,
     /// Runs of jobs that the leader has not learned of; their size is not known.
-    pub strays: BTreeSet<(Task, Run)>,
+    pub unlearned: BTreeSet<(Task, Run)>,
     /// Tasks of each step here, for limits of tasks on one worker.
     pub steps: BTreeMap<id::Step, u32>,
     /// Ends seen and not acknowledged.
@@ -221,7 +221,7 @@
     pub fn restart(&mut self, born: Ms) {
         self.born = Some(born);
         self.pending.clear();
-        self.strays.clear();
+        self.unlearned.clear();
         self.acknowledged = 0;
         self.strikes = 0;
         self.avoid_until = Ms::ZERO;
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -166,7 +166,7 @@
     /// What agents told before the rows of earlier leaders were read.
     early: Vec<(Name, Note)>,
     /// Runs of jobs that this leader has not learned of, with the time when they were seen first.
-    strays: BTreeMap<Place, Ms>,
+    unlearned: BTreeMap<Place, Ms>,
     workers: BTreeMap<Name, Worker>,
     fleet: BTreeSet<Member>,
     jobs: BTreeMap<id::Job, job::Job>,
@@ -188,7 +188,7 @@
     scheduled: BTreeSet<id::Job>,
     ended: BTreeSet<(Ms, id::Job)>,
     pacers: BTreeMap<Name, Pacer>,
-    advice: advice::Desk,
+    advice: advice::Book,
     model: Model,
     actions: Vec<Action>,
 }
@@ -206,7 +206,7 @@
             config: Arc::default(),
             is_recovered: false,
             early: Vec::new(),
-            strays: BTreeMap::new(),
+            unlearned: BTreeMap::new(),
             workers: BTreeMap::new(),
             fleet: BTreeSet::new(),
             jobs: BTreeMap::new(),
@@ -228,7 +228,7 @@
             scheduled: BTreeSet::new(),
             ended: BTreeSet::new(),
             pacers: BTreeMap::new(),
-            advice: advice::Desk::default(),
+            advice: advice::Book::default(),
             model: Model::default(),
             actions: Vec::new(),
         }
@@ -255,7 +255,7 @@
             Event::Listed(name, listing) => self.list(now, name, listing),
             Event::Joined(entry, domain) => self.join(now, entry, domain),
             Event::Left(entry) => self.leave(now, &entry),
-            Event::Told(entry, note) => self.hear(now, &entry, note),
+            Event::Told(entry, note) => self.handle_note(now, &entry, note),
             Event::Committed => self.finish_commit(now, true),
             Event::Uncommitted => self.finish_commit(now, false),
             Event::Advised(step, tickets, valid) => self.advised(now, step, tickets, valid),
@@ -309,7 +309,7 @@
             now.since(self.began).0
         ));
         for (entry, note) in std::mem::take(&mut self.early) {
-            self.hear(now, &entry, note);
+            self.handle_note(now, &entry, note);
         }
     }
 
@@ -359,7 +359,7 @@
         } else if !has_ended {
             self.begin_due(id);
         }
-        self.adopt_strays(now, id);
+        self.adopt_unlearned(now, id);
     }
 
     /// Begins the occurrences of a job that are due.
@@ -372,12 +372,12 @@
             self.scheduled.remove(&id);
         }
         for occurrence in begun {
-            self.offer_occurrence(id, occurrence);
+            self.enqueue_occurrence(id, occurrence);
         }
     }
 
     /// Puts the unblocked steps of an occurrence in line.
-    fn offer_occurrence(&mut self, id: id::Job, occurrence: u32) {
+    fn enqueue_occurrence(&mut self, id: id::Job, occurrence: u32) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -387,7 +387,7 @@
             .filter(|&step| job.is_unblocked(occurrence, step))
             .collect();
         for step in open {
-            self.offer(id::Step {
+            self.enqueue(id::Step {
                 job: id,
                 occurrence,
                 step,
@@ -400,7 +400,7 @@
     }
 
     /// Puts a step in line if it has tasks to start.
-    fn offer(&mut self, step: id::Step) {
+    fn enqueue(&mut self, step: id::Step) {
         let Some(rank) = self.rank(step) else {
             return;
         };
@@ -440,7 +440,7 @@
         })
     }
 
-    fn withdraw(&mut self, step: id::Step) {
+    fn dequeue(&mut self, step: id::Step) {
         if let Some(rank) = self.ranks.remove(&step) {
             self.waiting.remove(&(rank, step));
         }
@@ -457,11 +457,11 @@
         }
         job.end(Outcome::Cancelled, self.unix);
         self.log(format!("kind=job-cancelled job={id}"));
-        self.retire(now, id);
+        self.stop_ended_job(now, id);
     }
 
     /// Stops what is left of a job that has ended.
-    fn retire(&mut self, now: Ms, id: id::Job) {
+    fn stop_ended_job(&mut self, now: Ms, id: id::Job) {
         self.scheduled.remove(&id);
         self.mark_changed(id);
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -490,7 +490,7 @@
             }
         }
         for step in steps {
-            self.withdraw(step);
+            self.dequeue(step);
             self.advice.forget(step);
         }
         for (task, run) in running {
--- a/crates/scheduler/src/leader/advice.rs
+++ b/crates/scheduler/src/leader/advice.rs
@@ -37,12 +37,12 @@
 
 /// Questions and answers by step.
 #[derive(Debug, Default)]
-pub(super) struct Desk {
+pub(super) struct Book {
     steps: BTreeMap<id::Step, Step>,
     questions: usize,
 }
 
-impl Desk {
+impl Book {
     /// The ticket of a step for a worker.
     pub(super) fn ticket(&self, step: id::Step, worker: &Name, now: Ms) -> Option<Arc<str>> {
         let (ticket, until) = self.steps.get(&step)?.tickets.get(worker)?;
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -111,7 +111,7 @@
             }
         }
         for name in orphans {
-            self.doubt_starts(now, &name);
+            self.mark_starts_unsure(now, &name);
             self.assign(now, &name);
         }
     }
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -4,7 +4,7 @@
 use decision::name::Name;
 
 use super::Leader;
-use super::looks::STRAY;
+use super::looks::UNLEARNED;
 use crate::fleet::Pending;
 use crate::id;
 use crate::id::Run;
@@ -33,7 +33,7 @@
             Some(_) => return,
             None => now,
         };
-        if !is_learned && now.since(since) < STRAY {
+        if !is_learned && now.since(since) < UNLEARNED {
             worker.pending.insert(end.number, Pending::Unknown(since));
             return;
         }
@@ -106,7 +106,7 @@
     }
 
     fn finish_step(&mut self, now: Ms, step: id::Step) {
-        self.withdraw(step);
+        self.dequeue(step);
         self.advice.forget(step);
         let unix = self.unix;
         let Some(job) = self.jobs.get_mut(&step.job) else {
@@ -119,9 +119,9 @@
                 "kind=job-completed job={} ms={}",
                 step.job, waited.0
             ));
-            return self.retire(now, step.job);
+            return self.stop_ended_job(now, step.job);
         }
-        self.offer_occurrence(step.job, step.occurrence);
+        self.enqueue_occurrence(step.job, step.occurrence);
     }
 
     fn fail(&mut self, now: Ms, name: &Name, end: &End) {
@@ -177,7 +177,7 @@
         }
         job.end(Outcome::Failed, unix);
         self.log(format!("kind=job-failed job={id} reason={reason}"));
-        self.retire(now, id);
+        self.stop_ended_job(now, id);
     }
 
     fn pend(&mut self, name: &Name, number: u64, job: id::Job, version: u64) {
@@ -236,7 +236,7 @@
                 .and_then(|job| job.step(id.step))
         {
             step.startable.insert(id.index);
-            self.offer(id.step);
+            self.enqueue(id.step);
         }
     }
 }
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -24,10 +24,10 @@
 const MISSES: u8 = 3;
 
 /// How long a run or an end of an unknown job is left alone.
-pub(super) const STRAY: Ms = Ms(10_000);
+pub(super) const UNLEARNED: Ms = Ms(10_000);
 
 impl Leader {
-    pub(super) fn hear(&mut self, now: Ms, entry: &Name, note: Note) {
+    pub(super) fn handle_note(&mut self, now: Ms, entry: &Name, note: Note) {
         let needs_jobs = !matches!(
             note,
             Note::Ask(..) | Note::Beat | Note::Config(_) | Note::Store(..)
@@ -37,7 +37,7 @@
             return;
         }
         match note {
-            Note::Hello(hello) => self.take_known(now, hello),
+            Note::Hello(hello) => self.keep_accounts(now, hello),
             // The embedder carries these out.
             Note::Beat | Note::Config(_) | Note::Store(..) => {}
             Note::Look(look) => self.look(now, entry, look),
@@ -53,7 +53,7 @@
 
     /// Keeps what an agent knows of workers from the orders of an earlier leader, for the case that
     /// they do not answer. A worker that answers also tells of ends, which the agent does not know.
-    fn take_known(&mut self, now: Ms, hello: Hello) {
+    fn keep_accounts(&mut self, now: Ms, hello: Hello) {
         let lease = AGENT_PATIENCE + self.lease_end();
         for (name, ago, places) in hello.known {
             let Some(worker) = self.workers.get_mut(&name) else {
@@ -136,7 +136,7 @@
         let Some(worker) = self.workers.get_mut(&look.worker) else {
             return;
         };
-        worker.strays.retain(|stray| seen.contains(stray));
+        worker.unlearned.retain(|run| seen.contains(run));
         let absent: Vec<(Task, Run)> = worker.runs.difference(&seen).copied().collect();
         for (task, run) in absent {
             self.miss_run(now, look, task, run);
@@ -154,7 +154,7 @@
             .get_mut(&row.task.step.job)
             .and_then(|job| job.task(row.task));
         let Some(task) = known else {
-            return self.see_stray(now, look, row.task, row.run);
+            return self.see_unlearned(now, look, row.task, row.run);
         };
         if row.checkpoint.is_some() {
             task.checkpoint.clone_from(&row.checkpoint);
@@ -249,7 +249,7 @@
     }
 
     /// Handles a run of a job that this leader has not learned of: its row may be on the way.
-    fn see_stray(&mut self, now: Ms, look: &Look, task: Task, run: Run) {
+    fn see_unlearned(&mut self, now: Ms, look: &Look, task: Task, run: Run) {
         let place = Place {
             worker: look.worker.clone(),
             born: look.born,
@@ -257,10 +257,10 @@
             run,
         };
         if let Some(worker) = self.workers.get_mut(&look.worker) {
-            worker.strays.insert((task, run));
+            worker.unlearned.insert((task, run));
         }
-        let since = *self.strays.entry(place.clone()).or_insert(now);
-        if now.since(since) < STRAY {
+        let since = *self.unlearned.entry(place.clone()).or_insert(now);
+        if now.since(since) < UNLEARNED {
             return;
         }
         let worker = self.workers.get(&look.worker);
@@ -275,15 +275,15 @@
     }
 
     /// Books the runs of a job that were seen before it was learned of.
-    pub(super) fn adopt_strays(&mut self, now: Ms, id: id::Job) {
+    pub(super) fn adopt_unlearned(&mut self, now: Ms, id: id::Job) {
         let found: Vec<Place> = self
-            .strays
+            .unlearned
             .keys()
             .filter(|place| place.task.step.job == id)
             .cloned()
             .collect();
         for place in found {
-            self.strays.remove(&place);
+            self.unlearned.remove(&place);
             let Place {
                 worker,
                 born,
@@ -291,7 +291,7 @@
                 run,
             } = place;
             if let Some(worker) = self.workers.get_mut(&worker) {
-                worker.strays.remove(&(task, run));
+                worker.unlearned.remove(&(task, run));
             }
             self.adopt(now, &worker, born, task, run, Phase::Unsure);
         }
--- a/crates/scheduler/src/leader/orders.rs
+++ b/crates/scheduler/src/leader/orders.rs
@@ -53,7 +53,7 @@
         match outcome {
             Outcome::Done => {}
             Outcome::Fenced => self.actions.push(Action::Resign("fenced by a worker")),
-            Outcome::Unknown => self.doubt(now, id, place.run),
+            Outcome::Unknown => self.mark_unsure(now, id, place.run),
             Outcome::Invalid => {
                 self.release(now, id, place.run, "refused-as-invalid");
                 self.fail_job(now, id.step.job, "invalid-for-worker");
@@ -74,7 +74,7 @@
         }
     }
 
-    fn doubt(&mut self, now: Ms, id: Task, run: Run) {
+    fn mark_unsure(&mut self, now: Ms, id: Task, run: Run) {
         let Some(active) = self
             .jobs
             .get_mut(&id.step.job)
@@ -91,13 +91,13 @@
     }
 
     /// Starts whose answers are lost with the connection to their agent.
-    pub(super) fn doubt_starts(&mut self, now: Ms, name: &Name) {
+    pub(super) fn mark_starts_unsure(&mut self, now: Ms, name: &Name) {
         let Some(worker) = self.workers.get(name) else {
             return;
         };
         let runs: Vec<(Task, Run)> = worker.runs.iter().copied().collect();
         for (task, run) in runs {
-            self.doubt(now, task, run);
+            self.mark_unsure(now, task, run);
         }
     }
 
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -54,11 +54,11 @@
     /// Starts the tasks of a step that fit; returns how many, and whether these were all.
     fn start_step(&mut self, now: Ms, step: id::Step) -> (usize, bool) {
         let Some(job) = self.jobs.get_mut(&step.job) else {
-            self.withdraw(step);
+            self.dequeue(step);
             return (0, true);
         };
         let Some(spec) = job.step_spec(step.step).cloned() else {
-            self.withdraw(step);
+            self.dequeue(step);
             return (0, true);
         };
         let Some(claim) = job.claim(step.step) else {
@@ -90,7 +90,7 @@
         };
         let is_whole = chosen.len() == indices.len();
         if is_whole {
-            self.withdraw(step);
+            self.dequeue(step);
         } else if needs_ticket {
             self.ask_advice(now, &wish);
         }
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -60,7 +60,7 @@
 pub fn is_open(worker: &Worker, now: Ms) -> bool {
     worker.is_known
         && !worker.is_silent
-        && worker.strays.is_empty()
+        && worker.unlearned.is_empty()
         && worker.agent.is_some()
         && worker.avoid_until <= now
         && worker
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -6,7 +6,7 @@
 use decision::name::Name;
 use scheduler::election;
 use scheduler::election::Observer;
-use scheduler::election::Seat;
+use scheduler::election::Record;
 use scheduler::election::View;
 use scheduler::id::Epoch;
 
@@ -14,17 +14,17 @@
     Name::try_from(raw).expect("test names are valid")
 }
 
-fn seat(entry: Option<&str>, instance: u64) -> Seat {
-    Seat {
+fn record(entry: Option<&str>, instance: u64) -> Record {
+    Record {
         entry: entry.map(name),
         instance,
         address: Arc::from("10.0.0.1:7720"),
     }
 }
 
-fn view(seat: Option<Seat>, beat_age: u64, is_vacant: bool) -> View {
+fn view(record: Option<Record>, beat_age: u64, is_vacant: bool) -> View {
     View {
-        seat: seat.map(|seat| (Epoch(7), seat)),
+        record: record.map(|record| (Epoch(7), record)),
         beat_age: Some(Ms(beat_age)),
         unchanged: Ms(1_000),
         is_vacant,
@@ -35,26 +35,26 @@
 fn an_entry_runs_only_where_the_store_shows_no_living_leader() {
     let cases = [
         ("no leader yet", view(None, 0, false), true),
-        ("resigned", view(Some(seat(None, 1)), 0, false), true),
-        ("alive", view(Some(seat(Some("b"), 1)), 500, false), false),
+        ("resigned", view(Some(record(None, 1)), 0, false), true),
+        ("alive", view(Some(record(Some("b"), 1)), 500, false), false),
         (
             "stale beat",
-            view(Some(seat(Some("b"), 1)), 5_000, false),
+            view(Some(record(Some("b"), 1)), 5_000, false),
             true,
         ),
         (
             "nobody listens",
-            view(Some(seat(Some("b"), 1)), 100, true),
+            view(Some(record(Some("b"), 1)), 100, true),
             true,
         ),
         (
             "own earlier life",
-            view(Some(seat(Some("a"), 1)), 100, false),
+            view(Some(record(Some("a"), 1)), 100, false),
             true,
         ),
         (
             "this life",
-            view(Some(seat(Some("a"), 9)), 100, false),
+            view(Some(record(Some("a"), 9)), 100, false),
             false,
         ),
     ];
@@ -69,10 +69,10 @@
 
 #[test]
 fn entries_that_started_in_the_same_millisecond_do_not_share_a_seat() {
-    let seat = seat(Some("a"), 9);
-    assert!(seat.is_held_by(&name("a"), 9));
-    assert!(!seat.is_held_by(&name("b"), 9));
-    assert!(!seat.is_held_by(&name("a"), 8));
+    let record = record(Some("a"), 9);
+    assert!(record.is_held_by(&name("a"), 9));
+    assert!(!record.is_held_by(&name("b"), 9));
+    assert!(!record.is_held_by(&name("a"), 8));
 }
 
 #[test]
@@ -92,14 +92,14 @@
         let seen = observer.observe(Ms(now), version);
         assert_eq!(seen, Ms(unchanged), "at {now}");
     }
-    let mut view = view(Some(seat(Some("b"), 1)), 5_000, false);
+    let mut view = view(Some(record(Some("b"), 1)), 5_000, false);
     view.unchanged = Ms(150);
     assert!(!election::should_run(&view, &name("a"), 9));
 }
 
 #[test]
 fn stronger_entries_run_first() {
-    let waits = [0.5, 0.1, 0.05].map(election::deference);
+    let waits = [0.5, 0.1, 0.05].map(election::candidacy_delay);
     assert!(waits.is_sorted());
     assert_eq!(waits[0], Ms::ZERO);
     assert!(waits[2] < election::SILENCE);
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -80,7 +80,7 @@
     watches: BTreeMap<Name, Watch>,
 }
 
-enum Happening {
+enum Delivery {
     Order(Name, Epoch, Order),
     Note(Epoch, Name, Note),
     Called(Call),
@@ -123,7 +123,7 @@
     done: BTreeSet<Task>,
     acknowledged_done: BTreeSet<Task>,
     random: StdRng,
-    queue: BTreeMap<(u64, u64), Happening>,
+    queue: BTreeMap<(u64, u64), Delivery>,
     sequence: u64,
     unlisted: BTreeSet<Name>,
     draining: BTreeSet<Name>,
@@ -227,9 +227,9 @@
         }
     }
 
-    fn push(&mut self, at: u64, happening: Happening) {
+    fn push(&mut self, at: u64, delivery: Delivery) {
         self.sequence += 1;
-        self.queue.insert((at, self.sequence), happening);
+        self.queue.insert((at, self.sequence), delivery);
     }
 
     fn chance(&mut self, share: f64) -> bool {
@@ -390,11 +390,11 @@
         for action in actions {
             match action {
                 Action::Send(agent, order) => {
-                    self.push(self.now + DELAY, Happening::Order(agent, epoch, order));
+                    self.push(self.now + DELAY, Delivery::Order(agent, epoch, order));
                 }
                 Action::Commit(commit) => self.commit(epoch, commit),
                 Action::Advise(step, workers) => {
-                    self.push(self.now + ADVICE, Happening::Advice(epoch, step, workers));
+                    self.push(self.now + ADVICE, Delivery::Advice(epoch, step, workers));
                 }
                 Action::Resign(_) | Action::Log(_) => {}
             }
@@ -412,7 +412,7 @@
         if let Some(fleet) = commit.fleet {
             self.fleet = fleet;
         }
-        self.push(self.now + COMMIT, Happening::Commit(epoch, !is_lost));
+        self.push(self.now + COMMIT, Delivery::Commit(epoch, !is_lost));
     }
 
     /// Plays until the time given.
@@ -424,8 +424,8 @@
                 if entry.key().0 > self.now {
                     break;
                 }
-                let happening = entry.remove();
-                self.happen(happening);
+                let delivery = entry.remove();
+                self.deliver(delivery);
             }
             if self.now.is_multiple_of(TICK) {
                 let unix = Ms(self.now);
@@ -454,7 +454,7 @@
                 if let Action::Send(agent, order) = action
                     && agent == own
                 {
-                    self.push(self.now + DELAY, Happening::Order(agent, epoch, order));
+                    self.push(self.now + DELAY, Delivery::Order(agent, epoch, order));
                 }
             }
         }
@@ -480,22 +480,22 @@
         }
     }
 
-    fn happen(&mut self, happening: Happening) {
-        match happening {
-            Happening::Order(agent, epoch, order) => self.obey(&agent, epoch, order),
-            Happening::Note(epoch, agent, note) => {
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Order(agent, epoch, order) => self.obey(&agent, epoch, order),
+            Delivery::Note(epoch, agent, note) => {
                 if epoch.0 == self.epoch {
                     self.tell(Event::Told(agent, note));
                 }
             }
-            Happening::Called(call) => self.arrive(call),
-            Happening::Look(agent, worker, epoch) => self.look(&agent, &worker, epoch, true),
-            Happening::Advice(epoch, step, workers) => {
+            Delivery::Called(call) => self.arrive(call),
+            Delivery::Look(agent, worker, epoch) => self.look(&agent, &worker, epoch, true),
+            Delivery::Advice(epoch, step, workers) => {
                 if epoch.0 == self.epoch {
                     self.advise(step, workers);
                 }
             }
-            Happening::Commit(epoch, is_durable) => {
+            Delivery::Commit(epoch, is_durable) => {
                 if epoch.0 == self.epoch {
                     let event = if is_durable {
                         Event::Committed
@@ -536,7 +536,7 @@
                 });
                 state.acknowledged = watch.acknowledged;
                 if is_new {
-                    self.push(now, Happening::Look(entry.clone(), watch.worker, epoch));
+                    self.push(now, Delivery::Look(entry.clone(), watch.worker, epoch));
                 }
             }
             Order::Unwatch(worker) => drop(agent.watches.remove(&worker)),
@@ -570,10 +570,7 @@
             Some(deadline.0)
         }) else {
             let note = Note::Started(place, Outcome::Unsent);
-            return self.push(
-                self.now + DELAY,
-                Happening::Note(epoch, entry.clone(), note),
-            );
+            return self.push(self.now + DELAY, Delivery::Note(epoch, entry.clone(), note));
         };
         self.call(entry, epoch, place, Some(deadline), false);
     }
@@ -609,7 +606,7 @@
         if is_lost {
             self.answer(&call, Outcome::Unknown, self.now + CALL_TIMEOUT);
         }
-        self.push(self.now + delay, Happening::Called(call));
+        self.push(self.now + delay, Delivery::Called(call));
     }
 
     fn answer(&mut self, call: &Call, outcome: Outcome, at: u64) {
@@ -619,8 +616,8 @@
         } else {
             Note::Stopped(place, outcome, Ms(at))
         };
-        let happening = Happening::Note(call.epoch, call.agent.clone(), note);
-        self.push(at, happening);
+        let delivery = Delivery::Note(call.epoch, call.agent.clone(), note);
+        self.push(at, delivery);
     }
 
     /// An order reaches its worker.
@@ -707,7 +704,7 @@
     fn look(&mut self, entry: &Name, name: &Name, epoch: Epoch, repeats: bool) {
         let now = self.now;
         if repeats {
-            let again = Happening::Look(entry.clone(), name.clone(), epoch);
+            let again = Delivery::Look(entry.clone(), name.clone(), epoch);
             self.push(now + LOOK, again);
         }
         let Some(watch) = self
@@ -732,7 +729,7 @@
                 renewed: ago,
                 is_closed: false,
             });
-            return self.push(now + DELAY, Happening::Note(epoch, entry.clone(), note));
+            return self.push(now + DELAY, Delivery::Note(epoch, entry.clone(), note));
         }
         if !worker.obeys(epoch) {
             return;
@@ -762,7 +759,7 @@
             has_ended || worker.busy.contains_key(&place.task)
         });
         let note = Note::Look(look);
-        self.push(now + DELAY, Happening::Note(epoch, entry.clone(), note));
+        self.push(now + DELAY, Delivery::Note(epoch, entry.clone(), note));
     }
 
     pub fn stage(&self, number: u64) -> Option<Stage> {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -3,17 +3,17 @@
 
 mod agent;
 mod clock;
+mod election;
 mod feeds;
 mod frame;
 mod front;
-mod gauge;
-mod keep;
+mod instruments;
 mod lead;
 mod logbook;
 pub mod options;
 mod peers;
+mod persist;
 mod rows;
-mod seat;
 mod watch;
 
 use std::net::SocketAddr;
@@ -44,7 +44,7 @@
 use smol::net::TcpListener;
 
 use self::agent::Agent;
-use self::gauge::Gauge;
+use self::instruments::Instruments;
 use self::lead::Leading;
 use self::options::Options;
 
@@ -98,7 +98,7 @@
     /// Follows the beat of the leader in the store.
     observer: Mutex<Observer>,
     agent: Agent,
-    gauge: Gauge,
+    instruments: Instruments,
     leading: Mutex<Option<Arc<Leading>>>,
     is_stopping: AtomicBool,
 }
@@ -113,7 +113,7 @@
         };
         let pool = Arc::new(Pool::new(limits));
         Ok(Self {
-            gauge: Gauge::new()?,
+            instruments: Instruments::new()?,
             instance: clock::unix().0,
             spawner: Spawner::default(),
             store: Store::new(options.store, Arc::clone(&pool)),
@@ -277,7 +277,7 @@
         shared
             .spawner
             .spawn(feeds::follow_config(Arc::clone(&shared))),
-        shared.spawner.spawn(seat::follow(Arc::clone(&shared))),
+        shared.spawner.spawn(election::follow(Arc::clone(&shared))),
     ];
     while let Some(Ok(signal)) = signals.next().await {
         match signal {
@@ -294,7 +294,7 @@
     let listener = TcpListener::bind(address)
         .await
         .map_err(|error| Error::Start(error.to_string()));
-    match listener.and_then(|listener| gauge::serve(shared, listener)) {
+    match listener.and_then(|listener| instruments::serve(shared, listener)) {
         Ok(server) => Some(server),
         Err(error) => {
             log::error!(
--- a/src/serve/seat.rs
+++ b/src/serve/election.rs
@@ -7,7 +7,7 @@
 use adapter::store::Transaction;
 use decision::clock::Ms;
 use scheduler::election;
-use scheduler::election::Seat;
+use scheduler::election::Record;
 use scheduler::election::View;
 use scheduler::id::Epoch;
 
@@ -24,7 +24,7 @@
 /// The view of the store on the leader, with what a takeover depends on.
 struct Found {
     view: View,
-    seat_version: u64,
+    record_version: u64,
     beat_version: u64,
     now: Ms,
 }
@@ -41,17 +41,16 @@
         let found = match look(&shared, turned_away).await {
             Ok(found) => found,
             Err(error) => {
-                log::warn!("kind=seat-unread cause={:?}", error.to_string());
+                log::warn!("kind=record-unread cause={:?}", error.to_string());
                 sleep(election::CHECK).await;
                 continue;
             }
         };
-        let is_mine = found
-            .view
-            .seat
-            .as_ref()
-            .is_some_and(|(_, seat)| seat.is_held_by(&shared.options.name, shared.instance));
-        if is_mine && let Some((epoch, _)) = found.view.seat {
+        let is_mine =
+            found.view.record.as_ref().is_some_and(|(_, record)| {
+                record.is_held_by(&shared.options.name, shared.instance)
+            });
+        if is_mine && let Some((epoch, _)) = found.view.record {
             lead::lead(&shared, epoch, found.now).await;
             continue;
         }
@@ -59,7 +58,7 @@
         if should_run && !shared.is_stopping() && !has_deferred {
             // The next look shows whether a stronger entry leads by then.
             has_deferred = true;
-            sleep(election::deference(shared.options.processor_share)).await;
+            sleep(election::candidacy_delay(shared.options.processor_share)).await;
             continue;
         }
         has_deferred = false;
@@ -68,11 +67,15 @@
             turned_away = 0;
             continue;
         }
-        let Some((epoch, seat)) = found.view.seat.filter(|(_, seat)| seat.entry.is_some()) else {
+        let Some((epoch, record)) = found
+            .view
+            .record
+            .filter(|(_, record)| record.entry.is_some())
+        else {
             sleep(election::CHECK).await;
             continue;
         };
-        match peers::follow(&shared, epoch, &seat).await {
+        match peers::follow(&shared, epoch, &record).await {
             Ending::TurnedAway => turned_away += 1,
             Ending::Lost => turned_away = 0,
         }
@@ -83,10 +86,10 @@
 async fn look(shared: &Shared, turned_away: u32) -> Result<Found, Error> {
     let page = shared.store.read(rows::LEAD, rows::WHOLE, "", 8).await?;
     let row = |key: &str| page.rows.iter().find(|row| row.key == key);
-    let seat_row = row(&rows::seat().key);
+    let record_row = row(&rows::record().key);
     let beat_row = row(&rows::beat().key);
-    let seat = seat_row.and_then(|row| match rows::decode::<Seat>(row) {
-        Ok(seat) => Some((Epoch(row.version), seat)),
+    let record = record_row.and_then(|row| match rows::decode::<Record>(row) {
+        Ok(record) => Some((Epoch(row.version), record)),
         Err(error) => {
             log::error!("kind=row-ignored table=lead cause={:?}", error.to_string());
             None
@@ -98,12 +101,12 @@
     let beat_age = beat.map(|beat| page.now.since(Ms(beat.at)));
     Ok(Found {
         view: View {
-            seat,
+            record,
             beat_age,
             unchanged,
             is_vacant: turned_away >= VACANT_AFTER,
         },
-        seat_version: seat_row.map_or(0, |row| row.version),
+        record_version: record_row.map_or(0, |row| row.version),
         beat_version,
         now: page.now,
     })
@@ -111,7 +114,7 @@
 
 /// Tries to become the leader; the next look at the store tells who is.
 async fn run(shared: &Shared, found: &Found) {
-    let seat = Seat {
+    let record = Record {
         entry: Some(shared.options.name.clone()),
         instance: shared.instance,
         address: Arc::from(shared.options.peer.to_string()),
@@ -122,11 +125,11 @@
     };
     let transaction = Transaction {
         expected: vec![
-            (rows::seat(), found.seat_version),
+            (rows::record(), found.record_version),
             (rows::beat(), found.beat_version),
         ],
         puts: vec![
-            (rows::seat(), rows::encode(&seat)),
+            (rows::record(), rows::encode(&record)),
             (rows::beat(), rows::encode(&beat)),
         ],
         removed: Vec::new(),
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -101,7 +101,7 @@
         self.shared.note_store(false);
         if self.is_served {
             self.is_served = false;
-            self.shared.gauge.feed_lost(self.table);
+            self.shared.instruments.feed_lost(self.table);
             log::warn!(
                 "kind=feed-lost table={} cause={:?}",
                 self.table,
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -33,7 +33,7 @@
 use super::Error;
 use super::Shared;
 use super::clock;
-use super::keep;
+use super::persist;
 use super::rows;
 
 /// How long the leader may take to answer before the store is asked.
@@ -128,9 +128,9 @@
         at: clock::unix(),
     };
     let begun = clock::now();
-    let storage = keep::keep(shared, Write::Accept(job, accepted)).await;
+    let storage = persist::persist(shared, Write::Accept(job, accepted)).await;
     let time = clock::now().since(begun);
-    shared.gauge.submission(storage, time);
+    shared.instruments.submission(storage, time);
     let ms = time.0;
     log::info!(
         "kind=job-submitted job={job} queue={} ms={ms} outcome={storage:?}",
@@ -197,7 +197,7 @@
             return turn_away(shared, "stage-unknown", "-");
         }
     }
-    let storage = keep::keep(shared, Write::Cancel(job)).await;
+    let storage = persist::persist(shared, Write::Cancel(job)).await;
     log::info!("kind=cancel-submitted job={job} outcome={storage:?}");
     match storage {
         Storage::Done | Storage::Again => plain(StatusCode::OK),
@@ -207,7 +207,7 @@
 }
 
 fn turn_away(shared: &Shared, reason: &'static str, queue: &str) -> Answer {
-    shared.gauge.refusal(reason);
+    shared.instruments.refusal(reason);
     log::info!("kind=request-refused queue={queue} reason={reason}");
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
     let value = http::HeaderValue::from_static(RETURN_AFTER);
--- a/src/serve/gauge.rs
+++ b/src/serve/instruments.rs
@@ -28,7 +28,7 @@
 const BOUNDS: [f64; 9] = [2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 1_000.0, 5_000.0];
 
 /// The instruments of an entry.
-pub(super) struct Gauge {
+pub(super) struct Instruments {
     registry: Registry,
     _provider: SdkMeterProvider,
     submissions: Counter<u64>,
@@ -41,7 +41,7 @@
     looks: Histogram<f64>,
 }
 
-impl Gauge {
+impl Instruments {
     /// Fresh instruments.
     pub(super) fn new() -> Result<Self, Error> {
         let registry = Registry::new();
@@ -125,7 +125,7 @@
 pub(super) fn serve(shared: &Arc<Shared>, listener: TcpListener) -> Result<Server, Error> {
     let owned = Arc::clone(shared);
     let handler = move |_: Request<Incoming>| {
-        let text = owned.gauge.text();
+        let text = owned.instruments.text();
         async move { Response::new(Full::new(Bytes::from(text))) }
     };
     Server::start(&shared.spawner, listener, Limits::default(), handler)
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -14,7 +14,7 @@
 use decision::name::Name;
 use scheduler::config::Config;
 use scheduler::election;
-use scheduler::election::Seat;
+use scheduler::election::Record;
 use scheduler::id::Epoch;
 use scheduler::id::Step;
 use scheduler::leader::Action;
@@ -35,9 +35,9 @@
 use super::Shared;
 use super::clock;
 use super::feeds;
-use super::keep;
 use super::lock;
 use super::peers;
+use super::persist;
 use super::rows;
 use super::sleep;
 
@@ -126,7 +126,7 @@
         store_now: AtomicU64::new(store_now.0),
     });
     log::info!("kind=lead-begun epoch={epoch}");
-    shared.gauge.lead();
+    shared.instruments.lead();
     *lock(&shared.leading) = Some(Arc::clone(&leading));
     let spawn = |task| shared.spawner.spawn(task);
     let tasks = [
@@ -144,8 +144,8 @@
             Arc::clone(&leading),
         ))),
     ];
-    let mut desk = Desk::new(shared, &leading, queue);
-    let reason = desk.run().await;
+    let mut driver = Driver::new(shared, &leading, queue);
+    let reason = driver.run().await;
     drop(tasks);
     *lock(&shared.leading) = None;
     shared.agent.end_session(epoch);
@@ -185,7 +185,7 @@
         }
         is_first = false;
         let transaction = Transaction {
-            expected: vec![(rows::seat(), leading.epoch.0)],
+            expected: vec![(rows::record(), leading.epoch.0)],
             puts: vec![leading.beat()],
             removed: Vec::new(),
         };
@@ -203,14 +203,14 @@
     let Some(leading) = shared.leading() else {
         return;
     };
-    let seat = Seat {
+    let record = Record {
         entry: None,
         instance: shared.instance,
         address: Arc::from(""),
     };
     let transaction = Transaction {
-        expected: vec![(rows::seat(), leading.epoch.0)],
-        puts: vec![(rows::seat(), rows::encode(&seat))],
+        expected: vec![(rows::record(), leading.epoch.0)],
+        puts: vec![(rows::record(), rows::encode(&record))],
         removed: Vec::new(),
     };
     match shared.store.transact(&transaction).await {
@@ -220,7 +220,7 @@
 }
 
 /// The leader with its connections.
-struct Desk {
+struct Driver {
     shared: Arc<Shared>,
     leading: Arc<Leading>,
     queue: Receiver<Input>,
@@ -230,7 +230,7 @@
     resigned: Option<&'static str>,
 }
 
-impl Desk {
+impl Driver {
     fn new(shared: &Arc<Shared>, leading: &Arc<Leading>, queue: Receiver<Input>) -> Self {
         let options = &shared.options;
         let bounds = Bounds {
@@ -341,7 +341,7 @@
     fn handle(&mut self, event: Event) {
         if let Event::Told(_, Note::Look(look)) = &event {
             for end in &look.ended {
-                self.shared.gauge.end(end.how);
+                self.shared.instruments.end(end.how);
             }
         }
         let actions = self.leader.handle(clock::now(), event);
@@ -406,7 +406,7 @@
         let shared = Arc::clone(&self.shared);
         let leading = Arc::clone(&self.leading);
         let write = async move {
-            let storage = keep::write_for(&shared, &request).await;
+            let storage = persist::write_for(&shared, &request).await;
             leading.send(Input::Stored(entry, number, storage));
         };
         self.shared.spawner.spawn(write).detach();
@@ -451,7 +451,7 @@
         ]
     });
     Transaction {
-        expected: vec![(rows::seat(), leading.epoch.0)],
+        expected: vec![(rows::record(), leading.epoch.0)],
         puts,
         removed: removed.collect(),
     }
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -7,7 +7,7 @@
 use decision::clock::Ms;
 use decision::name::Name;
 use scheduler::election;
-use scheduler::election::Seat;
+use scheduler::election::Record;
 use scheduler::id::Epoch;
 use scheduler::leader::Event;
 use scheduler::message::Hello;
@@ -51,13 +51,13 @@
 }
 
 /// Follows the leader until the connection is lost.
-pub(super) async fn follow(shared: &Arc<Shared>, epoch: Epoch, seat: &Seat) -> Ending {
-    let address: SocketAddr = match seat.address.parse() {
+pub(super) async fn follow(shared: &Arc<Shared>, epoch: Epoch, record: &Record) -> Ending {
+    let address: SocketAddr = match record.address.parse() {
         Ok(address) => address,
         Err(error) => {
             log::error!(
-                "kind=seat-unusable address={:?} cause={error}",
-                seat.address
+                "kind=record-unusable address={:?} cause={error}",
+                record.address
             );
             return Ending::Lost;
         }
@@ -208,7 +208,7 @@
         return false;
     };
     let row = |key: &str| page.rows.iter().find(|row| row.key == key);
-    if row(&rows::seat().key).is_some_and(|row| row.version != epoch.0) {
+    if row(&rows::record().key).is_some_and(|row| row.version != epoch.0) {
         return true;
     }
     let version = row(&rows::beat().key).map_or(0, |row| row.version);
--- a/src/serve/keep.rs
+++ b/src/serve/persist.rs
@@ -18,7 +18,7 @@
 /// Makes a write durable. The leader is asked when the store does not serve this entry; to write
 /// twice has no further effect. Without a way to the store nothing is tried, so that the refusal
 /// is true.
-pub(super) async fn keep(shared: &Shared, request: Request) -> Storage {
+pub(super) async fn persist(shared: &Shared, request: Request) -> Storage {
     if shared.is_stored() {
         return write(shared, &request).await;
     }
--- a/src/serve/rows.rs
+++ b/src/serve/rows.rs
@@ -25,7 +25,7 @@
 
 const ACCEPTED: char = 'j';
 const CANCELLED: char = 'c';
-const SEAT: &str = "seat";
+const RECORD: &str = "record";
 const BEAT: &str = "beat";
 const MEMBERS: &str = "members";
 
@@ -60,8 +60,8 @@
     Cancelled(Job),
 }
 
-pub(super) fn seat() -> Key {
-    Key::new(LEAD, WHOLE, SEAT)
+pub(super) fn record() -> Key {
+    Key::new(LEAD, WHOLE, RECORD)
 }
 
 pub(super) fn beat() -> Key {
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -119,7 +119,7 @@
         if !matches!(outcome, Outcome::Done | Outcome::Unknown) {
             lock(&self.known).remove(&place);
         }
-        shared.gauge.start(outcome);
+        shared.instruments.start(outcome);
         shared.agent.tell(Note::Started(place, outcome));
         if outcome == Outcome::Unknown {
             self.look_now(&shared).await;
@@ -196,7 +196,7 @@
         match shared.workers.hold(&self.name, self.address, hold).await {
             Ok(held) => {
                 let now = clock::now();
-                shared.gauge.look(now.since(asked + plan.wait));
+                shared.instruments.look(now.since(asked + plan.wait));
                 let was_silent = lock(&self.lease).answered(now, held.clock, held.born);
                 let has_ends = !held.ended.is_empty();
                 let is_due = now.since(*told) >= REPORT || was_silent;
