Start an entry of the soak again when its port was taken

Change: the stand-in starts the entry with other ports. One lookup for runs; one export for metrics.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -36,6 +36,7 @@
 use crate::progress::Outcome;
 use crate::progress::Progress;
 use crate::progress::Stage;
+use crate::task::Active;
 
 /// How long an agent goes on to renew leases without a word of the leader.
 pub const AGENT_PATIENCE: Ms = Ms(3_000);
@@ -417,6 +418,11 @@
         }
     }
 
+    /// A run that holds room on a worker.
+    fn run_mut(&mut self, id: Task, run: Run) -> Option<&mut Active> {
+        self.jobs.get_mut(&id.step.job)?.task(id)?.run(run)
+    }
+
     fn rank(&self, step: id::Step) -> Option<Rank> {
         let job = self.jobs.get(&step.job)?;
         let remaining = *job.remaining.get(usize::from(step.step))?;
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -299,12 +299,7 @@
 
     /// Handles a booked run that a look did not show.
     fn miss_run(&mut self, now: Ms, look: &Look, id: Task, run: Run) {
-        let Some(active) = self
-            .jobs
-            .get_mut(&id.step.job)
-            .and_then(|job| job.task(id))
-            .and_then(|task| task.run(run))
-        else {
+        let Some(active) = self.run_mut(id, run) else {
             return;
         };
         let is_stopped = active.stopped_at.is_some_and(|at| look.asked > at);
@@ -389,12 +384,7 @@
         };
         let runs: Vec<(Task, Run)> = worker.runs.iter().copied().collect();
         for (task, run) in runs {
-            let born = self
-                .jobs
-                .get_mut(&task.step.job)
-                .and_then(|job| job.task(task))
-                .and_then(|state| state.run(run))
-                .map(|active| active.born);
+            let born = self.run_mut(task, run).map(|active| active.born);
             if born.is_none() || born != kept {
                 self.release(now, task, run, reason);
             }
--- a/crates/scheduler/src/leader/orders.rs
+++ b/crates/scheduler/src/leader/orders.rs
@@ -31,12 +31,7 @@
 
     pub(super) fn started(&mut self, now: Ms, place: &Place, outcome: Outcome) {
         let id = place.task;
-        let Some(active) = self
-            .jobs
-            .get_mut(&id.step.job)
-            .and_then(|job| job.task(id))
-            .and_then(|task| task.run(place.run))
-        else {
+        let Some(active) = self.run_mut(id, place.run) else {
             return;
         };
         if outcome == Outcome::Done {
@@ -75,12 +70,7 @@
     }
 
     fn mark_unsure(&mut self, now: Ms, id: Task, run: Run) {
-        let Some(active) = self
-            .jobs
-            .get_mut(&id.step.job)
-            .and_then(|job| job.task(id))
-            .and_then(|task| task.run(run))
-        else {
+        let Some(active) = self.run_mut(id, run) else {
             return;
         };
         if active.phase == Phase::Starting {
@@ -103,12 +93,7 @@
 
     /// Orders a run to stop.
     pub(super) fn stop_run(&mut self, now: Ms, id: Task, run: Run, reason: &'static str) {
-        let Some(active) = self
-            .jobs
-            .get_mut(&id.step.job)
-            .and_then(|job| job.task(id))
-            .and_then(|task| task.run(run))
-        else {
+        let Some(active) = self.run_mut(id, run) else {
             return;
         };
         if active
@@ -154,12 +139,7 @@
     }
 
     pub(super) fn stopped(&mut self, now: Ms, place: &Place, outcome: Outcome, at: Ms) {
-        let Some(active) = self
-            .jobs
-            .get_mut(&place.task.step.job)
-            .and_then(|job| job.task(place.task))
-            .and_then(|task| task.run(place.run))
-        else {
+        let Some(active) = self.run_mut(place.task, place.run) else {
             return;
         };
         match outcome {
@@ -184,10 +164,7 @@
         for (task, run) in late {
             self.unsettled.insert((task, run), now);
             let is_answered = self
-                .jobs
-                .get_mut(&task.step.job)
-                .and_then(|job| job.task(task))
-                .and_then(|state| state.run(run))
+                .run_mut(task, run)
                 .map(|active| active.stopped_at.is_some());
             match is_answered {
                 None => drop(self.unsettled.remove(&(task, run))),
--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -234,12 +234,7 @@
         let (Some(agent), Some(born)) = (worker.agent.clone(), worker.born) else {
             return;
         };
-        if let Some(active) = self
-            .jobs
-            .get_mut(&task.step.job)
-            .and_then(|job| job.task(task))
-            .and_then(|state| state.run(run))
-        {
+        if let Some(active) = self.run_mut(task, run) {
             active.share = Some(share);
         }
         self.log(format!(
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -510,7 +510,7 @@
 
     /// Only workers with an even number may run a step.
     fn advise(&mut self, step: id::Step, workers: Vec<Name>) {
-        let good = workers.into_iter().filter(|name| is_allowed(name));
+        let good = workers.into_iter().filter(is_allowed);
         let tickets = good.map(|name| (name, Arc::from(format!("ticket-{step}"))));
         let tickets = tickets.collect();
         self.tell(Event::Advised(step, tickets, Ms(TICKET)));
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -32,11 +32,41 @@
     }
 }
 
+/// Metrics that are read as Prometheus text.
+#[derive(Debug)]
+pub(crate) struct Export {
+    registry: Registry,
+    pub(crate) provider: SdkMeterProvider,
+}
+
+impl Export {
+    /// Without instruments.
+    pub(crate) fn new() -> Result<Self, Error> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(|error| Error::Start(error.to_string()))?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        Ok(Self { registry, provider })
+    }
+
+    /// All metrics.
+    pub(crate) fn text(&self) -> String {
+        let mut bytes = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
+        match encoded {
+            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
+            Err(error) => format!("# {error}\n"),
+        }
+    }
+}
+
 /// The instruments of an entry.
 #[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    export: Export,
     requests: Counter<u64>,
     attempts: Counter<u64>,
     table: Counter<u64>,
@@ -55,14 +85,8 @@
     ///
     /// When the exporter refuses its configuration.
     pub fn new() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .map_err(|error| Error::Start(error.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("samphiretrail");
+        let export = Export::new()?;
+        let meter = export.provider.meter("samphiretrail");
         let counter = |name, about| meter.u64_counter(name).with_description(about).build();
         let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
         Ok(Self {
@@ -79,8 +103,7 @@
             waiting: gauge("waiting_requests", "Requests in the queue"),
             outcomes: labels("outcome", ["answered", "refused", "unknown"]),
             endings: labels("ending", ["answered", "not-run", "unknown"]),
-            registry,
-            _provider: provider,
+            export,
         })
     }
 
@@ -124,12 +147,7 @@
     /// All metrics in Prometheus text format.
     #[must_use]
     pub fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
-        match encoded {
-            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(error) => format!("# {error}\n"),
-        }
+        self.export.text()
     }
 }
 
--- a/src/serve/instruments.rs
+++ b/src/serve/instruments.rs
@@ -14,23 +14,19 @@
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::Encoder;
-use prometheus::Registry;
-use prometheus::TextEncoder;
 use scheduler::message::Storage;
 use smol::net::TcpListener;
 
 use super::Error;
 use super::Shared;
+use crate::metrics::Export;
 
 /// Upper bounds of the histograms, in ms.
 const BOUNDS: [f64; 9] = [2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 1_000.0, 5_000.0];
 
 /// The instruments of an entry.
 pub(super) struct Instruments {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    export: Export,
     submissions: Counter<u64>,
     starts: Counter<u64>,
     ends: Counter<u64>,
@@ -44,14 +40,8 @@
 impl Instruments {
     /// Fresh instruments.
     pub(super) fn new() -> Result<Self, Error> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .map_err(|error| Error::Start(error.to_string()))?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("samphiretrail");
+        let export = Export::new().map_err(|error| Error::Start(error.to_string()))?;
+        let meter = export.provider.meter("samphiretrail");
         let counter = |name, about| meter.u64_counter(name).with_description(about).build();
         let histogram = |name, about| {
             let builder = meter.f64_histogram(name).with_description(about);
@@ -66,8 +56,7 @@
             feeds_lost: counter("feeds_lost", "Feeds of the store that broke off, by table"),
             writes: histogram("write_ms", "Time to make a customer's write durable"),
             looks: histogram("look_ms", "Time of looks at workers beyond their wait"),
-            registry,
-            _provider: provider,
+            export,
         })
     }
 
@@ -105,11 +94,7 @@
 
     /// All metrics.
     pub(super) fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut bytes) {
-            Ok(()) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(error) => format!("# {error}\n"),
-        }
+        self.export.text()
     }
 }
 
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -41,6 +41,10 @@
 /// How long each task runs, in ms.
 pub const WORK: u64 = 150;
 
+/// How often an entry is started, and the time in which it takes its ports.
+const MAX_STARTS: usize = 5;
+const START: Duration = Duration::from_millis(150);
+
 /// Workers and what broke a promise.
 #[derive(Default)]
 pub struct Floor {
@@ -126,8 +130,20 @@
         self.store.put("servers", &id, &row.to_string());
     }
 
-    /// Starts an entry as a process.
+    /// Starts an entry as a process. A port that was free may be taken by an outgoing connection
+    /// before the entry listens, so an entry that ends at once is started with other ports.
     pub fn entry(&self, name: &str) -> Entry {
+        for _ in 0..MAX_STARTS {
+            let mut entry = self.spawn(name);
+            thread::sleep(START);
+            if !entry.has_ended() {
+                return entry;
+            }
+        }
+        panic!("entry {name} does not stay up");
+    }
+
+    fn spawn(&self, name: &str) -> Entry {
         let free = || {
             let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
             listener.local_addr().expect("an address")
