Keep the lease of the first agent when a worker changes its agent

Ruled out: the proxy, which forwards nothing in reset mode. Change: a handover sets a floor for the end of the leases; starts without an outcome for 2.5 s become unsure; the answer to a stop counts for looks of the same agent only. Both tests fail without the change.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -128,6 +128,8 @@
     pub account: Option<Vec<Place>>,
     /// Whether the last look failed.
     pub is_silent: bool,
+    /// Leases that earlier agents renewed may last until then.
+    pub lease_floor: Ms,
     /// When its leases have expired if it stays silent.
     pub lapses: Option<Ms>,
     /// Booked by runs, filling ones with their memory only.
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -21,6 +21,9 @@
 /// The share by which the clock of a worker may be slow, in percent.
 const CLOCK_SLOW_PERCENT: u64 = 2;
 
+/// The longest time in which a connected agent learns that a worker is no longer its own.
+const HANDOVER: Ms = Ms(1_500);
+
 /// Workers that the leader's own agent counts as having besides, since it has other work.
 const LEADER_WEIGHT: usize = 6;
 
@@ -106,6 +109,7 @@
         for (name, worker) in &mut self.workers {
             if worker.agent.as_ref() == Some(entry) {
                 worker.agent = None;
+                worker.lease_floor = worker.lease_floor.max(lapses);
                 worker.lapses = Some(worker.lapses.unwrap_or(lapses).max(lapses));
                 orphans.push(name.clone());
             }
@@ -143,7 +147,7 @@
     }
 
     /// Gives a worker to the agent that suits best and tells the agents of a change.
-    pub(super) fn assign(&mut self, _now: Ms, name: &Name) {
+    pub(super) fn assign(&mut self, now: Ms, name: &Name) {
         let Some(worker) = self.workers.get(name) else {
             return;
         };
@@ -180,7 +184,11 @@
         if let Some(agent) = self.agents.get_mut(&best) {
             agent.watched += 1;
         }
+        let floor = now + HANDOVER + self.lease_end();
         if let Some(worker) = self.workers.get_mut(name) {
+            if current.is_some() {
+                worker.lease_floor = worker.lease_floor.max(floor);
+            }
             worker.agent = Some(best);
         }
         self.send_watch(name);
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -20,6 +20,9 @@
 use crate::task::Active;
 use crate::task::Phase;
 
+/// The time after which the outcome of a start no longer comes.
+const START_TIMEOUT: Ms = Ms(2_500);
+
 /// Looks in a row without a run after which it counts as gone.
 const MISSES: u8 = 3;
 
@@ -43,7 +46,7 @@
             Note::Look(look) => self.look(now, entry, look),
             Note::Missed(missed) => self.miss(now, entry, &missed),
             Note::Started(place, outcome) => self.started(now, &place, outcome),
-            Note::Stopped(place, outcome, at) => self.stopped(now, &place, outcome, at),
+            Note::Stopped(place, outcome, at) => self.stopped(now, entry, &place, outcome, at),
             Note::Ask(number, job) => {
                 let stage = self.stage(job);
                 self.send(entry, Order::Stage(number, stage));
@@ -111,7 +114,7 @@
             self.end_run(now, &look.worker, look.born, end);
         }
         if let Some(running) = &look.running {
-            self.compare(now, &look, running);
+            self.compare(now, entry, &look, running);
         }
         if is_first {
             self.log(format!(
@@ -127,7 +130,7 @@
     }
 
     /// Compares what runs with what should run.
-    fn compare(&mut self, now: Ms, look: &Look, running: &[Running]) {
+    fn compare(&mut self, now: Ms, entry: &Name, look: &Look, running: &[Running]) {
         let mut seen: BTreeSet<(Task, Run)> = BTreeSet::new();
         for row in running {
             seen.insert((row.task, row.run));
@@ -139,7 +142,7 @@
         worker.unlearned.retain(|run| seen.contains(run));
         let absent: Vec<(Task, Run)> = worker.runs.difference(&seen).copied().collect();
         for (task, run) in absent {
-            self.miss_run(now, look, task, run);
+            self.miss_run(now, entry, look, task, run);
         }
         self.note_figures(now, &look.worker, running);
     }
@@ -224,6 +227,7 @@
             since: now,
             stop_sent: None,
             stopped_at: None,
+            stopped_by: None,
             misses: 0,
             share: None,
             percent: 0,
@@ -298,12 +302,20 @@
     }
 
     /// Handles a booked run that a look did not show.
-    fn miss_run(&mut self, now: Ms, look: &Look, id: Task, run: Run) {
+    fn miss_run(&mut self, now: Ms, entry: &Name, look: &Look, id: Task, run: Run) {
         let Some(active) = self.run_mut(id, run) else {
             return;
         };
+        if active.stopped_at.is_some() && active.stopped_by.as_ref() != Some(entry) {
+            // Another agent had the answer, and its clock tells nothing about this look.
+            active.stopped_at = None;
+        }
         let is_stopped = active.stopped_at.is_some_and(|at| look.asked > at);
         match active.phase {
+            Phase::Starting if now.since(active.since) >= START_TIMEOUT => {
+                // The answer was lost with an agent that had the worker before.
+                self.mark_unsure(now, id, run);
+            }
             Phase::Starting => {}
             Phase::Unsure if !is_stopped => {
                 if active.stopped_at.is_none() {
@@ -335,6 +347,7 @@
         worker.is_silent = true;
         let has_left = worker.was_draining && worker.listing.is_none() && missed.is_closed;
         if worker.is_known {
+            let lapses = lapses.max(worker.lease_floor);
             worker.lapses = Some(worker.lapses.unwrap_or_default().max(lapses));
         }
         self.use_account(now, name);
--- a/crates/scheduler/src/leader/orders.rs
+++ b/crates/scheduler/src/leader/orders.rs
@@ -69,7 +69,7 @@
         }
     }
 
-    fn mark_unsure(&mut self, now: Ms, id: Task, run: Run) {
+    pub(super) fn mark_unsure(&mut self, now: Ms, id: Task, run: Run) {
         let Some(active) = self.run_mut(id, run) else {
             return;
         };
@@ -138,12 +138,22 @@
         }
     }
 
-    pub(super) fn stopped(&mut self, now: Ms, place: &Place, outcome: Outcome, at: Ms) {
+    pub(super) fn stopped(
+        &mut self,
+        now: Ms,
+        entry: &Name,
+        place: &Place,
+        outcome: Outcome,
+        at: Ms,
+    ) {
         let Some(active) = self.run_mut(place.task, place.run) else {
             return;
         };
         match outcome {
-            Outcome::Done | Outcome::Old => active.stopped_at = Some(at),
+            Outcome::Done | Outcome::Old => {
+                active.stopped_at = Some(at);
+                active.stopped_by = Some(entry.clone());
+            }
             Outcome::Fenced => self.actions.push(Action::Resign("fenced by a worker")),
             Outcome::Reborn => self.release(now, place.task, place.run, "worker-restarted"),
             other => self.log(format!(
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -274,6 +274,7 @@
             since: now,
             stop_sent: None,
             stopped_at: None,
+            stopped_by: None,
             misses: 0,
             share: Some(100),
             percent: 0,
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -37,6 +37,8 @@
     pub stop_sent: Option<Ms>,
     /// When the worker answered the order to stop, on the clock of the agent.
     pub stopped_at: Option<Ms>,
+    /// The agent that had that answer.
+    pub stopped_by: Option<Name>,
     /// Looks in a row that did not show it although it was running.
     pub misses: u8,
     /// The share that it was last ordered to work at, in percent, if that is known.
--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -184,7 +184,9 @@
         world.faults.late = 0.03;
         for turn in 0..12 {
             world.run(1_100 + turn * 430 + seed * 7);
+            // The first connection moves workers between agents, the second one loses answers.
             world.reconnect(&name(&format!("e{}", turn % 3)), 20 + turn * 13);
+            world.reconnect(&name(&format!("e{}", (turn + 1) % 3)), 1);
             if turn == 7 {
                 world.elect(true);
             }
@@ -232,3 +234,24 @@
         assert_completed(&world, seed, "tickets");
     }
 }
+
+#[test]
+fn a_worker_that_changes_its_agent_keeps_the_lease_of_the_first_one() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, 5, 3);
+        world.lasts = true;
+        world.elect(false);
+        for job in 0..4 {
+            world.submit(job, chain(&[4], 800));
+        }
+        world.run(20_000 + seed * 9);
+        for entry in ["e1", "e2", "e0"] {
+            // The worker falls silent while it passes from one agent to another.
+            world.cut(&name("w1"), 1_200);
+            world.reconnect(&name(entry), 30);
+            world.run(world.now + 700);
+        }
+        world.run(world.now + 8_000);
+        assert_kept(&world, seed, "changed agents");
+    }
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -277,6 +277,9 @@
 
     /// An agent loses its connection to the leader and connects again.
     pub fn reconnect(&mut self, entry: &Name, gap: u64) {
+        // What it said last is lost with the connection.
+        self.queue
+            .retain(|_, delivery| !matches!(delivery, Delivery::Note(_, from, _) if from == entry));
         self.tell(Event::Left(entry.clone()));
         let until = self.now + gap;
         self.run(until);
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::process::Child;
 use std::process::Command;
-use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
@@ -158,10 +157,11 @@
         let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("serve-{name}-{}.ini", customer.port()));
         std::fs::write(&file, text).expect("a scratch file");
+        let log = std::fs::File::create(file.with_extension("log")).expect("a scratch file");
         let child = Command::new(env!("CARGO_BIN_EXE_samphiretrail"))
             .arg("serve")
             .env("SAMPHIRETRAIL_BOOT", &file)
-            .stdout(Stdio::null())
+            .stdout(log)
             .spawn()
             .expect("the binary runs");
         Entry {
