--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -5,8 +5,10 @@
 mod commit;
 mod drain;
 mod ends;
+mod jobs;
 mod looks;
 mod orders;
+mod report;
 mod schedule;
 mod serving;
 
@@ -33,10 +35,8 @@
 use crate::message::Order;
 use crate::message::Place;
 use crate::pace::Pacer;
-use crate::progress::Outcome;
 use crate::progress::Progress;
 use crate::progress::Stage;
-use crate::task::Active;
 
 /// How long an agent goes on to renew leases without a word of the leader.
 pub const AGENT_PATIENCE: Ms = Ms(3_000);
@@ -130,22 +130,8 @@
     watched: usize,
 }
 
-/// Sums over all workers, processors in thousandths of a core.
-#[derive(Default)]
-struct Load {
-    workers: usize,
-    silent: usize,
-    capacity: u64,
-    booked: u64,
-    serving: u64,
-    filling: u64,
-    runs: usize,
-}
-
 /// The interval of log lines on the load.
 const LOAD_INTERVAL: Ms = Ms(1_000);
-/// The interval of log lines on what is believed of images.
-const MODEL_INTERVAL: Ms = Ms(5_000);
 
 /// The position of a step among those that wait; the smallest comes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -314,213 +300,6 @@
         }
     }
 
-    fn count_waiting(&self) -> Vec<(Name, u32)> {
-        let mut counts: BTreeMap<&Name, u32> = BTreeMap::new();
-        for queue in &self.config.queues {
-            counts.insert(&queue.name, 0);
-        }
-        let idle = self
-            .jobs
-            .values()
-            .filter(|job| !job.has_ended() && !job.progress.has_started);
-        for job in idle {
-            *counts.entry(&job.queue).or_default() += 1;
-        }
-        let counts = counts.into_iter();
-        counts.map(|(name, count)| (name.clone(), count)).collect()
-    }
-
-    fn accept(
-        &mut self,
-        now: Ms,
-        id: id::Job,
-        row: u64,
-        accepted: job::Accepted,
-        progress: Option<Progress>,
-    ) {
-        if self.jobs.contains_key(&id) {
-            return;
-        }
-        let job = job::Job::new(id, row, accepted, progress, &mut self.model, now);
-        let tasks: u32 = job.spec.steps.iter().map(|step| step.count).sum();
-        self.log(format!(
-            "kind=job-learned job={id} queue={} tasks={tasks} row={row} stage={:?}",
-            job.queue, job.shown
-        ));
-        if let Some((_, at)) = job.progress.ended {
-            self.ended.insert((at, id));
-        }
-        let has_ended = job.has_ended();
-        if job.spec.schedule.is_some() && !has_ended {
-            self.scheduled.insert(id);
-        }
-        self.jobs.insert(id, job);
-        if self.cancelled.remove(&id) {
-            self.cancel(now, id);
-        } else if !has_ended {
-            self.begin_due(id);
-        }
-        self.adopt_unlearned(now, id);
-    }
-
-    /// Begins the occurrences of a job that are due.
-    fn begin_due(&mut self, id: id::Job) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let begun = job.begin_due(self.unix);
-        if job.next_occurrence >= job.spec.occurrences() {
-            self.scheduled.remove(&id);
-        }
-        for occurrence in begun {
-            self.enqueue_occurrence(id, occurrence);
-        }
-    }
-
-    /// Puts the unblocked steps of an occurrence in line.
-    fn enqueue_occurrence(&mut self, id: id::Job, occurrence: u32) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let steps = job.spec.steps.len();
-        let steps = (0..steps).map(job::number);
-        let open: Vec<u16> = steps
-            .filter(|&step| job.is_unblocked(occurrence, step))
-            .collect();
-        for step in open {
-            self.enqueue(id::Step {
-                job: id,
-                occurrence,
-                step,
-            });
-        }
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.close_occurrence(occurrence, self.unix);
-        }
-        self.mark_changed(id);
-    }
-
-    /// Puts a step in line if it has tasks to start.
-    fn enqueue(&mut self, step: id::Step) {
-        let Some(rank) = self.rank(step) else {
-            return;
-        };
-        let Some(job) = self.jobs.get_mut(&step.job) else {
-            return;
-        };
-        let is_unblocked = job.is_unblocked(step.occurrence, step.step);
-        let has_tasks = job
-            .step(step)
-            .is_some_and(|state| !state.startable.is_empty());
-        if has_tasks && is_unblocked && !job.has_ended() && !self.ranks.contains_key(&step) {
-            self.ranks.insert(step, rank);
-            self.waiting.insert((rank, step));
-        }
-    }
-
-    /// A run that holds room on a worker.
-    fn run_mut(&mut self, id: Task, run: Run) -> Option<&mut Active> {
-        self.jobs.get_mut(&id.step.job)?.task(id)?.run(run)
-    }
-
-    fn rank(&self, step: id::Step) -> Option<Rank> {
-        let job = self.jobs.get(&step.job)?;
-        let remaining = *job.remaining.get(usize::from(step.step))?;
-        let chain = job.remaining.iter().copied().max().unwrap_or_default();
-        let queue = self.config.queue(&job.queue);
-        let (priority, stretch, objective) = match queue {
-            Some(queue) => (queue.priority, queue.stretch, queue.objective),
-            None => (u32::MAX, 1.0, Ms::ZERO),
-        };
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_precision_loss,
-            clippy::cast_sign_loss,
-            reason = "a stretch is a small positive factor"
-        )]
-        let allowed = Ms((chain.0 as f64 * stretch) as u64) + objective;
-        let end = job.learned + allowed;
-        Some(Rank {
-            priority,
-            latest_start: end.since(remaining),
-        })
-    }
-
-    fn dequeue(&mut self, step: id::Step) {
-        if let Some(rank) = self.ranks.remove(&step) {
-            self.waiting.remove(&(rank, step));
-        }
-    }
-
-    fn cancel(&mut self, now: Ms, id: id::Job) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            // The row of the job may come after that of the cancellation.
-            self.cancelled.insert(id);
-            return;
-        };
-        if job.has_ended() {
-            return;
-        }
-        job.end(Outcome::Cancelled, self.unix);
-        self.log(format!("kind=job-cancelled job={id}"));
-        self.stop_ended_job(now, id);
-    }
-
-    /// Stops what is left of a job that has ended.
-    fn stop_ended_job(&mut self, now: Ms, id: id::Job) {
-        self.scheduled.remove(&id);
-        self.mark_changed(id);
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if let Some((_, at)) = job.progress.ended {
-            self.ended.insert((at, id));
-        }
-        let mut steps = Vec::new();
-        let mut running = Vec::new();
-        for (&occurrence, states) in &job.occurrences {
-            for (index, state) in states.iter().enumerate() {
-                let step = id::Step {
-                    job: id,
-                    occurrence,
-                    step: job::number(index),
-                };
-                steps.push(step);
-                for (number, task) in (0..).zip(&state.tasks) {
-                    let task_id = Task {
-                        step,
-                        index: number,
-                    };
-                    running.extend(task.runs.iter().map(|active| (task_id, active.run)));
-                }
-            }
-        }
-        for step in steps {
-            self.dequeue(step);
-            self.advice.forget(step);
-        }
-        for (task, run) in running {
-            self.stop_run(now, task, run, "job-ended");
-        }
-    }
-
-    /// Notes that the progress of a job has to be written.
-    fn mark_changed(&mut self, id: id::Job) {
-        let Some(job) = self.jobs.get(&id) else {
-            return;
-        };
-        if job.version > job.committed {
-            // Ends are written at once, the rest in groups.
-            let due = if job.has_ended() {
-                Ms::ZERO
-            } else {
-                self.now_for_group()
-            };
-            let entry = self.dirty.entry(id).or_insert(due);
-            *entry = (*entry).min(due);
-        }
-    }
-
     fn tick(&mut self, now: Ms, unix: Ms) {
         self.unix = unix;
         if now.since(self.load_logged) >= LOAD_INTERVAL {
@@ -537,46 +316,6 @@
         self.move_from_draining(now);
     }
 
-    /// Logs what is booked and what waits.
-    fn log_load(&mut self, now: Ms) {
-        let mut load = Load::default();
-        for worker in self.workers.values() {
-            let Some(listing) = &worker.listing else {
-                continue;
-            };
-            load.workers += 1;
-            load.silent += usize::from(worker.is_silent);
-            load.capacity += u64::from(listing.size.millicores);
-            load.booked += u64::from(worker.booked.millicores);
-            load.serving += u64::from(worker.serving);
-            load.filling += u64::from(worker.filling);
-            load.runs += worker.runs.len();
-        }
-        let waiting = self.waiting.len();
-        let unsettled = self.unsettled.len();
-        let Load {
-            workers,
-            silent,
-            capacity,
-            booked,
-            serving,
-            filling,
-            runs,
-        } = load;
-        self.log(format!(
-            "kind=load workers={workers} silent={silent} capacity={capacity} booked={booked} \
-             serving={serving} filling={filling} runs={runs} waiting_steps={waiting} \
-             unsettled={unsettled} agents={}",
-            self.agents.len()
-        ));
-        if now.since(self.model_logged) >= MODEL_INTERVAL {
-            self.model_logged = now;
-            for line in self.model.describe() {
-                self.log(format!("kind=interference {line}"));
-            }
-        }
-    }
-
     fn log(&mut self, line: String) {
         self.actions.push(Action::Log(line));
     }
--- /dev/null
+++ b/crates/scheduler/src/leader/report.rs
@@ -0,0 +1,81 @@
+//! What the leader says of itself: sums for the log, counts for customers.
+
+use std::collections::BTreeMap;
+
+use decision::clock::Ms;
+use decision::name::Name;
+
+use super::Leader;
+
+/// The interval of log lines on what is believed of images.
+const MODEL_INTERVAL: Ms = Ms(5_000);
+
+/// Sums over all workers, processors in thousandths of a core.
+#[derive(Default)]
+struct Load {
+    workers: usize,
+    silent: usize,
+    capacity: u64,
+    booked: u64,
+    serving: u64,
+    filling: u64,
+    runs: usize,
+}
+
+impl Leader {
+    pub(super) fn count_waiting(&self) -> Vec<(Name, u32)> {
+        let mut counts: BTreeMap<&Name, u32> = BTreeMap::new();
+        for queue in &self.config.queues {
+            counts.insert(&queue.name, 0);
+        }
+        let idle = self
+            .jobs
+            .values()
+            .filter(|job| !job.has_ended() && !job.progress.has_started);
+        for job in idle {
+            *counts.entry(&job.queue).or_default() += 1;
+        }
+        let counts = counts.into_iter();
+        counts.map(|(name, count)| (name.clone(), count)).collect()
+    }
+
+    /// Logs what is booked and what waits.
+    pub(super) fn log_load(&mut self, now: Ms) {
+        let mut load = Load::default();
+        for worker in self.workers.values() {
+            let Some(listing) = &worker.listing else {
+                continue;
+            };
+            load.workers += 1;
+            load.silent += usize::from(worker.is_silent);
+            load.capacity += u64::from(listing.size.millicores);
+            load.booked += u64::from(worker.booked.millicores);
+            load.serving += u64::from(worker.serving);
+            load.filling += u64::from(worker.filling);
+            load.runs += worker.runs.len();
+        }
+        let waiting = self.waiting.len();
+        let unsettled = self.unsettled.len();
+        let Load {
+            workers,
+            silent,
+            capacity,
+            booked,
+            serving,
+            filling,
+            runs,
+        } = load;
+        self.log(format!(
+            "kind=load workers={workers} silent={silent} capacity={capacity} booked={booked} \
+             serving={serving} filling={filling} runs={runs} waiting_steps={waiting} \
+             unsettled={unsettled} agents={}",
+            self.agents.len()
+        ));
+        if now.since(self.model_logged) >= MODEL_INTERVAL {
+            self.model_logged = now;
+            for line in self.model.describe() {
+                self.log(format!("kind=interference {line}"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/world/agent.rs
@@ -0,0 +1,297 @@
+//! Agents of the world: they carry out orders and look at workers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use rand::RngExt;
+use scheduler::agent::Lease;
+use scheduler::id;
+use scheduler::id::Epoch;
+use scheduler::id::Task;
+use scheduler::leader::Event;
+use scheduler::message::How;
+use scheduler::message::Look;
+use scheduler::message::Missed;
+use scheduler::message::Note;
+use scheduler::message::Order;
+use scheduler::message::Outcome;
+use scheduler::message::Place;
+use scheduler::message::Start;
+
+use super::CALL_TIMEOUT;
+use super::Call;
+use super::DELAY;
+use super::Delivery;
+use super::LOOK;
+use super::TICKET;
+use super::Watch;
+use super::World;
+use super::is_allowed;
+use super::name;
+use super::size;
+use super::worker::Busy;
+use super::worker::MAX_LEASE;
+
+impl World {
+    /// Only workers with an even number may run a step.
+    pub(super) fn advise(&mut self, step: id::Step, workers: Vec<Name>) {
+        let good = workers.into_iter().filter(is_allowed);
+        let tickets = good.map(|name| (name, Arc::from(format!("ticket-{step}"))));
+        let tickets = tickets.collect();
+        self.tell(Event::Advised(step, tickets, Ms(TICKET)));
+    }
+
+    pub(super) fn obey(&mut self, entry: &Name, epoch: Epoch, order: Order) {
+        let now = self.now;
+        let Some(agent) = self.agents.get_mut(entry) else {
+            return;
+        };
+        let is_own_stale = epoch < agent.epoch && *entry == name("e0");
+        if epoch < agent.epoch && !is_own_stale {
+            return;
+        }
+        match order {
+            Order::Watch(watch) => {
+                let is_new = !agent.watches.contains_key(&watch.worker);
+                let state = agent.watches.entry(watch.worker.clone()).or_insert(Watch {
+                    lease: Lease::new(Ms(MAX_LEASE)),
+                    epoch,
+                    acknowledged: None,
+                    known: BTreeSet::new(),
+                });
+                state.acknowledged = watch.acknowledged;
+                if is_new {
+                    self.push(now, Delivery::Look(entry.clone(), watch.worker, epoch));
+                }
+            }
+            Order::Unwatch(worker) => drop(agent.watches.remove(&worker)),
+            Order::Start(start) => self.send_start(entry, epoch, &start),
+            Order::Stop(place) => self.send_stop(entry, epoch, place, false),
+            Order::Void(place) => self.send_stop(entry, epoch, place, true),
+            Order::Beat(_)
+            | Order::Config(_)
+            | Order::Pace(..)
+            | Order::Stage(..)
+            | Order::Stored(..) => {}
+        }
+    }
+
+    pub(super) fn send_start(&mut self, entry: &Name, epoch: Epoch, start: &Start) {
+        let now = Ms(self.now);
+        let place = Place {
+            worker: start.worker.clone(),
+            born: start.born,
+            task: start.task,
+            run: start.run,
+        };
+        let watch = self
+            .agents
+            .get_mut(entry)
+            .and_then(|agent| agent.watches.get_mut(&start.worker));
+        let Some(deadline) = watch.and_then(|watch| {
+            let deadline = watch.lease.deadline(now, now)?;
+            watch.lease.renew(now);
+            watch.known.insert(place.clone());
+            Some(deadline.0)
+        }) else {
+            let note = Note::Started(place, Outcome::Unsent);
+            return self.push(self.now + DELAY, Delivery::Note(epoch, entry.clone(), note));
+        };
+        self.call(entry, epoch, place, Some(deadline), false);
+    }
+
+    pub(super) fn send_stop(
+        &mut self,
+        entry: &Name,
+        epoch: Epoch,
+        place: Place,
+        looks_after: bool,
+    ) {
+        self.call(entry, epoch, place, None, looks_after);
+    }
+
+    pub(super) fn call(
+        &mut self,
+        entry: &Name,
+        epoch: Epoch,
+        place: Place,
+        deadline: Option<u64>,
+        looks_after: bool,
+    ) {
+        let is_late = self.chance(self.faults.late);
+        let is_lost = is_late || self.chance(self.faults.lost_answer);
+        let delay = if is_late {
+            self.random.random_range(1_000..12_000)
+        } else {
+            DELAY
+        };
+        let call = Call {
+            agent: entry.clone(),
+            epoch,
+            place,
+            deadline,
+            is_answered: !is_lost,
+            sent: self.now,
+            looks_after,
+        };
+        if is_lost {
+            self.answer(&call, Outcome::Unknown, self.now + CALL_TIMEOUT);
+        }
+        self.push(self.now + delay, Delivery::Called(call));
+    }
+
+    pub(super) fn answer(&mut self, call: &Call, outcome: Outcome, at: u64) {
+        let place = call.place.clone();
+        let note = if call.deadline.is_some() {
+            Note::Started(place, outcome)
+        } else {
+            Note::Stopped(place, outcome, Ms(at))
+        };
+        let delivery = Delivery::Note(call.epoch, call.agent.clone(), note);
+        self.push(at, delivery);
+    }
+
+    /// An order reaches its worker.
+    pub(super) fn arrive(&mut self, call: Call) {
+        let now = self.now;
+        let is_failing = self.chance(self.faults.failed_run);
+        let millis = if self.lasts {
+            1_000_000
+        } else {
+            self.random.random_range(100..1_500)
+        };
+        let Some(worker) = self.workers.get_mut(&call.place.worker) else {
+            return;
+        };
+        if worker.dark_until > now {
+            if call.is_answered {
+                self.answer(&call, Outcome::Unknown, call.sent + CALL_TIMEOUT);
+            }
+            return;
+        }
+        let (task, run) = (call.place.task, call.place.run);
+        let outcome = if !worker.obeys(call.epoch) {
+            Outcome::Fenced
+        } else if let Some(deadline) = call.deadline {
+            let was_there = worker.busy.contains_key(&task);
+            let busy = Busy {
+                run,
+                ends_at: now + millis,
+                how: if is_failing { How::Failed } else { How::Done },
+                size: size(1_000),
+            };
+            let outcome = worker.start(now, task, busy, deadline);
+            if outcome == Outcome::Done && !was_there {
+                self.check_start(&call);
+            }
+            outcome
+        } else {
+            worker.stop(now, task, run)
+        };
+        if call.is_answered {
+            self.answer(&call, outcome, now + DELAY);
+        }
+        if call.looks_after {
+            let (agent, worker) = (call.agent.clone(), call.place.worker.clone());
+            self.look(&agent, &worker, call.epoch, false);
+        }
+    }
+
+    pub(super) fn check_start(&mut self, call: &Call) {
+        let (task, now) = (call.place.task, self.now);
+        let here = &call.place.worker;
+        let others = self.workers.iter().filter(|(name, _)| *name != here);
+        let elsewhere = others
+            .filter(|(_, worker)| worker.busy.contains_key(&task))
+            .map(|(name, _)| name.clone())
+            .next();
+        if let Some(other) = elsewhere {
+            self.broken
+                .push(format!("{now}: {task} runs on {other} and {here}"));
+        }
+        if self.acknowledged_done.contains(&task) {
+            self.broken
+                .push(format!("{now}: {task} is done and starts again"));
+        }
+        let worker = &self.workers[here];
+        if !worker.booked().fits(worker.size) {
+            self.broken.push(format!("{now}: {here} is over its size"));
+        }
+        let spec = &self.jobs[&task.step.job].1.spec;
+        for &before in &spec.steps[usize::from(task.step.step)].after {
+            for index in 0..spec.steps[usize::from(before)].count {
+                let step = id::Step {
+                    step: before,
+                    ..task.step
+                };
+                if !self.done.contains(&Task { step, index }) {
+                    self.broken
+                        .push(format!("{now}: {task} starts before step {before}"));
+                }
+            }
+        }
+    }
+
+    pub(super) fn look(&mut self, entry: &Name, name: &Name, epoch: Epoch, repeats: bool) {
+        let now = self.now;
+        if repeats {
+            let again = Delivery::Look(entry.clone(), name.clone(), epoch);
+            self.push(now + LOOK, again);
+        }
+        let Some(watch) = self
+            .agents
+            .get_mut(entry)
+            .and_then(|agent| agent.watches.get_mut(name))
+            .filter(|watch| watch.epoch == epoch)
+        else {
+            return;
+        };
+        let plan = watch.lease.plan(Ms(now), Ms(now), Ms(now));
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if plan.deadline.is_some() {
+            watch.lease.renew(Ms(now));
+        }
+        if worker.dark_until > now {
+            let ago = watch.lease.missed(Ms(now));
+            let note = Note::Missed(Missed {
+                worker: name.clone(),
+                renewed: ago,
+                is_closed: false,
+            });
+            return self.push(now + DELAY, Delivery::Note(epoch, entry.clone(), note));
+        }
+        if !worker.obeys(epoch) {
+            return;
+        }
+        if let Some(deadline) = plan.deadline {
+            worker.extend(now, deadline.0);
+        }
+        let upto = watch.lease.acknowledged(watch.acknowledged);
+        watch
+            .lease
+            .answered(Ms(now), Ms(worker.clock(now)), worker.born);
+        let (kept, forgotten): (Vec<_>, Vec<_>) = std::mem::take(&mut worker.ends)
+            .into_iter()
+            .partition(|end| end.number > upto);
+        worker.ends = kept;
+        let done = forgotten.into_iter().filter(|end| end.how == How::Done);
+        self.acknowledged_done.extend(done.map(|end| end.task));
+        let look = Look {
+            worker: name.clone(),
+            born: worker.born,
+            asked: Ms(now),
+            running: Some(worker.running()),
+            ended: worker.ends.clone(),
+        };
+        watch.known.retain(|place| {
+            let has_ended = worker.ends.iter().any(|end| end.run == place.run);
+            has_ended || worker.busy.contains_key(&place.task)
+        });
+        let note = Note::Look(look);
+        self.push(now + DELAY, Delivery::Note(epoch, entry.clone(), note));
+    }
+}
