--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::process::Child;
+use std::process::ChildStdout;
 use std::process::Command;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::thread;
@@ -142,7 +144,18 @@
         panic!("entry {name} does not stay up");
     }
 
+    /// Starts an entry whose log nobody reads.
+    pub fn entry_with_stuck_reader(&self, name: &str) -> (Entry, ChildStdout) {
+        let mut entry = self.spawn_with(name, Some(Stdio::piped()));
+        let log = entry.child.stdout.take().expect("the log is piped");
+        (entry, log)
+    }
+
     fn spawn(&self, name: &str) -> Entry {
+        self.spawn_with(name, None)
+    }
+
+    fn spawn_with(&self, name: &str, output: Option<Stdio>) -> Entry {
         let free = || {
             let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
             listener.local_addr().expect("an address")
@@ -161,7 +174,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_samphiretrail"))
             .arg("serve")
             .env("SAMPHIRETRAIL_BOOT", &file)
-            .stdout(log)
+            .stdout(output.unwrap_or_else(|| log.into()))
             .spawn()
             .expect("the binary runs");
         Entry {
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -11,6 +11,8 @@
 #[path = "../../crates/scheduler/tests/world/worker.rs"]
 mod worker;
 
+use std::io::Read;
+
 use fleet::Entry;
 use fleet::Fleet;
 use fleet::wait;
@@ -189,3 +191,39 @@
     );
     fleet.assert_kept();
 }
+
+#[test]
+fn a_log_that_nobody_reads_holds_nothing_up() {
+    let fleet = Fleet::start(1);
+    let (entry, mut log) = fleet.entry_with_stuck_reader("a");
+    wait("readiness", 5_000, || {
+        fleet.send(entry.ready, "GET", "/readiness", "").0 == 200
+    });
+    // Each writes a line; the queue and the pipe hold fewer.
+    for _ in 0..8_000 {
+        assert_eq!(fleet.send(entry.customer, "POST", "/q/no-job", "").0, 400);
+    }
+    let reader = std::thread::spawn(move || {
+        let mut seen = Vec::new();
+        let mut chunk = [0; 64 << 10];
+        while let Ok(count) = log.read(&mut chunk) {
+            seen.extend_from_slice(&chunk[..count]);
+            if count == 0 || String::from_utf8_lossy(&seen).contains("kind=log-dropped") {
+                break;
+            }
+        }
+        String::from_utf8_lossy(&seen).into_owned()
+    });
+    wait("the count of dropped lines", 10_000, || {
+        fleet.send(entry.customer, "POST", "/q/no-job", "");
+        reader.is_finished()
+    });
+    let seen = reader.join().expect("the reader ends");
+    let dropped = seen.split("kind=log-dropped").nth(1).unwrap_or_default();
+    let count = dropped
+        .split("lines=")
+        .nth(1)
+        .and_then(|rest| rest.split_whitespace().next());
+    let count: u64 = count.and_then(|raw| raw.parse().ok()).unwrap_or(0);
+    assert!(count > 1_000, "{count} lines were counted as dropped");
+}
