--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -4,7 +4,7 @@
 
 use crate::leader::AGENT_PATIENCE;
 
-/// What runs is told to the leader in this interval, so that no look waits for an end for longer.
+/// What runs is reported to the leader in this interval, so that no look waits for an end for longer.
 pub const REPORT: Ms = Ms(800);
 /// The shortest wait of a look for an end.
 const LEAST_WAIT: Ms = Ms(50);
@@ -43,13 +43,13 @@
         }
     }
 
-    /// The next look, after what runs was told at `told`. A silent worker is asked without a renewal, so that its lease ends at a time
+    /// The next look, after what runs was reported at `reported`. A silent worker is asked without a renewal, so that its lease ends at a time
     /// that the leader knows.
     #[must_use]
-    pub fn plan(&self, now: Ms, heard: Ms, told: Ms) -> Plan {
+    pub fn plan(&self, now: Ms, heard: Ms, reported: Ms) -> Plan {
         let deadline = self.deadline(now, heard);
         let wait = if deadline.is_some() {
-            (told + REPORT).since(now).max(LEAST_WAIT)
+            (reported + REPORT).since(now).max(LEAST_WAIT)
         } else {
             FIRST_WAIT
         };
@@ -74,8 +74,8 @@
     /// The number up to which ends may be forgotten, from what the leader said of an incarnation.
     /// Another incarnation counts its ends anew.
     #[must_use]
-    pub fn acknowledged(&self, told: Option<(Ms, u64)>) -> u64 {
-        match told {
+    pub fn acknowledged(&self, reported: Option<(Ms, u64)>) -> u64 {
+        match reported {
             Some((born, number)) if self.born == Some(born) => number,
             _ => 0,
         }
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -122,7 +122,7 @@
     pub agent: Option<Name>,
     /// The incarnation last seen.
     pub born: Option<Ms>,
-    /// Whether it has told this leader what it runs.
+    /// Whether it has reported to this leader what it runs.
     pub is_known: bool,
     /// What its last agent knows of the orders of an earlier leader.
     pub account: Option<Vec<Place>>,
--- a/crates/scheduler/src/interference.rs
+++ b/crates/scheduler/src/interference.rs
@@ -29,7 +29,7 @@
 const PRIOR: f64 = 0.02;
 /// Figures after which the presses are worked out anew.
 const SOLVE_INTERVAL: u32 = 12;
-/// Images that are told apart; all further ones count as one.
+/// Images that are distinguished; all further ones count as one.
 const MAX_IMAGES: u16 = 24;
 
 /// Least squares of one serving image, over the loads of all filling images.
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -233,9 +233,9 @@
         let key = (id.step.occurrence, id.step.step);
         let step = self.progress.steps.entry(key).or_default();
         let failures = step.failures.entry(id.index).or_default();
-        let is_news = failures.insert(run);
+        let is_new = failures.insert(run);
         let count = failures.len();
-        if is_news {
+        if is_new {
             self.touch();
         }
         count
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -71,8 +71,8 @@
     Joined(Name, Name),
     /// The connection to an agent ended.
     Left(Name),
-    /// An agent told something.
-    Told(Name, Note),
+    /// A note of an agent arrived.
+    Received(Name, Note),
     /// A commit is durable.
     Committed,
     /// The store did not confirm a commit.
@@ -150,7 +150,7 @@
     unix: Ms,
     config: Arc<Config>,
     is_recovered: bool,
-    /// What agents told before the rows of earlier leaders were read.
+    /// Notes of agents that arrived before the rows of earlier leaders were read.
     early: Vec<(Name, Note)>,
     /// Runs of jobs that this leader has not learned of, with the time when they were seen first.
     unlearned: BTreeMap<Place, Ms>,
@@ -242,7 +242,7 @@
             Event::Listed(name, listing) => self.list(now, name, listing),
             Event::Joined(entry, domain) => self.join(now, entry, domain),
             Event::Left(entry) => self.leave(now, &entry),
-            Event::Told(entry, note) => self.handle_note(now, &entry, note),
+            Event::Received(entry, note) => self.handle_note(now, &entry, note),
             Event::Committed => self.finish_commit(now, true),
             Event::Uncommitted => self.finish_commit(now, false),
             Event::Advised(step, tickets, valid) => self.advised(now, step, tickets, valid),
@@ -281,7 +281,7 @@
         }
     }
 
-    /// Whether all rows are read and every worker has told what it runs.
+    /// Whether all rows are read and every worker has reported what it runs.
     #[must_use]
     pub fn is_certain(&self) -> bool {
         self.is_recovered && self.workers.values().all(|worker| worker.is_known)
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -193,11 +193,11 @@
         let jobs = &self.jobs;
         let is_durable =
             |id: id::Job, version: u64| jobs.get(&id).is_none_or(|job| job.committed >= version);
-        let is_news = self
+        let is_new = self
             .workers
             .get_mut(name)
             .is_some_and(|worker| worker.acknowledge(is_durable));
-        if is_news {
+        if is_new {
             self.send_watch(name);
         }
     }
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -343,7 +343,7 @@
             return;
         }
         let lapses = Ms(now.0.saturating_sub(ago.0)) + lease;
-        let is_news = !worker.is_silent;
+        let is_new = !worker.is_silent;
         worker.is_silent = true;
         let has_left = worker.was_draining && worker.listing.is_none() && missed.is_closed;
         if worker.is_known {
@@ -358,7 +358,7 @@
             }
             return self.expire_leases(now);
         }
-        if is_news {
+        if is_new {
             self.log(format!(
                 "kind=worker-silent worker={name} agent={entry} renewed_ago_ms={}",
                 ago.0
--- a/crates/scheduler/src/leader/orders.rs
+++ b/crates/scheduler/src/leader/orders.rs
@@ -102,7 +102,7 @@
         {
             return;
         }
-        let is_news = active.stop_sent.is_none();
+        let is_new = active.stop_sent.is_none();
         active.stop_sent = Some(now);
         if matches!(active.phase, Phase::Running) {
             active.phase = Phase::Stopping;
@@ -121,7 +121,7 @@
             run,
         };
         self.unsettled.insert((id, run), now);
-        if is_news {
+        if is_new {
             self.log(format!(
                 "kind=stop task={id} run={run} worker={} reason={reason}",
                 place.worker
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -1,4 +1,4 @@
-//! What the leader and its agents tell each other.
+//! Messages between the leader and its agents.
 
 use std::sync::Arc;
 
@@ -57,7 +57,7 @@
     pub run: Run,
 }
 
-/// What the leader tells an agent.
+/// A message of the leader to an agent.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Order {
     /// Proves that the leader is alive; sent in an interval.
@@ -151,9 +151,9 @@
     pub born: Ms,
     /// When the agent asked, on its own clock.
     pub asked: Ms,
-    /// What runs; `None` when it is not told this time.
+    /// What runs; `None` when it is not reported this time.
     pub running: Option<Vec<Running>>,
-    /// Ends not told before.
+    /// Ends that are not acknowledged.
     pub ended: Vec<End>,
 }
 
@@ -195,7 +195,7 @@
     Unknown,
 }
 
-/// What an agent tells the leader.
+/// A message of an agent to the leader.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Note {
     /// The first message of a connection.
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -42,15 +42,15 @@
 }
 
 impl Step {
-    /// Notes that a task is done; whether that is news.
+    /// Notes that a task is done; whether it was not before.
     pub fn complete(&mut self, index: u32) -> bool {
         let (word, bit) = place(index);
         if self.done.len() <= word {
             self.done.resize(word + 1, 0);
         }
-        let news = self.done[word] & bit == 0;
+        let is_new = self.done[word] & bit == 0;
         self.done[word] |= bit;
-        news
+        is_new
     }
 
     /// Whether a task is done.
--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -119,7 +119,7 @@
     play(&mut leader, Ms(1_000), begin);
     let known = vec![
         Event::Committed,
-        Event::Told(name("e1"), look(Ms(1_010))),
+        Event::Received(name("e1"), look(Ms(1_010))),
         Event::Accepted(Job(1), 20, accepted(), None),
     ];
     let orders = play(&mut leader, Ms(1_020), known);
@@ -136,13 +136,13 @@
     let mut starts = 0;
     for turn in 1..20 {
         let now = Ms(1_030 + turn * 400);
-        let events = vec![Event::Tick(now), Event::Told(name("e2"), look(now))];
+        let events = vec![Event::Tick(now), Event::Received(name("e2"), look(now))];
         for order in play(&mut leader, now, events) {
             match order {
                 Order::Start(_) => starts += 1,
                 Order::Void(place) => {
                     let note = Note::Stopped(place, Outcome::Done, now);
-                    play(&mut leader, now, vec![Event::Told(name("e2"), note)]);
+                    play(&mut leader, now, vec![Event::Received(name("e2"), note)]);
                 }
                 _ => {}
             }
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -302,7 +302,7 @@
         };
         agent.epoch = epoch;
         agent.heard = now;
-        self.tell(Event::Told(entry.clone(), Note::Hello(hello)));
+        self.tell(Event::Received(entry.clone(), Note::Hello(hello)));
         self.tell(Event::Joined(entry.clone(), name("d")));
     }
 
@@ -484,7 +484,7 @@
             Delivery::Order(agent, epoch, order) => self.obey(&agent, epoch, order),
             Delivery::Note(epoch, agent, note) => {
                 if epoch.0 == self.epoch {
-                    self.tell(Event::Told(agent, note));
+                    self.tell(Event::Received(agent, note));
                 }
             }
             Delivery::Called(call) => self.arrive(call),
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -156,15 +156,15 @@
 
 /// The leader's own agent, without a connection.
 async fn join_self(shared: Arc<Shared>, leading: Arc<Leading>) {
-    let (notes, told) = smol::channel::unbounded();
+    let (notes, received) = smol::channel::unbounded();
     let (out, orders) = smol::channel::unbounded();
     let entry = shared.options.name.clone();
     let relay = async {
-        while let Ok(note) = told.recv().await {
+        while let Ok(note) = received.recv().await {
             if let Note::Hello(hello) = note {
                 leading.join(hello, out.clone());
             } else {
-                leading.tell(Event::Told(entry.clone(), note));
+                leading.tell(Event::Received(entry.clone(), note));
             }
         }
     };
@@ -292,10 +292,10 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Event(Event::Told(entry, Note::Store(number, request))) => {
+            Input::Event(Event::Received(entry, Note::Store(number, request))) => {
                 self.store(entry, number, request);
             }
-            Input::Event(Event::Told(_, Note::Config(raw))) => self.shared.take_config(&raw),
+            Input::Event(Event::Received(_, Note::Config(raw))) => self.shared.take_config(&raw),
             Input::Event(event) => self.handle(event),
             Input::Config(config, raw) => {
                 self.handle(Event::Config(config));
@@ -319,7 +319,7 @@
                     let orders = self.outgoing.entry(entry.clone()).or_default();
                     orders.push(Order::Config(raw));
                 }
-                self.handle(Event::Told(entry.clone(), Note::Hello(hello)));
+                self.handle(Event::Received(entry.clone(), Note::Hello(hello)));
                 self.handle(Event::Joined(entry, domain));
                 self.send_beats();
             }
@@ -339,7 +339,7 @@
     }
 
     fn handle(&mut self, event: Event) {
-        if let Event::Told(_, Note::Look(look)) = &event {
+        if let Event::Received(_, Note::Look(look)) = &event {
             for end in &look.ended {
                 self.shared.instruments.end(end.how);
             }
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -279,7 +279,7 @@
             Err(error) => return error,
         };
         for note in notes {
-            let event = Event::Told(entry.clone(), note);
+            let event = Event::Received(entry.clone(), note);
             if inputs.send(Input::Event(event)).await.is_err() {
                 return Error::Peer("the leader ended".into());
             }
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -157,11 +157,11 @@
     }
 
     fn hold(&self, deadline: Option<Ms>, wait: Ms) -> Hold {
-        let told = *lock(&self.acknowledged);
+        let reported = *lock(&self.acknowledged);
         Hold {
             epoch: self.epoch,
             deadline,
-            acknowledged: lock(&self.lease).acknowledged(told),
+            acknowledged: lock(&self.lease).acknowledged(reported),
             wait,
         }
     }
@@ -178,7 +178,7 @@
     }
 
     /// Looks in turn, renewing the lease; returns how long to pause.
-    async fn look(&self, shared: &Shared, told: &mut Ms) -> Ms {
+    async fn look(&self, shared: &Shared, reported: &mut Ms) -> Ms {
         let (_, heard) = shared.agent.leader();
         let asked = clock::now();
         if asked.since(heard) > AGENT_PATIENCE {
@@ -186,7 +186,7 @@
         }
         let plan = {
             let mut lease = lock(&self.lease);
-            let plan = lease.plan(asked, heard, *told);
+            let plan = lease.plan(asked, heard, *reported);
             if plan.deadline.is_some() {
                 lease.renew(asked);
             }
@@ -199,9 +199,9 @@
                 shared.instruments.look(now.since(asked + plan.wait));
                 let was_silent = lock(&self.lease).answered(now, held.clock, held.born);
                 let has_ends = !held.ended.is_empty();
-                let is_due = now.since(*told) >= REPORT || was_silent;
+                let is_due = now.since(*reported) >= REPORT || was_silent;
                 if is_due {
-                    *told = now;
+                    *reported = now;
                 }
                 if is_due || has_ends {
                     self.report(shared, asked, held, is_due);
@@ -242,11 +242,11 @@
     }
 
     async fn wait_for_acknowledgement(&self) {
-        let told = async {
+        let reported = async {
             // The channel lives as long as this value.
             let _ = self.acknowledgement.1.recv().await;
         };
-        told.or(sleep(ACKNOWLEDGE)).await;
+        reported.or(sleep(ACKNOWLEDGE)).await;
     }
 
     fn report(&self, shared: &Shared, asked: Ms, held: Held, with_running: bool) {
@@ -278,9 +278,9 @@
 
 /// Looks at a worker for as long as it is watched.
 async fn look_on(shared: Arc<Shared>, watched: Weak<Watched>) {
-    let mut told = Ms::ZERO;
+    let mut reported = Ms::ZERO;
     while let Some(watched) = watched.upgrade() {
-        let pause = watched.look(&shared, &mut told).await;
+        let pause = watched.look(&shared, &mut reported).await;
         drop(watched);
         if pause > Ms::ZERO {
             sleep(pause).await;
