--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -21,6 +21,7 @@
     let commands = [
         "",
         "entry",
+        "serve",
         "check",
         "demo",
         "submit",
