Make each write of the leader depend on the one before

Change: writes of the leader are made one after the other and depend on the version of the beat's row, which each changes; a conflict there is tried again. Test with real processes and a store that does a write late: it fails without the change.

--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -43,6 +43,8 @@
 
 /// The interval of ticks.
 const TICK: Ms = Ms(50);
+/// Tries of a write whose version of the beat was not the newest.
+const MAX_TRIES: usize = 3;
 /// Events of one batch, after which tasks are started.
 const BATCH: usize = 256;
 
@@ -67,6 +69,9 @@
     confirmed: AtomicU64,
     /// The store's clock at that time.
     store_now: AtomicU64,
+    /// The version of the beat's row, if it is known. Each write of the leader depends on it and
+    /// changes it, so that a write that is done late cannot undo a later one.
+    beat_version: smol::lock::Mutex<Option<u64>>,
 }
 
 impl Leading {
@@ -100,6 +105,43 @@
         clock::now().since(Ms(self.confirmed.load(Ordering::SeqCst)))
     }
 
+    /// Writes with a beat, after all earlier writes of this leader or instead of them.
+    async fn write(&self, shared: &Shared, transaction: Transaction) -> Result<(), Error> {
+        let mut known = self.beat_version.lock().await;
+        for _ in 0..MAX_TRIES {
+            let version = match *known {
+                Some(version) => version,
+                None => {
+                    let (row, _) = shared.store.row(&rows::beat()).await?;
+                    row.map_or(0, |row| row.version)
+                }
+            };
+            // Unknown until an answer says otherwise.
+            *known = None;
+            let mut transaction = transaction.clone();
+            transaction.expected = vec![(rows::record(), self.epoch.0), (rows::beat(), version)];
+            transaction.puts.push(self.beat());
+            match shared.store.transact(&transaction).await {
+                Ok(page) => {
+                    *known = Some(page.version);
+                    self.confirm(page.now);
+                    return Ok(());
+                }
+                Err(Error::Conflict(current)) => {
+                    let is_deposed = current
+                        .iter()
+                        .any(|row| row.key == rows::record().key && row.version != self.epoch.0);
+                    if is_deposed {
+                        return Err(Error::Conflict(current));
+                    }
+                    // A write of this leader was done late; the next try reads the version.
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Err(Error::Refused("the beat changes with each try".into()))
+    }
+
     /// The row that shows that this leader is alive.
     fn beat(&self) -> (Key, Vec<u8>) {
         let beat = rows::Beat {
@@ -124,6 +166,7 @@
         connections: AtomicU64::new(0),
         confirmed: AtomicU64::new(clock::now().0),
         store_now: AtomicU64::new(store_now.0),
+        beat_version: smol::lock::Mutex::new(None),
     });
     log::info!("kind=lead-begun epoch={epoch}");
     shared.instruments.lead();
@@ -184,13 +227,8 @@
             continue;
         }
         is_first = false;
-        let transaction = Transaction {
-            expected: vec![(rows::record(), leading.epoch.0)],
-            puts: vec![leading.beat()],
-            removed: Vec::new(),
-        };
-        match shared.store.transact(&transaction).await {
-            Ok(page) => leading.confirm(page.now),
+        match leading.write(&shared, Transaction::default()).await {
+            Ok(()) => {}
             Err(Error::Conflict(_)) => leading.send(Input::Deposed("the store has another leader")),
             Err(error) => log::warn!("kind=beat-unconfirmed cause={:?}", error.to_string()),
         }
@@ -413,15 +451,12 @@
     }
 
     fn commit(&self, commit: &Commit) {
-        let transaction = transaction(&self.leading, commit);
+        let transaction = transaction(commit);
         let shared = Arc::clone(&self.shared);
         let leading = Arc::clone(&self.leading);
         let write = async move {
-            let input = match shared.store.transact(&transaction).await {
-                Ok(page) => {
-                    leading.confirm(page.now);
-                    Input::Event(Event::Committed)
-                }
+            let input = match leading.write(&shared, transaction).await {
+                Ok(()) => Input::Event(Event::Committed),
                 Err(Error::Conflict(_)) => Input::Deposed("the store has another leader"),
                 Err(error) => {
                     log::warn!("kind=commit-unconfirmed cause={:?}", error.to_string());
@@ -434,12 +469,11 @@
     }
 }
 
-fn transaction(leading: &Leading, commit: &Commit) -> Transaction {
+fn transaction(commit: &Commit) -> Transaction {
     let progress = commit.progress.iter();
     let mut puts: Vec<_> = progress
         .map(|(job, progress)| (rows::progress(*job), rows::encode(progress)))
         .collect();
-    puts.push(leading.beat());
     if let Some(fleet) = &commit.fleet {
         puts.push((rows::members(), rows::encode(fleet)));
     }
@@ -451,7 +485,7 @@
         ]
     });
     Transaction {
-        expected: vec![(rows::record(), leading.epoch.0)],
+        expected: Vec::new(),
         puts,
         removed: removed.collect(),
     }
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -227,3 +227,30 @@
     let count: u64 = count.and_then(|raw| raw.parse().ok()).unwrap_or(0);
     assert!(count > 1_000, "{count} lines were counted as dropped");
 }
+
+#[test]
+fn a_write_that_is_done_late_does_not_undo_a_later_one() {
+    let fleet = Fleet::start(3);
+    let mut entries = start(&fleet, &["a"]);
+    fleet.store.delay_progress();
+    let path = "/q/00000000000000f5";
+    assert_eq!(fleet.send(entries[0].customer, "POST", path, JOB).0, 200);
+    wait("the delayed write", 5_000, || fleet.store.has_delayed());
+    wait("completion", 15_000, || {
+        fleet.state(entries[0].customer, "00000000000000f5") == "completed"
+    });
+    // By now the delayed write has been tried; a new leader reads what is stored.
+    std::thread::sleep(std::time::Duration::from_millis(3_000));
+    entries[0].signal("-KILL");
+    entries[0].wait();
+    let next = start(&fleet, &["b"]);
+    wait("the stage", 10_000, || {
+        !fleet.state(next[0].customer, "00000000000000f5").is_empty()
+    });
+    std::thread::sleep(std::time::Duration::from_millis(1_000));
+    assert_eq!(
+        fleet.state(next[0].customer, "00000000000000f5"),
+        "completed"
+    );
+    fleet.assert_kept();
+}
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -13,6 +14,9 @@
 use serde_json::json;
 use smol::Timer;
 
+/// How late a delayed write is done.
+const LATE: Duration = Duration::from_millis(2_500);
+
 /// Table, part and key.
 type Place = (String, String, String);
 
@@ -29,6 +33,7 @@
     state: Arc<Mutex<State>>,
     begun: Instant,
     is_silent: Arc<AtomicBool>,
+    late: Arc<AtomicBool>,
 }
 
 fn text(value: &Value, name: &str) -> String {
@@ -49,6 +54,7 @@
             state: Arc::default(),
             begun: Instant::now(),
             is_silent: Arc::default(),
+            late: Arc::default(),
         }
     }
 
@@ -57,6 +63,27 @@
         self.is_silent.store(is_silent, Ordering::SeqCst);
     }
 
+    /// Does the next write of progress late, without an answer, if its conditions still hold.
+    pub fn delay_progress(&self) {
+        self.late.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the delayed write has been taken.
+    pub fn has_delayed(&self) -> bool {
+        !self.late.load(Ordering::SeqCst)
+    }
+
+    async fn transact_late(&self, body: &Value) -> (StatusCode, Value) {
+        let (store, body) = (self.clone(), body.clone());
+        thread::spawn(move || {
+            thread::sleep(LATE);
+            store.transact(&body);
+        });
+        // The client gives up before.
+        Timer::after(LATE + LATE).await;
+        (StatusCode::SERVICE_UNAVAILABLE, json!({}))
+    }
+
     /// Writes a row as the operator or a worker does.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let mut state = self.state.lock().expect("no panic");
@@ -126,7 +153,15 @@
             found.next().unwrap_or_default().to_owned()
         };
         match path {
-            "/rows-tx" => self.transact(body),
+            "/rows-tx" => {
+                let puts = body["puts"].as_array().cloned().unwrap_or_default();
+                let is_progress = puts.iter().any(|row| text(row, "table") == "progress");
+                if is_progress && self.late.swap(false, Ordering::SeqCst) {
+                    self.transact_late(body).await
+                } else {
+                    self.transact(body)
+                }
+            }
             "/rows-get" => {
                 let (table, part, from) =
                     (parameter("table"), parameter("part"), parameter("from"));
