Give no account of a worker that never answered

Change: accounts are a decision of their own, kept for 20 s and passed on to each leader; refusals by an address count for one leader. The new test in the world fails without it.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -1,8 +1,12 @@
 //! How an agent keeps the lease of one worker.
 
+use std::collections::BTreeMap;
+
 use decision::clock::Ms;
+use decision::name::Name;
 
 use crate::leader::AGENT_PATIENCE;
+use crate::message::Place;
 
 /// What runs is reported to the leader in this interval, so that no look waits for an end for longer.
 pub const REPORT: Ms = Ms(800);
@@ -105,9 +109,51 @@
         self.is_silent
     }
 
+    /// Whether the worker has ever answered this agent.
+    #[must_use]
+    pub const fn has_answer(&self) -> bool {
+        self.clock.is_some()
+    }
+
     /// The time since the last renewal.
     #[must_use]
     pub fn age(&self, now: Ms) -> Ms {
         self.renewed.map_or(Ms(now.0), |at| now.since(at))
     }
 }
+
+/// How long an account of a worker is kept: all leases that it speaks of have expired by then.
+const ACCOUNT_KEPT: Ms = Ms(20_000);
+
+/// What an agent can tell a new leader of workers from the orders of earlier ones. An agent that has
+/// never had an answer of a worker has no account of it, and one from the leader before that is
+/// passed on.
+#[derive(Clone, Debug, Default)]
+pub struct Accounts {
+    /// The time of the last renewal and the runs that may be there, by worker.
+    kept: BTreeMap<Name, (Ms, Vec<Place>)>,
+}
+
+impl Accounts {
+    /// Takes in the watches under the leader before and returns all accounts, each with the time
+    /// since the last renewal.
+    pub fn collect(
+        &mut self,
+        now: Ms,
+        watches: impl Iterator<Item = (Name, Lease, Vec<Place>)>,
+    ) -> Vec<(Name, Ms, Vec<Place>)> {
+        for (name, lease, places) in watches {
+            if lease.has_answer() {
+                // Without an own renewal, one of the agent before may be just as old.
+                let renewed = lease.renewed.unwrap_or(now);
+                self.kept.insert(name, (renewed, places));
+            }
+        }
+        self.kept
+            .retain(|_, (renewed, _)| now.since(*renewed) <= ACCOUNT_KEPT);
+        let accounts = self.kept.iter();
+        accounts
+            .map(|(name, (renewed, places))| (name.clone(), now.since(*renewed), places.clone()))
+            .collect()
+    }
+}
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -65,7 +65,8 @@
             if !worker.is_known {
                 let lapses = Ms(now.0.saturating_sub(ago.0)) + lease;
                 worker.lapses = Some(lapses.max(worker.lapses.unwrap_or_default()));
-                worker.account = Some(places);
+                // Two agents may have started tasks there one after the other.
+                worker.account.get_or_insert_default().extend(places);
             }
         }
     }
--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -255,3 +255,24 @@
         assert_kept(&world, seed, "changed agents");
     }
 }
+
+#[test]
+fn a_silent_worker_keeps_its_tasks_over_two_quick_changes_of_the_leader() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, 5, 3);
+        world.lasts = true;
+        world.elect(false);
+        for job in 0..4 {
+            world.submit(job, chain(&[4], 800));
+        }
+        world.run(20_000 + seed * 9);
+        world.cut(&name("w1"), 12_000);
+        world.run(world.now + 300);
+        for _ in 0..2 {
+            world.elect(false);
+            world.run(world.now + 60);
+        }
+        world.run(world.now + 20_000);
+        assert_kept(&world, seed, "two leaders");
+    }
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -13,6 +13,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use scheduler::agent::Accounts;
 use scheduler::agent::Lease;
 use scheduler::config::Config;
 use scheduler::config::Queue;
@@ -74,6 +75,7 @@
     epoch: Epoch,
     heard: u64,
     watches: BTreeMap<Name, Watch>,
+    accounts: Accounts,
 }
 
 enum Delivery {
@@ -288,17 +290,15 @@
         let Some(agent) = self.agents.get_mut(entry) else {
             return;
         };
-        let known = std::mem::take(&mut agent.watches)
-            .into_iter()
-            .map(|(worker, watch)| {
-                let age = watch.lease.age(Ms(now));
-                (worker, age, watch.known.into_iter().collect())
-            });
+        let watches = std::mem::take(&mut agent.watches).into_iter();
+        let watches =
+            watches.map(|(worker, watch)| (worker, watch.lease, watch.known.into_iter().collect()));
+        let known = agent.accounts.collect(Ms(now), watches);
         let hello = Hello {
             entry: entry.clone(),
             domain: name("d"),
             epoch,
-            known: known.collect(),
+            known,
         };
         agent.epoch = epoch;
         agent.heard = now;
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -7,6 +7,7 @@
 use decision::clock::Ms;
 use decision::name::Name;
 use futures_channel::oneshot;
+use scheduler::agent::Accounts;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
 use scheduler::message::Beat;
@@ -41,6 +42,7 @@
     has_order: bool,
     notes: Option<Sender<Note>>,
     watched: HashMap<Name, Arc<Watched>>,
+    accounts: Accounts,
     beat: Beat,
 }
 
@@ -66,11 +68,12 @@
         log::info!("kind=leader-followed epoch={epoch}");
         let mut state = lock(&self.state);
         let now = clock::now();
-        let known = state.watched.drain().map(|(name, watched)| {
-            let (age, places) = watched.known(now);
-            (name, age, places)
+        let watched = std::mem::take(&mut state.watched);
+        let watches = watched.into_iter().map(|(name, watched)| {
+            let (lease, places) = watched.known();
+            (name, lease, places)
         });
-        let known = known.collect();
+        let known = state.accounts.collect(now, watches);
         state.epoch = epoch;
         state.heard = now;
         state.has_order = false;
--- a/src/serve/election.rs
+++ b/src/serve/election.rs
@@ -32,6 +32,7 @@
 /// Follows the leader for the life of the process.
 pub(super) async fn follow(shared: Arc<Shared>) {
     let mut turned_away = 0;
+    let mut version = 0;
     let mut has_deferred = false;
     loop {
         if shared.is_stopping() && shared.leading().is_none() && turned_away > 0 {
@@ -46,6 +47,14 @@
                 continue;
             }
         };
+        if found.record_version != version {
+            // Refusals by the address of an earlier leader say nothing about this one.
+            version = found.record_version;
+            if turned_away > 0 {
+                turned_away = 0;
+                continue;
+            }
+        }
         let is_mine =
             found.view.record.as_ref().is_some_and(|(_, record)| {
                 record.is_held_by(&shared.options.name, shared.instance)
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -85,10 +85,10 @@
         let _ = self.acknowledgement.0.try_send(());
     }
 
-    /// The time since the last renewal, and the runs that may be on the worker.
-    pub(super) fn known(&self, now: Ms) -> (Ms, Vec<Place>) {
-        let age = lock(&self.lease).age(now);
-        (age, lock(&self.known).keys().cloned().collect())
+    /// The lease, and the runs that may be on the worker.
+    pub(super) fn known(&self) -> (Lease, Vec<Place>) {
+        let lease = *lock(&self.lease);
+        (lease, lock(&self.known).keys().cloned().collect())
     }
 
     pub(super) async fn start_task(self: Arc<Self>, shared: Arc<Shared>, start: Start) {
