Learn interference robustly; keep tasks away from workers that are slow themselves

Their tails rose a hundredfold, and the model took that for the base of their images (19 to 32 ms instead of 8) and lost what it had learned of presses (0 instead of 4 to 5): filling tasks then went where they disturb.

Change: one figure moves a base or a press by a bounded step; figures of a worker whose tails are all far over what is expected teach nothing, and that worker takes no tasks while few are slow. Ruled out: the use of processors by filling tasks (residuals of the tails do not rise with it).

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -156,6 +156,8 @@
     pub strikes: u32,
     /// No new tasks before this time.
     pub avoid_until: Ms,
+    /// Until then its tasks count as slowed by the worker itself.
+    pub slow_until: Ms,
     /// Serving tasks are over their limits, so that it takes no new filling tasks.
     pub is_halted: bool,
 }
@@ -227,6 +229,7 @@
         self.acknowledged = 0;
         self.strikes = 0;
         self.avoid_until = Ms::ZERO;
+        self.slow_until = Ms::ZERO;
     }
 
     /// Takes out the ends that may be forgotten by now; whether there are any.
--- a/crates/scheduler/src/interference.rs
+++ b/crates/scheduler/src/interference.rs
@@ -22,7 +22,11 @@
 /// A load below which a figure tells the base.
 const NO_LOAD: f64 = 0.01;
 /// The largest factor over the base taken from one figure, as a logarithm.
-const MAX_FACTOR: f64 = 2.0;
+const MAX_FACTOR: f64 = 4.0;
+/// The largest part of a surprise, as a logarithm, that changes a base.
+const MAX_BASE_SURPRISE: f64 = 0.3;
+/// The largest part of a surprise, as a logarithm, that changes the presses.
+const MAX_PRESS_SURPRISE: f64 = 1.0;
 /// How much of what was learned is kept with each figure, so that changes are followed.
 const KEPT: f64 = 0.9985;
 /// The weight of the unknown press against figures.
@@ -177,18 +181,27 @@
         if self.fits.len() <= index {
             self.fits.resize(index + 1, None);
         }
+        let surprise = self.surprise(serving, tail, limit, loads);
         let unknown = (limit * UNKNOWN_BASE).ln();
         let fit = self.fits[index].get_or_insert_with(|| Fit::new(unknown));
         let total: f64 = loads.iter().map(|(_, load)| load).sum();
-        let measured = tail.max(1.0).ln();
         if total < NO_LOAD {
-            fit.base += BASE_RATE * (measured - fit.base);
+            fit.base += BASE_RATE * surprise.clamp(-MAX_BASE_SURPRISE, MAX_BASE_SURPRISE);
         } else {
+            let clipped = surprise.clamp(-MAX_PRESS_SURPRISE, MAX_PRESS_SURPRISE);
+            let measured = tail.max(1.0).ln() - surprise + clipped;
             let factor = (measured - fit.base).clamp(-MAX_FACTOR, MAX_FACTOR);
             fit.learn(factor, loads);
         }
     }
 
+    /// How far a tail is over what is expected beside these loads, as a logarithm.
+    #[must_use]
+    pub fn surprise(&self, serving: Image, tail: f64, limit: f64, loads: &[(Image, f64)]) -> f64 {
+        let expected = self.excess(serving, limit, loads.iter().copied()) + limit.ln();
+        tail.max(1.0).ln() - expected
+    }
+
     /// What is believed of each serving image, as `key=value` pairs.
     #[must_use]
     pub fn describe(&self) -> Vec<String> {
--- a/crates/scheduler/src/leader/drain.rs
+++ b/crates/scheduler/src/leader/drain.rs
@@ -74,6 +74,7 @@
             tickets: None,
             failed_on: None,
             rack: None,
+            avoids_slow: true,
         };
         let stored = self.workers.iter().filter(|(name, _)| self.is_stored(name));
         place::choose(&wish, &self.model, stored, now)
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -82,6 +82,7 @@
             tickets: tickets.as_ref(),
             failed_on: None,
             rack: None,
+            avoids_slow: place::can_avoid_slow(self.workers.values(), now),
         };
         let chosen = if spec.is_gang || spec.is_same_rack {
             self.choose_together(now, &wish, &indices)
--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -21,6 +21,13 @@
 const MOVE_SHARE: u8 = 30;
 /// The most runs moved after one look.
 const MAX_MOVES: usize = 2;
+/// By how much all tails on a worker are over what is expected, as a logarithm, when the worker
+/// itself is slow.
+const SLOW_SURPRISE: f64 = 1.5;
+/// Tails that it takes to tell a slow worker from a wrong belief about one image.
+const MIN_SLOW_TAILS: usize = 2;
+/// How long a worker counts as slow after a look that shows it.
+const SLOW_KEPT: Ms = Ms(1_500);
 /// What a full lasting task reports as its progress, in percent.
 const AT_WORK: u8 = 100;
 
@@ -44,7 +51,12 @@
     /// Takes in the figures of a look and paces the filling runs of the worker.
     pub(super) fn note_figures(&mut self, now: Ms, name: &Name, running: &[Running]) {
         let (serving, filling) = self.sort_figures(name, running);
-        self.learn_figures(&serving, &filling);
+        let loads = loads_by_image(&filling);
+        if self.is_slow(&serving, &loads) {
+            self.mark_slow(now, name);
+        } else {
+            self.learn_figures(&serving, &loads);
+        }
         if serving.is_empty() || filling.is_empty() {
             self.pacers.remove(name);
             self.halt(name, false);
@@ -176,17 +188,31 @@
             .sum()
     }
 
-    fn learn_figures(&mut self, serving: &[Serving], filling: &[Filling]) {
-        let mut loads: Vec<(Image, f64)> = Vec::new();
-        for filling in filling {
-            match loads.iter_mut().find(|(image, _)| *image == filling.image) {
-                Some((_, load)) => *load += filling.load,
-                None => loads.push((filling.image, filling.load)),
-            }
+    /// Whether the tails on a worker are so high that neither their load nor what fills beside them
+    /// can be the cause.
+    fn is_slow(&self, serving: &[Serving], loads: &[(Image, f64)]) -> bool {
+        let is_surprising = |serving: &Serving| {
+            let (tail, limit) = (serving.tail, serving.limit);
+            self.model.surprise(serving.image, tail, limit, loads) > SLOW_SURPRISE
+        };
+        serving.len() >= MIN_SLOW_TAILS && serving.iter().all(is_surprising)
+    }
+
+    fn mark_slow(&mut self, now: Ms, name: &Name) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        let was_slow = worker.slow_until > now;
+        worker.slow_until = now + SLOW_KEPT;
+        if !was_slow {
+            self.log(format!("kind=worker-slow worker={name}"));
         }
+    }
+
+    fn learn_figures(&mut self, serving: &[Serving], loads: &[(Image, f64)]) {
         for serving in serving {
             self.model
-                .learn(serving.image, serving.tail, serving.limit, &loads);
+                .learn(serving.image, serving.tail, serving.limit, loads);
         }
     }
 
@@ -249,3 +275,15 @@
         self.send(&agent, Order::Pace(place, share));
     }
 }
+
+/// The loads of filling runs, added up by image.
+fn loads_by_image(filling: &[Filling]) -> Vec<(Image, f64)> {
+    let mut loads: Vec<(Image, f64)> = Vec::new();
+    for filling in filling {
+        match loads.iter_mut().find(|(image, _)| *image == filling.image) {
+            Some((_, load)) => *load += filling.load,
+            None => loads.push((filling.image, filling.load)),
+        }
+    }
+    loads
+}
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -44,6 +44,19 @@
     pub ticket: Option<Arc<str>>,
 }
 
+impl Start {
+    /// The run that it starts.
+    #[must_use]
+    pub fn place(&self) -> Place {
+        Place {
+            worker: self.worker.clone(),
+            born: self.born,
+            task: self.task,
+            run: self.run,
+        }
+    }
+}
+
 /// Identifies one run of a task on a worker.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Place {
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -36,6 +36,9 @@
 /// How far below its limit a tail is expected to stay, as a logarithm.
 const TAIL_MARGIN: f64 = 0.4;
 
+/// With more slow workers than one of this many, slow ones are used as well.
+const MIN_SOUND_TO_SLOW: usize = 4;
+
 /// What a task looks for.
 #[derive(Clone, Copy, Debug)]
 pub struct Wish<'a> {
@@ -53,6 +56,8 @@
     pub failed_on: Option<&'a Name>,
     /// The rack that the other tasks of the step are on.
     pub rack: Option<&'a Name>,
+    /// Slow workers are left out.
+    pub avoids_slow: bool,
 }
 
 /// Whether a worker takes new tasks at all.
@@ -69,6 +74,17 @@
             .is_some_and(|listing| !listing.is_draining && Some(listing.born) == worker.born)
 }
 
+/// Whether so few workers are slow that the others can carry the work.
+pub fn can_avoid_slow<'a>(workers: impl Iterator<Item = &'a Worker>, now: Ms) -> bool {
+    let mut all = 0;
+    let mut slow = 0;
+    for worker in workers {
+        all += 1;
+        slow += usize::from(worker.slow_until > now);
+    }
+    slow * MIN_SOUND_TO_SLOW <= all
+}
+
 /// Whether the step could ever run on a worker with this registration.
 #[must_use]
 pub fn is_suitable(wish: &Wish<'_>, listing: &Listing) -> bool {
@@ -92,6 +108,9 @@
     if !is_open(worker, now) || !is_suitable(wish, listing) {
         return None;
     }
+    if wish.avoids_slow && worker.slow_until > now {
+        return None;
+    }
     if wish.tickets.is_some_and(|tickets| !tickets.contains(name)) {
         return None;
     }
--- /dev/null
+++ b/crates/scheduler/tests/serving.rs
@@ -0,0 +1,248 @@
+//! Where tasks go, given the figures of the workers.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::resource::Size;
+use scheduler::config::Config;
+use scheduler::config::Queue;
+use scheduler::fleet::Listing;
+use scheduler::id::Epoch;
+use scheduler::id::Job;
+use scheduler::job::Accepted;
+use scheduler::leader::Action;
+use scheduler::leader::Bounds;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::message::Look;
+use scheduler::message::Note;
+use scheduler::message::Order;
+use scheduler::message::Outcome;
+use scheduler::message::Running;
+use scheduler::message::Start;
+use scheduler::spec;
+
+const BORN: Ms = Ms(77);
+const LIMIT: Ms = Ms(18);
+const CALM_TAIL: u32 = 8;
+const SLOW_TAIL: u32 = 1_000;
+
+fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("test names are valid")
+}
+
+fn worker(index: usize) -> Name {
+    name(&format!("w{index}"))
+}
+
+fn config() -> Config {
+    Config {
+        version: 1,
+        queues: vec![Queue {
+            name: name("queue"),
+            host: Arc::from("host"),
+            prefix: Arc::from("/q/"),
+            service: name("service"),
+            priority: 0,
+            max_attempts: 3,
+            stretch: 1.5,
+            objective: Ms(250),
+            needs_ticket: false,
+        }],
+        services: Vec::new(),
+        max_body: 1_000,
+    }
+}
+
+fn listing() -> Listing {
+    Listing {
+        service: name("service"),
+        address: Arc::from("10.0.0.1:1"),
+        domain: name("d1"),
+        size: size(16_000),
+        labels: Vec::new(),
+        born: BORN,
+        is_draining: false,
+    }
+}
+
+fn size(millicores: u32) -> Size {
+    Size {
+        millicores,
+        memory_mb: millicores,
+        accelerators: 0,
+    }
+}
+
+/// A leader with workers that run what it orders.
+struct Fleet {
+    leader: Leader,
+    now: Ms,
+    running: BTreeMap<Name, Vec<Start>>,
+    serving: Job,
+}
+
+impl Fleet {
+    /// A fleet of workers with two serving tasks each.
+    fn new(workers: usize) -> Self {
+        let bounds = Bounds {
+            lease: Ms(6_000),
+            retention: Ms(120_000),
+            harm: Ms(4_000),
+        };
+        let mut fleet = Self {
+            leader: Leader::new(name("e1"), Epoch(17), bounds, Ms(1_000)),
+            now: Ms(1_000),
+            running: (0..workers).map(|w| (worker(w), Vec::new())).collect(),
+            serving: Job(1),
+        };
+        let mut begin = vec![
+            Event::Config(Arc::new(config())),
+            Event::Joined(name("e1"), name("d1")),
+            Event::Recovered,
+        ];
+        begin.extend((0..workers).map(|w| Event::Listed(worker(w), Some(listing()))));
+        fleet.play(begin);
+        fleet.play(vec![Event::Committed]);
+        fleet.look(&[]);
+        let step = spec::Step {
+            count: u32::try_from(workers * 2).expect("small"),
+            need: size(6_000),
+            is_lasting: true,
+            per_worker: Some(2),
+            image: Some(Arc::from("orders")),
+            tail_limit: Some(LIMIT),
+            ..spec::Step::default()
+        };
+        fleet.submit(fleet.serving, step);
+        fleet
+    }
+
+    fn submit(&mut self, job: Job, step: spec::Step) {
+        let accepted = Accepted {
+            queue: name("queue"),
+            spec: spec::Job {
+                payload: Arc::from(""),
+                steps: vec![step],
+                schedule: None,
+            },
+            at: Ms(1),
+        };
+        let row = 20 + job.0;
+        self.play(vec![Event::Accepted(job, row, accepted, None)]);
+    }
+
+    /// Lets all workers report; serving tasks on the `slow` ones have a far higher tail.
+    fn look(&mut self, slow: &[Name]) {
+        self.now += Ms(700);
+        let mut events = vec![Event::Tick(self.now)];
+        for (worker, starts) in &self.running {
+            let tail = if slow.contains(worker) {
+                SLOW_TAIL
+            } else {
+                CALM_TAIL
+            };
+            let running = starts.iter().map(|start| Running {
+                task: start.task,
+                run: start.run,
+                checkpoint: None,
+                percent: 100,
+                figure: if start.task.step.job == self.serving {
+                    tail
+                } else {
+                    1_000
+                },
+            });
+            events.push(Event::Received(
+                name("e1"),
+                Note::Look(Look {
+                    worker: worker.clone(),
+                    born: BORN,
+                    asked: self.now,
+                    running: Some(running.collect()),
+                    ended: Vec::new(),
+                }),
+            ));
+        }
+        self.play(events);
+    }
+
+    /// Tells the leader of events and starts what it orders.
+    fn play(&mut self, events: Vec<Event>) {
+        let mut actions = Vec::new();
+        for event in events {
+            actions.extend(self.leader.handle(self.now, event));
+        }
+        actions.extend(self.leader.schedule(self.now));
+        let mut answers = Vec::new();
+        for action in actions {
+            match action {
+                Action::Commit(_) => answers.push(Event::Committed),
+                Action::Send(agent, Order::Start(start)) => {
+                    let place = start.place();
+                    let note = Note::Started(place, Outcome::Done);
+                    answers.push(Event::Received(agent, note));
+                    let here = self.running.get_mut(&start.worker);
+                    here.expect("a worker of the fleet").push(start);
+                }
+                _ => {}
+            }
+        }
+        if !answers.is_empty() {
+            self.play(answers);
+        }
+    }
+
+    /// The workers that run tasks of a job, each as often as it does.
+    fn workers_of(&self, job: Job) -> Vec<Name> {
+        let starts = self.running.values().flatten();
+        let starts = starts.filter(|start| start.task.step.job == job);
+        starts.map(|start| start.worker.clone()).collect()
+    }
+}
+
+/// Eight short tasks for a fleet.
+fn short() -> spec::Step {
+    spec::Step {
+        count: 8,
+        need: size(1_000),
+        estimate: Ms(500),
+        ..spec::Step::default()
+    }
+}
+
+#[test]
+fn a_worker_whose_tails_are_all_far_too_high_takes_no_tasks() {
+    let mut fleet = Fleet::new(8);
+    let slow = [worker(3)];
+    for _ in 0..8 {
+        fleet.look(&[]);
+    }
+    fleet.look(&slow);
+    fleet.submit(Job(2), short());
+    let used = fleet.workers_of(Job(2));
+    assert_eq!(used.len(), 8);
+    assert!(!used.contains(&slow[0]), "{used:?}");
+}
+
+#[test]
+fn a_worker_that_was_slow_takes_tasks_again() {
+    let mut fleet = Fleet::new(8);
+    fleet.look(&[worker(3)]);
+    for _ in 0..4 {
+        fleet.look(&[]);
+    }
+    fleet.submit(Job(2), short());
+    assert!(fleet.workers_of(Job(2)).contains(&worker(3)));
+}
+
+#[test]
+fn slow_workers_are_used_where_there_are_many() {
+    let mut fleet = Fleet::new(8);
+    let slow = [worker(0), worker(3), worker(5)];
+    fleet.look(&slow);
+    fleet.submit(Job(2), short());
+    assert!(fleet.workers_of(Job(2)).contains(&worker(3)));
+}
--- a/crates/scheduler/tests/world/agent.rs
+++ b/crates/scheduler/tests/world/agent.rs
@@ -80,12 +80,7 @@
 
     pub(super) fn send_start(&mut self, entry: &Name, epoch: Epoch, start: &Start) {
         let now = Ms(self.now);
-        let place = Place {
-            worker: start.worker.clone(),
-            born: start.born,
-            task: start.task,
-            run: start.run,
-        };
+        let place = start.place();
         let watch = self
             .agents
             .get_mut(entry)
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -203,13 +203,7 @@
                     shared.spawner.spawn(run).detach();
                 }
                 None => {
-                    let place = Place {
-                        worker: start.worker,
-                        born: start.born,
-                        task: start.task,
-                        run: start.run,
-                    };
-                    self.tell(Note::Started(place, Outcome::Unsent));
+                    self.tell(Note::Started(start.place(), Outcome::Unsent));
                 }
             },
             Order::Stop(place) => self.stop(shared, place, false),
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -94,12 +94,7 @@
     pub(super) async fn start_task(self: Arc<Self>, shared: Arc<Shared>, start: Start) {
         let (_, heard) = shared.agent.leader();
         let now = clock::now();
-        let place = Place {
-            worker: start.worker.clone(),
-            born: start.born,
-            task: start.task,
-            run: start.run,
-        };
+        let place = start.place();
         let deadline = {
             let mut lease = lock(&self.lease);
             let deadline = lease.deadline(now, heard);
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::Child;
 use std::process::ChildStdout;
 use std::process::Command;
@@ -170,7 +171,8 @@
         let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
             .join(format!("serve-{name}-{}.ini", customer.port()));
         std::fs::write(&file, text).expect("a scratch file");
-        let log = std::fs::File::create(file.with_extension("log")).expect("a scratch file");
+        let log_file = file.with_extension("log");
+        let log = std::fs::File::create(&log_file).expect("a scratch file");
         let child = Command::new(env!("CARGO_BIN_EXE_samphiretrail"))
             .arg("serve")
             .env("SAMPHIRETRAIL_BOOT", &file)
@@ -181,6 +183,7 @@
             child,
             customer,
             ready,
+            log: log_file,
         }
     }
 
@@ -218,6 +221,8 @@
     child: Child,
     pub customer: SocketAddr,
     pub ready: SocketAddr,
+    /// Where its log is written.
+    pub log: PathBuf,
 }
 
 impl Entry {
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -287,3 +287,48 @@
     });
     fleet.assert_kept();
 }
+
+#[test]
+fn a_frozen_leader_is_replaced_and_finds_out_before_it_acts() {
+    let fleet = Fleet::start(2);
+    let mut entries = start(&fleet, &["a"]);
+    entries.extend(start(&fleet, &["b"]));
+    let to = entries[1].customer;
+    entries[0].signal("-STOP");
+    assert_eq!(fleet.send(to, "POST", "/q/00000000000000a8", JOB).0, 200);
+    wait("completion without the frozen leader", 6_000, || {
+        fleet.state(to, "00000000000000a8") == "completed"
+    });
+    entries[0].signal("-CONT");
+    let again = entries[0].customer;
+    wait("service", 5_000, || {
+        fleet.send(again, "POST", "/q/00000000000000a9", JOB).0 == 200
+    });
+    wait("completion", 10_000, || {
+        fleet.state(again, "00000000000000a9") == "completed"
+    });
+    fleet.assert_kept();
+}
+
+#[test]
+fn a_leader_that_was_suspended_leads_anew_before_it_starts_anything() {
+    let fleet = Fleet::start(2);
+    let entries = start(&fleet, &["a"]);
+    let to = entries[0].customer;
+    assert_eq!(fleet.send(to, "POST", "/q/00000000000000b8", JOB).0, 200);
+    wait("completion", 10_000, || {
+        fleet.state(to, "00000000000000b8") == "completed"
+    });
+    entries[0].signal("-STOP");
+    std::thread::sleep(std::time::Duration::from_millis(2_500));
+    entries[0].signal("-CONT");
+    wait("a new epoch", 5_000, || {
+        let log = std::fs::read_to_string(&entries[0].log).unwrap_or_default();
+        log.contains("reason=\"suspended\"") && log.matches("kind=lead-begun").count() == 2
+    });
+    assert_eq!(fleet.send(to, "POST", "/q/00000000000000b9", JOB).0, 200);
+    wait("completion", 10_000, || {
+        fleet.state(to, "00000000000000b9") == "completed"
+    });
+    fleet.assert_kept();
+}
