Model the slack of serving tasks, which falls linearly with what fills beside them

Cause: the tail of a serving task was taken as base * exp(sum of press * load).

Change: the model learns the slack (limit over tail) as base - sum of press * load; placement adds the swing seen at the last look; pacing works out the share at which the slack is kept instead of halving and adding.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -103,12 +103,10 @@
 }
 
 /// Serving tasks of one image on a worker.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Servers {
     /// How many there are.
     pub count: u32,
-    /// The limit of the tail of response times, in ms.
-    pub limit: f64,
 }
 
 /// A worker.
@@ -140,6 +138,9 @@
     pub serving: u32,
     /// Millicores that filling runs asked for, by image.
     pub loads: BTreeMap<Image, u32>,
+    /// By how much the least slack of each serving image differed from what was expected at the last
+    /// look: the load of serving tasks swings.
+    pub levels: BTreeMap<Image, f64>,
     /// Serving runs with a limit, by image.
     pub servers: BTreeMap<Image, Servers>,
     /// Runs that hold room.
@@ -178,9 +179,8 @@
             }
             Kind::Serving(limit) => {
                 self.serving += claim.millicores;
-                if let Some(limit) = limit {
-                    let servers = self.servers.entry(claim.image);
-                    servers.or_insert(Servers { count: 0, limit }).count += 1;
+                if limit.is_some() {
+                    self.servers.entry(claim.image).or_default().count += 1;
                 }
             }
         }
--- a/crates/scheduler/src/interference.rs
+++ b/crates/scheduler/src/interference.rs
@@ -1,8 +1,10 @@
 //! How much filling tasks slow serving tasks on the same worker, learned by pairs of images.
 //!
 //! Answers bursts of filling work on a fleet full of serving tasks: some images hardly disturb
-//! each other, and work that goes there needs no pacing. The tail of a serving task is modelled as
-//! `base * exp(sum of press * load)`, where the load is a share of the worker's processors.
+//! each other, and work that goes there needs no pacing. The slack of a serving task is the limit of
+//! its tail over the tail; below 1 it is over its limit. A queue's delay grows with the reciprocal
+//! of the capacity that is left, so that the slack falls linearly: `base - sum of press * load`,
+//! where a load is a share of the worker's processors.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -12,21 +14,21 @@
 pub struct Image(u16);
 
 /// The press of a pair that has not been seen together.
-const UNKNOWN_PRESS: f64 = 2.5;
+const UNKNOWN_PRESS: f64 = 6.0;
 /// The largest press of a pair.
-const MAX_PRESS: f64 = 15.0;
-/// The base of a serving image that has not been seen, as a share of its limit.
-const UNKNOWN_BASE: f64 = 0.4;
+const MAX_PRESS: f64 = 40.0;
+/// The slack of a serving image that has not been seen.
+const UNKNOWN_BASE: f64 = 2.5;
+/// The largest slack that is taken from a figure.
+const MAX_SLACK: f64 = 6.0;
+/// Below this slack a figure does not tell how far the load is over what the worker can bear.
+const SATURATED: f64 = 0.15;
 /// The weight of a new figure in a base.
 const BASE_RATE: f64 = 0.05;
 /// A load below which a figure tells the base.
 const NO_LOAD: f64 = 0.01;
-/// The largest factor over the base taken from one figure, as a logarithm.
-const MAX_FACTOR: f64 = 4.0;
-/// The largest part of a surprise, as a logarithm, that changes a base.
-const MAX_BASE_SURPRISE: f64 = 0.3;
-/// The largest part of a surprise, as a logarithm, that changes the presses.
-const MAX_PRESS_SURPRISE: f64 = 1.0;
+/// The largest surprise that one figure contributes.
+const MAX_SURPRISE: f64 = 1.0;
 /// How much of what was learned is kept with each figure, so that changes are followed.
 const KEPT: f64 = 0.9985;
 /// The weight of the unknown press against figures.
@@ -39,12 +41,12 @@
 /// Least squares of one serving image, over the loads of all filling images.
 #[derive(Clone, Debug)]
 struct Fit {
-    /// The logarithm of the base.
+    /// The slack without filling tasks.
     base: f64,
     /// Sums of products of loads.
     loads: Vec<Vec<f64>>,
-    /// Sums of products of loads and factors.
-    factors: Vec<f64>,
+    /// Sums of products of loads and lost slack.
+    losses: Vec<f64>,
     presses: Vec<f64>,
     unsolved: u32,
 }
@@ -54,7 +56,7 @@
         Self {
             base,
             loads: Vec::new(),
-            factors: Vec::new(),
+            losses: Vec::new(),
             presses: Vec::new(),
             unsolved: 0,
         }
@@ -69,25 +71,25 @@
             let mut row = vec![0.0; index + 1];
             row[index] = PRIOR;
             self.loads.push(row);
-            self.factors.push(PRIOR * UNKNOWN_PRESS);
+            self.losses.push(PRIOR * UNKNOWN_PRESS);
             self.presses.push(UNKNOWN_PRESS);
         }
     }
 
-    fn learn(&mut self, factor: f64, loads: &[(Image, f64)]) {
+    fn learn(&mut self, loss: f64, loads: &[(Image, f64)]) {
         let most = loads.iter().map(|(image, _)| usize::from(image.0)).max();
         self.grow(most.map_or(0, |most| most + 1));
         for row in &mut self.loads {
             row.iter_mut().for_each(|sum| *sum *= KEPT);
         }
-        self.factors.iter_mut().for_each(|sum| *sum *= KEPT);
+        self.losses.iter_mut().for_each(|sum| *sum *= KEPT);
         for index in 0..self.presses.len() {
             self.loads[index][index] += PRIOR * (1.0 - KEPT);
-            self.factors[index] += PRIOR * UNKNOWN_PRESS * (1.0 - KEPT);
+            self.losses[index] += PRIOR * UNKNOWN_PRESS * (1.0 - KEPT);
         }
         for &(image, load) in loads {
             let row = usize::from(image.0);
-            self.factors[row] += load * factor;
+            self.losses[row] += load * loss;
             for &(other, other_load) in loads {
                 self.loads[row][usize::from(other.0)] += load * other_load;
             }
@@ -112,7 +114,7 @@
                     .filter(|(other, _)| *other != index)
                     .map(|(_, (sum, press))| sum * press)
                     .sum();
-                let press = (self.factors[index] - explained) / row[index];
+                let press = (self.losses[index] - explained) / row[index];
                 self.presses[index] = press.clamp(0.0, MAX_PRESS);
             }
         }
@@ -156,50 +158,38 @@
         press.copied().unwrap_or(UNKNOWN_PRESS)
     }
 
-    /// The logarithm of the expected tail over its limit; above 0 it is over.
+    /// The expected slack of a serving image beside these loads.
     #[must_use]
-    pub fn excess(
-        &self,
-        serving: Image,
-        limit: f64,
-        loads: impl Iterator<Item = (Image, f64)>,
-    ) -> f64 {
+    pub fn slack(&self, serving: Image, loads: impl Iterator<Item = (Image, f64)>) -> f64 {
         let pressed: f64 = loads
             .map(|(filling, load)| self.press(serving, filling) * load)
             .sum();
-        self.base(serving, limit) + pressed - limit.ln()
+        let base = self.fit(serving).map_or(UNKNOWN_BASE, |fit| fit.base);
+        base - pressed
     }
 
-    fn base(&self, serving: Image, limit: f64) -> f64 {
-        let base = self.fit(serving).map(|fit| fit.base);
-        base.unwrap_or_else(|| (limit * UNKNOWN_BASE).ln())
-    }
-
-    /// Learns from a figure: the tail of a serving task and the loads beside it.
-    pub fn learn(&mut self, serving: Image, tail: f64, limit: f64, loads: &[(Image, f64)]) {
+    /// Learns from a figure: the slack of a serving task and the loads beside it.
+    pub fn learn(&mut self, serving: Image, slack: f64, loads: &[(Image, f64)]) {
         let index = usize::from(serving.0);
         if self.fits.len() <= index {
             self.fits.resize(index + 1, None);
         }
-        let surprise = self.surprise(serving, tail, limit, loads);
-        let unknown = (limit * UNKNOWN_BASE).ln();
-        let fit = self.fits[index].get_or_insert_with(|| Fit::new(unknown));
+        let surprise = self.surprise(serving, slack, loads);
+        let clipped = surprise.clamp(-MAX_SURPRISE, MAX_SURPRISE);
+        let fit = self.fits[index].get_or_insert_with(|| Fit::new(UNKNOWN_BASE));
         let total: f64 = loads.iter().map(|(_, load)| load).sum();
         if total < NO_LOAD {
-            fit.base += BASE_RATE * surprise.clamp(-MAX_BASE_SURPRISE, MAX_BASE_SURPRISE);
-        } else {
-            let clipped = surprise.clamp(-MAX_PRESS_SURPRISE, MAX_PRESS_SURPRISE);
-            let measured = tail.max(1.0).ln() - surprise + clipped;
-            let factor = (measured - fit.base).clamp(-MAX_FACTOR, MAX_FACTOR);
-            fit.learn(factor, loads);
+            fit.base += BASE_RATE * clipped;
+        } else if slack > SATURATED || surprise < 0.0 {
+            let expected = slack.min(MAX_SLACK) - surprise;
+            fit.learn(fit.base - expected - clipped, loads);
         }
     }
 
-    /// How far a tail is over what is expected beside these loads, as a logarithm.
+    /// How far a slack is over what is expected beside these loads; below 0 it is less.
     #[must_use]
-    pub fn surprise(&self, serving: Image, tail: f64, limit: f64, loads: &[(Image, f64)]) -> f64 {
-        let expected = self.excess(serving, limit, loads.iter().copied()) + limit.ln();
-        tail.max(1.0).ln() - expected
+    pub fn surprise(&self, serving: Image, slack: f64, loads: &[(Image, f64)]) -> f64 {
+        slack.min(MAX_SLACK) - self.slack(serving, loads.iter().copied())
     }
 
     /// What is believed of each serving image, as `key=value` pairs.
@@ -219,8 +209,8 @@
             });
             let presses: Vec<String> = presses.collect();
             Some(format!(
-                "serving={name} base_ms={:.0} presses={}",
-                fit.base.exp(),
+                "serving={name} base={:.2} presses={}",
+                fit.base,
                 presses.join(",")
             ))
         });
--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -1,5 +1,7 @@
 //! Keeps filling tasks from slowing serving tasks beyond their limits.
 
+use std::collections::BTreeMap;
+
 use decision::clock::Ms;
 use decision::name::Name;
 
@@ -11,19 +13,22 @@
 use crate::message::Order;
 use crate::message::Place;
 use crate::message::Running;
-use crate::pace;
 
-/// A press of a filling run on a serving one, as a logarithm, below which it is not paced.
+/// The slack that a filling run takes from a serving one below which it is not paced.
 const HARMLESS: f64 = 0.05;
-/// What filling runs add to a tail, as a logarithm, below which it is not theirs.
-const PRESSED: f64 = 0.1;
+/// The slack that filling runs take from a task below which the loss is not theirs.
+const PRESSED: f64 = 0.2;
+/// The slack to which filling runs are paced: above 1, since a figure is half a second old.
+const PACED_SLACK: f64 = 1.25;
+/// Below this part of what a run asked for, its figure does not show its load yet.
+const UNSEEN_LOAD: f64 = 0.25;
 /// The share, in percent, at which a run is moved rather than slowed further.
 const MOVE_SHARE: u8 = 30;
 /// The most runs moved after one look.
 const MAX_MOVES: usize = 2;
-/// By how much all tails on a worker are over what is expected, as a logarithm, when the worker
+/// How far the slack of all serving tasks on a worker is below what is expected when the worker
 /// itself is slow.
-const SLOW_SURPRISE: f64 = 1.5;
+const SLOW_SURPRISE: f64 = -1.3;
 /// Tails that it takes to tell a slow worker from a wrong belief about one image.
 const MIN_SLOW_TAILS: usize = 2;
 /// How long a worker counts as slow after a look that shows it.
@@ -36,15 +41,29 @@
     task: Task,
     run: Run,
     image: Image,
+    /// The share of the worker's processors that it uses.
     load: f64,
+    /// The share that it asked for.
+    asked: f64,
     share: Option<u8>,
 }
 
+impl Filling {
+    /// The load at full pace. A run that has just begun, or is halted, shows none yet.
+    fn full_load(&self) -> f64 {
+        let share = f64::from(self.share.unwrap_or(100)) / 100.0;
+        if self.load < self.asked * share * UNSEEN_LOAD || share <= 0.0 {
+            self.asked
+        } else {
+            self.load / share
+        }
+    }
+}
+
 /// A serving run on a worker.
 struct Serving {
     image: Image,
-    tail: f64,
-    limit: f64,
+    slack: f64,
 }
 
 impl Leader {
@@ -55,6 +74,7 @@
         if self.is_slow(&serving, &loads) {
             self.mark_slow(now, name);
         } else {
+            self.note_levels(name, &serving, &loads);
             self.learn_figures(&serving, &loads);
         }
         if serving.is_empty() || filling.is_empty() {
@@ -62,26 +82,23 @@
             self.halt(name, false);
             return self.set_paces(name, &filling, |_| 100, 0.0);
         }
-        let of_limit = |serving: &Serving| serving.tail / serving.limit;
-        let worst = serving.iter().map(of_limit).fold(0.0, f64::max);
-        // A tail that no filling run presses rises with its own load, and pacing does not help.
-        let pressed = serving
+        let worst = 1.0 / serving.iter().map(|s| s.slack).fold(f64::MAX, f64::min);
+        // A task that no filling run presses has its own load to blame, and pacing does not help.
+        let wanted = serving
             .iter()
-            .filter(|serving| self.pressed(serving, &filling) > PRESSED)
-            .map(of_limit)
-            .fold(0.0, f64::max);
+            .filter_map(|serving| self.wanted_share(serving, &filling))
+            .fold(f64::MAX, f64::min);
         let pacer = self.pacers.entry(name.clone()).or_default();
         let is_halted = pacer.guard(now, worst);
-        let share = pacer.update(now, pressed);
+        let share = pacer.update(now, wanted);
         self.halt(name, is_halted);
         if is_halted {
             self.set_paces(name, &filling, |_| 0, worst);
             return self.move_slowed(now, name, &filling);
         }
-        let size = f64::from(self.size_of(name));
         let harmful: Vec<bool> = filling
             .iter()
-            .map(|filling| self.is_harmful(&serving, filling, size))
+            .map(|run| self.is_harmful(&serving, &filling, run))
             .collect();
         let mut harmful = harmful.into_iter();
         let pace = move |_: &Filling| {
@@ -152,14 +169,14 @@
                     run: row.run,
                     image: claim.image,
                     load: f64::from(row.figure) / f64::from(size),
+                    asked: f64::from(claim.millicores) / f64::from(size),
                     share: self.share(row.task, row.run),
                 }),
                 Kind::Serving(Some(limit)) => {
                     if row.percent >= AT_WORK && row.figure > 0 {
                         serving.push(Serving {
                             image: claim.image,
-                            tail: f64::from(row.figure),
-                            limit,
+                            slack: limit / f64::from(row.figure),
                         });
                     }
                 }
@@ -177,23 +194,25 @@
         listing.map_or(1, |listing| listing.size.millicores.max(1))
     }
 
-    /// What the filling runs add to a tail at full pace, as a logarithm.
-    fn pressed(&self, serving: &Serving, filling: &[Filling]) -> f64 {
-        filling
-            .iter()
-            .map(|filling| {
-                let share = f64::from(filling.share.unwrap_or(100).max(1)) / 100.0;
-                self.model.press(serving.image, filling.image) * filling.load / share
-            })
-            .sum()
+    /// The slack of a serving task without any filling run, and what all take at full pace.
+    fn unpressed(&self, serving: &Serving, filling: &[Filling]) -> (f64, f64) {
+        let press = |filling: &Filling| self.model.press(serving.image, filling.image);
+        let now: f64 = filling.iter().map(|run| press(run) * run.load).sum();
+        let full: f64 = filling.iter().map(|run| press(run) * run.full_load()).sum();
+        (serving.slack + now, full)
+    }
+
+    /// The share of the filling runs at which a serving task keeps its slack, if they matter to it.
+    fn wanted_share(&self, serving: &Serving, filling: &[Filling]) -> Option<f64> {
+        let (unpressed, full) = self.unpressed(serving, filling);
+        (full > PRESSED).then(|| (unpressed - PACED_SLACK) / full)
     }
 
-    /// Whether the tails on a worker are so high that neither their load nor what fills beside them
+    /// Whether the slack on a worker is so low that neither their load nor what fills beside them
     /// can be the cause.
     fn is_slow(&self, serving: &[Serving], loads: &[(Image, f64)]) -> bool {
         let is_surprising = |serving: &Serving| {
-            let (tail, limit) = (serving.tail, serving.limit);
-            self.model.surprise(serving.image, tail, limit, loads) > SLOW_SURPRISE
+            self.model.surprise(serving.image, serving.slack, loads) < SLOW_SURPRISE
         };
         serving.len() >= MIN_SLOW_TAILS && serving.iter().all(is_surprising)
     }
@@ -209,23 +228,34 @@
         }
     }
 
+    /// Notes by how much the least slack of each image differs from what is expected.
+    fn note_levels(&mut self, name: &Name, serving: &[Serving], loads: &[(Image, f64)]) {
+        let mut levels: BTreeMap<Image, f64> = BTreeMap::new();
+        for serving in serving {
+            let level = self.model.surprise(serving.image, serving.slack, loads);
+            let worst = levels.entry(serving.image).or_insert(level);
+            *worst = worst.min(level);
+        }
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.levels = levels;
+        }
+    }
+
     fn learn_figures(&mut self, serving: &[Serving], loads: &[(Image, f64)]) {
         for serving in serving {
-            self.model
-                .learn(serving.image, serving.tail, serving.limit, loads);
+            self.model.learn(serving.image, serving.slack, loads);
         }
     }
 
-    /// Whether a filling run presses a serving run that is near its limit.
-    fn is_harmful(&self, serving: &[Serving], filling: &Filling, size: f64) -> bool {
-        let job = self.jobs.get(&filling.task.step.job);
-        let claim = job.and_then(|job| job.claim(filling.task.step.step));
-        let asked = claim.map_or(0.0, |claim| f64::from(claim.millicores) / size);
-        let load = filling.load.max(asked);
-        serving
-            .iter()
-            .filter(|serving| serving.tail / serving.limit > pace::CALM)
-            .any(|serving| self.model.press(serving.image, filling.image) * load > HARMLESS)
+    /// Whether a filling run presses a serving one that all filling runs together would leave with
+    /// too little slack.
+    fn is_harmful(&self, serving: &[Serving], filling: &[Filling], run: &Filling) -> bool {
+        let is_short = |serving: &&Serving| {
+            let (unpressed, full) = self.unpressed(serving, filling);
+            unpressed - full < PACED_SLACK
+        };
+        let mut short = serving.iter().filter(is_short);
+        short.any(|serving| self.model.press(serving.image, run.image) * run.full_load() > HARMLESS)
     }
 
     fn set_paces(
--- a/crates/scheduler/src/pace.rs
+++ b/crates/scheduler/src/pace.rs
@@ -1,25 +1,21 @@
 //! The share at which the filling tasks of one worker work.
 //!
-//! Answers a serving task whose tail rises within seconds because of what fills beside it: the
-//! share falls fast when the tail nears its limit and rises slowly when there is room.
+//! Answers a serving task whose tail rises within seconds because of what fills beside it or because
+//! of its own load: the share follows the slack that is left, at once downwards and in steps upwards.
 
 use decision::clock::Ms;
 
-/// Below this tail, as a share of the limit, the share of the tasks rises.
-pub const CALM: f64 = 0.7;
-/// Above this tail, as a share of the limit, the share of the tasks falls.
-const NEAR: f64 = 0.88;
-/// Above this tail, as a share of the limit, the share of the tasks falls to the least.
-const OVER: f64 = 1.0;
+/// Above this tail, as a share of the limit, a serving task counts as near its limit.
+const NEAR: f64 = 0.96;
 /// The least share that a filling task keeps, in percent.
 const LEAST_SHARE: u8 = 10;
-/// By how much the share rises with each look, in percent.
-const RISE: u8 = 15;
+/// By how much the share rises at the most with each look, in percent.
+const RISE: u8 = 40;
 /// The least time between two changes: a figure covers the last half second.
 const SETTLE: Ms = Ms(600);
 
 /// How long a tail may be over its limit until all filling tasks halt.
-const HALT_AFTER: Ms = Ms(1_000);
+const HALT_AFTER: Ms = Ms(1_600);
 /// After a halt of this length a tail that is still over its limit has another cause.
 const HALT: Ms = Ms(2_200);
 
@@ -47,21 +43,20 @@
 }
 
 impl Pacer {
-    /// Takes in the worst tail that is believed to be pressed, as a share of its limit, and returns
-    /// the share for the tasks that press it.
-    pub fn update(&mut self, now: Ms, tail: f64) -> u8 {
+    /// Takes in the share at which all serving tasks keep enough slack, as a factor, and returns the
+    /// share in percent for the tasks that press them.
+    pub fn update(&mut self, now: Ms, wanted: f64) -> u8 {
         if now.since(self.changed) < SETTLE {
             return self.share;
         }
-        let share = if tail >= OVER {
-            LEAST_SHARE
-        } else if tail >= NEAR {
-            (self.share / 2).max(LEAST_SHARE)
-        } else if tail < CALM {
-            (self.share + RISE).min(100)
-        } else {
-            self.share
-        };
+        let most = (self.share + RISE).min(100);
+        let wanted = (wanted * 100.0).clamp(f64::from(LEAST_SHARE), f64::from(most));
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a share is at most 100"
+        )]
+        let share = wanted as u8;
         if share != self.share {
             self.share = share;
             self.changed = now;
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -27,15 +27,15 @@
 const RACK_POINTS: i64 = 2_000;
 /// The penalty of the worker on which the task failed last, in points.
 const FAILED_HERE_POINTS: i64 = 3_000;
-/// The penalty of a filling task for what it adds to the tails of serving ones, in points for a
-/// factor of e.
-const PRESS_POINTS: f64 = 900.0;
+/// The penalty of a filling task for the slack that it takes from serving ones, in points.
+const PRESS_POINTS: f64 = 450.0;
 /// The bonus of a worker for a serving task beside others of its image, in points for each: images
 /// that suffer from the same filling work are kept together.
 const SAME_IMAGE_POINTS: i64 = 500;
-/// How far below its limit a tail is expected to stay, as a logarithm.
-const TAIL_MARGIN: f64 = 0.4;
-
+/// The slack that filling tasks leave to serving ones: above 1, since the load of these swings.
+const KEPT_SLACK: f64 = 1.35;
+/// The slack that one filling task may take from any serving task.
+const FREE_PRESS: f64 = 0.08;
 /// With more slow workers than one of this many, slow ones are used as well.
 const MIN_SOUND_TO_SLOW: usize = 4;
 
@@ -133,12 +133,12 @@
     match wish.claim.kind {
         Kind::Plain => {}
         Kind::Filling => {
-            let added = press(wish.claim, model, listing, worker)?;
+            let taken = press(wish.claim, model, listing, worker)?;
             #[expect(
                 clippy::cast_possible_truncation,
                 reason = "points are small numbers; the cast saturates"
             )]
-            let penalty = (added * PRESS_POINTS) as i64;
+            let penalty = (taken * PRESS_POINTS) as i64;
             points -= penalty;
         }
         Kind::Serving(_) => {
@@ -158,19 +158,21 @@
     Some(points)
 }
 
-/// What a filling task adds to the tails on a worker, or `None` when one would be over its limit.
+/// The slack that a filling task takes from the serving tasks on a worker, or `None` when one would
+/// be left with too little.
 fn press(claim: &Claim, model: &Model, listing: &Listing, worker: &Worker) -> Option<f64> {
     let load = share(claim.millicores, listing);
-    let mut added = 0.0;
+    let mut taken = 0.0;
     for (&serving, servers) in &worker.servers {
         let press = model.press(serving, claim.image) * load;
-        let excess = model.excess(serving, servers.limit, loads(listing, worker));
-        if press > TAIL_MARGIN / 5.0 && excess + press > -TAIL_MARGIN {
+        let level = worker.levels.get(&serving).copied().unwrap_or(0.0);
+        let slack = model.slack(serving, loads(listing, worker)) + level.min(0.0);
+        if press > FREE_PRESS && slack - press < KEPT_SLACK {
             return None;
         }
-        added += press * f64::from(servers.count);
+        taken += press * f64::from(servers.count);
     }
-    Some(added)
+    Some(taken)
 }
 
 /// The loads of filling tasks on a worker, as shares of its processors.
