Let filling work yield by urgency

Change: a filling step with time to spare, or of a job that is late already, keeps more slack for serving tasks; where slack is short, late runs are slowed first, then early ones, the heaviest first.

Test: pace.rs, a table of who yields; it replaces the test of one share for all runs.

--- a/crates/scheduler/src/leader/drain.rs
+++ b/crates/scheduler/src/leader/drain.rs
@@ -75,6 +75,7 @@
             failed_on: None,
             rack: None,
             avoids_slow: true,
+            kept_slack: place::AMPLE_SLACK,
         };
         let stored = self.workers.iter().filter(|(name, _)| self.is_stored(name));
         place::choose(&wish, &self.model, stored, now)
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -15,6 +15,7 @@
 use crate::id::Task;
 use crate::message::Order;
 use crate::message::Start;
+use crate::pace::Urgency;
 use crate::place;
 use crate::place::Wish;
 use crate::task::Active;
@@ -22,6 +23,8 @@
 
 /// Steps without room that one pass tries before it gives up.
 const MAX_MISFITS: usize = 24;
+/// The time before the latest start of a step in which it no longer waits for a better worker.
+const TIME_TO_SPARE: Ms = Ms(1_000);
 /// The most starts of one pass, so that other work of the leader is not held up.
 const MAX_STARTS: usize = 200;
 
@@ -83,6 +86,7 @@
             failed_on: None,
             rack: None,
             avoids_slow: place::can_avoid_slow(self.workers.values(), now),
+            kept_slack: self.kept_slack(now, step),
         };
         let chosen = if spec.is_gang || spec.is_same_rack {
             self.choose_together(now, &wish, &indices)
@@ -106,6 +110,31 @@
         (count, is_whole)
     }
 
+    /// The slack that a filling step leaves to serving tasks.
+    pub(super) fn kept_slack(&self, now: Ms, step: id::Step) -> f64 {
+        match self.urgency(now, step) {
+            Urgency::Pressing => place::LEAST_SLACK,
+            Urgency::Early | Urgency::Late => place::AMPLE_SLACK,
+        }
+    }
+
+    /// What a delay of a step costs.
+    pub(super) fn urgency(&self, now: Ms, step: id::Step) -> Urgency {
+        let Some(rank) = self.rank(step) else {
+            return Urgency::Late;
+        };
+        let remaining = self.jobs.get(&step.job).map(|job| &job.remaining);
+        let remaining = remaining.and_then(|all| all.get(usize::from(step.step)));
+        let end = rank.latest_start + remaining.copied().unwrap_or_default();
+        if now > end {
+            Urgency::Late
+        } else if now + TIME_TO_SPARE < rank.latest_start {
+            Urgency::Early
+        } else {
+            Urgency::Pressing
+        }
+    }
+
     /// The workers with a ticket for a step.
     fn ticketed(&self, step: id::Step, now: Ms) -> BTreeSet<Name> {
         let names = self.workers.keys();
--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -13,13 +13,9 @@
 use crate::message::Order;
 use crate::message::Place;
 use crate::message::Running;
+use crate::pace;
+use crate::pace::Fill;
 
-/// The slack that a filling run takes from a serving one below which it is not paced.
-const HARMLESS: f64 = 0.05;
-/// The slack that filling runs take from a task below which the loss is not theirs.
-const PRESSED: f64 = 0.2;
-/// The slack to which filling runs are paced: above 1, since a figure is half a second old.
-const PACED_SLACK: f64 = 1.25;
 /// Below this part of what a run asked for, its figure does not show its load yet.
 const UNSEEN_LOAD: f64 = 0.25;
 /// The share, in percent, at which a run is moved rather than slowed further.
@@ -80,38 +76,50 @@
         if serving.is_empty() || filling.is_empty() {
             self.pacers.remove(name);
             self.halt(name, false);
-            return self.set_paces(name, &filling, |_| 100, 0.0);
+            self.set_paces(name, &filling, |_| 100, 0.0);
+            return;
         }
         let worst = 1.0 / serving.iter().map(|s| s.slack).fold(f64::MAX, f64::min);
-        // A task that no filling run presses has its own load to blame, and pacing does not help.
-        let wanted = serving
-            .iter()
-            .filter_map(|serving| self.wanted_share(serving, &filling))
-            .fold(f64::MAX, f64::min);
         let pacer = self.pacers.entry(name.clone()).or_default();
         let is_halted = pacer.guard(now, worst);
-        let share = pacer.update(now, wanted);
+        let is_settled = pacer.is_settled(now);
         self.halt(name, is_halted);
         if is_halted {
             self.set_paces(name, &filling, |_| 0, worst);
             return self.move_slowed(now, name, &filling);
         }
-        let harmful: Vec<bool> = filling
-            .iter()
-            .map(|run| self.is_harmful(&serving, &filling, run))
-            .collect();
-        let mut harmful = harmful.into_iter();
-        let pace = move |_: &Filling| {
-            if harmful.next().unwrap_or_default() {
-                share
-            } else {
-                100
-            }
-        };
-        self.set_paces(name, &filling, pace, worst);
-        if share <= MOVE_SHARE {
-            self.move_slowed(now, name, &filling);
+        if !is_settled {
+            return;
+        }
+        let mut shares = self.wanted_shares(now, &serving, &filling).into_iter();
+        let pace = move |_: &Filling| shares.next().unwrap_or(100);
+        let is_changed = self.set_paces(name, &filling, pace, worst);
+        if is_changed && let Some(pacer) = self.pacers.get_mut(name) {
+            pacer.change(now);
         }
+        self.move_slowed(now, name, &filling);
+    }
+
+    /// The shares at which the filling runs leave enough slack to the serving ones.
+    fn wanted_shares(&self, now: Ms, serving: &[Serving], filling: &[Filling]) -> Vec<u8> {
+        let press = |serving: &Serving, run: &Filling| self.model.press(serving.image, run.image);
+        let unpressed = serving.iter().map(|serving| {
+            let taken = filling.iter().map(|run| press(serving, run) * run.load);
+            serving.slack + taken.sum::<f64>()
+        });
+        let unpressed: Vec<f64> = unpressed.collect();
+        let fills = filling.iter().map(|run| {
+            let presses = serving
+                .iter()
+                .map(|serving| press(serving, run) * run.full_load());
+            Fill {
+                urgency: self.urgency(now, run.task.step),
+                share: run.share.unwrap_or(100),
+                presses: presses.collect(),
+            }
+        });
+        let fills: Vec<Fill> = fills.collect();
+        pace::shares(&unpressed, &fills)
     }
 
     /// Moves runs that have been slowed down to where they press nobody: a step waits for its
@@ -194,20 +202,6 @@
         listing.map_or(1, |listing| listing.size.millicores.max(1))
     }
 
-    /// The slack of a serving task without any filling run, and what all take at full pace.
-    fn unpressed(&self, serving: &Serving, filling: &[Filling]) -> (f64, f64) {
-        let press = |filling: &Filling| self.model.press(serving.image, filling.image);
-        let now: f64 = filling.iter().map(|run| press(run) * run.load).sum();
-        let full: f64 = filling.iter().map(|run| press(run) * run.full_load()).sum();
-        (serving.slack + now, full)
-    }
-
-    /// The share of the filling runs at which a serving task keeps its slack, if they matter to it.
-    fn wanted_share(&self, serving: &Serving, filling: &[Filling]) -> Option<f64> {
-        let (unpressed, full) = self.unpressed(serving, filling);
-        (full > PRESSED).then(|| (unpressed - PACED_SLACK) / full)
-    }
-
     /// Whether the slack on a worker is so low that neither their load nor what fills beside them
     /// can be the cause.
     fn is_slow(&self, serving: &[Serving], loads: &[(Image, f64)]) -> bool {
@@ -247,30 +241,23 @@
         }
     }
 
-    /// Whether a filling run presses a serving one that all filling runs together would leave with
-    /// too little slack.
-    fn is_harmful(&self, serving: &[Serving], filling: &[Filling], run: &Filling) -> bool {
-        let is_short = |serving: &&Serving| {
-            let (unpressed, full) = self.unpressed(serving, filling);
-            unpressed - full < PACED_SLACK
-        };
-        let mut short = serving.iter().filter(is_short);
-        short.any(|serving| self.model.press(serving.image, run.image) * run.full_load() > HARMLESS)
-    }
-
+    /// Orders the paces that differ from those in force; whether there are any.
     fn set_paces(
         &mut self,
         name: &Name,
         filling: &[Filling],
         mut pace: impl FnMut(&Filling) -> u8,
         worst: f64,
-    ) {
+    ) -> bool {
+        let mut is_changed = false;
         for filling in filling {
             let share = pace(filling);
             if filling.share != Some(share) {
                 self.pace(name, filling.task, filling.run, share, worst);
+                is_changed = true;
             }
         }
+        is_changed
     }
 
     /// The share that a run was last ordered to work at.
--- a/crates/scheduler/src/pace.rs
+++ b/crates/scheduler/src/pace.rs
@@ -1,7 +1,10 @@
-//! The share at which the filling tasks of one worker work.
+//! The shares at which the filling tasks of one worker work.
 //!
 //! Answers a serving task whose tail rises within seconds because of what fills beside it or because
-//! of its own load: the share follows the slack that is left, at once downwards and in steps upwards.
+//! of its own load: runs yield one after the other, those first whose delay costs least, until each
+//! serving task has enough slack. Shares fall at once and rise in steps.
+
+use std::cmp::Reverse;
 
 use decision::clock::Ms;
 
@@ -9,59 +12,114 @@
 const NEAR: f64 = 0.96;
 /// The least share that a filling task keeps, in percent.
 const LEAST_SHARE: u8 = 10;
-/// By how much the share rises at the most with each look, in percent.
+/// By how much a share rises at the most with each change, in percent.
 const RISE: u8 = 40;
 /// The least time between two changes: a figure covers the last half second.
 const SETTLE: Ms = Ms(600);
+/// The slack that a filling run takes from a serving task below which it is not slowed.
+const HARMLESS: f64 = 0.05;
+/// The slack to which filling runs are slowed: above 1, since a figure is half a second old.
+const PACED_SLACK: f64 = 1.125;
+
+/// What the delay of a filling run costs; the least comes first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Urgency {
+    /// Its job is late already.
+    Late,
+    /// Its job has time to spare.
+    Early,
+    /// Its job is late if it waits.
+    Pressing,
+}
+
+/// A filling run beside serving tasks.
+#[derive(Clone, Debug)]
+pub struct Fill {
+    /// What its delay costs.
+    pub urgency: Urgency,
+    /// The share that it works at, in percent.
+    pub share: u8,
+    /// The slack that it takes from each serving task at full pace.
+    pub presses: Vec<f64>,
+}
+
+/// The shares of filling runs, in percent, at which each serving task keeps enough slack as far as
+/// that is possible. `unpressed` is the slack of each serving task without them.
+#[must_use]
+pub fn shares(unpressed: &[f64], fills: &[Fill]) -> Vec<u8> {
+    let mut shares = vec![100; fills.len()];
+    let mut order: Vec<usize> = (0..fills.len()).collect();
+    let heaviest = |index: usize| {
+        let most = fills[index].presses.iter().copied().fold(0.0, f64::max);
+        #[expect(
+            clippy::cast_possible_truncation,
+            reason = "an order needs no more than thousandths"
+        )]
+        let thousandths = (most * 1_000.0) as i64;
+        thousandths
+    };
+    order.sort_by_key(|&index| (fills[index].urgency, Reverse(heaviest(index))));
+    for (task, &unpressed) in unpressed.iter().enumerate() {
+        let taken = fills.iter().zip(&shares);
+        let taken: f64 = taken
+            .map(|(fill, &share)| fill.presses[task] * f64::from(share) / 100.0)
+            .sum();
+        let mut short = PACED_SLACK - (unpressed - taken);
+        for &index in &order {
+            let press = fills[index].presses[task];
+            if short <= 0.0 {
+                break;
+            }
+            if press <= HARMLESS {
+                continue;
+            }
+            let share = lowered(shares[index], short / press);
+            short -= press * f64::from(shares[index] - share) / 100.0;
+            shares[index] = share;
+        }
+    }
+    for (share, fill) in shares.iter_mut().zip(fills) {
+        *share = (*share).min(fill.share.saturating_add(RISE));
+    }
+    shares
+}
+
+/// A share less a part of the full pace, but not below the least.
+fn lowered(share: u8, part: f64) -> u8 {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the part is clamped to percent"
+    )]
+    let less = (part * 100.0).ceil().clamp(0.0, 100.0) as u8;
+    share.saturating_sub(less).max(LEAST_SHARE).min(share)
+}
 
 /// How long a tail may be over its limit until all filling tasks halt.
 const HALT_AFTER: Ms = Ms(1_600);
 /// After a halt of this length a tail that is still over its limit has another cause.
 const HALT: Ms = Ms(2_200);
 
-/// The pace of one worker.
-#[derive(Clone, Debug)]
+/// What is known of the pace of one worker.
+#[derive(Clone, Debug, Default)]
 pub struct Pacer {
-    share: u8,
-    changed: Ms,
+    changed: Option<Ms>,
     over_since: Option<Ms>,
     halted_since: Option<Ms>,
     /// A halt has shown that the filling tasks are not the cause.
     is_cleared: bool,
 }
 
-impl Default for Pacer {
-    fn default() -> Self {
-        Self {
-            share: 100,
-            changed: Ms::ZERO,
-            over_since: None,
-            halted_since: None,
-            is_cleared: false,
-        }
+impl Pacer {
+    /// Whether the figures show the last change of the shares.
+    #[must_use]
+    pub fn is_settled(&self, now: Ms) -> bool {
+        self.changed.is_none_or(|at| now.since(at) >= SETTLE)
     }
-}
 
-impl Pacer {
-    /// Takes in the share at which all serving tasks keep enough slack, as a factor, and returns the
-    /// share in percent for the tasks that press them.
-    pub fn update(&mut self, now: Ms, wanted: f64) -> u8 {
-        if now.since(self.changed) < SETTLE {
-            return self.share;
-        }
-        let most = (self.share + RISE).min(100);
-        let wanted = (wanted * 100.0).clamp(f64::from(LEAST_SHARE), f64::from(most));
-        #[expect(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            reason = "a share is at most 100"
-        )]
-        let share = wanted as u8;
-        if share != self.share {
-            self.share = share;
-            self.changed = now;
-        }
-        share
+    /// Notes a change of the shares.
+    pub const fn change(&mut self, now: Ms) {
+        self.changed = Some(now);
     }
 
     /// Takes in the worst tail of all, as a share of its limit, and returns whether all filling
@@ -71,10 +129,7 @@
         if tail < NEAR {
             self.over_since = None;
             self.is_cleared = false;
-            if self.halted_since.take().is_some() {
-                self.share = LEAST_SHARE;
-                self.changed = now;
-            }
+            self.halted_since = None;
             return false;
         }
         let over_since = *self.over_since.get_or_insert(now);
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -32,8 +32,11 @@
 /// The bonus of a worker for a serving task beside others of its image, in points for each: images
 /// that suffer from the same filling work are kept together.
 const SAME_IMAGE_POINTS: i64 = 500;
-/// The slack that filling tasks leave to serving ones: above 1, since the load of these swings.
-const KEPT_SLACK: f64 = 1.35;
+/// The slack that filling tasks leave to serving ones where a delay makes a job late: above 1, since
+/// the load of serving tasks swings.
+pub const LEAST_SLACK: f64 = 1.15;
+/// The slack that they leave where the delay costs little.
+pub const AMPLE_SLACK: f64 = 1.4;
 /// The slack that one filling task may take from any serving task.
 const FREE_PRESS: f64 = 0.08;
 /// With more slow workers than one of this many, slow ones are used as well.
@@ -58,6 +61,8 @@
     pub rack: Option<&'a Name>,
     /// Slow workers are left out.
     pub avoids_slow: bool,
+    /// The slack that is left to serving tasks.
+    pub kept_slack: f64,
 }
 
 /// Whether a worker takes new tasks at all.
@@ -133,7 +138,7 @@
     match wish.claim.kind {
         Kind::Plain => {}
         Kind::Filling => {
-            let taken = press(wish.claim, model, listing, worker)?;
+            let taken = press(wish, model, listing, worker)?;
             #[expect(
                 clippy::cast_possible_truncation,
                 reason = "points are small numbers; the cast saturates"
@@ -160,14 +165,15 @@
 
 /// The slack that a filling task takes from the serving tasks on a worker, or `None` when one would
 /// be left with too little.
-fn press(claim: &Claim, model: &Model, listing: &Listing, worker: &Worker) -> Option<f64> {
+fn press(wish: &Wish<'_>, model: &Model, listing: &Listing, worker: &Worker) -> Option<f64> {
+    let claim = wish.claim;
     let load = share(claim.millicores, listing);
     let mut taken = 0.0;
     for (&serving, servers) in &worker.servers {
         let press = model.press(serving, claim.image) * load;
         let level = worker.levels.get(&serving).copied().unwrap_or(0.0);
         let slack = model.slack(serving, loads(listing, worker)) + level.min(0.0);
-        if press > FREE_PRESS && slack - press < KEPT_SLACK {
+        if press > FREE_PRESS && slack - press < wish.kept_slack {
             return None;
         }
         taken += press * f64::from(servers.count);
--- a/crates/scheduler/tests/pace.rs
+++ b/crates/scheduler/tests/pace.rs
@@ -1,30 +1,86 @@
 //! How filling tasks yield to serving ones.
 
 use decision::clock::Ms;
+use scheduler::pace;
+use scheduler::pace::Fill;
 use scheduler::pace::Pacer;
+use scheduler::pace::Urgency;
 
 const LOOK: u64 = 900;
 
+fn fill(urgency: Urgency, share: u8, presses: &[f64]) -> Fill {
+    Fill {
+        urgency,
+        share,
+        presses: presses.to_vec(),
+    }
+}
+
+/// A name, the slack of serving tasks, the filling runs and the wanted shares.
+type Case<'a> = (&'a str, &'a [f64], &'a [Fill], &'a [u8]);
+
 #[test]
-fn the_share_follows_the_slack_at_once_downwards_and_in_steps_upwards() {
-    let mut pacer = Pacer::default();
-    let wanted = [1.5, 0.5, -0.2, 9.0, 9.0, 0.75];
-    let shares = [100, 50, 10, 50, 90, 75];
-    for (index, (wanted, share)) in (1..).zip(wanted.into_iter().zip(shares)) {
-        assert_eq!(
-            pacer.update(Ms(index * LOOK), wanted),
-            share,
-            "look {index}"
-        );
+fn runs_yield_as_far_as_the_slack_of_serving_tasks_needs() {
+    let cases: [Case<'_>; 6] = [
+        (
+            "enough slack for all",
+            &[2.5],
+            &[fill(Urgency::Pressing, 100, &[1.0])],
+            &[100],
+        ),
+        (
+            "part of one run",
+            &[1.625],
+            &[fill(Urgency::Pressing, 100, &[1.0])],
+            &[50],
+        ),
+        (
+            "late and early work before pressing work",
+            &[2.4325],
+            &[
+                fill(Urgency::Pressing, 100, &[1.0]),
+                fill(Urgency::Early, 100, &[0.5]),
+                fill(Urgency::Late, 100, &[0.5]),
+            ],
+            &[100, 51, 10],
+        ),
+        (
+            "the heaviest first",
+            &[1.625],
+            &[
+                fill(Urgency::Early, 100, &[0.25]),
+                fill(Urgency::Early, 100, &[0.5]),
+            ],
+            &[100, 50],
+        ),
+        (
+            "no run that presses little or another task",
+            &[1.0, 3.0],
+            &[
+                fill(Urgency::Late, 100, &[0.04, 0.0]),
+                fill(Urgency::Late, 100, &[0.0, 1.0]),
+            ],
+            &[100, 100],
+        ),
+        (
+            "up again in steps",
+            &[4.0],
+            &[fill(Urgency::Pressing, 10, &[1.0])],
+            &[50],
+        ),
+    ];
+    for (case, unpressed, fills, wanted) in cases {
+        assert_eq!(pace::shares(unpressed, fills), wanted, "{case}");
     }
 }
 
 #[test]
-fn a_share_is_kept_until_the_figures_show_the_last_change() {
+fn shares_are_kept_until_the_figures_show_the_last_change() {
     let mut pacer = Pacer::default();
-    assert_eq!(pacer.update(Ms(1_000), 0.5), 50);
-    assert_eq!(pacer.update(Ms(1_400), 0.25), 50);
-    assert_eq!(pacer.update(Ms(1_700), 0.25), 25);
+    assert!(pacer.is_settled(Ms(1_000)));
+    pacer.change(Ms(1_000));
+    assert!(!pacer.is_settled(Ms(1_400)));
+    assert!(pacer.is_settled(Ms(1_700)));
 }
 
 #[test]
