Go through waiting steps at most each 25 ms on a full fleet

Cause: each look and each end made the leader try all waiting steps on all workers, and compare the workers with the stored fleet, name by name.

Change: a pass that left steps without room is not repeated for 25 ms; the fleet is compared after changes only; whether a worker is stored is asked last.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -171,6 +171,13 @@
     clock: Ms,
     removable: Vec<id::Job>,
     stored: BTreeSet<Name>,
+    /// The workers have not changed since they were last compared with the stored ones.
+    is_fleet_compared: bool,
+    /// When the waiting steps were last gone through, and how often in all.
+    passed: Ms,
+    passes: u64,
+    /// Some steps found no room then.
+    is_crowded: bool,
     dirty: BTreeMap<id::Job, Ms>,
     scheduled: BTreeSet<id::Job>,
     ended: BTreeSet<(Ms, id::Job)>,
@@ -211,6 +218,10 @@
             clock: now,
             removable: Vec::new(),
             stored: BTreeSet::new(),
+            is_fleet_compared: false,
+            passed: Ms::ZERO,
+            passes: 0,
+            is_crowded: false,
             dirty: BTreeMap::new(),
             scheduled: BTreeSet::new(),
             ended: BTreeSet::new(),
@@ -270,6 +281,12 @@
         self.jobs.get(&id).map(|job| job.shown)
     }
 
+    /// How often the waiting steps were gone through.
+    #[must_use]
+    pub const fn passes(&self) -> u64 {
+        self.passes
+    }
+
     /// The regular message to the agents.
     #[must_use]
     pub fn beat(&self, store_age: Ms) -> Beat {
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -36,6 +36,7 @@
 
     /// Takes in the workers on which earlier leaders started tasks.
     pub(super) fn take_fleet(&mut self, now: Ms, members: Vec<Member>) {
+        self.is_fleet_compared = false;
         for member in members {
             let lapses = self.first_lapse();
             let worker = self.workers.entry(member.worker.clone()).or_default();
@@ -55,6 +56,7 @@
     }
 
     pub(super) fn list(&mut self, now: Ms, name: Name, listing: Option<Listing>) {
+        self.is_fleet_compared = false;
         let lapses = self.first_lapse();
         let is_new = !self.workers.contains_key(&name);
         if is_new && listing.is_none() {
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -38,7 +38,12 @@
         if self.committing.is_some() || now < self.commit_after {
             return;
         }
-        let fleet = self.changed_fleet();
+        let fleet = if self.is_fleet_compared {
+            None
+        } else {
+            self.changed_fleet()
+        };
+        self.is_fleet_compared = true;
         let is_due = self.dirty.values().any(|&due| due <= now);
         if !is_due && fleet.is_none() && self.removable.is_empty() {
             return;
@@ -77,6 +82,7 @@
         else {
             return;
         };
+        self.is_fleet_compared = false;
         if !is_durable {
             self.commit_after = now + RETRY;
             for (id, _) in versions {
--- a/crates/scheduler/src/leader/drain.rs
+++ b/crates/scheduler/src/leader/drain.rs
@@ -77,7 +77,7 @@
             avoids_slow: true,
             kept_slack: place::AMPLE_SLACK,
         };
-        let stored = self.workers.iter().filter(|(name, _)| self.is_stored(name));
-        place::choose(&wish, &self.model, stored, now)
+        let is_usable = |name: &Name| self.is_stored(name);
+        place::choose(&wish, &self.model, self.workers.iter(), is_usable, now)
     }
 }
--- a/crates/scheduler/src/leader/looks.rs
+++ b/crates/scheduler/src/leader/looks.rs
@@ -387,6 +387,7 @@
             if self.workers.get(&name).is_some_and(|w| w.listing.is_none()) {
                 self.unwatch(&name);
                 self.workers.remove(&name);
+                self.is_fleet_compared = false;
             }
         }
     }
--- a/crates/scheduler/src/leader/report.rs
+++ b/crates/scheduler/src/leader/report.rs
@@ -68,7 +68,8 @@
         self.log(format!(
             "kind=load workers={workers} silent={silent} capacity={capacity} booked={booked} \
              serving={serving} filling={filling} runs={runs} waiting_steps={waiting} \
-             unsettled={unsettled} agents={}",
+             passes={} unsettled={unsettled} agents={}",
+            self.passes,
             self.agents.len()
         ));
         if now.since(self.model_logged) >= MODEL_INTERVAL {
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -23,6 +23,9 @@
 
 /// Steps without room that one pass tries before it gives up.
 const MAX_MISFITS: usize = 24;
+/// The least time between two passes while some steps find no room: each look and each end wakes the
+/// leader, and a pass over a full fleet costs far more than these.
+const CROWDED_INTERVAL: Ms = Ms(25);
 /// The time before the latest start of a step in which it no longer waits for a better worker.
 const TIME_TO_SPARE: Ms = Ms(1_000);
 /// The most starts of one pass, so that other work of the leader is not held up.
@@ -30,9 +33,12 @@
 
 impl Leader {
     pub(super) fn start_tasks(&mut self, now: Ms) {
-        if !self.is_certain() {
+        let is_soon = self.is_crowded && now.since(self.passed) < CROWDED_INTERVAL;
+        if is_soon || self.waiting.is_empty() || !self.is_certain() {
             return;
         }
+        self.passed = now;
+        self.passes += 1;
         let waiting = self.in_order(now);
         let mut misfits = 0;
         let mut starts = 0;
@@ -41,9 +47,10 @@
             starts += started;
             misfits += usize::from(!is_whole);
             if misfits >= MAX_MISFITS || starts >= MAX_STARTS {
-                return;
+                break;
             }
         }
+        self.is_crowded = misfits > 0;
     }
 
     /// The waiting steps by urgency. Within a priority, steps that can still meet the objective come
@@ -262,8 +269,8 @@
             rack,
             ..*wish
         };
-        let stored = self.workers.iter().filter(|(name, _)| self.is_stored(name));
-        let name = place::choose(&wish, &self.model, stored, now)?;
+        let is_usable = |name: &Name| self.is_stored(name);
+        let name = place::choose(&wish, &self.model, self.workers.iter(), is_usable, now)?;
         self.workers.get_mut(&name)?.book(wish.claim, task, run);
         Some(name)
     }
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -204,16 +204,18 @@
         - i64::from(worker.filling)
 }
 
-/// The best worker for a task.
+/// The best worker for a task among those that are usable at all.
 pub fn choose<'a>(
     wish: &Wish<'_>,
     model: &Model,
     workers: impl Iterator<Item = (&'a Name, &'a Worker)>,
+    is_usable: impl Fn(&Name) -> bool,
     now: Ms,
 ) -> Option<Name> {
     let scored = workers.filter_map(|(name, worker)| {
         let points = points(wish, model, name, worker, now)?;
-        Some((points, name))
+        // Few workers come this far, so that the look-up is done last.
+        is_usable(name).then_some((points, name))
     });
     let best = scored.max_by_key(|&(points, _)| points)?;
     Some(best.1.clone())
--- a/crates/scheduler/tests/serving.rs
+++ b/crates/scheduler/tests/serving.rs
@@ -246,3 +246,33 @@
     fleet.submit(Job(2), short());
     assert!(fleet.workers_of(Job(2)).contains(&worker(3)));
 }
+
+/// Guards against a leader that spends its processor on a fleet without room: each of the hundreds
+/// of looks and ends of a second made it go through all that waits.
+#[test]
+fn a_full_fleet_is_not_gone_through_for_each_event() {
+    let mut fleet = Fleet::new(8);
+    let wide = spec::Step {
+        count: 64,
+        need: size(2_000),
+        estimate: Ms(500),
+        ..spec::Step::default()
+    };
+    fleet.submit(Job(2), wide);
+    let before = fleet.leader.passes();
+    for _ in 0..100 {
+        fleet.now += Ms(1);
+        fleet.play(vec![Event::Config(Arc::new(config()))]);
+    }
+    let passes = fleet.leader.passes() - before;
+    assert!((1..=5).contains(&passes), "{passes} passes in 0.1 s");
+}
+
+#[test]
+fn a_step_that_comes_while_there_is_room_is_started_at_once() {
+    let mut fleet = Fleet::new(8);
+    for job in 2..6 {
+        fleet.submit(Job(job), short());
+        assert_eq!(fleet.workers_of(Job(job)).len(), 8, "job {job}");
+    }
+}
