Keep what is learned of interference over changes of the leader

Cause: each leader learned the presses anew, at the cost of the serving tasks beside which it tried.

Change: the leader writes a summary (base, presses, weights by names of images; some KB) each 3 s within its commits; a new leader takes it over for images that it has no figures of. 64 images are told apart instead of 24: the grown deployments have 28.

Tests: interference.rs (other numbers of images, own figures go first), serving.rs (how often).

--- a/crates/scheduler/src/interference.rs
+++ b/crates/scheduler/src/interference.rs
@@ -6,9 +6,13 @@
 //! of the capacity that is left, so that the slack falls linearly: `base - sum of press * load`,
 //! where a load is a share of the worker's processors.
 
+mod summary;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 
+pub use summary::Summary;
+
 /// An image by its number.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Image(u16);
@@ -36,7 +40,7 @@
 /// Figures after which the presses are worked out anew.
 const SOLVE_INTERVAL: u32 = 12;
 /// Images that are distinguished; all further ones count as one.
-const MAX_IMAGES: u16 = 24;
+const MAX_IMAGES: u16 = 64;
 
 /// Least squares of one serving image, over the loads of all filling images.
 #[derive(Clone, Debug)]
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -29,6 +29,7 @@
 use crate::id::Run;
 use crate::id::Task;
 use crate::interference::Model;
+use crate::interference::Summary;
 use crate::job;
 use crate::message::Beat;
 use crate::message::Note;
@@ -61,6 +62,8 @@
     Cancelled(id::Job),
     /// Workers on which an earlier leader started tasks.
     Fleet(Vec<Member>),
+    /// What an earlier leader learned of the presses of images.
+    Learned(Summary),
     /// All rows that earlier leaders wrote have been read.
     Recovered,
     /// A configuration is in force.
@@ -106,6 +109,8 @@
     pub removed: Vec<id::Job>,
     /// The workers on which tasks may run.
     pub fleet: Option<Vec<Member>>,
+    /// What has been learned of the presses of images.
+    pub learned: Option<Summary>,
 }
 
 /// Something to do.
@@ -184,6 +189,8 @@
     pacers: BTreeMap<Name, Pacer>,
     advice: advice::Book,
     model: Model,
+    /// When what has been learned was last written.
+    summarized: Ms,
     actions: Vec<Action>,
 }
 
@@ -228,6 +235,7 @@
             pacers: BTreeMap::new(),
             advice: advice::Book::default(),
             model: Model::default(),
+            summarized: now,
             actions: Vec::new(),
         }
     }
@@ -248,6 +256,7 @@
             }
             Event::Cancelled(id) => self.cancel(now, id),
             Event::Fleet(members) => self.take_fleet(now, members),
+            Event::Learned(summary) => self.model.adopt(&summary),
             Event::Recovered => self.recover(now),
             Event::Config(config) => self.config = config,
             Event::Listed(name, listing) => self.list(now, name, listing),
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -10,6 +10,7 @@
 use super::Leader;
 use super::Member;
 use crate::id;
+use crate::interference::Summary;
 
 /// The most jobs in one transaction; the store takes 100 rows.
 const MAX_ROWS: usize = 45;
@@ -17,6 +18,9 @@
 /// The longest wait of progress that no customer is shown, so that one write carries several ends.
 const GROUP: Ms = Ms(40);
 
+/// The interval in which what has been learned is written.
+const SUMMARY_INTERVAL: Ms = Ms(3_000);
+
 /// The time after an unconfirmed commit until the next one.
 const RETRY: Ms = Ms(100);
 
@@ -45,14 +49,19 @@
         };
         self.is_fleet_compared = true;
         let is_due = self.dirty.values().any(|&due| due <= now);
-        if !is_due && fleet.is_none() && self.removable.is_empty() {
+        let learned = self.due_summary(now);
+        let is_idle = !is_due && fleet.is_none() && self.removable.is_empty();
+        if is_idle && learned.is_none() {
             return;
         }
         let mut changed: Vec<(Ms, id::Job)> =
             self.dirty.iter().map(|(&id, &due)| (due, id)).collect();
         changed.sort_unstable();
         changed.truncate(MAX_ROWS);
-        let mut commit = Commit::default();
+        let mut commit = Commit {
+            learned,
+            ..Commit::default()
+        };
         let mut versions = Vec::new();
         for (_, id) in changed {
             self.dirty.remove(&id);
@@ -103,6 +112,16 @@
         self.acknowledge_all();
     }
 
+    /// What has been learned, if it is time to write it.
+    fn due_summary(&mut self, now: Ms) -> Option<Summary> {
+        if now.since(self.summarized) < SUMMARY_INTERVAL {
+            return None;
+        }
+        self.summarized = now;
+        let summary = self.model.summary();
+        (!summary.serving.is_empty()).then_some(summary)
+    }
+
     /// The workers on which tasks may run, if the stored set differs.
     fn changed_fleet(&self) -> Option<BTreeSet<Member>> {
         let wanted = self.workers.iter().filter_map(|(name, worker)| {
--- a/crates/scheduler/tests/interference.rs
+++ b/crates/scheduler/tests/interference.rs
@@ -93,3 +93,32 @@
     }
     assert!(model.press(orders, heavy) > 0.8 * HEAVY);
 }
+
+/// Guards against leaders that learn anew what earlier ones knew, at the cost of serving tasks. The
+/// numbers of images differ, since they follow the order of jobs.
+#[test]
+fn a_later_model_takes_over_what_was_learned() {
+    let (model, _) = learned();
+    let mut later = Model::default();
+    let other = later.image(Some(&Arc::from("other")));
+    let [light, heavy, stock, orders] =
+        ["light", "heavy", "stock", "orders"].map(|name| later.image(Some(&Arc::from(name))));
+    later.adopt(&model.summary());
+    assert!(later.press(orders, heavy) > 0.7 * HEAVY);
+    assert!(later.press(orders, light) < 0.15 * HEAVY);
+    assert!(later.press(stock, heavy) < 0.15 * HEAVY);
+    let first = Model::default();
+    assert!((later.press(orders, other) - first.press(orders, other)).abs() < f64::EPSILON);
+}
+
+#[test]
+fn a_model_with_figures_of_its_own_keeps_them() {
+    let (old, _) = learned();
+    let mut model = Model::default();
+    let [orders, _, heavy, _] = images(&mut model);
+    for _ in 0..100 {
+        model.learn(orders, BASE, &[(heavy, 0.2)]);
+    }
+    model.adopt(&old.summary());
+    assert!(model.press(orders, heavy) < 0.2 * HEAVY);
+}
--- a/crates/scheduler/tests/serving.rs
+++ b/crates/scheduler/tests/serving.rs
@@ -82,6 +82,8 @@
     now: Ms,
     running: BTreeMap<Name, Vec<Start>>,
     serving: Job,
+    /// Commits with what has been learned.
+    summaries: usize,
 }
 
 impl Fleet {
@@ -97,6 +99,7 @@
             now: Ms(1_000),
             running: (0..workers).map(|w| (worker(w), Vec::new())).collect(),
             serving: Job(1),
+            summaries: 0,
         };
         let mut begin = vec![
             Event::Config(Arc::new(config())),
@@ -179,7 +182,10 @@
         let mut answers = Vec::new();
         for action in actions {
             match action {
-                Action::Commit(_) => answers.push(Event::Committed),
+                Action::Commit(commit) => {
+                    self.summaries += usize::from(commit.learned.is_some());
+                    answers.push(Event::Committed);
+                }
                 Action::Send(agent, Order::Start(start)) => {
                     let place = start.place();
                     let note = Note::Started(place, Outcome::Done);
@@ -276,3 +282,13 @@
         assert_eq!(fleet.workers_of(Job(job)).len(), 8, "job {job}");
     }
 }
+
+#[test]
+fn what_is_learned_is_written_now_and_then() {
+    let mut fleet = Fleet::new(8);
+    for _ in 0..20 {
+        fleet.look(&[]);
+    }
+    // 20 looks take 14 s.
+    assert!((3..=5).contains(&fleet.summaries), "{}", fleet.summaries);
+}
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -182,6 +182,7 @@
             Arc::clone(shared),
             Arc::clone(&leading),
         ))),
+        spawn(Box::pin(recall(Arc::clone(shared), Arc::clone(&leading)))),
         spawn(Box::pin(join_self(
             Arc::clone(shared),
             Arc::clone(&leading),
@@ -225,6 +226,21 @@
     }
 }
 
+/// Reads what earlier leaders learned. It only spares the figures that would teach it again.
+async fn recall(shared: Arc<Shared>, leading: Arc<Leading>) {
+    let row = match shared.store.row(&rows::learned()).await {
+        Ok((Some(row), _)) => row,
+        Ok((None, _)) => return,
+        Err(error) => {
+            return log::warn!("kind=recall-failed cause={:?}", error.to_string());
+        }
+    };
+    match rows::decode(&row) {
+        Ok(summary) => leading.tell(Event::Learned(summary)),
+        Err(error) => log::warn!("kind=recall-failed cause={:?}", error.to_string()),
+    }
+}
+
 /// Writes a beat in an interval.
 async fn write_beats(shared: Arc<Shared>, leading: Arc<Leading>) {
     let mut is_first = true;
@@ -482,6 +498,9 @@
     let mut puts: Vec<_> = progress
         .map(|(job, progress)| (rows::progress(*job), rows::encode(progress)))
         .collect();
+    if let Some(learned) = &commit.learned {
+        puts.push((rows::learned(), rows::encode(learned)));
+    }
     if let Some(fleet) = &commit.fleet {
         puts.push((rows::members(), rows::encode(fleet)));
     }
--- a/src/serve/rows.rs
+++ b/src/serve/rows.rs
@@ -27,6 +27,7 @@
 const CANCELLED: char = 'c';
 const RECORD: &str = "record";
 const BEAT: &str = "beat";
+const LEARNED: &str = "learned";
 const MEMBERS: &str = "members";
 
 quick_error! {
@@ -68,6 +69,11 @@
     Key::new(LEAD, WHOLE, BEAT)
 }
 
+/// What leaders have learned of the presses of images.
+pub(super) fn learned() -> Key {
+    Key::new(LEAD, WHOLE, LEARNED)
+}
+
 pub(super) fn members() -> Key {
     Key::new(FLEET, WHOLE, MEMBERS)
 }
