--- a/crates/decision/src/place/report.rs
+++ b/crates/decision/src/place/report.rs
@@ -8,6 +8,7 @@
 use super::ledger::Signal;
 use super::ledger::Worker;
 use crate::clock::Ms;
+use crate::name::Name;
 use crate::resource::Size;
 use crate::task;
 use crate::task::Any;
@@ -91,7 +92,7 @@
         }
         let mut seen = Vec::with_capacity(report.tasks.len());
         for task in &report.tasks {
-            if let Some(key) = self.find(&task.name) {
+            if let Some(key) = self.find_in(group, &task.name) {
                 if self.observe(index, key, task) {
                     seen.push(key);
                 }
@@ -104,6 +105,13 @@
         self.signals.push(Signal::Reported(index));
     }
 
+    /// A held task of a group. A worker of another group can have it only from an owner that was not
+    /// fenced; it holds room there and is booked nowhere.
+    fn find_in(&self, group: usize, task: &Name) -> Option<Key> {
+        let key = self.find(task)?;
+        (self.piece(key.piece).group as usize == group).then_some(key)
+    }
+
     pub(super) fn keep_extra(&mut self, index: u32, task: worker::Task) {
         let worker = self.worker_mut(index);
         if task.state == State::Running {
@@ -122,7 +130,7 @@
             let extra = std::mem::take(&mut worker.extra);
             worker.booked = worker.booked.minus(running_grants(&extra));
             for task in extra {
-                if let Some(key) = self.find(&task.name) {
+                if let Some(key) = self.find_in(group as usize, &task.name) {
                     self.observe(index, key, &task);
                 } else {
                     self.keep_extra(index, task);
@@ -367,7 +375,7 @@
     }
 
     /// An eviction by an owner before us: its checkpoint probably exists, but is not stored.
-    fn evicted_before(&self, task: &crate::name::Name, waiting: Any, seen: &worker::Task) -> Any {
+    fn evicted_before(&self, task: &Name, waiting: Any, seen: &worker::Task) -> Any {
         let Some(mut history) = history(waiting) else {
             return Any::Failed;
         };
--- a/crates/experiment/tests/runs.rs
+++ b/crates/experiment/tests/runs.rs
@@ -85,3 +85,13 @@
         assert!(broken(&wrong), "{mistake:?}: {:#?}", wrong.violations);
     }
 }
+
+/// Guards against a library that stops the process when workers obey an owner that they no longer
+/// have to obey: such an owner must find out, and lose nothing but its workers.
+#[test]
+fn an_owner_that_is_not_fenced_does_not_panic() {
+    let mut wrong = setup(&[Fault::EntryPause, Fault::LeaseLapse]);
+    wrong.mistake = Some(Mistake::NoFence);
+    let line = small(Case::ShiftClose, 3, &wrong);
+    assert!(!line.violations.is_empty(), "the mistake shows");
+}
