Lead anew after a pause of the leader

Cause: the leader stood still for 3.8 s and started tasks of a job that had been cancelled meanwhile, before its feeds told it.

Change: a leader whose loop did not run for 1.5 s ends and gives its row up, until that is certain, since leading on under the same epoch would repeat run numbers; it is elected anew. Ruled out: a late cancellation (it was stored 2 s before the start).

--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -43,6 +43,10 @@
 
 /// The interval of ticks.
 const TICK: Ms = Ms(50);
+/// A pause of the leader's own loop after which its agents may have left it and its feeds are old.
+const SUSPENDED_AFTER: Ms = Ms(1_500);
+/// The reason for which a leader that did not run for a while ends.
+const SUSPENDED: &str = "suspended";
 /// Tries of a write whose version of the beat was not the newest.
 const MAX_TRIES: usize = 3;
 /// Events of one batch, after which tasks are started.
@@ -194,6 +198,36 @@
     *lock(&shared.leading) = None;
     shared.agent.end_session(epoch);
     log::warn!("kind=lead-ended epoch={epoch} reason={reason:?}");
+    if reason == SUSPENDED {
+        abdicate(shared, epoch).await;
+    }
+}
+
+/// Gives the row of the leader up until that is certain: to lead on under the same epoch would
+/// repeat run numbers.
+async fn abdicate(shared: &Shared, epoch: Epoch) {
+    while let Err(error) = vacate(shared, epoch).await {
+        if matches!(error, Error::Conflict(_)) {
+            return;
+        }
+        log::warn!("kind=resign-failed cause={:?}", error.to_string());
+        sleep(election::CHECK).await;
+    }
+}
+
+/// Writes that nobody leads, if the leader of this epoch does.
+async fn vacate(shared: &Shared, epoch: Epoch) -> Result<(), Error> {
+    let record = Record {
+        entry: None,
+        instance: shared.instance,
+        address: Arc::from(""),
+    };
+    let transaction = Transaction {
+        expected: vec![(rows::record(), epoch.0)],
+        puts: vec![(rows::record(), rows::encode(&record))],
+        removed: Vec::new(),
+    };
+    shared.store.transact(&transaction).await.map(drop)
 }
 
 type Work = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
@@ -265,18 +299,8 @@
     let Some(leading) = shared.leading() else {
         return;
     };
-    let record = Record {
-        entry: None,
-        instance: shared.instance,
-        address: Arc::from(""),
-    };
-    let transaction = Transaction {
-        expected: vec![(rows::record(), leading.epoch.0)],
-        puts: vec![(rows::record(), rows::encode(&record))],
-        removed: Vec::new(),
-    };
-    match shared.store.transact(&transaction).await {
-        Ok(_) => leading.send(Input::Deposed("resigned")),
+    match vacate(shared, leading.epoch).await {
+        Ok(()) => leading.send(Input::Deposed("resigned")),
         Err(error) => log::warn!("kind=resign-failed cause={:?}", error.to_string()),
     }
 }
@@ -315,7 +339,8 @@
         if let Some(config) = self.shared.config() {
             self.handle(Event::Config(config));
         }
-        let mut tick_due = clock::now();
+        let mut awake = clock::now();
+        let mut tick_due = awake;
         let mut beat_due = clock::now();
         loop {
             if let Some(reason) = self.resigned {
@@ -328,7 +353,12 @@
                 Timer::after(pause).await;
                 None
             };
-            if let Some(input) = next.or(timer).await {
+            let input = next.or(timer).await;
+            if clock::now().since(awake) >= SUSPENDED_AFTER {
+                return SUSPENDED;
+            }
+            awake = clock::now();
+            if let Some(input) = input {
                 self.take(input);
             }
             for _ in 1..BATCH {
