--- /dev/null
+++ b/crates/scheduler/tests/common/mod.rs
@@ -0,0 +1,40 @@
+//! What tests of single orders and of placing share.
+
+use std::sync::Arc;
+
+use decision::clock::Ms;
+use decision::name::Name;
+use scheduler::config::Config;
+use scheduler::config::Queue;
+use scheduler::leader::Bounds;
+
+/// The bounds of the platform.
+pub const BOUNDS: Bounds = Bounds {
+    lease: Ms(6_000),
+    retention: Ms(120_000),
+    harm: Ms(4_000),
+};
+
+pub fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("test names are valid")
+}
+
+/// A configuration with one queue.
+pub fn config() -> Config {
+    Config {
+        version: 1,
+        queues: vec![Queue {
+            name: name("queue"),
+            host: Arc::from("host"),
+            prefix: Arc::from("/q/"),
+            service: name("service"),
+            priority: 0,
+            max_attempts: 3,
+            stretch: 1.5,
+            objective: Ms(250),
+            needs_ticket: false,
+        }],
+        services: Vec::new(),
+        max_body: 1_000,
+    }
+}
--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -1,18 +1,19 @@
 //! Single orders, step by step.
 
+mod common;
+
 use std::sync::Arc;
 
+use common::BOUNDS;
+use common::config;
+use common::name;
 use decision::clock::Ms;
-use decision::name::Name;
 use decision::resource::Size;
-use scheduler::config::Config;
-use scheduler::config::Queue;
 use scheduler::fleet::Listing;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
 use scheduler::job::Accepted;
 use scheduler::leader::Action;
-use scheduler::leader::Bounds;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
 use scheduler::message::Look;
@@ -23,29 +24,6 @@
 
 const BORN: Ms = Ms(77);
 
-fn name(raw: &str) -> Name {
-    Name::try_from(raw).expect("test names are valid")
-}
-
-fn config() -> Config {
-    Config {
-        version: 1,
-        queues: vec![Queue {
-            name: name("queue"),
-            host: Arc::from("host"),
-            prefix: Arc::from("/q/"),
-            service: name("service"),
-            priority: 0,
-            max_attempts: 3,
-            stretch: 1.5,
-            objective: Ms(250),
-            needs_ticket: false,
-        }],
-        services: Vec::new(),
-        max_body: 1_000,
-    }
-}
-
 fn listing() -> Listing {
     Listing {
         service: name("service"),
@@ -104,12 +82,7 @@
 
 #[test]
 fn a_start_whose_outcome_is_lost_with_an_earlier_agent_is_settled() {
-    let bounds = Bounds {
-        lease: Ms(6_000),
-        retention: Ms(120_000),
-        harm: Ms(4_000),
-    };
-    let mut leader = Leader::new(name("e0"), Epoch(17), bounds, Ms(1_000));
+    let mut leader = Leader::new(name("e0"), Epoch(17), BOUNDS, Ms(1_000));
     let begin = vec![
         Event::Config(Arc::new(config())),
         Event::Joined(name("e1"), name("d1")),
--- a/crates/scheduler/tests/serving.rs
+++ b/crates/scheduler/tests/serving.rs
@@ -1,19 +1,21 @@
 //! Where tasks go, given the figures of the workers.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use common::BOUNDS;
+use common::config;
+use common::name;
 use decision::clock::Ms;
 use decision::name::Name;
 use decision::resource::Size;
-use scheduler::config::Config;
-use scheduler::config::Queue;
 use scheduler::fleet::Listing;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
 use scheduler::job::Accepted;
 use scheduler::leader::Action;
-use scheduler::leader::Bounds;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
 use scheduler::message::Look;
@@ -29,33 +31,10 @@
 const CALM_TAIL: u32 = 8;
 const SLOW_TAIL: u32 = 1_000;
 
-fn name(raw: &str) -> Name {
-    Name::try_from(raw).expect("test names are valid")
-}
-
 fn worker(index: usize) -> Name {
     name(&format!("w{index}"))
 }
 
-fn config() -> Config {
-    Config {
-        version: 1,
-        queues: vec![Queue {
-            name: name("queue"),
-            host: Arc::from("host"),
-            prefix: Arc::from("/q/"),
-            service: name("service"),
-            priority: 0,
-            max_attempts: 3,
-            stretch: 1.5,
-            objective: Ms(250),
-            needs_ticket: false,
-        }],
-        services: Vec::new(),
-        max_body: 1_000,
-    }
-}
-
 fn listing() -> Listing {
     Listing {
         service: name("service"),
@@ -89,13 +68,8 @@
 impl Fleet {
     /// A fleet of workers with two serving tasks each.
     fn new(workers: usize) -> Self {
-        let bounds = Bounds {
-            lease: Ms(6_000),
-            retention: Ms(120_000),
-            harm: Ms(4_000),
-        };
         let mut fleet = Self {
-            leader: Leader::new(name("e1"), Epoch(17), bounds, Ms(1_000)),
+            leader: Leader::new(name("e1"), Epoch(17), BOUNDS, Ms(1_000)),
             now: Ms(1_000),
             running: (0..workers).map(|w| (worker(w), Vec::new())).collect(),
             serving: Job(1),
