Let steps without room hold up only those that need as much

Cause, by the log of a replay: after workers had left, 40 lasting steps waited for room; a pass gave up after the first 24, so that neither smaller lasting tasks nor any filling step behind them was tried: filling tasks used 20 of some 500 free cores for ten seconds.

Change: a step that fits nowhere by size spares the search for steps that need at least as much, and the limit of steps tried counts for each way of sharing a worker. Ruled out: slow workers left out (none was slow).

Test: serving.rs, forty large lasting steps before small ones; it fails without the change.

--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -10,6 +10,7 @@
 use super::Leader;
 use super::Rank;
 use crate::fleet::Claim;
+use crate::fleet::Kind;
 use crate::id;
 use crate::id::Run;
 use crate::id::Task;
@@ -21,7 +22,8 @@
 use crate::task::Active;
 use crate::task::Phase;
 
-/// Steps without room that one pass tries before it gives up.
+/// Steps without room that one pass tries, for each way of sharing a worker, before it passes over
+/// the others: lasting tasks that wait for room must not hold up filling ones.
 const MAX_MISFITS: usize = 24;
 /// The least time between two passes while some steps find no room: each look and each end wakes the
 /// leader, and a pass over a full fleet costs far more than these.
@@ -31,6 +33,77 @@
 /// The most starts of one pass, so that other work of the leader is not held up.
 const MAX_STARTS: usize = 200;
 
+/// One pass over the waiting steps.
+#[derive(Default)]
+struct Pass {
+    starts: usize,
+    /// Some steps found no room.
+    is_crowded: bool,
+    misfits: Vec<Misfit>,
+    /// Plain, filling and serving steps that were tried and found no room.
+    tried: [usize; 3],
+}
+
+/// What found no room, by size alone.
+struct Misfit {
+    service: Name,
+    claim: Claim,
+    kept_slack: f64,
+}
+
+impl Pass {
+    /// Whether it may help to look for room.
+    fn admits(&mut self, wish: &Wish<'_>) -> bool {
+        let is_hopeless = self.misfits.iter().any(|misfit| misfit.covers(wish));
+        let is_admitted = !is_hopeless && self.tried[sharing(wish.claim)] < MAX_MISFITS;
+        self.is_crowded |= !is_admitted;
+        is_admitted
+    }
+
+    /// Notes a step that found no place; `is_room` tells that some worker has the size that it needs.
+    fn note_misfit(&mut self, wish: &Wish<'_>, is_room: bool) {
+        self.is_crowded = true;
+        self.tried[sharing(wish.claim)] += 1;
+        let spec = wish.spec;
+        let is_constrained = spec.is_gang
+            || spec.label.is_some()
+            || spec.per_worker.is_some()
+            || wish.tickets.is_some();
+        if !is_room || !is_constrained {
+            self.misfits.push(Misfit {
+                service: wish.service.clone(),
+                claim: *wish.claim,
+                kept_slack: wish.kept_slack,
+            });
+        }
+    }
+}
+
+impl Misfit {
+    /// Whether another step needs at least as much.
+    fn covers(&self, wish: &Wish<'_>) -> bool {
+        let claim = wish.claim;
+        let is_alike = match self.claim.kind {
+            Kind::Filling => claim.image == self.claim.image && wish.kept_slack >= self.kept_slack,
+            Kind::Plain | Kind::Serving(_) => true,
+        };
+        is_alike
+            && sharing(claim) == sharing(&self.claim)
+            && *wish.service == self.service
+            && self.claim.size.fits(claim.size)
+            && claim.millicores >= self.claim.millicores
+    }
+}
+
+/// The index of a way of sharing a worker.
+const fn sharing(claim: &Claim) -> usize {
+    match claim.kind {
+        Kind::Plain => 0,
+        Kind::Filling => 1,
+        Kind::Serving(_) => 2,
+    }
+}
+
 impl Leader {
     pub(super) fn start_tasks(&mut self, now: Ms) {
         let is_soon = self.is_crowded && now.since(self.passed) < CROWDED_INTERVAL;
@@ -40,17 +113,14 @@
         self.passed = now;
         self.passes += 1;
         let waiting = self.in_order(now);
-        let mut misfits = 0;
-        let mut starts = 0;
+        let mut pass = Pass::default();
         for (_, step) in waiting {
-            let (started, is_whole) = self.start_step(now, step);
-            starts += started;
-            misfits += usize::from(!is_whole);
-            if misfits >= MAX_MISFITS || starts >= MAX_STARTS {
+            self.start_step(now, step, &mut pass);
+            if pass.starts >= MAX_STARTS {
                 break;
             }
         }
-        self.is_crowded = misfits > 0;
+        self.is_crowded = pass.is_crowded;
     }
 
     /// The waiting steps by urgency. Within a priority, steps that can still meet the objective come
@@ -61,18 +131,16 @@
         waiting
     }
 
-    /// Starts the tasks of a step that fit; returns how many, and whether these were all.
-    fn start_step(&mut self, now: Ms, step: id::Step) -> (usize, bool) {
+    /// Starts the tasks of a step that fit.
+    fn start_step(&mut self, now: Ms, step: id::Step, pass: &mut Pass) {
         let Some(job) = self.jobs.get_mut(&step.job) else {
-            self.dequeue(step);
-            return (0, true);
+            return self.dequeue(step);
         };
         let Some(spec) = job.step_spec(step.step).cloned() else {
-            self.dequeue(step);
-            return (0, true);
+            return self.dequeue(step);
         };
         let Some(claim) = job.claim(step.step) else {
-            return (0, false);
+            return;
         };
         let indices: Vec<u32> = job
             .step(step)
@@ -80,7 +148,7 @@
             .unwrap_or_default();
         let queue = job.queue.clone();
         let Some(queue) = self.config.queue(&queue) else {
-            return (0, false);
+            return;
         };
         let (service, needs_ticket) = (queue.service.clone(), queue.needs_ticket);
         let tickets = needs_ticket.then(|| self.ticketed(step, now));
@@ -95,12 +163,20 @@
             avoids_slow: place::can_avoid_slow(self.workers.values(), now),
             kept_slack: self.kept_slack(now, step),
         };
+        if !pass.admits(&wish) {
+            return;
+        }
         let chosen = if spec.is_gang || spec.is_same_rack {
             self.choose_together(now, &wish, &indices)
         } else {
             self.choose_each(now, &wish, &indices)
         };
         let is_whole = chosen.len() == indices.len();
+        if !is_whole {
+            let mut workers = self.workers.values();
+            let is_room = workers.any(|worker| place::has_room(&wish, worker, now));
+            pass.note_misfit(&wish, is_room);
+        }
         if is_whole {
             self.dequeue(step);
         } else if needs_ticket {
@@ -108,13 +184,12 @@
         }
         if spec.is_gang && !is_whole {
             self.unbook(&claim, &chosen);
-            return (0, false);
+            return;
         }
-        let count = chosen.len();
+        pass.starts += chosen.len();
         for (task, run, worker) in chosen {
             self.start(now, task, run, worker);
         }
-        (count, is_whole)
     }
 
     /// The slack that a filling step leaves to serving tasks.
--- a/crates/scheduler/src/place.rs
+++ b/crates/scheduler/src/place.rs
@@ -100,6 +100,15 @@
     has_label && listing.service == *wish.service && wish.claim.size.fits(listing.size)
 }
 
+/// Whether a worker of the service has the size that a task needs, whatever else it asks for.
+#[must_use]
+pub fn has_room(wish: &Wish<'_>, worker: &Worker, now: Ms) -> bool {
+    worker.listing.as_ref().is_some_and(|listing| {
+        let room = listing.size.minus(worker.booked);
+        listing.service == *wish.service && is_open(worker, now) && wish.claim.size.fits(room)
+    })
+}
+
 /// The points of a worker for a task, or `None` when it does not fit. More is better.
 #[must_use]
 pub fn points(
--- a/crates/scheduler/tests/serving.rs
+++ b/crates/scheduler/tests/serving.rs
@@ -266,3 +266,33 @@
     // 20 looks take 14 s.
     assert!((3..=5).contains(&fleet.summaries), "{}", fleet.summaries);
 }
+
+/// Guards against a fleet that lost workers: lasting tasks that no longer fit waited by the dozen,
+/// and neither smaller ones nor filling tasks behind them were tried.
+#[test]
+fn steps_without_room_do_not_hold_up_those_that_fit() {
+    let mut fleet = Fleet::new(8);
+    for job in 100..140 {
+        let large = spec::Step {
+            count: 1,
+            need: size(8_000 + u32::try_from(job).expect("small")),
+            per_worker: Some(1),
+            is_lasting: true,
+            ..spec::Step::default()
+        };
+        fleet.submit(Job(job), large);
+    }
+    let filling = spec::Step {
+        is_filling: true,
+        ..short()
+    };
+    fleet.submit(Job(200), filling);
+    let lasting = spec::Step {
+        is_lasting: true,
+        ..short()
+    };
+    fleet.submit(Job(201), lasting);
+    fleet.look(&[]);
+    assert_eq!(fleet.workers_of(Job(200)).len(), 8, "filling");
+    assert_eq!(fleet.workers_of(Job(201)).len(), 8, "lasting");
+}
