Log which bound a lapse passed, whose memory was adopted and who is unheard

The logs of TWICE could not tell a lapse by the bound of the takeover from one by an agent's report, nor a run adopted from an agent's memory from one that a worker listed, nor which workers held starts back. `worker-lapsed` now names the agent, whether the worker's runs were known and by how much each bound had passed; `runs-remembered` stands before adoptions from memory; `load` counts the workers that have not been heard.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -90,6 +90,10 @@
             return;
         };
         worker.is_known = true;
+        self.log(format!(
+            "kind=runs-remembered worker={name} runs={}",
+            placements.len()
+        ));
         for placement in placements {
             self.adopt_run(
                 now,
@@ -421,10 +425,18 @@
             let Some(worker) = self.workers.get_mut(&name) else {
                 continue;
             };
+            let line = format!(
+                "kind=worker-lapsed worker={name} agent={} known={} past_bound_ms={} \
+                 past_floor_ms={}",
+                worker.agent.as_deref().unwrap_or("none"),
+                worker.is_known,
+                now.since(worker.lease_expiry.unwrap_or(now)).0,
+                now.since(worker.min_lease_expiry).0
+            );
             worker.is_known = true;
             worker.is_unresponsive = true;
             worker.lease_expiry = None;
-            self.log(format!("kind=worker-lapsed worker={name}"));
+            self.log(line);
             if self
                 .workers
                 .get(&name)
--- a/crates/scheduler/src/leader/report.rs
+++ b/crates/scheduler/src/leader/report.rs
@@ -71,8 +71,12 @@
         self.log(format!(
             "kind=load workers={workers} silent={unresponsive} capacity={capacity} booked={booked} \
              serving={serving} filling={filling} runs={runs} waiting_steps={waiting} \
-             passes={} unsettled={unsettled} agents={}",
+             passes={} unsettled={unsettled} unheard={} agents={}",
             self.passes,
+            self.workers
+                .values()
+                .filter(|worker| !worker.is_known)
+                .count(),
             self.agents.len()
         ));
         if now.since(self.model_logged) >= MODEL_INTERVAL {
