--- /dev/null
+++ b/crates/scheduler/tests/takeover.rs
@@ -0,0 +1,206 @@
+//! Tests of a new leader before every worker of the earlier leaders has answered it.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::BOUNDS;
+use common::config;
+use common::name;
+use decision::clock::Ms;
+use decision::resource::Size;
+use scheduler::agent::Lease;
+use scheduler::fleet::Registration;
+use scheduler::id;
+use scheduler::id::Epoch;
+use scheduler::id::Job;
+use scheduler::id::Run;
+use scheduler::id::Task;
+use scheduler::job::Accepted;
+use scheduler::leader::Action;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::leader::Member;
+use scheduler::message::Failure;
+use scheduler::message::Hello;
+use scheduler::message::Observation;
+use scheduler::message::Order;
+use scheduler::message::Placement;
+use scheduler::message::Report;
+use scheduler::message::Running;
+use scheduler::message::Start;
+use scheduler::spec;
+
+/// The leader begins hours after its VM.
+const BEGUN: Ms = Ms(40_000_000);
+const EPOCH: Epoch = Epoch(17);
+/// The version of a job's row that an earlier leader has read.
+const OLD_ROW: u64 = 5;
+const INCARNATION: Ms = Ms(77);
+/// The run of an earlier leader.
+const OLD_RUN: Run = Run(9);
+/// The time after the takeover at which no lease of earlier leaders can last.
+const LEASES_OVER: Ms = Ms(9_600);
+
+fn task(job: u64, step: u16) -> Task {
+    let step = id::Step {
+        job: Job(job),
+        occurrence: 0,
+        step,
+    };
+    Task { step, index: 0 }
+}
+
+/// Returns a job of single tasks, each after the one before it.
+fn accepted(job: u64, row: u64, steps: u16) -> Event {
+    let steps = (0..steps).map(|step| spec::Step {
+        count: 1,
+        estimate: Ms(500),
+        after: step.checked_sub(1).into_iter().collect(),
+        ..spec::Step::default()
+    });
+    let accepted = Accepted {
+        queue: name("queue"),
+        spec: spec::Job {
+            payload: Arc::from(""),
+            steps: steps.collect(),
+            schedule: None,
+        },
+        at: Ms(1),
+    };
+    Event::Accepted(Job(job), row, accepted, None)
+}
+
+fn registered(worker: &str) -> Event {
+    let registration = Registration {
+        service: name("service"),
+        address: Arc::from("10.0.0.1:1"),
+        domain: name("d1"),
+        size: Size {
+            millicores: 8_000,
+            memory_mb: 8_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        incarnation: INCARNATION,
+        is_draining: false,
+    };
+    Event::RegistrationChanged(name(worker), Some(registration))
+}
+
+fn observation(worker: &str, running: &[Task]) -> Observation {
+    let running = running.iter().map(|&task| Running {
+        task,
+        run: OLD_RUN,
+        checkpoint: None,
+        percent: 0,
+        measurement: 0,
+    });
+    Observation {
+        worker: name(worker),
+        incarnation: INCARNATION,
+        polled_at: Ms(1),
+        running: Some(running.collect()),
+        ended: Vec::new(),
+    }
+}
+
+fn polled(worker: &str, running: &[Task]) -> Event {
+    received(Report::Polled(observation(worker, running)))
+}
+
+fn failed(worker: &str, renewal_age: Ms) -> Event {
+    received(Report::PollFailed(Failure {
+        worker: name(worker),
+        renewal_age,
+        is_closed: false,
+    }))
+}
+
+fn received(report: Report) -> Event {
+    Event::Received(name("e1"), report)
+}
+
+/// A leader that has just taken over two workers, `silent` and `sound`, with one agent.
+struct Takeover {
+    leader: Leader,
+}
+
+impl Takeover {
+    /// Begins with these jobs in the store. The agent remembers these tasks as runs on `silent`.
+    fn begin(jobs: Vec<Event>, remembered: &[Task]) -> Self {
+        let member = |worker| Member {
+            worker: name(worker),
+            address: Arc::from("10.0.0.1:1"),
+            domain: name("d1"),
+        };
+        let placements = remembered.iter().map(|&task| Placement {
+            worker: name("silent"),
+            incarnation: INCARNATION,
+            task,
+            run: OLD_RUN,
+        });
+        let hello = Hello {
+            entry: name("e1"),
+            domain: name("d1"),
+            epoch: EPOCH,
+            known: vec![(name("silent"), Ms(500), placements.collect())],
+        };
+        let mut events = vec![
+            Event::Config(Arc::new(config())),
+            Event::Fleet(vec![member("silent"), member("sound")]),
+            received(Report::Hello(hello)),
+            Event::Joined(name("e1"), name("d1")),
+        ];
+        events.extend(jobs);
+        events.extend([Event::Recovered, registered("silent"), registered("sound")]);
+        let mut takeover = Self {
+            leader: Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN),
+        };
+        takeover.apply(Ms(0), events);
+        takeover
+    }
+
+    /// Passes events and a tick to the leader this long after the takeover, and returns the tasks
+    /// that it starts.
+    fn apply(&mut self, after: Ms, events: Vec<Event>) -> Vec<Task> {
+        let now = BEGUN + after;
+        let mut actions = Vec::new();
+        for event in events.into_iter().chain([Event::Tick(now)]) {
+            actions.extend(self.leader.handle(now, event));
+        }
+        actions.extend(self.leader.schedule(now));
+        let starts = actions.into_iter().filter_map(|action| match action {
+            Action::Send(_, Order::Start(Start { task, .. })) => Some(task),
+            _ => None,
+        });
+        starts.collect()
+    }
+}
+
+#[test]
+fn a_run_survives_a_failed_poll_by_an_agent_that_never_renewed_its_lease() {
+    let mut takeover = Takeover::begin(vec![accepted(1, OLD_ROW, 1)], &[task(1, 0)]);
+    let mut lease = Lease::new(BOUNDS.lease);
+    let mut fail = |after: Ms| failed("silent", lease.record_failure(BEGUN + after));
+    let mut starts = takeover.apply(Ms(10), vec![polled("sound", &[])]);
+    starts.extend(takeover.apply(Ms(1_400), vec![fail(Ms(1_400))]));
+    starts.extend(takeover.apply(Ms(2_200), vec![polled("silent", &[task(1, 0)])]));
+    // This poll was sent before the one that was answered.
+    starts.extend(takeover.apply(Ms(2_300), vec![fail(Ms(2_300))]));
+    starts.extend(takeover.apply(Ms(2_400), Vec::new()));
+    assert_eq!(starts, []);
+}
+
+#[test]
+fn a_task_of_a_dead_agent_does_not_start_elsewhere_while_its_worker_may_still_run_it() {
+    // The agent was not the last one of the worker and remembers nothing of the task.
+    let mut takeover = Takeover::begin(vec![accepted(1, OLD_ROW, 1)], &[]);
+    let mut starts = takeover.apply(Ms(10), vec![polled("sound", &[])]);
+    for round in 1..10 {
+        let after = Ms(round * 900);
+        starts.extend(takeover.apply(after, vec![failed("silent", after)]));
+    }
+    assert_eq!(starts, []);
+    assert_eq!(takeover.apply(LEASES_OVER, Vec::new()), [task(1, 0)]);
+}
