Keep the leases of earlier leaders' agents when a poll fails after an answer

Cause: an agent that had sent no renewal reported the time since the start of its VM's clock as the age of its last one, 9 to 24 hours. The leader subtracted it from now; the only other bound, that of the takeover, had been cleared by an answer of the worker in between. The worker counted as lapsed within a tick while the lease of the agent before lasted on. Change: a lease that was never renewed is as old as the agent's watch, and the bound of the takeover and that of an agent's first message are floors (min_lease_expiry), which an answer does not clear. The leader's own floor suffices when the agent is of an earlier build.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -30,6 +30,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Lease {
     length: Ms,
+    /// The time when the agent began to poll the worker.
+    begun: Ms,
     /// The worker's clock in its last answer, and the time of that answer by the agent's clock.
     clock: Option<(Ms, Ms)>,
     /// The time when the last renewal was sent.
@@ -40,11 +42,12 @@
 }
 
 impl Lease {
-    /// Creates a lease of this length on a worker that has not answered yet.
+    /// Creates a lease of this length on a worker that the agent polls from now on.
     #[must_use]
-    pub const fn new(length: Ms) -> Self {
+    pub const fn new(length: Ms, now: Ms) -> Self {
         Self {
             length,
+            begun: now,
             clock: None,
             renewed: None,
             incarnation: None,
@@ -104,12 +107,12 @@
     }
 
     /// Records a poll without an answer, and returns the time since the last renewal, or since the
-    /// start of the clock if there was none.
+    /// agent began to poll the worker if it has sent none.
     pub const fn record_failure(&mut self, now: Ms) -> Ms {
         self.is_unresponsive = true;
         match self.renewed {
             Some(at) => now.since(at),
-            None => Ms(now.0),
+            None => now.since(self.begun),
         }
     }
 
@@ -124,12 +127,6 @@
     pub const fn has_answered(&self) -> bool {
         self.clock.is_some()
     }
-
-    /// Returns the time since the last renewal, or since the start of the clock if there was none.
-    #[must_use]
-    pub fn age(&self, now: Ms) -> Ms {
-        self.renewed.map_or(Ms(now.0), |at| now.since(at))
-    }
 }
 
 /// The time for which the record of a worker is kept, after which all leases of its runs have
--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -129,8 +129,8 @@
     pub reported_runs: Option<Vec<Placement>>,
     /// The last poll got no answer.
     pub is_unresponsive: bool,
-    /// Leases that earlier agents renewed may last until this time, so none counts as expired
-    /// before it.
+    /// Leases that earlier agents or agents of earlier leaders renewed may last until this time, so
+    /// none counts as expired before it. An answer of the worker does not shorten them.
     pub min_lease_expiry: Ms,
     /// The time when all leases have expired unless the worker answers before.
     pub lease_expiry: Option<Ms>,
@@ -225,6 +225,20 @@
         }
     }
 
+    /// Expects the leases to expire at this time unless the worker answers before, but not before
+    /// the leases that other agents may have renewed.
+    pub fn expect_lease_expiry(&mut self, at: Ms) {
+        let at = at.max(self.min_lease_expiry);
+        self.lease_expiry = Some(self.lease_expiry.unwrap_or_default().max(at));
+    }
+
+    /// Records that another agent may have renewed a lease that lasts until this time, and expects
+    /// no earlier expiry.
+    pub fn delay_lease_expiry(&mut self, until: Ms) {
+        self.min_lease_expiry = self.min_lease_expiry.max(until);
+        self.expect_lease_expiry(until);
+    }
+
     /// Resets the state of an earlier incarnation.
     pub fn restart(&mut self, incarnation: Ms) {
         self.incarnation = Some(incarnation);
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -41,9 +41,7 @@
         for member in members {
             let lease_expiry = self.initial_lease_expiry();
             let worker = self.workers.entry(member.worker.clone()).or_default();
-            if worker.lease_expiry.is_none() && !worker.is_known {
-                worker.lease_expiry = Some(lease_expiry);
-            }
+            worker.delay_lease_expiry(lease_expiry);
             self.stored_workers.insert(member.worker.clone());
             let name = member.worker.clone();
             self.fleet.insert(member);
@@ -71,7 +69,7 @@
         }
         let worker = self.workers.entry(name.clone()).or_default();
         if is_new {
-            worker.lease_expiry = Some(lease_expiry);
+            worker.delay_lease_expiry(lease_expiry);
         }
         let change = match (&worker.registration, &registration) {
             (None, Some(_)) => Some("listed"),
@@ -123,13 +121,7 @@
         for (name, worker) in &mut self.workers {
             if worker.agent.as_ref() == Some(entry) {
                 worker.agent = None;
-                worker.min_lease_expiry = worker.min_lease_expiry.max(lease_expiry);
-                worker.lease_expiry = Some(
-                    worker
-                        .lease_expiry
-                        .unwrap_or(lease_expiry)
-                        .max(lease_expiry),
-                );
+                worker.delay_lease_expiry(lease_expiry);
                 orphans.push(name.clone());
             }
         }
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -70,8 +70,7 @@
             };
             if !worker.is_known {
                 let lease_expiry = Ms(now.0.saturating_sub(renewal_age.0)) + lease;
-                worker.lease_expiry =
-                    Some(lease_expiry.max(worker.lease_expiry.unwrap_or_default()));
+                worker.delay_lease_expiry(lease_expiry);
                 // Two agents may have started tasks on this worker one after the other.
                 worker
                     .reported_runs
@@ -391,10 +390,7 @@
         let is_new = !worker.is_unresponsive;
         worker.is_unresponsive = true;
         let has_left = worker.was_draining && worker.registration.is_none() && failure.is_closed;
-        if worker.is_known {
-            let lease_expiry = lease_expiry.max(worker.min_lease_expiry);
-            worker.lease_expiry = Some(worker.lease_expiry.unwrap_or_default().max(lease_expiry));
-        }
+        worker.expect_lease_expiry(lease_expiry);
         self.adopt_reported_runs(now, name);
         if has_left {
             // A worker that was draining, is no longer registered and refuses connections has
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -179,7 +179,8 @@
 pub struct Failure {
     /// The name of the worker.
     pub worker: Name,
-    /// The time since the agent last sent an order that may have extended the lease.
+    /// The time since the agent last sent an order that may have extended the lease, or since it
+    /// began to poll the worker if it has sent none.
     pub renewal_age: Ms,
     /// The worker's address refuses connections.
     pub is_closed: bool,
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -181,7 +181,7 @@
 #[test]
 fn a_run_survives_a_failed_poll_by_an_agent_that_never_renewed_its_lease() {
     let mut takeover = Takeover::begin(vec![accepted(1, OLD_ROW, 1)], &[task(1, 0)]);
-    let mut lease = Lease::new(BOUNDS.lease);
+    let mut lease = Lease::new(BOUNDS.lease, BEGUN);
     let mut fail = |after: Ms| failed("silent", lease.record_failure(BEGUN + after));
     let mut starts = takeover.apply(Ms(10), vec![polled("sound", &[])]);
     starts.extend(takeover.apply(Ms(1_400), vec![fail(Ms(1_400))]));
--- a/crates/scheduler/tests/world/agent.rs
+++ b/crates/scheduler/tests/world/agent.rs
@@ -57,7 +57,7 @@
             Order::Watch(watch) => {
                 let is_new = !agent.watches.contains_key(&watch.worker);
                 let state = agent.watches.entry(watch.worker.clone()).or_insert(Watch {
-                    lease: Lease::new(Ms(MAX_LEASE_MS)),
+                    lease: Lease::new(Ms(MAX_LEASE_MS), Ms(now)),
                     epoch,
                     acknowledged: None,
                     known: BTreeSet::new(),
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -70,7 +70,7 @@
             address: watch.address.parse()?,
             raw_address: watch.address,
             epoch,
-            lease: Mutex::new(Lease::new(shared.options.lease)),
+            lease: Mutex::new(Lease::new(shared.options.lease, clock::now())),
             acknowledged: Mutex::new(watch.acknowledged),
             acknowledgement: smol::channel::bounded(1),
             known_runs: Mutex::default(),
