Start nothing that may run unseen on a worker that has not answered

Cause: what one surviving agent remembered of a silent worker was taken for all that runs there. The agent had watched the worker in an earlier epoch only, so the list missed the run, and the task started elsewhere. Change: only an answer to a poll with this leader's token, or the end of all leases, makes the runs of an inherited worker known; from then on the worker refuses late orders of earlier leaders. Until then a task starts only if no earlier leader can have started it: the row of its job is newer than the leader's own, or this leader has seen a step before it run. Before, one silent worker held back all starts, or none once an agent had reported it.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -13,7 +13,6 @@
 use crate::id::Task;
 use crate::interference::Image;
 use crate::interference::Model;
-use crate::message::Placement;
 use crate::spec;
 
 /// The registration of a worker in the store.
@@ -121,12 +120,11 @@
     pub agent: Option<Name>,
     /// The incarnation that was observed last; absent until the worker has answered.
     pub incarnation: Option<Ms>,
-    /// The runs on the worker are known: the worker or an agent reported them to this leader, or
-    /// its leases have expired.
+    /// An earlier leader may have started tasks on the worker.
+    pub is_inherited: bool,
+    /// The runs on the worker are known: it has answered this leader, after which it refuses the
+    /// orders of earlier ones, or all leases have expired.
     pub is_known: bool,
-    /// The runs that an agent knows from the orders of an earlier leader; absent if no agent
-    /// reported any.
-    pub reported_runs: Option<Vec<Placement>>,
     /// The last poll got no answer.
     pub is_unresponsive: bool,
     /// Leases that earlier agents or agents of earlier leaders renewed may last until this time, so
@@ -225,6 +223,12 @@
         }
     }
 
+    /// Returns whether runs of an earlier leader may be on the worker that this leader has not seen.
+    #[must_use]
+    pub const fn is_unheard(&self) -> bool {
+        self.is_inherited && !self.is_known
+    }
+
     /// Expects the leases to expire at this time unless the worker answers before, but not before
     /// the leases that other agents may have renewed.
     pub fn expect_lease_expiry(&mut self, at: Ms) {
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -39,6 +39,9 @@
     pub unfinished: u32,
     /// The indices of the uncompleted tasks without a run.
     pub startable: BTreeSet<u32>,
+    /// This leader has seen a run of a step before this one, so no earlier leader can have started
+    /// tasks of this step.
+    pub is_fresh: bool,
 }
 
 impl Step {
@@ -47,6 +50,7 @@
             tasks: vec![Task::default(); count as usize],
             unfinished: count,
             startable: (0..count).collect(),
+            is_fresh: false,
         }
     }
 }
@@ -177,6 +181,25 @@
             .all(|&index| steps[usize::from(index)].unfinished == 0)
     }
 
+    /// Returns whether no earlier leader can have started tasks of a step.
+    #[must_use]
+    pub fn is_fresh(&self, id: id::Step) -> bool {
+        let steps = self.occurrences.get(&id.occurrence);
+        steps
+            .and_then(|steps| steps.get(usize::from(id.step)))
+            .is_some_and(|step| step.is_fresh)
+    }
+
+    /// Records that this leader has seen a run of a step before the step was completed.
+    pub fn mark_successors_fresh(&mut self, id: id::Step) {
+        let Some(steps) = self.occurrences.get_mut(&id.occurrence) else {
+            return;
+        };
+        for (spec, step) in self.spec.steps.iter().zip(steps) {
+            step.is_fresh |= spec.after.contains(&id.step);
+        }
+    }
+
     /// Returns the state of a step in progress.
     pub fn step(&mut self, id: id::Step) -> Option<&mut Step> {
         self.occurrences
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -332,10 +332,10 @@
         }
     }
 
-    /// Returns whether all rows are read and every worker has reported what it runs.
+    /// Returns whether runs of earlier leaders may exist that this leader has not seen.
     #[must_use]
-    pub fn is_synchronized(&self) -> bool {
-        self.is_recovered && self.workers.values().all(|worker| worker.is_known)
+    pub fn has_unheard_workers(&self) -> bool {
+        self.workers.values().any(Worker::is_unheard)
     }
 
     fn finish_recovery(&mut self, now: Ms) {
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -41,6 +41,7 @@
         for member in members {
             let lease_expiry = self.initial_lease_expiry();
             let worker = self.workers.entry(member.worker.clone()).or_default();
+            worker.is_inherited = true;
             worker.delay_lease_expiry(lease_expiry);
             self.stored_workers.insert(member.worker.clone());
             let name = member.worker.clone();
--- a/crates/scheduler/src/leader/drain.rs
+++ b/crates/scheduler/src/leader/drain.rs
@@ -19,7 +19,8 @@
     /// Stops runs on draining workers that can continue on another worker. Short tasks without
     /// checkpoints run to their end.
     pub(super) fn move_from_draining(&mut self, now: Ms) {
-        if now.since(self.last_drain) < PASS_INTERVAL || !self.is_synchronized() {
+        let is_early = now.since(self.last_drain) < PASS_INTERVAL;
+        if is_early || !self.is_recovered || self.has_unheard_workers() {
             return;
         }
         self.last_drain = now;
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -65,7 +65,12 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
             return;
         };
-        let is_gang = job.step_spec(id.step.step).is_some_and(|spec| spec.is_gang);
+        let spec = job.step_spec(id.step.step);
+        let is_gang = spec.is_some_and(|spec| spec.is_gang);
+        let is_speculative = spec.is_some_and(|spec| spec.is_speculative);
+        if !is_speculative && job.task(id).is_some_and(|task| task.run(end.run).is_some()) {
+            job.mark_successors_fresh(id.step);
+        }
         let version_before = job.version;
         let mut is_step_done = false;
         if is_gang {
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -41,7 +41,7 @@
             return;
         }
         match report {
-            Report::Hello(hello) => self.record_known_runs(now, hello),
+            Report::Hello(hello) => self.record_earlier_renewals(now, &hello),
             // The embedder handles these reports.
             Report::Beat | Report::Config(_) | Report::Store(..) => {}
             Report::Polled(observation) => self.apply_observation(now, entry, observation),
@@ -59,52 +59,18 @@
         }
     }
 
-    /// Records the runs that an agent knows from the orders of an earlier leader. They are used
-    /// only if the worker does not answer, because an answer also lists ends that the agent does
-    /// not know.
-    fn record_known_runs(&mut self, now: Ms, hello: Hello) {
+    /// Records the renewals of an agent for an earlier leader. Its list of runs is not used, because
+    /// other agents, which may be lost, can have started runs on the same workers.
+    fn record_earlier_renewals(&mut self, now: Ms, hello: &Hello) {
         let lease = LEADER_CONTACT_TIMEOUT + self.lease_expiry_delay();
-        for (name, renewal_age, placements) in hello.known {
-            let Some(worker) = self.workers.get_mut(&name) else {
-                continue;
-            };
-            if !worker.is_known {
-                let lease_expiry = Ms(now.0.saturating_sub(renewal_age.0)) + lease;
-                worker.delay_lease_expiry(lease_expiry);
-                // Two agents may have started tasks on this worker one after the other.
-                worker
-                    .reported_runs
-                    .get_or_insert_default()
-                    .extend(placements);
+        for (name, renewal_age, _) in &hello.known {
+            let unheard = self.workers.get_mut(name);
+            if let Some(worker) = unheard.filter(|worker| !worker.is_known) {
+                worker.delay_lease_expiry(Ms(now.0.saturating_sub(renewal_age.0)) + lease);
             }
         }
     }
 
-    /// Books the runs that earlier leaders started on a worker that does not answer.
-    fn adopt_reported_runs(&mut self, now: Ms, name: &Name) {
-        let Some(worker) = self.workers.get_mut(name).filter(|worker| !worker.is_known) else {
-            return;
-        };
-        let Some(placements) = worker.reported_runs.take() else {
-            return;
-        };
-        worker.is_known = true;
-        self.log(format!(
-            "kind=runs-remembered worker={name} runs={}",
-            placements.len()
-        ));
-        for placement in placements {
-            self.adopt_run(
-                now,
-                name,
-                placement.incarnation,
-                placement.task,
-                placement.run,
-                Phase::Unsure,
-            );
-        }
-    }
-
     fn apply_observation(&mut self, now: Ms, entry: &Name, observation: Observation) {
         let Some(worker) = self.workers.get_mut(&observation.worker) else {
             return;
@@ -391,7 +357,6 @@
         worker.is_unresponsive = true;
         let has_left = worker.was_draining && worker.registration.is_none() && failure.is_closed;
         worker.expect_lease_expiry(lease_expiry);
-        self.adopt_reported_runs(now, name);
         if has_left {
             // A worker that was draining, is no longer registered and refuses connections has
             // exited.
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -116,14 +116,19 @@
 impl Leader {
     pub(super) fn start_tasks(&mut self, now: Ms) {
         let is_too_early = self.is_crowded && now.since(self.last_pass) < CROWDED_INTERVAL;
-        if is_too_early || self.waiting.is_empty() || !self.is_synchronized() {
+        if is_too_early || self.waiting.is_empty() {
             return;
         }
         self.last_pass = now;
         self.passes += 1;
         let waiting = self.by_urgency(now);
+        let has_unheard_workers = self.has_unheard_workers();
         let mut pass = Pass::default();
         for (_, step) in waiting {
+            if has_unheard_workers && self.may_run_unseen(step) {
+                pass.is_crowded = true;
+                continue;
+            }
             self.start_step(now, step, &mut pass);
             if pass.starts >= MAX_STARTS {
                 break;
@@ -132,6 +137,14 @@
         self.is_crowded = pass.is_crowded;
     }
 
+    /// Returns whether an earlier leader may have started tasks of the step that this leader has not
+    /// seen. Rows of jobs that are newer than the leader's own row were unknown to earlier leaders.
+    fn may_run_unseen(&self, step: id::Step) -> bool {
+        self.jobs
+            .get(&step.job)
+            .is_some_and(|job| job.row_version < self.epoch.0 && !job.is_fresh(step))
+    }
+
     /// Returns the waiting steps in order of urgency. Within a priority, steps that can still meet
     /// the objective come before those that cannot, so that new jobs after a burst are on time
     /// instead of all jobs being late.
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -272,6 +272,6 @@
     /// The epoch of the leader that the agent follows.
     pub epoch: Epoch,
     /// The runs that the agent knows from earlier orders, by worker, with the time since the last
-    /// order that may have extended the lease.
+    /// order that may have extended the lease. Other agents may know of further runs.
     pub known: Vec<(Name, Ms, Vec<Placement>)>,
 }
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -21,6 +21,7 @@
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
 use scheduler::leader::Member;
+use scheduler::message::End;
 use scheduler::message::Failure;
 use scheduler::message::Hello;
 use scheduler::message::Observation;
@@ -29,6 +30,7 @@
 use scheduler::message::Report;
 use scheduler::message::Running;
 use scheduler::message::Start;
+use scheduler::message::Termination;
 use scheduler::spec;
 
 /// The leader begins hours after its VM.
@@ -36,6 +38,8 @@
 const EPOCH: Epoch = Epoch(17);
 /// The version of a job's row that an earlier leader has read.
 const OLD_ROW: u64 = 5;
+/// The version of a job's row that was written after this leader took over.
+const NEW_ROW: u64 = 30;
 const INCARNATION: Ms = Ms(77);
 /// The run of an earlier leader.
 const OLD_RUN: Run = Run(9);
@@ -109,6 +113,20 @@
     received(Report::Polled(observation(worker, running)))
 }
 
+fn completed(worker: &str, task: Task) -> Event {
+    let end = End {
+        number: 1,
+        task,
+        run: OLD_RUN,
+        termination: Termination::Done,
+        checkpoint: None,
+    };
+    received(Report::Polled(Observation {
+        ended: vec![end],
+        ..observation(worker, &[])
+    }))
+}
+
 fn failed(worker: &str, renewal_age: Ms) -> Event {
     received(Report::PollFailed(Failure {
         worker: name(worker),
@@ -204,3 +222,13 @@
     assert_eq!(starts, []);
     assert_eq!(takeover.apply(LEASES_OVER, Vec::new()), [task(1, 0)]);
 }
+
+#[test]
+fn a_silent_worker_does_not_hold_back_tasks_that_cannot_run_there() {
+    let jobs = vec![accepted(1, OLD_ROW, 2), accepted(2, NEW_ROW, 1)];
+    let mut takeover = Takeover::begin(jobs, &[]);
+    let first = polled("sound", &[task(1, 0)]);
+    assert_eq!(takeover.apply(Ms(40), vec![first]), [task(2, 0)]);
+    let second = completed("sound", task(1, 0));
+    assert_eq!(takeover.apply(Ms(300), vec![second]), [task(1, 1)]);
+}
