--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -410,16 +410,25 @@
         }
     }
 
-    /// Releases the runs on a worker, except those of the incarnation `kept`.
+    /// Releases the runs on a worker, except those of the incarnation `kept`. An unanswered start may
+    /// still reach that incarnation, so it is voided there first.
     fn release_lost_runs(&mut self, now: Ms, name: &Name, kept: Option<Ms>, reason: &'static str) {
         let Some(worker) = self.workers.get(name) else {
             return;
         };
         let runs: Vec<(Task, Run)> = worker.runs.iter().copied().collect();
         for (task, run) in runs {
-            let incarnation = self.run_mut(task, run).map(|attempt| attempt.incarnation);
-            if incarnation.is_none() || incarnation != kept {
-                self.release(now, task, run, reason);
+            let attempt = self.run_mut(task, run);
+            if attempt.as_ref().map(|attempt| attempt.incarnation) == kept {
+                continue;
+            }
+            match (attempt, kept) {
+                (Some(attempt), Some(kept)) if attempt.is_unanswered_start() => {
+                    attempt.incarnation = kept;
+                    attempt.stop_sent = None;
+                    self.stop_run(now, task, run, reason);
+                }
+                _ => self.release(now, task, run, reason),
             }
         }
     }
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -51,6 +51,14 @@
     pub measurement: u32,
 }
 
+impl Attempt {
+    /// Returns whether the order to start may still be carried out.
+    #[must_use]
+    pub const fn is_unanswered_start(&self) -> bool {
+        matches!(self.phase, Phase::Starting | Phase::Unsure)
+    }
+}
+
 /// The state of a task.
 #[derive(Clone, Debug, Default)]
 pub struct Task {
--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -19,10 +19,13 @@
 use scheduler::message::Observation;
 use scheduler::message::Order;
 use scheduler::message::Outcome;
+use scheduler::message::Placement;
 use scheduler::message::Report;
+use scheduler::message::Start;
 use scheduler::spec;
 
 const INCARNATION: Ms = Ms(77);
+const NEXT_INCARNATION: Ms = Ms(78);
 
 fn registration() -> Registration {
     Registration {
@@ -57,9 +60,13 @@
 }
 
 fn observation(polled_at: Ms) -> Report {
+    observation_of("w", INCARNATION, polled_at)
+}
+
+fn observation_of(worker: &str, incarnation: Ms, polled_at: Ms) -> Report {
     Report::Polled(Observation {
-        worker: name("w"),
-        incarnation: INCARNATION,
+        worker: name(worker),
+        incarnation,
         polled_at,
         running: Some(Vec::new()),
         ended: Vec::new(),
@@ -127,3 +134,55 @@
     // The second start gets no outcome either, so it is settled in the same way.
     assert!(starts >= 1);
 }
+
+#[test]
+fn an_unanswered_start_is_voided_at_the_next_incarnation_before_its_task_starts_again() {
+    let agent = name("e1");
+    let received = |report| Event::Received(agent.clone(), report);
+    let registered = |worker: &str| Event::RegistrationChanged(name(worker), Some(registration()));
+    let mut leader = Leader::new(name("e0"), Epoch(17), BOUNDS, Ms(1_000));
+    let begin = vec![
+        Event::Config(Arc::new(config())),
+        Event::Joined(agent.clone(), name("d1")),
+        Event::Recovered,
+        registered("w"),
+        registered("w2"),
+    ];
+    apply_events(&mut leader, Ms(1_000), begin);
+    let known = vec![
+        Event::Committed,
+        received(observation(Ms(1_010))),
+        received(observation_of("w2", INCARNATION, Ms(1_010))),
+        Event::Accepted(Job(1), 20, accepted(), None),
+    ];
+    let orders = apply_events(&mut leader, Ms(1_020), known);
+    let [start] = &starts(&orders)[..] else {
+        panic!("{orders:?}");
+    };
+    let worker = &*start.worker;
+    let restart = vec![
+        received(Report::Started(start.placement(), Outcome::Unknown)),
+        received(observation_of(worker, NEXT_INCARNATION, Ms(1_900))),
+    ];
+    let orders = apply_events(&mut leader, Ms(1_900), restart);
+    assert_eq!(starts(&orders), []);
+    let void = Placement {
+        incarnation: NEXT_INCARNATION,
+        ..start.placement()
+    };
+    assert!(orders.contains(&Order::Void(void.clone())), "{orders:?}");
+    let voided = vec![
+        received(Report::Stopped(void, Outcome::Done, Ms(1_910))),
+        received(observation_of(worker, NEXT_INCARNATION, Ms(1_920))),
+    ];
+    let orders = apply_events(&mut leader, Ms(1_920), voided);
+    assert_eq!(starts(&orders).len(), 1, "{orders:?}");
+}
+
+fn starts(orders: &[Order]) -> Vec<Start> {
+    let starts = orders.iter().filter_map(|order| match order {
+        Order::Start(start) => Some(start.clone()),
+        _ => None,
+    });
+    starts.collect()
+}
