Start a task again at once when this leader has seen its run end

While an inherited worker is silent, the check held back whole steps. A worker that lists a run obeys this leader, so no earlier leader learns of its end and starts the task elsewhere: such tasks start at once, the others of the step are held.

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -181,15 +181,6 @@
             .all(|&index| steps[usize::from(index)].unfinished == 0)
     }
 
-    /// Returns whether no earlier leader can have started tasks of a step.
-    #[must_use]
-    pub fn is_fresh(&self, id: id::Step) -> bool {
-        let steps = self.occurrences.get(&id.occurrence);
-        steps
-            .and_then(|steps| steps.get(usize::from(id.step)))
-            .is_some_and(|step| step.is_fresh)
-    }
-
     /// Records that this leader has seen a run of a step before the step was completed.
     pub fn mark_successors_fresh(&mut self, id: id::Step) {
         let Some(steps) = self.occurrences.get_mut(&id.occurrence) else {
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -67,8 +67,10 @@
         };
         let spec = job.step_spec(id.step.step);
         let is_gang = spec.is_some_and(|spec| spec.is_gang);
-        let is_speculative = spec.is_some_and(|spec| spec.is_speculative);
-        if !is_speculative && job.task(id).is_some_and(|task| task.run(end.run).is_some()) {
+        // An earlier leader may have learned of the end of another copy or member.
+        let is_only_run = !spec.is_some_and(|spec| spec.is_gang || spec.is_speculative);
+        let runs = job.task(id).map(|task| &task.runs[..]);
+        if is_only_run && matches!(runs, Some([only]) if only.run == end.run) {
             job.mark_successors_fresh(id.step);
         }
         let version_before = job.version;
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -218,6 +218,7 @@
             return;
         }
         let has_other_run = !task.runs.is_empty();
+        task.is_seen = true;
         task.runs.push(Attempt {
             worker: name.clone(),
             incarnation,
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -38,6 +38,7 @@
 #[derive(Default)]
 struct Pass {
     starts: usize,
+    has_unheard_workers: bool,
     /// Some steps found no room.
     is_crowded: bool,
     unplaced: Vec<Unplaced>,
@@ -122,13 +123,11 @@
         self.last_pass = now;
         self.passes += 1;
         let waiting = self.by_urgency(now);
-        let has_unheard_workers = self.has_unheard_workers();
-        let mut pass = Pass::default();
+        let mut pass = Pass {
+            has_unheard_workers: self.has_unheard_workers(),
+            ..Pass::default()
+        };
         for (_, step) in waiting {
-            if has_unheard_workers && self.may_run_unseen(step) {
-                pass.is_crowded = true;
-                continue;
-            }
             self.start_step(now, step, &mut pass);
             if pass.starts >= MAX_STARTS {
                 break;
@@ -137,12 +136,29 @@
         self.is_crowded = pass.is_crowded;
     }
 
-    /// Returns whether an earlier leader may have started tasks of the step that this leader has not
-    /// seen. Rows of jobs that are newer than the leader's own row were unknown to earlier leaders.
-    fn may_run_unseen(&self, step: id::Step) -> bool {
-        self.jobs
-            .get(&step.job)
-            .is_some_and(|job| job.row_version < self.epoch.0 && !job.is_fresh(step))
+    /// Returns the tasks of a step to start, and whether others are held back because an earlier
+    /// leader may have started them on a worker that has not answered. Rows of jobs that are newer
+    /// than the leader's own row were unknown to earlier leaders.
+    fn startable_tasks(&mut self, step: id::Step, has_unheard_workers: bool) -> (Vec<u32>, bool) {
+        let epoch = self.epoch.0;
+        let Some(job) = self.jobs.get_mut(&step.job) else {
+            return (Vec::new(), false);
+        };
+        let may_run_unseen = has_unheard_workers && job.row_version < epoch;
+        let is_gang = job.step_spec(step.step).is_some_and(|spec| spec.is_gang);
+        let Some(state) = job.step(step) else {
+            return (Vec::new(), false);
+        };
+        let mut tasks: Vec<u32> = state.startable.iter().copied().collect();
+        if !may_run_unseen || state.is_fresh {
+            return (tasks, false);
+        }
+        tasks.retain(|&index| state.tasks[index as usize].is_seen);
+        let is_held = tasks.len() < state.startable.len();
+        if is_gang && is_held {
+            tasks.clear();
+        }
+        (tasks, is_held)
     }
 
     /// Returns the waiting steps in order of urgency. Within a priority, steps that can still meet
@@ -165,11 +181,12 @@
         let Some(claim) = job.claim(step.step) else {
             return;
         };
-        let indices: Vec<u32> = job
-            .step(step)
-            .map(|state| state.startable.iter().copied().collect())
-            .unwrap_or_default();
         let queue = job.queue.clone();
+        let (indices, is_held) = self.startable_tasks(step, pass.has_unheard_workers);
+        pass.is_crowded |= is_held;
+        if is_held && indices.is_empty() {
+            return;
+        }
         let Some(queue) = self.config.queue(&queue) else {
             return;
         };
@@ -200,9 +217,9 @@
             let has_room = workers.any(|worker| placement::has_room(&request, worker, now));
             pass.record_unplaced(&request, has_room);
         }
-        if is_whole {
+        if is_whole && !is_held {
             self.dequeue(step);
-        } else if needs_ticket {
+        } else if !is_whole && needs_ticket {
             self.request_advice(now, &request);
         }
         if spec.is_gang && !is_whole {
@@ -406,6 +423,7 @@
             return;
         };
         let checkpoint = task.checkpoint.clone();
+        task.is_seen = true;
         task.runs.push(Attempt {
             worker: name.clone(),
             incarnation,
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -64,6 +64,9 @@
 pub struct Task {
     /// The task is completed and needs no further run.
     pub is_done: bool,
+    /// This leader has started the task, or a worker that obeys it has listed a run. No earlier
+    /// leader can have started it elsewhere meanwhile.
+    pub is_seen: bool,
     /// The runs of the task. There can be several only for speculative steps, and while duplicates
     /// are being stopped.
     pub runs: Vec<Attempt>,
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -114,11 +114,15 @@
 }
 
 fn completed(worker: &str, task: Task) -> Event {
+    ended(worker, task, Termination::Done)
+}
+
+fn ended(worker: &str, task: Task, termination: Termination) -> Event {
     let end = End {
         number: 1,
         task,
         run: OLD_RUN,
-        termination: Termination::Done,
+        termination,
         checkpoint: None,
     };
     received(Report::Polled(Observation {
@@ -232,3 +236,14 @@
     let second = completed("sound", task(1, 0));
     assert_eq!(takeover.apply(Ms(300), vec![second]), [task(1, 1)]);
 }
+
+#[test]
+fn a_task_whose_run_was_seen_to_end_starts_again_while_another_worker_is_silent() {
+    let cases = [(Vec::new(), vec![]), (vec![task(1, 0)], vec![task(1, 0)])];
+    for (seen, started) in cases {
+        let mut takeover = Takeover::begin(vec![accepted(1, OLD_ROW, 1)], &[]);
+        assert_eq!(takeover.apply(Ms(40), vec![polled("sound", &seen)]), []);
+        let end = ended("sound", task(1, 0), Termination::Failed);
+        assert_eq!(takeover.apply(Ms(300), vec![end]), started, "{seen:?}");
+    }
+}
