Acknowledge the ends of all gang members only once the gang is durable

The end of the first member completes the whole gang in unwritten progress; the ends of the others changed nothing more and were acknowledged at once. With the write unconfirmed, the leader lost and the first member's worker crashed, the next leader would have started the gang again although ends of it had been taken note of.

--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -73,7 +73,6 @@
         if is_only_run && matches!(runs, Some([only]) if only.run == end.run) {
             job.mark_successors_fresh(id.step);
         }
-        let version_before = job.version;
         let mut is_step_done = false;
         if is_gang {
             let count = job.step(id.step).map_or(0, |step| step.tasks.len());
@@ -86,10 +85,9 @@
         } else {
             is_step_done = job.complete(id);
         }
+        // Another member or copy may have completed the task in progress that is not durable yet.
         let version = job.version;
-        if version > version_before {
-            self.record_pending(name, end.number, id.step.job, version);
-        }
+        self.record_pending(name, end.number, id.step.job, version);
         self.log(format!(
             "kind=run-ended task={id} run={} worker={name} how=done n={}",
             end.run, end.number
--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -16,12 +16,14 @@
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
+use scheduler::message::End;
 use scheduler::message::Observation;
 use scheduler::message::Order;
 use scheduler::message::Outcome;
 use scheduler::message::Placement;
 use scheduler::message::Report;
 use scheduler::message::Start;
+use scheduler::message::Termination;
 use scheduler::spec;
 
 const INCARNATION: Ms = Ms(77);
@@ -186,3 +188,59 @@
     });
     starts.collect()
 }
+
+#[test]
+fn the_end_of_a_gang_member_is_acknowledged_only_after_the_progress_is_durable() {
+    let mut gang = accepted();
+    gang.spec.steps[0].count = 2;
+    gang.spec.steps[0].is_gang = true;
+    let agent = name("e1");
+    let received = |report| Event::Received(agent.clone(), report);
+    let mut leader = Leader::new(name("e0"), Epoch(17), BOUNDS, Ms(1_000));
+    let registered = |worker: &str| Event::RegistrationChanged(name(worker), Some(registration()));
+    let begin = vec![
+        Event::Config(Arc::new(config())),
+        Event::Joined(agent.clone(), name("d1")),
+        Event::Recovered,
+        registered("w"),
+        registered("w2"),
+    ];
+    apply_events(&mut leader, Ms(1_000), begin);
+    let known = vec![
+        Event::Committed,
+        received(observation(Ms(1_010))),
+        received(observation_of("w2", INCARNATION, Ms(1_010))),
+        Event::Accepted(Job(1), 20, gang, None),
+    ];
+    let orders = apply_events(&mut leader, Ms(1_020), known);
+    let ends = starts(&orders).into_iter().zip(["w", "w2"]);
+    let ends = ends.map(|(start, worker)| {
+        let end = End {
+            number: 1,
+            task: start.task,
+            run: start.run,
+            termination: Termination::Done,
+            checkpoint: None,
+        };
+        received(Report::Polled(Observation {
+            worker: name(worker),
+            incarnation: INCARNATION,
+            polled_at: Ms(1_900),
+            running: Some(Vec::new()),
+            ended: vec![end],
+        }))
+    });
+    let orders = apply_events(&mut leader, Ms(1_900), ends.collect());
+    assert_eq!(acknowledged(&orders), [0; 0], "{orders:?}");
+    let orders = apply_events(&mut leader, Ms(1_910), vec![Event::Committed]);
+    assert_eq!(acknowledged(&orders), [1, 1], "{orders:?}");
+}
+
+/// Returns the numbers up to which the orders let workers discard ends.
+fn acknowledged(orders: &[Order]) -> Vec<u64> {
+    let numbers = orders.iter().filter_map(|order| match order {
+        Order::Watch(watch) => watch.acknowledged.map(|(_, number)| number),
+        _ => None,
+    });
+    numbers.collect()
+}
