--- a/src/serve.rs
+++ b/src/serve.rs
@@ -9,7 +9,7 @@
 mod front;
 mod instruments;
 mod lead;
-mod logging;
+pub mod logging;
 pub mod options;
 mod peers;
 mod persist;
