Count lapses and second runs in the metrics

Change: the leader keeps a Tally of plain counts, lapses and second_runs, incremented beside the log lines worker-lapsed and run-adopted; the driver passes it to the instruments after each batch, which export the differences. Both counters and the gauge `unheard` are exported at zero from the start, and the gauge falls back to zero when the lead ends. Nothing sets the field `unheard` yet: it belongs to the log line workers-unheard. Runs of a speculative step are not counted. No decision reads the tally.

Evidence: with the two increments removed, both tests of crates/scheduler/tests/tally.rs fail (0 instead of 1), and metrics_count_workers_whose_leases_expired, in which a real entry loses a worker, fails after 15 s.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -12,6 +12,7 @@
 mod report;
 mod schedule;
 mod serving;
+mod tally;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -22,6 +23,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use self::tally::Tally;
 use crate::config::Config;
 use crate::fleet::Registration;
 use crate::fleet::Worker;
@@ -210,6 +212,7 @@
     model: Model,
     /// The time when the interference coefficients were last written.
     summary_written: Ms,
+    tally: Tally,
     actions: Vec<Action>,
 }
 
@@ -255,6 +258,7 @@
             advice: advice::Cache::default(),
             model: Model::default(),
             summary_written: now,
+            tally: Tally::default(),
             actions: Vec::new(),
         }
     }
@@ -320,6 +324,12 @@
         self.passes
     }
 
+    /// Returns the counts of this leader so far.
+    #[must_use]
+    pub const fn tally(&self) -> Tally {
+        self.tally
+    }
+
     /// Returns the heartbeat to send to all agents; `store_age` is the time since the last
     /// confirmed write.
     #[must_use]
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -278,6 +278,7 @@
             self.unsettled.insert((id, run), now);
         }
         if has_other_run && !is_speculative {
+            self.tally.second_runs += 1;
             self.stop_run(now, id, run, "second-run");
         }
     }
@@ -425,6 +426,7 @@
             worker.is_unresponsive = true;
             worker.lease_expiry = None;
             self.log(format!("kind=worker-lapsed worker={name}"));
+            self.tally.lapses += 1;
             if self
                 .workers
                 .get(&name)
--- /dev/null
+++ b/crates/scheduler/src/leader/tally.rs
@@ -0,0 +1,12 @@
+//! Counts of what a leader has learned about workers and runs, for metrics.
+
+/// The counts of one leader since it began.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Tally {
+    /// How often the leases of a worker counted as expired.
+    pub lapses: u64,
+    /// Runs found or reported while their task, which is not speculative, had another run.
+    pub second_runs: u64,
+    /// The workers of earlier leaders that have not answered this leader yet.
+    pub unheard: usize,
+}
--- /dev/null
+++ b/crates/scheduler/tests/tally.rs
@@ -0,0 +1,138 @@
+//! Tests of the counts that a leader keeps for metrics.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::BOUNDS;
+use common::config;
+use common::name;
+use decision::clock::Ms;
+use decision::resource::Size;
+use scheduler::fleet::Registration;
+use scheduler::id::Epoch;
+use scheduler::id::Job;
+use scheduler::id::Run;
+use scheduler::id::Step;
+use scheduler::id::Task;
+use scheduler::job::Accepted;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::message::Failure;
+use scheduler::message::Observation;
+use scheduler::message::Report;
+use scheduler::message::Running;
+use scheduler::spec;
+
+const INCARNATION: Ms = Ms(77);
+const NOW: Ms = Ms(1_000);
+const TASK: Task = Task {
+    step: Step {
+        job: Job(1),
+        occurrence: 0,
+        step: 0,
+    },
+    index: 0,
+};
+
+fn registration() -> Registration {
+    Registration {
+        service: name("service"),
+        address: Arc::from("10.0.0.1:1"),
+        domain: name("d1"),
+        size: Size {
+            millicores: 8_000,
+            memory_mb: 8_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        incarnation: INCARNATION,
+        is_draining: false,
+    }
+}
+
+/// Returns a leader with an agent, the workers `w1` and `w2`, and a job of one task, which an
+/// earlier leader may have started.
+fn leader(is_speculative: bool) -> Leader {
+    let mut leader = Leader::new(name("e0"), Epoch(17), BOUNDS, NOW);
+    let spec = spec::Job {
+        payload: Arc::from(""),
+        steps: vec![spec::Step {
+            count: 1,
+            estimate: Ms(500),
+            is_speculative,
+            ..spec::Step::default()
+        }],
+        schedule: None,
+    };
+    let accepted = Accepted {
+        queue: name("queue"),
+        spec,
+        at: Ms(1),
+    };
+    for event in [
+        Event::Config(Arc::new(config())),
+        Event::Accepted(Job(1), 20, accepted, None),
+        Event::Joined(name("e1"), name("d1")),
+        Event::Recovered,
+        Event::RegistrationChanged(name("w1"), Some(registration())),
+        Event::RegistrationChanged(name("w2"), Some(registration())),
+    ] {
+        leader.handle(NOW, event);
+    }
+    leader
+}
+
+/// Returns the answer of a worker with the runs of the task that it lists.
+fn answer(worker: &str, runs: &[u64]) -> Event {
+    let running = runs.iter().map(|run| Running {
+        task: TASK,
+        run: Run(*run),
+        checkpoint: None,
+        percent: 0,
+        measurement: 0,
+    });
+    let observation = Observation {
+        worker: name(worker),
+        incarnation: INCARNATION,
+        polled_at: NOW,
+        running: Some(running.collect()),
+        ended: Vec::new(),
+    };
+    Event::Received(name("e1"), Report::Polled(observation))
+}
+
+#[test]
+fn each_lapse_of_a_worker_is_counted_once() {
+    let mut leader = leader(false);
+    leader.handle(NOW, answer("w1", &[5]));
+    leader.handle(NOW, answer("w2", &[]));
+    let failure = Failure {
+        worker: name("w1"),
+        renewal_age: Ms(100),
+        is_closed: false,
+    };
+    leader.handle(
+        NOW,
+        Event::Received(name("e1"), Report::PollFailed(failure)),
+    );
+    leader.handle(NOW, Event::Tick(NOW));
+    assert_eq!(leader.tally().lapses, 0);
+    for after in [60_000, 60_050] {
+        leader.handle(NOW + Ms(after), Event::Tick(NOW + Ms(after)));
+        assert_eq!(leader.tally().lapses, 1, "{after}");
+    }
+}
+
+#[test]
+fn a_second_run_is_counted_once_unless_the_step_is_speculative() {
+    for (is_speculative, expected) in [(false, 1), (true, 0)] {
+        let mut leader = leader(is_speculative);
+        leader.handle(NOW, answer("w1", &[5]));
+        assert_eq!(leader.tally().second_runs, 0, "{is_speculative}");
+        for _ in 0..2 {
+            leader.handle(NOW, answer("w2", &[6]));
+            assert_eq!(leader.tally().second_runs, expected, "{is_speculative}");
+        }
+    }
+}
--- a/src/serve/instruments.rs
+++ b/src/serve/instruments.rs
@@ -1,6 +1,7 @@
-//! Counters and histograms of an entry on the users' platform, in Prometheus text.
+//! Counters, gauges and histograms of an entry on the users' platform, in Prometheus text.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use bytes::Bytes;
 use decision::clock::Ms;
@@ -12,19 +13,22 @@
 use link::server::Server;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
 use opentelemetry::metrics::Histogram;
 use opentelemetry::metrics::MeterProvider;
+use scheduler::leader::Tally;
 use scheduler::message::Storage;
 use smol::net::TcpListener;
 
 use super::Error;
 use super::Shared;
+use super::lock;
 use crate::metrics::Export;
 
 /// Upper bounds of the histogram buckets.
 const BUCKET_BOUNDS_MS: [f64; 9] = [2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 1_000.0, 5_000.0];
 
-/// The counters and histograms of an entry.
+/// The counters, gauges and histograms of an entry.
 pub(super) struct Instruments {
     export: Export,
     submissions: Counter<u64>,
@@ -33,6 +37,11 @@
     refusals: Counter<u64>,
     leads: Counter<u64>,
     feeds_lost: Counter<u64>,
+    lapses: Counter<u64>,
+    second_runs: Counter<u64>,
+    unheard: Gauge<u64>,
+    /// The tally that was recorded last.
+    tally: Mutex<Tally>,
     writes: Histogram<f64>,
     polls: Histogram<f64>,
 }
@@ -47,17 +56,29 @@
             let builder = meter.f64_histogram(name).with_description(about);
             builder.with_boundaries(BUCKET_BOUNDS_MS.into()).build()
         };
-        Ok(Self {
+        let instruments = Self {
             submissions: counter("submissions", "Submitted and cancelled jobs by outcome"),
             starts: counter("starts", "Orders to start by outcome"),
             ends: counter("ends", "Ends of runs that workers listed, by how"),
             refusals: counter("refusals", "Requests of customers refused, by reason"),
             leads: counter("leads", "Times that this entry became the leader"),
             feeds_lost: counter("feeds_lost", "Feeds of the store that broke off, by table"),
+            lapses: counter("lapses", "Workers whose leases counted as expired"),
+            second_runs: counter("second_runs", "Runs found while their task had another run"),
+            unheard: meter
+                .u64_gauge("unheard")
+                .with_description("Workers of earlier leaders that have not answered this leader")
+                .build(),
+            tally: Mutex::default(),
             writes: histogram("write_ms", "Time to make a customer's write durable"),
             polls: histogram("look_ms", "Time of looks at workers beyond their wait"),
             export,
-        })
+        };
+        // An instrument without a value is not exported.
+        instruments.lapses.add(0, &[]);
+        instruments.second_runs.add(0, &[]);
+        instruments.unheard.record(0, &[]);
+        Ok(instruments)
     }
 
     /// Records the outcome of a customer's write and the time it took.
@@ -85,6 +106,19 @@
         self.leads.add(1, &[]);
     }
 
+    /// Records what has changed in the leader's tally, which is all zero outside a leadership.
+    pub(super) fn record_tally(&self, tally: Tally) {
+        let last = std::mem::replace(&mut *lock(&self.tally), tally);
+        if last == tally {
+            return;
+        }
+        self.lapses
+            .add(tally.lapses.saturating_sub(last.lapses), &[]);
+        self.second_runs
+            .add(tally.second_runs.saturating_sub(last.second_runs), &[]);
+        self.unheard.record(tally.unheard as u64, &[]);
+    }
+
     pub(super) fn record_feed_lost(&self, table: &'static str) {
         self.feeds_lost.add(1, &[KeyValue::new("table", table)]);
     }
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -22,6 +22,7 @@
 use scheduler::leader::Commit;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
+use scheduler::leader::Tally;
 use scheduler::message::Hello;
 use scheduler::message::Order;
 use scheduler::message::Report;
@@ -215,6 +216,7 @@
     drop(tasks);
     *lock(&shared.leadership) = None;
     shared.agent.end_session(epoch);
+    shared.instruments.record_tally(Tally::default());
     log::warn!("kind=lead-ended epoch={epoch} reason={reason:?}");
     if reason == SUSPENDED {
         resign_until_confirmed(shared, epoch).await;
@@ -402,6 +404,7 @@
                 self.send_heartbeats();
             }
             let actions = self.leader.schedule(now);
+            self.shared.instruments.record_tally(self.leader.tally());
             self.perform(actions);
             self.flush();
         }
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -166,11 +166,11 @@
                 std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
             listener.local_addr().expect("the listener has an address")
         };
-        let (customer, ready, peer) = (free(), free(), free());
+        let (customer, ready, peer, metrics) = (free(), free(), free(), free());
         let text = format!(
             "[entry]\nname = {name}\nfailure_domain = z\n[listen]\ncustomer = {customer}\n\
-             ready = {ready}\npeer = {peer}\n[platform]\nstore = {}\n[bounds]\nlease_ms = 6000\n\
-             retention_s = 120\nharm_ms = 4000\nstop_s = 6\n",
+             ready = {ready}\npeer = {peer}\nmetrics = {metrics}\n[platform]\nstore = {}\n\
+             [bounds]\nlease_ms = 6000\nretention_s = 120\nharm_ms = 4000\nstop_s = 6\n",
             self.store_proxy.address
         );
         let file = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"))
@@ -188,6 +188,7 @@
             child,
             customer,
             ready,
+            metrics,
             log: log_file,
         }
     }
@@ -226,6 +227,7 @@
     child: Child,
     pub customer: SocketAddr,
     pub ready: SocketAddr,
+    pub metrics: SocketAddr,
     /// The file that its log is written to.
     pub log: PathBuf,
 }
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -365,3 +365,26 @@
     });
     fleet.assert_no_violations();
 }
+
+#[test]
+fn metrics_count_workers_whose_leases_expired() {
+    let fleet = Fleet::start(2);
+    let entries = start(&fleet, &["a"]);
+    let value = |name: &str| {
+        let (_, text) = fleet.send(entries[0].metrics, "GET", "/metrics", "");
+        let line = text.lines().find(|line| line.starts_with(name))?;
+        line.rsplit_once(' ')?.1.parse::<u64>().ok()
+    };
+    let values = || ["lapses_total", "second_runs_total", "unheard"].map(value);
+    wait_until("the end of the election", 5_000, || {
+        value("leads_total") == Some(1) && values() == [Some(0); 3]
+    });
+    let path = "/q/00000000000000aa";
+    assert_eq!(fleet.send(entries[0].customer, "POST", path, JOB).0, 200);
+    wait_until("completion", 10_000, || {
+        fleet.state(entries[0].customer, "00000000000000aa") == "completed"
+    });
+    fleet.worker_proxies[0].set(proxy::Mode::Stall);
+    wait_until("the lapse", 15_000, || value("lapses_total") == Some(1));
+    assert_eq!(values(), [Some(1), Some(0), Some(0)]);
+}
