--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -248,6 +248,7 @@
             self.unsettled.insert((id, run), now);
         }
         if has_other_run && !is_speculative {
+            self.tally.second_runs += 1;
             self.stop_run(now, id, run, "second-run");
         }
     }
@@ -399,6 +400,7 @@
             worker.is_unresponsive = true;
             worker.lease_expiry = None;
             self.log(line);
+            self.tally.lapses += 1;
             if self
                 .workers
                 .get(&name)
