Keep the results of an earlier session from the next leader

What callers could see: after a change of the leader a task ran twice, because the new leader took the answer to a poll with the old fencing token for an answer to its own. The worker had not seen the new token, so an order of the old leader could still be carried out afterwards, and the list could be older than a start of the old leader. A late start outcome "fenced" of the old session could make the new leader resign.

Cause: the watchers of an earlier session live on while a call of theirs is under way, and they sent their reports to the channel of whichever session was current. Orders to start also took the current session's last contact with the leader, so an old order could renew a lease and be sent after a new session had begun.

Evidence: the new test of real processes holds the answer to a poll of the old leader until the new one polls, and answers none of the new leader's polls. The parts on late starts and on fenced outcomes were read from the code, not seen in a run.

Change: a session is a value that each watcher owns: the epoch, the channel of its reports, its own last contact, and whether it is open, lost or ended. Only an open one reports and starts tasks. One whose connection was lost renews leases as before, up to the contact timeout that leaders count on; one that has ended renews nothing. Beginning a session ends the one before it, also in the same epoch. No message changes.

--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod pace;
 pub mod placement;
 pub mod progress;
+pub mod session;
 pub mod spec;
 pub mod task;
--- /dev/null
+++ b/crates/scheduler/src/session.rs
@@ -0,0 +1,100 @@
+//! The session of an agent with one leader, which decides what the agent may send under it.
+
+use decision::clock::Ms;
+
+use crate::id::Epoch;
+
+/// How far a session has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum State {
+    /// The connection to the leader is open.
+    Open,
+    /// The connection was lost, but no later leader is known. Leases are renewed until the leader
+    /// has been out of contact for too long, so that tasks outlive a short interruption.
+    Lost,
+    /// The agent follows a leader anew, or this leader no longer leads.
+    Ended,
+}
+
+/// The session of an agent with the leader of one epoch. An agent that follows the same leader
+/// again begins another session.
+#[derive(Clone, Debug)]
+pub struct Session {
+    epoch: Epoch,
+    last_contact: Ms,
+    state: State,
+}
+
+impl Session {
+    /// Begins a session at `now`.
+    #[must_use]
+    pub const fn new(epoch: Epoch, now: Ms) -> Self {
+        Self {
+            epoch,
+            last_contact: now,
+            state: State::Open,
+        }
+    }
+
+    /// Returns the epoch of the leader, which is the fencing token of all calls in this session.
+    #[must_use]
+    pub const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns when the session began or the last heartbeat arrived, whichever is later.
+    #[must_use]
+    pub const fn last_contact(&self) -> Ms {
+        self.last_contact
+    }
+
+    /// Records a heartbeat of the leader, which counts only while the connection is open.
+    pub const fn record_contact(&mut self, now: Ms) {
+        if self.is_open() {
+            self.last_contact = now;
+        }
+    }
+
+    /// Records that the connection to the leader was lost.
+    pub const fn lose(&mut self) {
+        if self.is_open() {
+            self.state = State::Lost;
+        }
+    }
+
+    /// Ends the session for good.
+    pub const fn end(&mut self) {
+        self.state = State::Ended;
+    }
+
+    /// Returns whether reports reach the leader of this session. Those of a session that is not
+    /// open go nowhere: under another leader they would pass for answers to its own calls.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        matches!(self.state, State::Open)
+    }
+
+    /// Returns whether the session has ended for good.
+    #[must_use]
+    pub const fn has_ended(&self) -> bool {
+        matches!(self.state, State::Ended)
+    }
+
+    /// Returns the last contact with the leader if tasks may be started in this session.
+    #[must_use]
+    pub const fn start_contact(&self) -> Option<Ms> {
+        match self.state {
+            State::Open => Some(self.last_contact),
+            State::Lost | State::Ended => None,
+        }
+    }
+
+    /// Returns the last contact with the leader if leases may be renewed in this session.
+    #[must_use]
+    pub const fn renewal_contact(&self) -> Option<Ms> {
+        match self.state {
+            State::Open | State::Lost => Some(self.last_contact),
+            State::Ended => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/session.rs
@@ -0,0 +1,62 @@
+//! Tests of what an agent may send and report in a session.
+
+use decision::clock::Ms;
+use scheduler::id::Epoch;
+use scheduler::session::Session;
+
+const BEGUN: Ms = Ms(1_000);
+
+fn lost(mut session: Session) -> Session {
+    session.lose();
+    session
+}
+
+fn ended(mut session: Session) -> Session {
+    session.end();
+    session
+}
+
+#[test]
+fn a_session_reports_starts_and_renews_by_its_state() {
+    let begin = || Session::new(Epoch(7), BEGUN);
+    let cases = [
+        ("open", begin(), true, Some(BEGUN), Some(BEGUN)),
+        ("lost", lost(begin()), false, None, Some(BEGUN)),
+        ("ended", ended(begin()), false, None, None),
+        ("lost, ended", ended(lost(begin())), false, None, None),
+        ("ended, lost", lost(ended(begin())), false, None, None),
+    ];
+    for (case, session, is_open, start, renewal) in cases {
+        assert_eq!(session.is_open(), is_open, "{case}");
+        assert_eq!(session.start_contact(), start, "{case}");
+        assert_eq!(session.renewal_contact(), renewal, "{case}");
+        assert_eq!(session.has_ended(), renewal.is_none(), "{case}");
+        assert_eq!(session.epoch(), Epoch(7), "{case}");
+    }
+}
+
+#[test]
+fn a_heartbeat_counts_only_in_an_open_session() {
+    let begin = || Session::new(Epoch(7), BEGUN);
+    let cases = [
+        ("open", begin(), Ms(1_400)),
+        ("lost", lost(begin()), BEGUN),
+        ("ended", ended(begin()), BEGUN),
+    ];
+    for (case, mut session, last_contact) in cases {
+        session.record_contact(Ms(1_400));
+        assert_eq!(session.last_contact(), last_contact, "{case}");
+    }
+}
+
+/// The leader of one epoch may be followed again over another connection. Results of the earlier
+/// session then belong to neither.
+#[test]
+fn another_session_in_the_same_epoch_does_not_revive_an_ended_one() {
+    let earlier = ended(Session::new(Epoch(7), BEGUN));
+    let mut later = Session::new(Epoch(7), Ms(1_200));
+    later.record_contact(Ms(1_500));
+    assert!(later.is_open() && !earlier.is_open());
+    assert_eq!(earlier.renewal_contact(), None);
+    assert_eq!(later.renewal_contact(), Some(Ms(1_500)));
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod persist;
 mod rows;
+mod session;
 mod watch;
 
 use std::net::SocketAddr;
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -18,11 +18,11 @@
 use scheduler::message::Request;
 use scheduler::message::Storage;
 use scheduler::progress::Stage;
-use smol::channel::Sender;
 
 use super::Shared;
 use super::clock;
 use super::lock;
+use super::session::Session;
 use super::watch::Watcher;
 
 /// The age after which the contents of a heartbeat are no longer used.
@@ -37,14 +37,10 @@
 
 #[derive(Default)]
 struct State {
-    /// The epoch of the leader that is or was last followed.
-    epoch: Epoch,
-    /// When the session began or the last heartbeat arrived, whichever is later.
-    last_contact: Ms,
+    /// The current or last session; `None` before the first.
+    session: Option<Arc<Session>>,
     /// Whether the leader has sent an order in this session.
     has_order: bool,
-    /// Where reports for the leader go; `None` outside a session.
-    reports: Option<Sender<Report>>,
     watchers: HashMap<Name, Arc<Watcher>>,
     /// The runs known from orders of earlier leaders.
     inventory: Inventory,
@@ -66,73 +62,71 @@
     senders: HashMap<u64, oneshot::Sender<Reply>>,
 }
 
+impl State {
+    fn is_current(&self, session: &Arc<Session>) -> bool {
+        let current = self.session.as_ref();
+        current.is_some_and(|current| Arc::ptr_eq(current, session))
+    }
+}
+
 impl Agent {
-    /// Begins a session with the leader of `epoch`. Returns the runs known from earlier orders by
-    /// worker, with the time since the last order that may have extended its lease.
-    pub(super) fn begin_session(
-        &self,
-        epoch: Epoch,
-        reports: Sender<Report>,
-    ) -> Vec<(Name, Ms, Vec<Placement>)> {
-        log::info!("kind=leader-followed epoch={epoch}");
+    /// Makes a session the current one and ends the one before it. Returns the runs known from
+    /// earlier orders by worker, with the time since the last order that may have extended its
+    /// lease.
+    pub(super) fn begin_session(&self, session: &Arc<Session>) -> Vec<(Name, Ms, Vec<Placement>)> {
+        log::info!("kind=leader-followed epoch={}", session.epoch());
+        let earlier = lock(&self.state).session.replace(Arc::clone(session));
+        if let Some(earlier) = earlier {
+            earlier.end();
+        }
         let mut state = lock(&self.state);
-        let now = clock::now();
         let watchers = std::mem::take(&mut state.watchers);
         let watches = watchers.into_iter().map(|(name, watcher)| {
             let (lease, placements) = watcher.lease_and_runs();
             (name, lease, placements)
         });
-        let known = state.inventory.collect(now, watches);
-        state.epoch = epoch;
-        state.last_contact = now;
+        let known = state.inventory.collect(clock::now(), watches);
         state.has_order = false;
-        state.reports = Some(reports);
         state.heartbeat.store_age = Ms::ZERO;
         known
     }
 
-    /// Ends the session with the leader of `epoch`. Returns whether the leader had sent an order;
-    /// also returns `true` if a session in another epoch has begun meanwhile.
-    pub(super) fn end_session(&self, epoch: Epoch) -> bool {
-        let mut state = lock(&self.state);
-        if state.epoch != epoch {
+    /// Records that the connection of a session was lost. Returns whether the leader had sent an
+    /// order; also returns `true` if another session has begun meanwhile.
+    pub(super) fn lose_session(&self, session: &Arc<Session>) -> bool {
+        session.lose();
+        let state = lock(&self.state);
+        if !state.is_current(session) {
             return true;
         }
-        state.reports = None;
+        let has_order = state.has_order;
+        drop(state);
         lock(&self.pending).senders.clear();
-        state.has_order
+        has_order
     }
 
-    /// Returns the time of the last heartbeat, and the age of the leader's last confirmed write
-    /// according to it.
-    pub(super) fn leader_health(&self) -> (Ms, Ms) {
-        let state = lock(&self.state);
-        (state.last_contact, state.heartbeat.store_age)
+    /// Ends the current session if it is with the leader of `epoch`, which no longer leads.
+    pub(super) fn end_session(&self, epoch: Epoch) {
+        let session = lock(&self.state).session.clone();
+        if let Some(session) = session.filter(|session| session.epoch() == epoch) {
+            session.end();
+            lock(&self.pending).senders.clear();
+        }
     }
 
-    /// Returns the epoch of the followed leader and the time of its last heartbeat.
-    pub(super) fn leader(&self) -> (Epoch, Ms) {
-        let state = lock(&self.state);
-        (state.epoch, state.last_contact)
+    /// Returns the age of the leader's last confirmed write according to its last heartbeat.
+    pub(super) fn store_age(&self) -> Ms {
+        lock(&self.state).heartbeat.store_age
     }
 
     /// Returns the newest heartbeat, if it is at most [`HEARTBEAT_VALIDITY`] old.
     pub(super) fn heartbeat(&self) -> Option<Heartbeat> {
+        let last_contact = lock(&self.state).session.clone()?.last_contact();
         let state = lock(&self.state);
-        let is_valid =
-            state.has_order && clock::now().since(state.last_contact) <= HEARTBEAT_VALIDITY;
+        let is_valid = state.has_order && clock::now().since(last_contact) <= HEARTBEAT_VALIDITY;
         is_valid.then(|| state.heartbeat.clone())
     }
 
-    /// Sends a report to the leader, or drops it outside a session.
-    pub(super) fn notify_leader(&self, report: Report) {
-        let reports = lock(&self.state).reports.clone();
-        if let Some(reports) = reports {
-            // Sending fails once the session has ended. The next session reports everything again.
-            drop(reports.try_send(report));
-        }
-    }
-
     /// Queries the leader for the stage of a job. The outer `None` means that there was no reply,
     /// the inner `None` that the leader does not know the job.
     pub(super) async fn query_stage(&self, job: Job) -> Option<Option<Stage>> {
@@ -156,7 +150,7 @@
     }
 
     fn send_query(&self, report: impl FnOnce(u64) -> Report) -> Option<oneshot::Receiver<Reply>> {
-        let reports = lock(&self.state).reports.clone()?;
+        let session = lock(&self.state).session.clone()?;
         let (sender, receiver) = oneshot::channel();
         let number = {
             let mut pending = lock(&self.pending);
@@ -165,7 +159,7 @@
             pending.senders.insert(number, sender);
             number
         };
-        if reports.try_send(report(number)).is_err() {
+        if !session.report(report(number)) {
             lock(&self.pending).senders.remove(&number);
             return None;
         }
@@ -180,19 +174,20 @@
         }
     }
 
-    /// Carries out an order of the leader.
-    pub(super) fn execute(&self, shared: &Arc<Shared>, order: Order) {
+    /// Carries out an order of the leader of a session, if that session is open. An open session is
+    /// the current one.
+    pub(super) fn execute(&self, shared: &Arc<Shared>, session: &Arc<Session>, order: Order) {
+        if !session.is_open() {
+            return;
+        }
         lock(&self.state).has_order = true;
         match order {
             Order::Beat(heartbeat) => {
                 let leader_version = heartbeat.config;
-                {
-                    let mut state = lock(&self.state);
-                    state.last_contact = clock::now();
-                    state.heartbeat = heartbeat;
-                }
+                session.record_contact();
+                lock(&self.state).heartbeat = heartbeat;
                 if let Some(raw) = shared.newer_config(leader_version) {
-                    self.notify_leader(Report::Config(raw));
+                    session.report(Report::Config(raw));
                 }
             }
             Order::Watch(watch) => {
@@ -205,9 +200,8 @@
                     watcher.acknowledge(watch.acknowledged);
                     return;
                 }
-                let epoch = state.epoch;
                 let name = watch.worker.clone();
-                match Watcher::start(shared, epoch, watch) {
+                match Watcher::start(shared, Arc::clone(session), watch) {
                     Ok(watcher) => drop(state.watchers.insert(name, watcher)),
                     Err(error) => log::error!("kind=watch-refused worker={name} cause={error}"),
                 }
@@ -219,11 +213,11 @@
                     shared.spawner.spawn(run).detach();
                 }
                 None => {
-                    self.notify_leader(Report::Started(start.placement(), Outcome::Unsent));
+                    session.report(Report::Started(start.placement(), Outcome::Unsent));
                 }
             },
-            Order::Stop(placement) => self.stop_run(shared, placement, false),
-            Order::Void(placement) => self.stop_run(shared, placement, true),
+            Order::Stop(placement) => self.stop_run(shared, session, placement, false),
+            Order::Void(placement) => self.stop_run(shared, session, placement, true),
             Order::Pace(placement, percent) => {
                 if let Some(watcher) = self.watcher(&placement.worker) {
                     let run = watcher.pace_run(Arc::clone(shared), placement, percent);
@@ -236,13 +230,21 @@
         }
     }
 
-    fn stop_run(&self, shared: &Arc<Shared>, placement: Placement, polls_after: bool) {
+    fn stop_run(
+        &self,
+        shared: &Arc<Shared>,
+        session: &Session,
+        placement: Placement,
+        polls_after: bool,
+    ) {
         match self.watcher(&placement.worker) {
             Some(watcher) => {
                 let run = watcher.stop_run(Arc::clone(shared), placement, polls_after);
                 shared.spawner.spawn(run).detach();
             }
-            None => self.notify_leader(Report::Stopped(placement, Outcome::Unsent, clock::now())),
+            None => {
+                session.report(Report::Stopped(placement, Outcome::Unsent, clock::now()));
+            }
         }
     }
 
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -39,6 +39,7 @@
 use super::peers;
 use super::persist;
 use super::rows;
+use super::session::Session;
 use super::sleep;
 
 /// The interval at which the leader gets [`Event::Tick`].
@@ -268,7 +269,8 @@
             }
         };
         let session = async {
-            peers::run_session(&shared, leadership.epoch, reports, orders).await;
+            let session = Session::begin(leadership.epoch, reports);
+            peers::run_session(&shared, &session, orders).await;
         };
         relay.or(session).await;
         log::warn!("kind=own-agent-lost epoch={}", leadership.epoch);
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -28,6 +28,7 @@
 use super::frame;
 use super::lead::Input;
 use super::rows;
+use super::session::Session;
 use super::sleep;
 
 /// The interval of heartbeats on a connection, in both directions.
@@ -88,7 +89,8 @@
     let (reports, outgoing) = smol::channel::unbounded();
     let (incoming, orders) = smol::channel::unbounded();
     let forwarding = forward_frames(stream, outgoing, incoming);
-    let session = run_session(shared, epoch, reports, orders);
+    let session = Session::begin(epoch, reports);
+    let running = run_session(shared, &session, orders);
     let ended = async {
         let error = forwarding.await;
         log::warn!(
@@ -97,8 +99,8 @@
         );
         false
     };
-    let was_ended_by_agent = session.or(ended).await;
-    let had_order = shared.agent.end_session(epoch);
+    let was_ended_by_agent = running.or(ended).await;
+    let had_order = shared.agent.lose_session(&session);
     if was_ended_by_agent || had_order {
         Ending::Lost
     } else {
@@ -138,7 +140,7 @@
     read.or(write).await
 }
 
-/// Carries out the orders of the leader of `epoch` until the session ends. Returns `false` if the
+/// Carries out the orders of the leader of `session` until the session ends. Returns `false` if the
 /// session could not begin or the leader's orders ended, and `true` if the agent ended the session,
 /// for instance because the leader sent no heartbeat in time or was deposed.
 ///
@@ -146,17 +148,17 @@
 /// from its own writes that the store has another leader.
 pub(super) async fn run_session(
     shared: &Arc<Shared>,
-    epoch: Epoch,
-    reports: Sender<Report>,
+    session: &Arc<Session>,
     orders: Receiver<Vec<Order>>,
 ) -> bool {
+    let epoch = session.epoch();
     let hello = Hello {
         entry: shared.options.name.clone(),
         domain: shared.options.failure_domain.clone(),
         epoch,
-        known: shared.agent.begin_session(epoch, reports.clone()),
+        known: shared.agent.begin_session(session),
     };
-    if reports.send(Report::Hello(hello)).await.is_err() {
+    if !session.report(Report::Hello(hello)) {
         return false;
     }
     let mut heartbeat_due = clock::now() + HEARTBEAT_INTERVAL;
@@ -175,14 +177,15 @@
         let now = clock::now();
         if now >= heartbeat_due {
             heartbeat_due = now + HEARTBEAT_INTERVAL;
-            if reports.send(Report::Beat).await.is_err() {
+            if !session.report(Report::Beat) {
                 return true;
             }
         }
         for order in received {
-            shared.agent.execute(shared, order);
+            shared.agent.execute(shared, session, order);
         }
-        let (last_contact, store_age) = shared.agent.leader_health();
+        let last_contact = session.last_contact();
+        let store_age = shared.agent.store_age();
         if now.since(last_contact) > SILENCE_TIMEOUT {
             log::warn!(
                 "kind=leader-silent epoch={epoch} ms={}",
--- /dev/null
+++ b/src/serve/session.rs
@@ -0,0 +1,73 @@
+//! The session of this entry's agent with one leader, shared by the watchers that belong to it.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+
+use decision::clock::Ms;
+use scheduler::id::Epoch;
+use scheduler::message::Report;
+use scheduler::session;
+use smol::channel::Sender;
+
+use super::clock;
+use super::lock;
+
+/// A session and the channel of its reports. Each watcher owns the session that it was started in,
+/// so that a result that arrives late cannot reach a later leader.
+pub(super) struct Session {
+    epoch: Epoch,
+    rules: Mutex<session::Session>,
+    reports: Sender<Report>,
+}
+
+impl Session {
+    /// Begins a session whose reports go to `reports`.
+    pub(super) fn begin(epoch: Epoch, reports: Sender<Report>) -> Arc<Self> {
+        Arc::new(Self {
+            epoch,
+            rules: Mutex::new(session::Session::new(epoch, clock::now())),
+            reports,
+        })
+    }
+
+    pub(super) const fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Sends a report to the leader, or drops it if the session is not open. Returns whether it was
+    /// sent.
+    pub(super) fn report(&self, report: Report) -> bool {
+        // A report that cannot be sent is not needed: the next session reports everything again.
+        self.is_open() && self.reports.try_send(report).is_ok()
+    }
+
+    pub(super) fn record_contact(&self) {
+        lock(&self.rules).record_contact(clock::now());
+    }
+
+    pub(super) fn lose(&self) {
+        lock(&self.rules).lose();
+    }
+
+    pub(super) fn end(&self) {
+        lock(&self.rules).end();
+    }
+
+    pub(super) fn last_contact(&self) -> Ms {
+        lock(&self.rules).last_contact()
+    }
+
+    pub(super) fn is_open(&self) -> bool {
+        lock(&self.rules).is_open()
+    }
+
+    /// Returns the last contact with the leader if tasks may be started in this session.
+    pub(super) fn start_contact(&self) -> Option<Ms> {
+        lock(&self.rules).start_contact()
+    }
+
+    /// Returns the last contact with the leader if leases may be renewed in this session.
+    pub(super) fn renewal_contact(&self) -> Option<Ms> {
+        lock(&self.rules).renewal_contact()
+    }
+}
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -14,7 +14,6 @@
 use decision::name::Name;
 use scheduler::agent::Lease;
 use scheduler::agent::REPORT_INTERVAL;
-use scheduler::id::Epoch;
 use scheduler::leader::LEADER_CONTACT_TIMEOUT;
 use scheduler::message::Failure;
 use scheduler::message::Observation;
@@ -31,6 +30,7 @@
 use super::Shared;
 use super::clock;
 use super::lock;
+use super::session::Session;
 use super::sleep;
 
 /// The pause after a failed poll.
@@ -38,14 +38,14 @@
 /// The longest time that the next poll waits for the leader to acknowledge reported ends.
 const ACKNOWLEDGEMENT_TIMEOUT: Ms = Ms(250);
 
-/// Polls one worker and sends orders to it under the leader of one epoch. Each lock is held
+/// Polls one worker and sends orders to it in one session with a leader. Each lock is held
 /// briefly, never together with another lock and never across I/O.
 pub(super) struct Watcher {
     name: Name,
     address: SocketAddr,
     /// The address as the leader sent it.
     raw_address: Arc<str>,
-    epoch: Epoch,
+    session: Arc<Session>,
     lease: Mutex<Lease>,
     /// The incarnation of the worker and the number up to which the leader has acknowledged its
     /// ends.
@@ -62,14 +62,14 @@
     /// Starts to poll a worker.
     pub(super) fn start(
         shared: &Arc<Shared>,
-        epoch: Epoch,
+        session: Arc<Session>,
         watch: Watch,
     ) -> Result<Arc<Self>, AddrParseError> {
         let watcher = Arc::new(Self {
             name: watch.worker,
             address: watch.address.parse()?,
             raw_address: watch.address,
-            epoch,
+            session,
             lease: Mutex::new(Lease::new(shared.options.lease)),
             acknowledged: Mutex::new(watch.acknowledged),
             acknowledgement: smol::channel::bounded(1),
@@ -97,36 +97,34 @@
         (lease, lock(&self.known_runs).keys().cloned().collect())
     }
 
-    /// Sends an order to start a task, unless the lease cannot be renewed, and reports the outcome.
+    /// Sends an order to start a task, unless the session is over or the lease cannot be renewed, and
+    /// reports the outcome.
     pub(super) async fn start_task(self: Arc<Self>, shared: Arc<Shared>, start: Start) {
-        let (_, last_contact) = shared.agent.leader();
         let now = clock::now();
         let placement = start.placement();
-        let deadline = {
+        let deadline = self.session.start_contact().and_then(|last_contact| {
             let mut lease = lock(&self.lease);
             let deadline = lease.deadline(now, last_contact);
             if deadline.is_some() {
                 lease.record_renewal(now);
             }
             deadline
-        };
+        });
         let Some(deadline) = deadline else {
-            return shared
-                .agent
-                .notify_leader(Report::Started(placement, Outcome::Unsent));
+            self.session
+                .report(Report::Started(placement, Outcome::Unsent));
+            return;
         };
         lock(&self.known_runs).insert(placement.clone(), now);
         let workers = &shared.workers;
         let outcome = workers
-            .start(self.address, self.epoch, deadline, &start)
+            .start(self.address, self.session.epoch(), deadline, &start)
             .await;
         if !matches!(outcome, Outcome::Done | Outcome::Unknown) {
             lock(&self.known_runs).remove(&placement);
         }
         shared.instruments.record_start(outcome);
-        shared
-            .agent
-            .notify_leader(Report::Started(placement, outcome));
+        self.session.report(Report::Started(placement, outcome));
         if outcome == Outcome::Unknown {
             self.poll_now(&shared).await;
         }
@@ -142,11 +140,10 @@
     ) {
         let outcome = shared
             .workers
-            .stop(self.address, self.epoch, &placement)
+            .stop(self.address, self.session.epoch(), &placement)
             .await;
-        shared
-            .agent
-            .notify_leader(Report::Stopped(placement, outcome, clock::now()));
+        self.session
+            .report(Report::Stopped(placement, outcome, clock::now()));
         if polls_after && matches!(outcome, Outcome::Done | Outcome::Old) {
             self.poll_now(&shared).await;
         }
@@ -161,7 +158,7 @@
     ) {
         let workers = shared.workers.clone();
         let outcome = workers
-            .pace(self.address, self.epoch, &placement, percent)
+            .pace(self.address, self.session.epoch(), &placement, percent)
             .await;
         if outcome != Outcome::Done {
             log::warn!(
@@ -176,7 +173,7 @@
     fn poll_request(&self, deadline: Option<Ms>, wait: Ms) -> Poll {
         let acknowledged = *lock(&self.acknowledged);
         Poll {
-            epoch: self.epoch,
+            epoch: self.session.epoch(),
             deadline,
             acknowledged: lock(&self.lease).acknowledged(acknowledged),
             wait,
@@ -188,17 +185,19 @@
         // The sleep makes the time of this poll later than that of the preceding answer, because
         // times are in whole milliseconds.
         sleep(Ms(1)).await;
+        if !self.session.is_open() {
+            return;
+        }
         let sent_at = clock::now();
         let request = self.poll_request(None, Ms::ZERO);
         if let Ok(status) = shared.workers.poll(&self.name, self.address, request).await {
-            self.report(shared, sent_at, status, true);
+            self.report(sent_at, status, true);
         }
     }
 
     /// Makes one poll of the loop, which renews the lease if it may be renewed. Returns the pause
     /// before the next poll.
-    async fn poll(&self, shared: &Shared, reported_at: &mut Ms) -> Ms {
-        let (_, last_contact) = shared.agent.leader();
+    async fn poll(&self, shared: &Shared, last_contact: Ms, reported_at: &mut Ms) -> Ms {
         let sent_at = clock::now();
         if sent_at.since(last_contact) > LEADER_CONTACT_TIMEOUT {
             return RETRY_DELAY;
@@ -226,7 +225,7 @@
                     *reported_at = now;
                 }
                 if is_due || has_ends {
-                    self.report(shared, sent_at, status, is_due);
+                    self.report(sent_at, status, is_due);
                 }
                 if has_ends {
                     self.wait_for_acknowledgement().await;
@@ -254,7 +253,7 @@
                     // before the failure is reported.
                     return Ms::ZERO;
                 }
-                shared.agent.notify_leader(Report::PollFailed(Failure {
+                self.session.report(Report::PollFailed(Failure {
                     worker: self.name.clone(),
                     renewal_age,
                     is_closed: matches!(error, Error::Closed),
@@ -272,7 +271,7 @@
         acknowledged.or(sleep(ACKNOWLEDGEMENT_TIMEOUT)).await;
     }
 
-    fn report(&self, shared: &Shared, sent_at: Ms, status: Status, includes_running: bool) {
+    fn report(&self, sent_at: Ms, status: Status, includes_running: bool) {
         {
             let mut known = lock(&self.known_runs);
             known.retain(|_, since| *since >= sent_at);
@@ -290,7 +289,7 @@
                 known.entry(placement).or_insert(Ms::ZERO);
             }
         }
-        shared.agent.notify_leader(Report::Polled(Observation {
+        self.session.report(Report::Polled(Observation {
             worker: self.name.clone(),
             incarnation: status.incarnation,
             polled_at: sent_at,
@@ -300,11 +299,14 @@
     }
 }
 
-/// Polls a worker until its [`Watcher`] is dropped.
+/// Polls a worker until its [`Watcher`] is dropped or its session has ended.
 async fn poll_while_watched(shared: Arc<Shared>, watcher: Weak<Watcher>) {
     let mut reported_at = Ms::ZERO;
     while let Some(watcher) = watcher.upgrade() {
-        let pause = watcher.poll(&shared, &mut reported_at).await;
+        let Some(last_contact) = watcher.session.renewal_contact() else {
+            return;
+        };
+        let pause = watcher.poll(&shared, last_contact, &mut reported_at).await;
         drop(watcher);
         if pause > Ms::ZERO {
             sleep(pause).await;
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -58,6 +58,34 @@
     pub violations: Vec<String>,
     /// Whether tasks that start now run until they are stopped.
     pub runs_forever: bool,
+    /// Which polls are held back; `None` answers all.
+    pub held_polls: Option<HeldPolls>,
+}
+
+/// Holds back the polls of the leader of one epoch until a later leader polls, whose own polls get
+/// no answer.
+pub struct HeldPolls {
+    pub epoch: Epoch,
+    /// Whether a poll of a later leader has arrived.
+    pub has_later: bool,
+    /// The number of held polls that have been answered since.
+    pub answered: u32,
+}
+
+impl HeldPolls {
+    pub const fn of(epoch: Epoch) -> Self {
+        Self {
+            epoch,
+            has_later: false,
+            answered: 0,
+        }
+    }
+
+    /// Returns whether a poll with this fencing token may be answered now.
+    fn may_answer(&mut self, token: Epoch) -> bool {
+        self.has_later |= token > self.epoch;
+        self.has_later && token <= self.epoch
+    }
 }
 
 /// A fake platform on loopback and a client of its entries.
@@ -231,6 +259,11 @@
 }
 
 impl Entry {
+    /// Returns what the entry has logged so far.
+    pub fn read_log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([signal, &id]).status();
@@ -320,17 +353,8 @@
             if path != "/hold" {
                 return cluster.order(name, now, path, token, body);
             }
-            let worker = cluster.workers.get_mut(name).expect("the worker exists");
-            if !worker.accept_token(token) {
-                return refusal("fence");
-            }
-            if let Some(deadline) = body["deadlineMs"].as_u64() {
-                worker.extend_lease(now, deadline);
-            }
-            let upto = body["ackedUpto"].as_u64().unwrap_or(0);
-            worker.ends.retain(|end| end.number > upto);
-            if !worker.ends.is_empty() || now >= end {
-                return (StatusCode::OK, status_json(worker, now));
+            if let Some(response) = cluster.poll(name, now, end, token, body) {
+                return response;
             }
         }
         Timer::after(Duration::from_millis(5)).await;
@@ -377,6 +401,37 @@
         }
     }
 
+    /// Returns the response to a poll, or `None` while the poll waits.
+    fn poll(
+        &mut self,
+        name: &str,
+        now: u64,
+        end: u64,
+        token: Epoch,
+        body: &Value,
+    ) -> Option<(StatusCode, Value)> {
+        let held = self.held_polls.as_mut();
+        if held.is_some_and(|held| !held.may_answer(token)) {
+            return None;
+        }
+        let worker = self.workers.get_mut(name).expect("the worker exists");
+        if !worker.accept_token(token) {
+            return Some(refusal("fence"));
+        }
+        if let Some(deadline) = body["deadlineMs"].as_u64() {
+            worker.extend_lease(now, deadline);
+        }
+        let upto = body["ackedUpto"].as_u64().unwrap_or(0);
+        worker.ends.retain(|end| end.number > upto);
+        if worker.ends.is_empty() && now < end {
+            return None;
+        }
+        if let Some(held) = &mut self.held_polls {
+            held.answered += 1;
+        }
+        Some((StatusCode::OK, status_json(worker, now)))
+    }
+
     fn order(
         &mut self,
         name: &str,
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -2,6 +2,7 @@
 
 mod fleet;
 mod proxy;
+mod sessions;
 mod soak;
 mod store;
 #[allow(
--- /dev/null
+++ b/tests/serve/sessions.rs
@@ -0,0 +1,63 @@
+//! Tests of the sessions of agents, and of leaderships, that end because of a later leader.
+
+use std::thread;
+use std::time::Duration;
+
+use crate::JOB;
+use crate::fleet::Entry;
+use crate::fleet::Fleet;
+use crate::fleet::HeldPolls;
+use crate::fleet::wait_until;
+use crate::start;
+
+/// Starts a leader and then an agent that polls the only worker.
+fn start_leader_and_agent(fleet: &Fleet) -> (Entry, Entry) {
+    let leader = start(fleet, &["a"]).remove(0);
+    wait_until("the first leader", 5_000, || {
+        leader.read_log().contains("kind=worker-known")
+    });
+    let agent = start(fleet, &["b"]).remove(0);
+    wait_until("the agent", 5_000, || {
+        leader.read_log().contains("kind=agent-joined agent=b")
+    });
+    // The agent polls the worker by the end of this sleep.
+    thread::sleep(Duration::from_millis(1_500));
+    (leader, agent)
+}
+
+/// A poll of an agent's earlier session may be answered after the next session began. Its list is
+/// older than the last orders of the earlier leader, and the worker has not seen the new token.
+#[test]
+fn an_answer_to_a_poll_of_an_earlier_leader_does_not_count_for_the_next_one() {
+    let fleet = Fleet::start(1);
+    let (mut leader, agent) = start_leader_and_agent(&fleet);
+    {
+        let mut cluster = fleet.cluster.lock().expect("no holder of this lock panics");
+        let epoch = cluster.workers["i-0"].fencing_token;
+        cluster.held_polls = Some(HeldPolls::of(epoch));
+    }
+    leader.signal("-KILL");
+    leader.wait();
+    wait_until("an answer to a held poll", 10_000, || {
+        let cluster = fleet.cluster.lock().expect("no holder of this lock panics");
+        let held = cluster.held_polls.as_ref();
+        held.is_some_and(|held| held.answered > 0)
+    });
+    thread::sleep(Duration::from_millis(700));
+    let log = agent.read_log();
+    assert!(
+        !log.contains("kind=worker-known"),
+        "the leader counts a worker as known that has answered none of its polls: {log}"
+    );
+    fleet
+        .cluster
+        .lock()
+        .expect("no holder of this lock panics")
+        .held_polls = None;
+    let path = "/q/00000000000000c1";
+    assert_eq!(fleet.send(agent.customer, "POST", path, JOB).0, 200);
+    wait_until("completion", 20_000, || {
+        fleet.state(agent.customer, "00000000000000c1") == "completed"
+    });
+    fleet.assert_no_violations();
+}
