Resign for certain after each leadership that may begin again

What callers could see: a leader that a worker had fenced led again in the same epoch and numbered its runs from 1 again, so two starts could carry the same run number, which a worker takes for one and the same run.

Cause: only a suspended leader resigned and waited for the store to confirm it. With the reason "fenced by a worker" the record still named this entry, so the election began the same epoch anew.

Evidence: the new test lets the worker see a higher token while the store still shows the leader.

Change: the end of a leadership says whether the store has shown another record (or confirmed the resignation). Every other end, also one with a reason still to come, goes through the confirmed resignation. What resigns moves from lead.rs to resign.rs.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -13,6 +13,7 @@
 pub mod options;
 mod peers;
 mod persist;
+mod resign;
 mod rows;
 mod session;
 mod watch;
@@ -329,7 +330,7 @@
 async fn stop(shared: &Arc<Shared>, front: &Server, ready: Option<&Server>) {
     log::info!("kind=process-stopping");
     shared.is_stopping.store(true, Ordering::SeqCst);
-    lead::resign(shared).await;
+    resign::resign(shared).await;
     let stop_time = shared.options.stop.since(CLOSE_MARGIN);
     sleep(DRAIN_TIME.min(stop_time)).await;
     let close_time = stop_time.since(DRAIN_TIME);
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -14,7 +14,6 @@
 use decision::name::Name;
 use scheduler::config::Config;
 use scheduler::election;
-use scheduler::election::Record;
 use scheduler::id::Epoch;
 use scheduler::id::Step;
 use scheduler::leader::Action;
@@ -38,6 +37,8 @@
 use super::lock;
 use super::peers;
 use super::persist;
+use super::resign;
+use super::resign::End;
 use super::rows;
 use super::session::Session;
 use super::sleep;
@@ -49,6 +50,8 @@
 const SUSPENSION_THRESHOLD: Ms = Ms(1_500);
 /// The reason given when the driver loop paused for [`SUSPENSION_THRESHOLD`] or longer.
 const SUSPENDED: &str = "suspended";
+/// The reason given when the store refused a write because it has another leader record.
+const REPLACED: &str = "the store has another leader";
 /// Attempts at a write that conflicts because the heartbeat row has a newer version.
 const MAX_WRITE_ATTEMPTS: usize = 3;
 /// The most inputs that are handled before the leader schedules tasks.
@@ -67,8 +70,8 @@
     Config(Arc<Config>, Arc<[u8]>),
     /// The result of the write that an agent requested under this number.
     Stored(Name, u64, Storage),
-    /// This entry has to stop leading, for this reason.
-    Deposed(&'static str),
+    /// This entry has to stop leading.
+    Ended(End),
 }
 
 /// The leadership of this entry in one epoch, shared by the tasks that send inputs or write rows.
@@ -212,43 +215,16 @@
         ))),
     ];
     let mut driver = Driver::new(shared, &leadership, queue);
-    let reason = driver.run().await;
+    let end = driver.run().await;
     drop(tasks);
     *lock(&shared.leadership) = None;
     shared.agent.end_session(epoch);
-    log::warn!("kind=lead-ended epoch={epoch} reason={reason:?}");
-    if reason == SUSPENDED {
-        resign_until_confirmed(shared, epoch).await;
+    log::warn!("kind=lead-ended epoch={epoch} reason={:?}", end.reason());
+    if let End::Unconfirmed(_) = end {
+        resign::resign_until_confirmed(shared, epoch).await;
     }
 }
 
-/// Resigns and retries until the store confirms it, because leading again in the same epoch would
-/// reuse run numbers.
-async fn resign_until_confirmed(shared: &Shared, epoch: Epoch) {
-    while let Err(error) = write_vacant_record(shared, epoch).await {
-        if matches!(error, Error::Conflict(_)) {
-            return;
-        }
-        log::warn!("kind=resign-failed cause={:?}", error.to_string());
-        sleep(election::CHECK_INTERVAL).await;
-    }
-}
-
-/// Writes a leader record without an entry, if the record still has this epoch.
-async fn write_vacant_record(shared: &Shared, epoch: Epoch) -> Result<(), Error> {
-    let record = Record {
-        entry: None,
-        instance: shared.instance,
-        address: Arc::from(""),
-    };
-    let transaction = Transaction {
-        expected: vec![(rows::record(), epoch.0)],
-        puts: vec![(rows::record(), rows::encode(&record))],
-        removed: Vec::new(),
-    };
-    shared.store.transact(&transaction).await.map(drop)
-}
-
 type BoxedTask = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
 
 /// Runs the agent on the leader's own entry over channels instead of a connection, and starts a new
@@ -310,7 +286,7 @@
         match leadership.write(&shared, Transaction::default()).await {
             Ok(()) => {}
             Err(Error::Conflict(_)) => {
-                leadership.send(Input::Deposed("the store has another leader"))
+                leadership.send(Input::Ended(End::Confirmed(REPLACED)));
             }
             Err(error) => log::warn!("kind=beat-unconfirmed cause={:?}", error.to_string()),
         }
@@ -318,17 +294,6 @@
     }
 }
 
-/// Gives up the leadership, so that another entry can take over at once.
-pub(super) async fn resign(shared: &Arc<Shared>) {
-    let Some(leadership) = shared.leadership() else {
-        return;
-    };
-    match write_vacant_record(shared, leadership.epoch).await {
-        Ok(()) => leadership.send(Input::Deposed("resigned")),
-        Err(error) => log::warn!("kind=resign-failed cause={:?}", error.to_string()),
-    }
-}
-
 /// The loop that owns the leader and the connections of its agents.
 struct Driver {
     shared: Arc<Shared>,
@@ -339,8 +304,8 @@
     agents: BTreeMap<Name, (u64, Sender<Vec<Order>>)>,
     /// Orders by agent since the last flush.
     outgoing: BTreeMap<Name, Vec<Order>>,
-    /// Why the driver has to end; `None` while it leads.
-    end_reason: Option<&'static str>,
+    /// How the driver has to end; `None` while it leads.
+    end: Option<End>,
 }
 
 impl Driver {
@@ -358,11 +323,11 @@
             queue,
             agents: BTreeMap::new(),
             outgoing: BTreeMap::new(),
-            end_reason: None,
+            end: None,
         }
     }
 
-    async fn run(&mut self) -> &'static str {
+    async fn run(&mut self) -> End {
         if let Some(config) = self.shared.config() {
             self.handle_event(Event::Config(config));
         }
@@ -370,8 +335,8 @@
         let mut tick_due = last_active;
         let mut heartbeat_due = clock::now();
         loop {
-            if let Some(reason) = self.end_reason {
-                return reason;
+            if let Some(end) = self.end {
+                return end;
             }
             let queue = self.queue.clone();
             let next = async { queue.recv().await.ok() };
@@ -382,7 +347,7 @@
             };
             let input = next.or(timer).await;
             if clock::now().since(last_active) >= SUSPENSION_THRESHOLD {
-                return SUSPENDED;
+                return End::Unconfirmed(SUSPENDED);
             }
             last_active = clock::now();
             if let Some(input) = input {
@@ -453,7 +418,7 @@
                     self.handle_event(Event::Left(entry));
                 }
             }
-            Input::Deposed(reason) => self.end_reason = Some(reason),
+            Input::Ended(end) => self.end = Some(end),
         }
     }
 
@@ -473,7 +438,7 @@
                 Action::Send(agent, order) => self.outgoing.entry(agent).or_default().push(order),
                 Action::Commit(commit) => self.commit(&commit),
                 Action::Advise(step, workers) => self.advise(step, workers),
-                Action::Resign(reason) => self.end_reason = Some(reason),
+                Action::Resign(reason) => self.end = Some(End::Unconfirmed(reason)),
                 Action::Log(line) => log::info!("epoch={} {line}", self.leadership.epoch),
             }
         }
@@ -538,7 +503,7 @@
         let write = async move {
             let input = match leadership.write(&shared, transaction).await {
                 Ok(()) => Input::Event(Event::Committed),
-                Err(Error::Conflict(_)) => Input::Deposed("the store has another leader"),
+                Err(Error::Conflict(_)) => Input::Ended(End::Confirmed(REPLACED)),
                 Err(error) => {
                     log::warn!("kind=commit-unconfirmed cause={:?}", error.to_string());
                     Input::Event(Event::CommitUnconfirmed)
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -242,6 +242,15 @@
         value["state"].as_str().unwrap_or_default().into()
     }
 
+    /// Lets a worker see the fencing token of a leader that the store does not show yet. The next
+    /// leader has at least this token.
+    pub fn fence(&self, worker: &str) {
+        let token = Epoch(self.store.version() + 1);
+        let mut cluster = self.cluster.lock().expect("no holder of this lock panics");
+        let worker = cluster.workers.get_mut(worker).expect("the worker exists");
+        assert!(worker.accept_token(token), "{token} is the highest token");
+    }
+
     /// Panics if a worker has observed a violation.
     pub fn assert_no_violations(&self) {
         let cluster = self.cluster.lock().expect("no holder of this lock panics");
--- a/tests/serve/sessions.rs
+++ b/tests/serve/sessions.rs
@@ -1,5 +1,6 @@
 //! Tests of the sessions of agents, and of leaderships, that end because of a later leader.
 
+use std::collections::BTreeSet;
 use std::thread;
 use std::time::Duration;
 
@@ -10,6 +11,14 @@
 use crate::fleet::wait_until;
 use crate::start;
 
+/// Returns the epochs in which an entry began to lead, in order.
+fn epochs_led(entry: &Entry) -> Vec<String> {
+    let log = entry.read_log();
+    let begun = log.split("kind=lead-begun epoch=").skip(1);
+    let epochs = begun.filter_map(|rest| rest.split_whitespace().next());
+    epochs.map(str::to_owned).collect()
+}
+
 /// Starts a leader and then an agent that polls the only worker.
 fn start_leader_and_agent(fleet: &Fleet) -> (Entry, Entry) {
     let leader = start(fleet, &["a"]).remove(0);
@@ -61,3 +70,30 @@
     });
     fleet.assert_no_violations();
 }
+
+/// A leader that a worker refuses while the store still shows its record must not begin to lead
+/// again in the same epoch, because it would issue the same run numbers again.
+#[test]
+fn a_leader_fenced_by_a_worker_leads_anew_in_a_later_epoch() {
+    let fleet = Fleet::start(1);
+    let entry = start(&fleet, &["a"]).remove(0);
+    wait_until("the worker", 5_000, || {
+        entry.read_log().contains("kind=worker-known")
+    });
+    fleet.fence("i-0");
+    let path = "/q/00000000000000c2";
+    assert_eq!(fleet.send(entry.customer, "POST", path, JOB).0, 200);
+    wait_until("the next leadership", 10_000, || {
+        epochs_led(&entry).len() >= 2
+    });
+    let epochs = epochs_led(&entry);
+    let distinct: BTreeSet<&String> = epochs.iter().collect();
+    assert_eq!(distinct.len(), epochs.len(), "epochs led: {epochs:?}");
+    wait_until("completion", 20_000, || {
+        fleet.state(entry.customer, "00000000000000c2") == "completed"
+    });
+    let epochs = epochs_led(&entry);
+    let distinct: BTreeSet<&String> = epochs.iter().collect();
+    assert_eq!(distinct.len(), epochs.len(), "epochs led: {epochs:?}");
+    fleet.assert_no_violations();
+}
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -76,6 +76,12 @@
         self.refuses_writes.store(refuses, Ordering::SeqCst);
     }
 
+    /// Returns the version of the newest write.
+    pub fn version(&self) -> u64 {
+        let state = self.state.lock().expect("no holder of this lock panics");
+        state.version
+    }
+
     /// Whether the write to delay has arrived.
     pub fn has_delayed(&self) -> bool {
         !self.delays_progress.load(Ordering::SeqCst)
