Log for which leader a worker is polled, and the age of its lease

Change: look-failed has epoch= and renewed_ago_ms= (`none` without a renewal), and a watcher logs watch-begun and watch-ended with its epoch. The former keys stay. Lease::renewal_age tells an absent renewal from an old one; reports to the leader are unchanged.

Evidence: the new test of tests/serve reads these lines from the log of a real entry whose worker is silent first, answers, falls silent again, and whose leader is then suspended.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -113,6 +113,12 @@
         }
     }
 
+    /// Returns the time since the last renewal, or `None` if there was none.
+    #[must_use]
+    pub fn renewal_age(&self, now: Ms) -> Option<Ms> {
+        self.renewed.map(|at| now.since(at))
+    }
+
     /// Returns whether the last poll got no answer.
     #[must_use]
     pub const fn is_unresponsive(&self) -> bool {
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -78,6 +78,7 @@
         });
         let polls = poll_while_watched(Arc::clone(shared), Arc::downgrade(&watcher));
         *lock(&watcher.polling) = Some(shared.spawner.spawn(polls));
+        log::info!("kind=watch-begun worker={} epoch={epoch}", watcher.name);
         Ok(watcher)
     }
 
@@ -235,10 +236,13 @@
             }
             Err(error) => {
                 let now = clock::now();
+                let renewal_age = lock(&self.lease).renewal_age(now);
                 log::info!(
-                    "kind=look-failed worker={} ms={} cause={:?}",
+                    "kind=look-failed worker={} epoch={} ms={} renewed_ago_ms={} cause={:?}",
                     self.name,
+                    self.epoch,
                     now.since(sent_at).0,
+                    renewal_age.map_or_else(|| "none".into(), |age| age.0.to_string()),
                     error.to_string()
                 );
                 if matches!(error, Error::Fenced) {
@@ -300,6 +304,12 @@
     }
 }
 
+impl Drop for Watcher {
+    fn drop(&mut self) {
+        log::info!("kind=watch-ended worker={} epoch={}", self.name, self.epoch);
+    }
+}
+
 /// Polls a worker until its [`Watcher`] is dropped.
 async fn poll_while_watched(shared: Arc<Shared>, watcher: Weak<Watcher>) {
     let mut reported_at = Ms::ZERO;
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -388,3 +388,53 @@
     wait_until("the lapse", 15_000, || value("lapses_total") == Some(1));
     assert_eq!(values(), [Some(1), Some(0), Some(0)]);
 }
+
+/// Returns the values of a key in the log lines of a kind.
+fn logged(entry: &Entry, kind: &str, key: &str) -> Vec<String> {
+    let log = std::fs::read_to_string(&entry.log).unwrap_or_default();
+    let (kind, key) = (format!("kind={kind}"), format!("{key}="));
+    let lines = log
+        .lines()
+        .map(|line| line.split(' ').collect::<Vec<_>>())
+        .filter(|words| words.contains(&kind.as_str()));
+    lines
+        .filter_map(|words| words.iter().find_map(|word| word.strip_prefix(&*key)))
+        .map(str::to_owned)
+        .collect()
+}
+
+#[test]
+fn the_log_tells_for_which_leader_a_worker_was_polled_and_since_when_its_lease_runs() {
+    let fleet = Fleet::start(1);
+    fleet.worker_proxies[0].set(proxy::Mode::Stall);
+    let entries = start(&fleet, &["a"]);
+    let entry = &entries[0];
+    wait_until("a failed poll without a lease", 10_000, || {
+        !logged(entry, "look-failed", "renewed_ago_ms").is_empty()
+    });
+    assert_eq!(logged(entry, "look-failed", "renewed_ago_ms")[0], "none");
+    let first = logged(entry, "lead-begun", "epoch");
+    assert_eq!(logged(entry, "look-failed", "epoch")[0], first[0]);
+    assert_eq!(logged(entry, "watch-begun", "epoch"), first);
+    fleet.worker_proxies[0].set(proxy::Mode::Pass);
+    wait_until("an answer of the worker", 10_000, || {
+        !logged(entry, "worker-known", "worker").is_empty()
+    });
+    // The poll after an answer renews the lease.
+    std::thread::sleep(std::time::Duration::from_millis(1_000));
+    fleet.worker_proxies[0].set(proxy::Mode::Stall);
+    wait_until("a failed poll with a lease", 10_000, || {
+        let ages = logged(entry, "look-failed", "renewed_ago_ms");
+        ages.iter()
+            .any(|age| age.parse().is_ok_and(|age: u64| age < 10_000))
+    });
+    entry.signal("-STOP");
+    std::thread::sleep(std::time::Duration::from_millis(2_500));
+    entry.signal("-CONT");
+    wait_until("the polls for the next leader", 10_000, || {
+        logged(entry, "watch-begun", "epoch").len() == 2
+            && logged(entry, "watch-ended", "epoch") == first
+    });
+    let epochs = logged(entry, "lead-begun", "epoch");
+    assert_eq!(logged(entry, "watch-begun", "epoch"), epochs);
+}
