Leave a leader whose poll a worker refused for its fencing token

What callers could see: an agent whose poll a worker refused went on renewing the leases of its other workers for the deposed leader, while the leader that had replaced it counts leases as expired. The refused call was repeated each 3 s with the same token.

Cause: the refusal proves that a later leader exists, but the agent only paused the polls of that worker, and a leader did not learn of a refused poll of its own agent.

Evidence: the new test of real processes lets the worker see a higher token. That leases were renewed meanwhile was read from the code, not seen in a run.

Change: a refused poll ends its own session, and no other, at once (kind=leader-deposed reason=fenced-by-worker). The agent does not follow a leader up to the refused epoch again but reads the store until another record shows. If the agent is that of the leader's own entry, the leadership ends and resigns. The line for a leader that the store shows to be replaced or silent now says reason=replaced-or-silent; its keys stay. No message changes, so a leader still learns nothing of a poll that was refused to an agent of another entry.

No token is refused more than four times in the test.

--- a/crates/scheduler/src/session.rs
+++ b/crates/scheduler/src/session.rs
@@ -23,6 +23,7 @@
     epoch: Epoch,
     last_contact: Ms,
     state: State,
+    is_fenced: bool,
 }
 
 impl Session {
@@ -33,6 +34,7 @@
             epoch,
             last_contact: now,
             state: State::Open,
+            is_fenced: false,
         }
     }
 
@@ -67,6 +69,19 @@
         self.state = State::Ended;
     }
 
+    /// Records that a worker refused a call of this session because it has seen a higher fencing
+    /// token. This proves that a later leader exists, so the session ends.
+    pub const fn fence(&mut self) {
+        self.is_fenced = true;
+        self.end();
+    }
+
+    /// Returns whether a worker has refused a call of this session for its fencing token.
+    #[must_use]
+    pub const fn is_fenced(&self) -> bool {
+        self.is_fenced
+    }
+
     /// Returns whether reports reach the leader of this session. Those of a session that is not
     /// open go nowhere: under another leader they would pass for answers to its own calls.
     #[must_use]
--- a/crates/scheduler/tests/session.rs
+++ b/crates/scheduler/tests/session.rs
@@ -16,6 +16,11 @@
     session
 }
 
+fn fenced(mut session: Session) -> Session {
+    session.fence();
+    session
+}
+
 #[test]
 fn a_session_reports_starts_and_renews_by_its_state() {
     let begin = || Session::new(Epoch(7), BEGUN);
@@ -25,6 +30,8 @@
         ("ended", ended(begin()), false, None, None),
         ("lost, ended", ended(lost(begin())), false, None, None),
         ("ended, lost", lost(ended(begin())), false, None, None),
+        ("fenced", fenced(begin()), false, None, None),
+        ("lost, fenced", fenced(lost(begin())), false, None, None),
     ];
     for (case, session, is_open, start, renewal) in cases {
         assert_eq!(session.is_open(), is_open, "{case}");
@@ -42,6 +49,7 @@
         ("open", begin(), Ms(1_400)),
         ("lost", lost(begin()), BEGUN),
         ("ended", ended(begin()), BEGUN),
+        ("fenced", fenced(begin()), BEGUN),
     ];
     for (case, mut session, last_contact) in cases {
         session.record_contact(Ms(1_400));
@@ -49,6 +57,15 @@
     }
 }
 
+/// A refusal that arrives after the next session began does not concern that session.
+#[test]
+fn a_refused_token_ends_only_the_session_of_the_call() {
+    let later = Session::new(Epoch(9), Ms(1_200));
+    let earlier = fenced(ended(Session::new(Epoch(7), BEGUN)));
+    assert!(earlier.is_fenced() && !later.is_fenced());
+    assert!(later.is_open());
+}
+
 /// The leader of one epoch may be followed again over another connection. Results of the earlier
 /// session then belong to neither.
 #[test]
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -39,6 +39,9 @@
 struct State {
     /// The current or last session; `None` before the first.
     session: Option<Arc<Session>>,
+    /// The highest epoch that a worker has refused as a fencing token; `None` before the first
+    /// refusal. Leaders up to this epoch have been replaced.
+    refused_epoch: Option<Epoch>,
     /// Whether the leader has sent an order in this session.
     has_order: bool,
     watchers: HashMap<Name, Arc<Watcher>>,
@@ -114,6 +117,19 @@
         }
     }
 
+    /// Ends a session in which a worker refused a poll for its fencing token.
+    pub(super) fn fence(&self, session: &Session) {
+        session.fence();
+        let mut state = lock(&self.state);
+        state.refused_epoch = state.refused_epoch.max(Some(session.epoch()));
+    }
+
+    /// Returns whether a worker has shown that the leader of `epoch` has been replaced.
+    pub(super) fn is_refused(&self, epoch: Epoch) -> bool {
+        let refused = lock(&self.state).refused_epoch;
+        refused.is_some_and(|refused| epoch <= refused)
+    }
+
     /// Returns the age of the leader's last confirmed write according to its last heartbeat.
     pub(super) fn store_age(&self) -> Ms {
         lock(&self.state).heartbeat.store_age
--- a/src/serve/election.rs
+++ b/src/serve/election.rs
@@ -90,6 +90,11 @@
             sleep(election::CHECK_INTERVAL).await;
             continue;
         };
+        if shared.agent.is_refused(epoch) {
+            // A later leader exists, and the next read may show its record.
+            sleep(election::CHECK_INTERVAL).await;
+            continue;
+        }
         match peers::follow(&shared, epoch, &record).await {
             Ending::Refused => refusals += 1,
             Ending::Lost => refusals = 0,
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -50,6 +50,8 @@
 const SUSPENSION_THRESHOLD: Ms = Ms(1_500);
 /// The reason given when the driver loop paused for [`SUSPENSION_THRESHOLD`] or longer.
 const SUSPENDED: &str = "suspended";
+/// The reason given when a worker refused the fencing token of this leader in a poll.
+const FENCED: &str = "fenced by a worker";
 /// The reason given when the store refused a write because it has another leader record.
 const REPLACED: &str = "the store has another leader";
 /// Attempts at a write that conflicts because the heartbeat row has a newer version.
@@ -228,7 +230,7 @@
 type BoxedTask = std::pin::Pin<Box<dyn Future<Output = ()> + Send>>;
 
 /// Runs the agent on the leader's own entry over channels instead of a connection, and starts a new
-/// session whenever one ends.
+/// session whenever one ends. A session that a worker's refusal ended also ends the leadership.
 async fn run_own_agent(shared: Arc<Shared>, leadership: Arc<Leadership>) {
     let entry = shared.options.name.clone();
     loop {
@@ -244,12 +246,15 @@
                 }
             }
         };
-        let session = async {
-            let session = Session::begin(leadership.epoch, reports);
+        let session = Session::begin(leadership.epoch, reports);
+        let running = async {
             peers::run_session(&shared, &session, orders).await;
         };
-        relay.or(session).await;
+        relay.or(running).await;
         log::warn!("kind=own-agent-lost epoch={}", leadership.epoch);
+        if session.is_fenced() {
+            return leadership.send(Input::Ended(End::Unconfirmed(FENCED)));
+        }
         if let Some(connection) = connection {
             leadership.send(Input::Left(entry.clone(), connection));
         }
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -166,14 +166,22 @@
     let mut check: Option<Task<bool>> = None;
     loop {
         let next = async { orders.recv().await.ok() };
+        let fenced = async {
+            session.wait_for_fence().await;
+            Some(Vec::new())
+        };
         let pause = Duration::from_millis(heartbeat_due.since(clock::now()).0);
         let timer = async {
             Timer::after(pause).await;
             Some(Vec::new())
         };
-        let Some(received) = next.or(timer).await else {
+        let Some(received) = fenced.or(next).or(timer).await else {
             return false;
         };
+        if session.is_fenced() {
+            log::warn!("kind=leader-deposed epoch={epoch} reason=fenced-by-worker");
+            return true;
+        }
         let now = clock::now();
         if now >= heartbeat_due {
             heartbeat_due = now + HEARTBEAT_INTERVAL;
@@ -212,7 +220,7 @@
         }
         if checked == Some(true) {
             log::warn!(
-                "kind=leader-deposed epoch={epoch} store_age_ms={}",
+                "kind=leader-deposed epoch={epoch} reason=replaced-or-silent store_age_ms={}",
                 store_age.0
             );
             return true;
--- a/src/serve/session.rs
+++ b/src/serve/session.rs
@@ -7,6 +7,7 @@
 use scheduler::id::Epoch;
 use scheduler::message::Report;
 use scheduler::session;
+use smol::channel::Receiver;
 use smol::channel::Sender;
 
 use super::clock;
@@ -18,6 +19,8 @@
     epoch: Epoch,
     rules: Mutex<session::Session>,
     reports: Sender<Report>,
+    /// Signals that a worker refused a call of this session for its fencing token.
+    refusal: (Sender<()>, Receiver<()>),
 }
 
 impl Session {
@@ -27,6 +30,7 @@
             epoch,
             rules: Mutex::new(session::Session::new(epoch, clock::now())),
             reports,
+            refusal: smol::channel::bounded(1),
         })
     }
 
@@ -53,6 +57,23 @@
         lock(&self.rules).end();
     }
 
+    /// Ends the session because a worker refused a call of it for its fencing token.
+    pub(super) fn fence(&self) {
+        lock(&self.rules).fence();
+        // The channel holds one signal, and a signal that is already queued is enough.
+        let _ = self.refusal.0.try_send(());
+    }
+
+    pub(super) fn is_fenced(&self) -> bool {
+        lock(&self.rules).is_fenced()
+    }
+
+    /// Waits until a worker refuses a call of this session for its fencing token.
+    pub(super) async fn wait_for_fence(&self) {
+        // This value owns both ends of the channel, so receiving cannot fail.
+        let _ = self.refusal.1.recv().await;
+    }
+
     pub(super) fn last_contact(&self) -> Ms {
         lock(&self.rules).last_contact()
     }
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -190,8 +190,10 @@
         }
         let sent_at = clock::now();
         let request = self.poll_request(None, Ms::ZERO);
-        if let Ok(status) = shared.workers.poll(&self.name, self.address, request).await {
-            self.report(sent_at, status, true);
+        match shared.workers.poll(&self.name, self.address, request).await {
+            Ok(status) => self.report(sent_at, status, true),
+            Err(Error::Fenced) => shared.agent.fence(&self.session),
+            Err(_) => {}
         }
     }
 
@@ -241,7 +243,8 @@
                     error.to_string()
                 );
                 if matches!(error, Error::Fenced) {
-                    return LEADER_CONTACT_TIMEOUT;
+                    shared.agent.fence(&self.session);
+                    return Ms::ZERO;
                 }
                 let (renewal_age, is_first_failure) = {
                     let mut lease = lock(&self.lease);
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -60,6 +60,9 @@
     pub runs_forever: bool,
     /// Which polls are held back; `None` answers all.
     pub held_polls: Option<HeldPolls>,
+    /// How often a call with this fencing token was refused because the worker had seen a higher
+    /// one.
+    pub fenced_calls: BTreeMap<Epoch, u32>,
 }
 
 /// Holds back the polls of the leader of one epoch until a later leader polls, whose own polls get
@@ -425,7 +428,7 @@
         }
         let worker = self.workers.get_mut(name).expect("the worker exists");
         if !worker.accept_token(token) {
-            return Some(refusal("fence"));
+            return Some(self.refuse_token(token));
         }
         if let Some(deadline) = body["deadlineMs"].as_u64() {
             worker.extend_lease(now, deadline);
@@ -441,6 +444,11 @@
         Some((StatusCode::OK, status_json(worker, now)))
     }
 
+    fn refuse_token(&mut self, token: Epoch) -> (StatusCode, Value) {
+        *self.fenced_calls.entry(token).or_default() += 1;
+        refusal("fence")
+    }
+
     fn order(
         &mut self,
         name: &str,
@@ -463,7 +471,7 @@
         let runs_forever = self.runs_forever;
         let worker = self.workers.get_mut(name).expect("the worker exists");
         if !worker.accept_token(token) {
-            return refusal("fence");
+            return self.refuse_token(token);
         }
         let outcome = match path {
             "/run-start" => {
--- a/tests/serve/sessions.rs
+++ b/tests/serve/sessions.rs
@@ -97,3 +97,35 @@
     assert_eq!(distinct.len(), epochs.len(), "epochs led: {epochs:?}");
     fleet.assert_no_violations();
 }
+
+/// A refused poll shows that a later leader exists. The agent leaves the leader that it polled for,
+/// and a leader whose own agent is refused stops leading.
+#[test]
+fn a_refused_poll_ends_the_session_and_the_leadership() {
+    let fleet = Fleet::start(1);
+    let (leader, agent) = start_leader_and_agent(&fleet);
+    fleet.fence("i-0");
+    wait_until("the end of the session", 5_000, || {
+        let log = agent.read_log();
+        let mut lines = log.lines();
+        lines.any(|line| {
+            line.contains("kind=leader-deposed") && line.contains("reason=fenced-by-worker")
+        })
+    });
+    wait_until("the end of the leadership", 10_000, || {
+        leader.read_log().contains("kind=lead-ended")
+    });
+    let path = "/q/00000000000000c3";
+    wait_until("acceptance", 10_000, || {
+        fleet.send(agent.customer, "POST", path, JOB).0 == 200
+    });
+    wait_until("completion", 20_000, || {
+        fleet.state(agent.customer, "00000000000000c3") == "completed"
+    });
+    let cluster = fleet.cluster.lock().expect("no holder of this lock panics");
+    // One refused call and at most three further ones with the same token.
+    let is_bounded = cluster.fenced_calls.values().all(|&count| count <= 4);
+    assert!(is_bounded, "refused calls: {:?}", cluster.fenced_calls);
+    drop(cluster);
+    fleet.assert_no_violations();
+}
