Simulate polls that lose their answers and machines that are up for hours

The clock of the simulation began at 1,000 ms, so the time since its start passed for a short age. It begins at ten hours now; the tests count from START_MS, and run_for replaces sums with the current time. The clocks of the workers differ.

Polls took no time and failed only while a worker was unreachable. They now take the way to the worker, wait there and come back, as in src/serve/watch.rs: the first failure in a row is retried at once, later ones are reported after the time limit, and an agent out of contact with its leader does not poll. Faults::lost_poll loses the answer of a poll that is carried out at once, seconds later or never. A start without an answer and an answered void are followed by a poll out of turn, which may overlap the regular one and is not recorded in the lease. Outcomes reach the leader that the agent follows by then. An agent sends a stop only to a worker that it polls, and heeds the time of the last contact for starts as well.

A new leader gets a tick before it reads the rows, as the driver gives it one in its first round; without it, a job that completed in the same millisecond counted as ended in 1970.

A violation is shown with the log lines that led to it. The tests are unchanged otherwise and pass.

--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -27,8 +27,9 @@
 fn assert_no_violations(world: &World, seed: u64, case: &str) {
     assert!(
         world.violations.is_empty(),
-        "{case}, seed {seed}: {:?}",
-        world.violations
+        "{case}, seed {seed}: {:#?}\n{}",
+        world.violations,
+        world.trace().join("\n")
     );
 }
 
@@ -59,6 +60,7 @@
             late: 0.08,
             failed_run: 0.02,
             lost_commit: 0.2,
+            ..Faults::default()
         };
         world.run_until(25_000);
         world.faults = Faults::default();
@@ -253,9 +255,9 @@
             // The worker is unreachable while it is reassigned from one agent to another.
             world.partition(&name("w1"), 1_200);
             world.reconnect(&name(entry), 30);
-            world.run_until(world.now + 700);
+            world.run_for(700);
         }
-        world.run_until(world.now + 8_000);
+        world.run_for(8_000);
         assert_no_violations(&world, seed, "changed agents");
     }
 }
@@ -271,12 +273,12 @@
         }
         world.run_until(20_000 + seed * 9);
         world.partition(&name("w1"), 12_000);
-        world.run_until(world.now + 300);
+        world.run_for(300);
         for _ in 0..2 {
             world.elect(false);
-            world.run_until(world.now + 60);
+            world.run_for(60);
         }
-        world.run_until(world.now + 20_000);
+        world.run_for(20_000);
         assert_no_violations(&world, seed, "two leaders");
     }
 }
--- a/crates/scheduler/tests/world/agent.rs
+++ b/crates/scheduler/tests/world/agent.rs
@@ -1,18 +1,14 @@
-//! The simulated agents, which carry out orders and poll workers.
+//! The simulated agents, which carry out the orders of the leader.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use decision::clock::Ms;
 use decision::name::Name;
 use rand::RngExt;
-use scheduler::agent::Lease;
 use scheduler::id;
 use scheduler::id::Epoch;
-use scheduler::id::Task;
 use scheduler::leader::Event;
-use scheduler::message::Failure;
-use scheduler::message::Observation;
+use scheduler::message;
 use scheduler::message::Order;
 use scheduler::message::Outcome;
 use scheduler::message::Placement;
@@ -24,7 +20,6 @@
 use super::Call;
 use super::Delivery;
 use super::MESSAGE_DELAY_MS;
-use super::POLL_INTERVAL_MS;
 use super::TICKET_VALIDITY_MS;
 use super::Watch;
 use super::World;
@@ -32,7 +27,6 @@
 use super::name;
 use super::size;
 use super::worker::Execution;
-use super::worker::MAX_LEASE_MS;
 
 impl World {
     /// Answers a request for advice: only workers with an even number may run a step.
@@ -44,7 +38,6 @@
     }
 
     pub(super) fn handle_order(&mut self, entry: &Name, epoch: Epoch, order: Order) {
-        let now = self.now;
         let Some(agent) = self.agents.get_mut(entry) else {
             return;
         };
@@ -54,19 +47,7 @@
             return;
         }
         match order {
-            Order::Watch(watch) => {
-                let is_new = !agent.watches.contains_key(&watch.worker);
-                let state = agent.watches.entry(watch.worker.clone()).or_insert(Watch {
-                    lease: Lease::new(Ms(MAX_LEASE_MS)),
-                    epoch,
-                    acknowledged: None,
-                    known: BTreeSet::new(),
-                });
-                state.acknowledged = watch.acknowledged;
-                if is_new {
-                    self.enqueue(now, Delivery::Poll(entry.clone(), watch.worker, epoch));
-                }
-            }
+            Order::Watch(watch) => self.watch(entry, epoch, watch),
             Order::Unwatch(worker) => drop(agent.watches.remove(&worker)),
             Order::Start(start) => self.send_start(entry, epoch, &start),
             Order::Stop(placement) => self.send_stop(entry, epoch, placement, false),
@@ -79,24 +60,42 @@
         }
     }
 
+    fn watch(&mut self, entry: &Name, epoch: Epoch, order: message::Watch) {
+        let number = self.sequence;
+        let Some(agent) = self.agents.get_mut(entry) else {
+            return;
+        };
+        if let Some(watch) = agent.watches.get_mut(&order.worker) {
+            watch.acknowledged = order.acknowledged;
+            return;
+        }
+        let watch = Watch::new(number, epoch, order.acknowledged);
+        agent.watches.insert(order.worker.clone(), watch);
+        let due = Delivery::PollDue(entry.clone(), order.worker, number);
+        self.enqueue(self.now, due);
+    }
+
+    /// Sends a report of an agent to the leader that it follows by now.
+    pub(super) fn notify_leader(&mut self, entry: &Name, report: Report) {
+        let epoch = self.agents[entry].epoch;
+        let delivery = Delivery::Report(epoch, entry.clone(), report);
+        self.enqueue(self.now + MESSAGE_DELAY_MS, delivery);
+    }
+
     pub(super) fn send_start(&mut self, entry: &Name, epoch: Epoch, start: &Start) {
         let now = Ms(self.now);
         let placement = start.placement();
-        let watch = self
-            .agents
-            .get_mut(entry)
-            .and_then(|agent| agent.watches.get_mut(&start.worker));
-        let Some(deadline) = watch.and_then(|watch| {
-            let deadline = watch.lease.deadline(now, now)?;
+        let agent = self.agents.get_mut(entry);
+        let deadline = agent.and_then(|agent| {
+            let last_contact = Ms(agent.last_contact);
+            let watch = agent.watches.get_mut(&start.worker)?;
+            let deadline = watch.lease.deadline(now, last_contact)?;
             watch.lease.record_renewal(now);
-            watch.known.insert(placement.clone());
+            watch.known.insert(placement.clone(), now.0);
             Some(deadline.0)
-        }) else {
-            let report = Report::Started(placement, Outcome::Unsent);
-            return self.enqueue(
-                self.now + MESSAGE_DELAY_MS,
-                Delivery::Report(epoch, entry.clone(), report),
-            );
+        });
+        let Some(deadline) = deadline else {
+            return self.notify_leader(entry, Report::Started(placement, Outcome::Unsent));
         };
         self.send_call(entry, epoch, placement, Some(deadline), false);
     }
@@ -108,6 +107,10 @@
         placement: Placement,
         polls_after: bool,
     ) {
+        if !self.agents[entry].watches.contains_key(&placement.worker) {
+            let report = Report::Stopped(placement, Outcome::Unsent, Ms(self.now));
+            return self.notify_leader(entry, report);
+        }
         self.send_call(entry, epoch, placement, None, polls_after);
     }
 
@@ -136,20 +139,37 @@
             polls_after,
         };
         if is_lost {
-            self.send_outcome(&call, Outcome::Unknown, self.now + CALL_TIMEOUT_MS);
+            let outcome = Delivery::Outcome(call.clone(), Outcome::Unknown);
+            self.enqueue(self.now + CALL_TIMEOUT_MS, outcome);
         }
         self.enqueue(self.now + delay, Delivery::Called(call));
     }
 
-    pub(super) fn send_outcome(&mut self, call: &Call, outcome: Outcome, at: u64) {
+    /// Reports the outcome of a call to the leader, and polls the worker if the run may be there.
+    pub(super) fn handle_outcome(&mut self, call: Call, outcome: Outcome) {
         let placement = call.placement.clone();
-        let report = if call.deadline.is_some() {
+        let is_start = call.deadline.is_some();
+        if is_start && !matches!(outcome, Outcome::Done | Outcome::Unknown) {
+            let agent = self.agents.get_mut(&call.agent);
+            let watch = agent.and_then(|agent| agent.watches.get_mut(&placement.worker));
+            if let Some(watch) = watch.filter(|watch| watch.epoch == call.epoch) {
+                watch.known.remove(&placement);
+            }
+        }
+        let report = if is_start {
             Report::Started(placement, outcome)
         } else {
-            Report::Stopped(placement, outcome, Ms(at))
+            Report::Stopped(placement, outcome, Ms(self.now))
+        };
+        self.notify_leader(&call.agent, report);
+        let is_poll_due = if is_start {
+            outcome == Outcome::Unknown
+        } else {
+            call.polls_after && matches!(outcome, Outcome::Done | Outcome::Old)
         };
-        let delivery = Delivery::Report(call.epoch, call.agent.clone(), report);
-        self.enqueue(at, delivery);
+        if is_poll_due {
+            self.enqueue(self.now + 1, Delivery::PollNow(call));
+        }
     }
 
     /// Delivers an order to its worker.
@@ -166,7 +186,8 @@
         };
         if worker.unreachable_until > now {
             if call.is_answered {
-                self.send_outcome(&call, Outcome::Unknown, call.sent + CALL_TIMEOUT_MS);
+                let timeout = call.sent + CALL_TIMEOUT_MS;
+                self.enqueue(timeout, Delivery::Outcome(call, Outcome::Unknown));
             }
             return;
         }
@@ -194,117 +215,8 @@
             worker.stop(now, task, run)
         };
         if call.is_answered {
-            self.send_outcome(&call, outcome, now + MESSAGE_DELAY_MS);
-        }
-        if call.polls_after {
-            let (agent, worker) = (call.agent.clone(), call.placement.worker.clone());
-            self.poll_worker(&agent, &worker, call.epoch, false);
-        }
-    }
-
-    /// Checks the invariants that concern the start of a run.
-    pub(super) fn check_start(&mut self, call: &Call) {
-        let (task, now) = (call.placement.task, self.now);
-        let target = &call.placement.worker;
-        let others = self.workers.iter().filter(|(name, _)| *name != target);
-        let other_worker = others
-            .filter(|(_, worker)| worker.executions.contains_key(&task))
-            .map(|(name, _)| name.clone())
-            .next();
-        if let Some(other) = other_worker {
-            self.violations
-                .push(format!("{now}: {task} runs on {other} and {target}"));
-        }
-        if self.acknowledged_done.contains(&task) {
-            self.violations
-                .push(format!("{now}: {task} is done and starts again"));
-        }
-        let worker = &self.workers[target];
-        if !worker.booked().fits(worker.size) {
-            self.violations
-                .push(format!("{now}: {target} is over its size"));
+            let answer = Delivery::Outcome(call, outcome);
+            self.enqueue(now + MESSAGE_DELAY_MS, answer);
         }
-        let spec = &self.jobs[&task.step.job].1.spec;
-        for &before in &spec.steps[usize::from(task.step.step)].after {
-            for index in 0..spec.steps[usize::from(before)].count {
-                let step = id::Step {
-                    step: before,
-                    ..task.step
-                };
-                if !self.done.contains(&Task { step, index }) {
-                    self.violations
-                        .push(format!("{now}: {task} starts before step {before}"));
-                }
-            }
-        }
-    }
-
-    pub(super) fn poll_worker(&mut self, entry: &Name, name: &Name, epoch: Epoch, repeat: bool) {
-        let now = self.now;
-        if repeat {
-            let next = Delivery::Poll(entry.clone(), name.clone(), epoch);
-            self.enqueue(now + POLL_INTERVAL_MS, next);
-        }
-        let Some(watch) = self
-            .agents
-            .get_mut(entry)
-            .and_then(|agent| agent.watches.get_mut(name))
-            .filter(|watch| watch.epoch == epoch)
-        else {
-            return;
-        };
-        let poll = watch.lease.next_poll(Ms(now), Ms(now), Ms(now));
-        let Some(worker) = self.workers.get_mut(name) else {
-            return;
-        };
-        if poll.deadline.is_some() {
-            watch.lease.record_renewal(Ms(now));
-        }
-        if worker.unreachable_until > now {
-            let renewal_age = watch.lease.record_failure(Ms(now));
-            let report = Report::PollFailed(Failure {
-                worker: name.clone(),
-                renewal_age,
-                is_closed: false,
-            });
-            return self.enqueue(
-                now + MESSAGE_DELAY_MS,
-                Delivery::Report(epoch, entry.clone(), report),
-            );
-        }
-        if !worker.accept_token(epoch) {
-            return;
-        }
-        if let Some(deadline) = poll.deadline {
-            worker.extend_lease(now, deadline.0);
-        }
-        let acknowledged = watch.lease.acknowledged(watch.acknowledged);
-        watch
-            .lease
-            .record_answer(Ms(now), Ms(worker.clock(now)), worker.incarnation);
-        let (kept, discarded): (Vec<_>, Vec<_>) = std::mem::take(&mut worker.ends)
-            .into_iter()
-            .partition(|end| end.number > acknowledged);
-        worker.ends = kept;
-        let done = discarded
-            .into_iter()
-            .filter(|end| end.termination == Termination::Done);
-        self.acknowledged_done.extend(done.map(|end| end.task));
-        let observation = Observation {
-            worker: name.clone(),
-            incarnation: worker.incarnation,
-            polled_at: Ms(now),
-            running: Some(worker.running()),
-            ended: worker.ends.clone(),
-        };
-        watch.known.retain(|placement| {
-            let has_ended = worker.ends.iter().any(|end| end.run == placement.run);
-            has_ended || worker.executions.contains_key(&placement.task)
-        });
-        let report = Report::Polled(observation);
-        self.enqueue(
-            now + MESSAGE_DELAY_MS,
-            Delivery::Report(epoch, entry.clone(), report),
-        );
     }
 }
--- /dev/null
+++ b/crates/scheduler/tests/world/invariants.rs
@@ -0,0 +1,69 @@
+//! The invariants that are checked at each start of a run.
+
+use scheduler::id;
+use scheduler::id::Task;
+
+use super::Call;
+use super::START_MS;
+use super::World;
+
+/// The most log lines that are shown for a violation.
+const MAX_TRACE_LINES: usize = 150;
+
+impl World {
+    /// Returns the newest log lines up to the first violation that name its task, or no task.
+    pub fn trace(&self) -> Vec<String> {
+        let first = self
+            .log
+            .iter()
+            .position(|line| line.contains(" violation "));
+        let lines = &self.log[..first.map_or(0, |index| index + 1)];
+        let task = lines.last().and_then(|line| line.split(' ').nth(2));
+        let task = format!("task={}", task.unwrap_or_default());
+        let shown = |line: &&String| {
+            let is_measurement = line.contains("kind=load") || line.contains("kind=interference");
+            !is_measurement && (!line.contains("task=") || line.contains(&task))
+        };
+        let mut lines: Vec<String> = lines.iter().filter(shown).cloned().collect();
+        lines.split_off(lines.len().saturating_sub(MAX_TRACE_LINES))
+    }
+
+    fn violate(&mut self, task: Task, what: &str) {
+        self.log(&format!("violation {task} {what}"));
+        let time = self.now - START_MS;
+        self.violations.push(format!("{time}: {task} {what}"));
+    }
+
+    /// Checks the invariants that concern the start of a run.
+    pub(super) fn check_start(&mut self, call: &Call) {
+        let task = call.placement.task;
+        let target = &call.placement.worker;
+        let others = self.workers.iter().filter(|(name, _)| *name != target);
+        let other_worker = others
+            .filter(|(_, worker)| worker.executions.contains_key(&task))
+            .map(|(name, _)| name.clone())
+            .next();
+        if let Some(other) = other_worker {
+            self.violate(task, &format!("runs on {other} and {target}"));
+        }
+        if self.acknowledged_done.contains(&task) {
+            self.violate(task, "is done and starts again");
+        }
+        let worker = &self.workers[target];
+        if !worker.booked().fits(worker.size) {
+            self.violate(task, &format!("brings {target} over its size"));
+        }
+        let spec = self.jobs[&task.step.job].1.spec.clone();
+        for &before in &spec.steps[usize::from(task.step.step)].after {
+            for index in 0..spec.steps[usize::from(before)].count {
+                let step = id::Step {
+                    step: before,
+                    ..task.step
+                };
+                if !self.done.contains(&Task { step, index }) {
+                    self.violate(task, &format!("starts before step {before}"));
+                }
+            }
+        }
+    }
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -2,6 +2,8 @@
 //! and fixed seeds.
 
 mod agent;
+mod invariants;
+mod poll;
 pub mod worker;
 
 use std::collections::BTreeMap;
@@ -31,20 +33,27 @@
 use scheduler::leader::Leader;
 use scheduler::leader::Member;
 use scheduler::message::Hello;
+use scheduler::message::Observation;
 use scheduler::message::Order;
+use scheduler::message::Outcome;
 use scheduler::message::Placement;
 use scheduler::message::Report;
 use scheduler::message::Termination;
 use scheduler::progress::Progress;
 use scheduler::progress::Stage;
 use scheduler::spec;
-use worker::MAX_LEASE_MS;
-use worker::Worker;
+
+use self::poll::Poll;
+use self::worker::MAX_LEASE_MS;
+use self::worker::Worker;
 
 /// The number of failed runs after which a task has failed.
 pub const MAX_ATTEMPTS: u32 = 6;
+/// The time from which the tests count. The machines have been up for hours by then.
+const START_MS: u64 = 36_000_000;
+/// The difference between the clocks of two workers.
+const CLOCK_STEP_MS: u64 = 1_000_000;
 const TICK_INTERVAL_MS: u64 = 50;
-const POLL_INTERVAL_MS: u64 = 100;
 const CALL_TIMEOUT_MS: u64 = 800;
 const MESSAGE_DELAY_MS: u64 = 2;
 const COMMIT_DURATION_MS: u64 = 6;
@@ -58,6 +67,8 @@
     pub lost_answer: f64,
     /// The call is carried out seconds later and gets no answer.
     pub late: f64,
+    /// The poll gets no answer and is carried out at once, seconds later or never.
+    pub lost_poll: f64,
     /// A run fails.
     pub failed_run: f64,
     /// The store carries out a commit but does not confirm it.
@@ -65,10 +76,25 @@
 }
 
 struct Watch {
+    /// Tells this watch from earlier ones of the same worker.
+    number: u64,
     lease: Lease,
     epoch: Epoch,
     acknowledged: Option<(Ms, u64)>,
-    known: BTreeSet<Placement>,
+    /// The runs that may be on the worker, with the time of the order to start them.
+    known: BTreeMap<Placement, u64>,
+}
+
+impl Watch {
+    fn new(number: u64, epoch: Epoch, acknowledged: Option<(Ms, u64)>) -> Self {
+        Self {
+            number,
+            lease: Lease::new(Ms(MAX_LEASE_MS)),
+            epoch,
+            acknowledged,
+            known: BTreeMap::new(),
+        }
+    }
 }
 
 #[derive(Default)]
@@ -85,8 +111,19 @@
     Report(Epoch, Name, Report),
     /// A call reaches its worker.
     Called(Call),
-    /// The agent polls the worker for the leader of this epoch.
-    Poll(Name, Name, Epoch),
+    /// The outcome of a call reaches its agent.
+    Outcome(Call, Outcome),
+    /// The agent polls the worker for the watch with this number.
+    PollDue(Name, Name, u64),
+    /// The agent polls a worker out of turn after this call.
+    PollNow(Call),
+    /// A poll reaches its worker.
+    Polled(Poll),
+    /// The worker with this incarnation answers a poll.
+    PollHeld(Poll, Ms),
+    /// The answer to a poll reaches its agent, with the worker's clock.
+    PollAnswered(Poll, Observation, Ms),
+    PollTimedOut(Poll),
     /// The commit is answered; the value is whether the store confirms it.
     Commit(Epoch, bool),
     /// The advice service answers for these workers.
@@ -94,6 +131,7 @@
 }
 
 /// An order in transit to a worker.
+#[derive(Clone)]
 struct Call {
     agent: Name,
     epoch: Epoch,
@@ -113,6 +151,8 @@
     pub runs_never_end: bool,
     pub workers: BTreeMap<Name, Worker>,
     pub violations: Vec<String>,
+    /// The log lines of the leaders and the injected faults, with their times.
+    pub log: Vec<String>,
     /// The number of failed runs by task.
     pub failures: BTreeMap<Task, u32>,
     pub leader: Option<Leader>,
@@ -206,14 +246,16 @@
         let worker_names = (0..workers).map(|index| name(&format!("w{index}")));
         let agent_names = (0..agents).map(|index| name(&format!("e{index}")));
         Self {
-            now: 1_000,
+            now: START_MS + 1_000,
             faults: Faults::default(),
             runs_never_end: false,
             needs_ticket: false,
-            workers: worker_names
-                .map(|name| (name, Worker::new(size, 0)))
+            workers: (1..)
+                .zip(worker_names)
+                .map(|(index, name)| (name, Worker::new(size, index * CLOCK_STEP_MS)))
                 .collect(),
             violations: Vec::new(),
+            log: Vec::new(),
             failures: BTreeMap::new(),
             leader: None,
             epoch: 10,
@@ -234,6 +276,10 @@
         }
     }
 
+    fn log(&mut self, line: &str) {
+        self.log.push(format!("{} {line}", self.now - START_MS));
+    }
+
     fn enqueue(&mut self, at: u64, delivery: Delivery) {
         self.sequence += 1;
         self.queue.insert((at, self.sequence), delivery);
@@ -261,6 +307,7 @@
         let leader = Leader::new(name("e0"), epoch, bounds, Ms(self.now));
         self.leader = Some(leader);
         self.handle_event(Event::Config(Arc::new(config(self.needs_ticket))));
+        self.handle_event(Event::Tick(Ms(self.now)));
         self.handle_event(Event::Fleet(self.fleet.clone()));
         let agents: Vec<Name> = self.agents.keys().cloned().collect();
         for entry in agents {
@@ -290,8 +337,7 @@
             |_, delivery| !matches!(delivery, Delivery::Report(_, from, _) if from == entry),
         );
         self.handle_event(Event::Left(entry.clone()));
-        let until = self.now + gap;
-        self.run_until(until);
+        self.run_for(gap);
         let epoch = Epoch(self.epoch);
         self.join(entry, epoch);
     }
@@ -303,7 +349,7 @@
         };
         let watches = std::mem::take(&mut agent.watches).into_iter();
         let watches =
-            watches.map(|(worker, watch)| (worker, watch.lease, watch.known.into_iter().collect()));
+            watches.map(|(worker, watch)| (worker, watch.lease, watch.known.into_keys().collect()));
         let known = agent.inventory.collect(Ms(now), watches);
         let hello = Hello {
             entry: entry.clone(),
@@ -373,6 +419,7 @@
         let size = self.workers[worker].size;
         let mut fresh = Worker::new(size, self.now);
         fresh.unreachable_until = self.now + down;
+        self.log(&format!("crash worker={worker} ms={down}"));
         self.workers.insert(worker.clone(), fresh);
         self.update_registration(worker);
     }
@@ -380,6 +427,7 @@
     /// Cuts a worker off from all agents while its runs continue.
     pub fn partition(&mut self, worker: &Name, time: u64) {
         let until = self.now + time;
+        self.log(&format!("partition worker={worker} ms={time}"));
         if let Some(worker) = self.workers.get_mut(worker) {
             worker.unreachable_until = until;
             worker.is_partitioned = true;
@@ -412,7 +460,8 @@
                         Delivery::Advice(epoch, step, workers),
                     );
                 }
-                Action::Resign(_) | Action::Log(_) => {}
+                Action::Log(line) => self.log(&format!("epoch={epoch} {line}")),
+                Action::Resign(_) => {}
             }
         }
     }
@@ -434,8 +483,16 @@
         );
     }
 
-    /// Runs the simulation until the given time.
+    /// Runs the simulation until this time after [`START_MS`].
     pub fn run_until(&mut self, until: u64) {
+        self.advance(START_MS + until);
+    }
+
+    pub fn run_for(&mut self, time: u64) {
+        self.advance(self.now + time);
+    }
+
+    fn advance(&mut self, until: u64) {
         while self.now < until {
             self.now += 1;
             self.advance_workers();
@@ -511,7 +568,15 @@
                 }
             }
             Delivery::Called(call) => self.deliver_call(call),
-            Delivery::Poll(agent, worker, epoch) => self.poll_worker(&agent, &worker, epoch, true),
+            Delivery::Outcome(call, outcome) => self.handle_outcome(call, outcome),
+            Delivery::PollDue(agent, worker, watch) => self.send_regular_poll(agent, worker, watch),
+            Delivery::PollNow(call) => self.send_extra_poll(&call),
+            Delivery::Polled(poll) => self.deliver_poll(poll),
+            Delivery::PollHeld(poll, incarnation) => self.answer_poll(poll, incarnation),
+            Delivery::PollAnswered(poll, observation, clock) => {
+                self.handle_poll_answer(&poll, observation, clock);
+            }
+            Delivery::PollTimedOut(poll) => self.handle_poll_timeout(&poll),
             Delivery::Advice(epoch, step, workers) => {
                 if epoch.0 == self.epoch {
                     self.answer_advice(step, workers);
--- a/crates/scheduler/tests/world/worker.rs
+++ b/crates/scheduler/tests/world/worker.rs
@@ -116,6 +116,15 @@
         self.lease_end = self.lease_end.max(deadline.min(max_end));
     }
 
+    /// Discards the ends up to this number and returns them.
+    pub fn acknowledge(&mut self, number: u64) -> Vec<End> {
+        let (kept, discarded) = std::mem::take(&mut self.ends)
+            .into_iter()
+            .partition(|end| end.number > number);
+        self.ends = kept;
+        discarded
+    }
+
     pub fn start(&mut self, now: u64, task: Task, execution: Execution, deadline: u64) -> Outcome {
         if deadline < self.clock(now) {
             return Outcome::Late;
