Simulate entries that die and leaders that have been replaced

World::cut cuts a worker off from one entry. Calls that are carried out late pass cuts and reach the next life of a restarted worker, as the protocol says; a worker that is down takes none.

world/mod.rs is split by concern. The new test restarts entries and cuts them off; it and all others pass.

--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -282,3 +282,23 @@
         assert_no_violations(&world, seed, "two leaders");
     }
 }
+
+#[test]
+fn jobs_complete_while_entries_restart_and_are_cut_off_from_workers() {
+    for seed in 0..SEEDS {
+        let mut world = busy_world(seed);
+        for round in 0..6 {
+            world.run_until(1_100 + round * 2_300 + seed * 13);
+            let entry = name(&format!("e{}", 1 + (round + seed) % 2));
+            world.cut(&name("e1"), &name("w3"), 1_000);
+            world.kill(&entry, 300 + round * 400);
+            world.max_join_delay = 200 + round * 100;
+            if round == 3 {
+                world.elect_at(&name("e0"), false);
+            }
+        }
+        world.run_until(60_000);
+        assert_no_violations(&world, seed, "entries");
+        assert_completed(&world, seed, "entries");
+    }
+}
--- /dev/null
+++ b/crates/scheduler/tests/world/fleet.rs
@@ -0,0 +1,70 @@
+//! The registrations of the workers, and the faults that concern them.
+
+use super::*;
+
+impl World {
+    /// Sends the leader the current registration of a worker.
+    pub fn update_registration(&mut self, worker: &Name) {
+        let state = &self.workers[worker];
+        let registration = Registration {
+            service: name("service"),
+            address: Arc::from("10.0.0.1:1"),
+            domain: name("d"),
+            size: state.size,
+            labels: vec![name("r0")],
+            incarnation: state.incarnation,
+            is_draining: self.draining.contains(worker),
+        };
+        let registration = (!self.unregistered.contains(worker)).then_some(registration);
+        self.handle_event(Event::RegistrationChanged(worker.clone(), registration));
+    }
+
+    /// Sets a worker to draining.
+    pub fn drain(&mut self, worker: &Name) {
+        self.draining.insert(worker.clone());
+        self.update_registration(worker);
+    }
+
+    pub fn remove_registration(&mut self, worker: &Name) {
+        self.unregistered.insert(worker.clone());
+        self.update_registration(worker);
+    }
+
+    /// Restarts a worker, which loses all its runs.
+    pub fn crash(&mut self, worker: &Name, down: u64) {
+        let size = self.workers[worker].size;
+        let mut fresh = Worker::new(size, self.now);
+        fresh.unreachable_until = self.now + down;
+        self.log(&format!("crash worker={worker} ms={down}"));
+        self.workers.insert(worker.clone(), fresh);
+        self.update_registration(worker);
+    }
+
+    /// Cuts a worker off from one entry while its runs continue.
+    pub fn cut(&mut self, entry: &Name, worker: &Name, time: u64) {
+        self.log(&format!("cut entry={entry} worker={worker} ms={time}"));
+        let pair = (entry.clone(), worker.clone());
+        self.cuts.insert(pair, self.now + time);
+    }
+
+    /// Returns whether a call of this entry reaches the worker. A late call waits at the worker
+    /// until it is carried out, so that no cut holds it up.
+    pub(super) fn is_reachable(&self, entry: &Name, worker: &Name, sent: u64) -> bool {
+        let is_late = self.now - sent >= MIN_LATE_MS;
+        let cut = self.cuts.get(&(entry.clone(), worker.clone()));
+        let is_cut = cut.is_some_and(|until| *until > self.now);
+        let state = &self.workers[worker];
+        let is_up = state.unreachable_until <= self.now;
+        is_up && !is_cut || is_late && (is_up || state.is_partitioned)
+    }
+
+    /// Cuts a worker off from all agents while its runs continue.
+    pub fn partition(&mut self, worker: &Name, time: u64) {
+        let until = self.now + time;
+        self.log(&format!("partition worker={worker} ms={time}"));
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.unreachable_until = until;
+            worker.is_partitioned = true;
+        }
+    }
+}
