--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -2,6 +2,9 @@
 
 mod world;
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use scheduler::id::Job;
 use scheduler::progress::Outcome;
 use scheduler::progress::Stage;
@@ -302,3 +305,137 @@
         assert_completed(&world, seed, "entries");
     }
 }
+
+#[test]
+fn invariants_hold_while_polls_lose_their_answers_over_changes_of_the_leader() {
+    for seed in 0..3 * SEEDS {
+        let mut world = busy_world(seed);
+        world.runs_never_end = seed % 2 == 0;
+        world.faults.lost_poll = 0.4;
+        for round in 1..10 {
+            world.run_until(1_000 + round * 3_370 + seed * 13);
+            world.elect_at(&name(&format!("e{}", (round + seed) % 3)), false);
+        }
+        world.run_for(6_000);
+        world.faults = Faults::default();
+        world.runs_never_end = false;
+        world.run_until(60_000);
+        assert_no_violations(&world, seed, "lost polls");
+    }
+}
+
+#[test]
+fn invariants_hold_when_the_leader_dies_with_its_own_agent_and_late_orders() {
+    for seed in 0..2 * SEEDS {
+        let mut world = busy_world(seed);
+        world.elect_at(&name("e1"), false);
+        world.run_for(900 + seed * 7);
+        // The other agents join the next leader after its death, if at all.
+        world.max_join_delay = 6_000;
+        world.elect_at(&name("e2"), false);
+        world.faults.late = 0.4;
+        world.run_for(500 + seed * 11);
+        world.kill(&name("e2"), 2_500);
+        world.faults.late = 0.0;
+        for worker in ["w0", "w2"] {
+            world.partition(&name(worker), 5_000);
+        }
+        world.run_for(600 + seed * 17);
+        world.max_join_delay = 500;
+        world.elect_at(&name(if seed % 2 == 0 { "e0" } else { "e1" }), false);
+        world.run_for(60_000);
+        assert_no_violations(&world, seed, "dead leader");
+        assert_completed(&world, seed, "dead leader");
+    }
+}
+
+#[test]
+fn invariants_hold_while_late_orders_reach_restarted_workers() {
+    for seed in 0..SEEDS {
+        let mut world = busy_world(seed);
+        world.faults.late = 0.15;
+        world.faults.lost_answer = 0.05;
+        for round in 0..10 {
+            world.run_until(1_200 + round * 630 + seed * 13);
+            world.crash(&name(&format!("w{}", (round + seed) % 5)), 50 + round * 90);
+        }
+        world.faults = Faults::default();
+        world.run_for(60_000);
+        assert_no_violations(&world, seed, "restarts");
+        assert_completed(&world, seed, "restarts");
+    }
+}
+
+#[test]
+fn invariants_hold_while_a_replaced_leader_still_reaches_workers() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, 5, 3);
+        world.runs_never_end = true;
+        world.elect(false);
+        for job in 0..4 {
+            world.submit(job, chain(&[4], 800));
+        }
+        // Its agent has the workers to itself, because the others join late.
+        world.max_join_delay = 9_000;
+        world.elect_at(&name("e0"), false);
+        world.run_for(1_000 + seed * 90);
+        for (entry, worker) in [("e1", "w0"), ("e2", "w0"), ("e1", "w1"), ("e2", "w1")] {
+            world.cut(&name(entry), &name(worker), 20_000);
+        }
+        world.max_join_delay = 500;
+        world.elect_at(&name("e1"), true);
+        world.run_for(30_000);
+        assert_no_violations(&world, seed, "replaced leader");
+    }
+}
+
+/// Injects one fault or changes the leader.
+fn disturb(world: &mut World, choice: u64, restarts_workers: bool) {
+    let entry = name(&format!("e{}", choice % 3));
+    let worker = name(&format!("w{}", choice % 5));
+    match choice / 7 % 6 {
+        0 => world.elect_at(&entry, choice.is_multiple_of(2)),
+        1 => world.kill(&entry, 400 + choice % 3_000),
+        2 => world.partition(&worker, choice % 9_000),
+        3 => world.cut(&entry, &worker, choice % 12_000),
+        4 if restarts_workers => world.crash(&worker, 50 + choice % 900),
+        _ => world.reconnect(&entry, choice % 90),
+    }
+    if world.leader.is_none() {
+        world.run_for(500 + choice % 2_500);
+        world.elect_at(&name(&format!("e{}", choice / 3 % 3)), false);
+    }
+}
+
+fn assert_invariants_at_random(case: &str, seeds: u64, restarts_workers: bool) {
+    for seed in 0..seeds {
+        let mut world = busy_world(seed);
+        let mut random = StdRng::seed_from_u64(seed);
+        for _ in 0..20 {
+            world.faults = Faults {
+                lost_answer: 0.05,
+                late: 0.1,
+                lost_poll: 0.3,
+                failed_run: 0.02,
+                lost_commit: 0.1,
+            };
+            world.run_for(random.random_range(100..1_500));
+            let choice = random.random_range(0..1_000_000);
+            disturb(&mut world, choice, restarts_workers);
+        }
+        world.faults = Faults::default();
+        world.run_for(60_000);
+        assert_no_violations(&world, seed, case);
+        assert_completed(&world, seed, case);
+    }
+}
+
+#[test]
+fn invariants_hold_while_faults_of_entries_and_calls_come_at_random() {
+    assert_invariants_at_random("random entries", 10 * SEEDS, false);
+}
+
+#[test]
+fn invariants_hold_while_all_faults_come_at_random() {
+    assert_invariants_at_random("random", 2 * SEEDS, true);
+}
