Show that a restarted worker loses ends to an old acknowledgement

ends_of_a_restarted_worker_are_kept_until_the_leader_has_them fails on the current code, without late calls: a poll out of turn finds the new life of a worker, and the leader starts tasks there. The regular poll still carries the number up to which the ends of the former life are acknowledged, because neither the lease nor the watch knows of the new one. The worker discards ends that nobody has read, and their tasks run once more.

--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -366,6 +366,23 @@
     }
 }
 
+#[test]
+fn ends_of_a_restarted_worker_are_kept_until_the_leader_has_them() {
+    for seed in 0..SEEDS {
+        let mut world = busy_world(seed);
+        // Polls out of turn find the new life of a worker before the regular ones do.
+        world.faults.lost_answer = 0.2;
+        for round in 0..10 {
+            world.run_until(1_200 + round * 630 + seed * 13);
+            world.crash(&name(&format!("w{}", (round + seed) % 5)), 50);
+        }
+        world.faults = Faults::default();
+        world.run_for(60_000);
+        assert_no_violations(&world, seed, "ends");
+        assert_completed(&world, seed, "ends");
+    }
+}
+
 #[test]
 fn invariants_hold_while_a_replaced_leader_still_reaches_workers() {
     for seed in 0..SEEDS {
