Acknowledge no end of a restarted worker by the number of its former life

A worker that starts again under its name counts its ends anew. The leader learned of the new incarnation from a poll out of turn, but did not send the agent the new number, and that poll did not record the incarnation: the next regular poll still carried the old number, so that ends of the new life were discarded unread, taken for noted, and their tasks started again.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -92,6 +92,8 @@
                     "kind=worker-restarted worker={} born={}",
                     observation.worker, observation.incarnation
                 ));
+                // The agent must no longer acknowledge the ends of the incarnation before.
+                self.send_watch(&observation.worker);
             }
             self.release_lost_runs(
                 now,
--- a/crates/scheduler/tests/world/poll.rs
+++ b/crates/scheduler/tests/world/poll.rs
@@ -87,7 +87,7 @@
         self.send_poll(poll);
     }
 
-    /// Polls the worker of a call without a renewal. The lease does not record the answer.
+    /// Polls the worker of a call without a renewal.
     pub(super) fn send_extra_poll(&mut self, call: &Call) {
         let watch = self.watch_of(&call.agent, &call.placement.worker);
         let watch = watch.filter(|watch| watch.epoch == call.epoch);
@@ -177,16 +177,16 @@
     pub(super) fn handle_poll_answer(&mut self, poll: &Poll, observation: Observation, clock: Ms) {
         let now = self.now;
         if let Some(number) = poll.watch {
-            let Some(watch) = self.watch_of_poll(poll) else {
+            if self.watch_of_poll(poll).is_none() {
                 return;
-            };
-            let incarnation = observation.incarnation;
-            watch.lease.record_answer(Ms(now), clock, incarnation);
+            }
             let due = Delivery::PollDue(poll.agent.clone(), poll.worker.clone(), number);
             self.enqueue(now, due);
         }
         let watch = self.watch_of(&poll.agent, &poll.worker);
         if let Some(watch) = watch.filter(|watch| watch.epoch == poll.epoch) {
+            let incarnation = observation.incarnation;
+            watch.lease.record_answer(Ms(now), clock, incarnation);
             watch.record_known(poll.sent, &observation);
         }
         self.notify_leader(&poll.agent, Report::Polled(observation));
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -196,7 +196,11 @@
         let sent_at = clock::now();
         let request = self.poll_request(None, Ms::ZERO);
         match shared.workers.poll(&self.name, self.address, request).await {
-            Ok(status) => self.report(sent_at, status, true),
+            Ok(status) => {
+                let now = clock::now();
+                lock(&self.lease).record_answer(now, status.clock, status.incarnation);
+                self.report(sent_at, status, true);
+            }
             Err(Error::Fenced) => shared.agent.fence(&self.session),
             Err(_) => {}
         }
