--- a/crates/scheduler/tests/world/agent.rs
+++ b/crates/scheduler/tests/world/agent.rs
@@ -39,9 +39,7 @@
 
     pub(super) fn handle_order(&mut self, entry: &Name, epoch: Epoch, order: Order) {
         // A leader that is replaced by another one of the same entry still reaches its agent.
-        let mut replaced = self.replaced_leaders.iter();
-        let is_own_replaced =
-            replaced.any(|(name, leader)| name == entry && leader.epoch() == epoch);
+        let is_own_replaced = self.is_own_agent(entry, epoch);
         let Some(agent) = self.agents.get_mut(entry) else {
             return;
         };
--- a/crates/scheduler/tests/world/election.rs
+++ b/crates/scheduler/tests/world/election.rs
@@ -193,6 +193,12 @@
         self.handle_event(Event::Joined(entry.clone(), name("d")));
     }
 
+    /// Returns whether the entry also runs the replaced leader of this epoch.
+    pub(super) fn is_own_agent(&self, entry: &Name, epoch: Epoch) -> bool {
+        let mut replaced = self.replaced_leaders.iter();
+        replaced.any(|(name, leader)| name == entry && leader.epoch() == epoch)
+    }
+
     /// Ends a replaced leader, whose own agent then joins the new leader.
     pub(super) fn depose(&mut self, epoch: Epoch) {
         let replaced = self.replaced_leaders.iter();
--- a/crates/scheduler/tests/world/poll.rs
+++ b/crates/scheduler/tests/world/poll.rs
@@ -135,6 +135,9 @@
             return;
         };
         if !worker.accept_token(poll.epoch) {
+            if poll.is_answered && self.is_own_agent(&poll.agent, poll.epoch) {
+                self.enqueue(now + MESSAGE_DELAY_MS, Delivery::Deposed(poll.epoch));
+            }
             if let (true, Some(number)) = (poll.is_answered, poll.watch) {
                 let due = Delivery::PollDue(poll.agent, poll.worker, number);
                 self.enqueue(now + LEADER_CONTACT_TIMEOUT.0, due);
