Start new jobs only while no other entry can have taken the lead

What callers can see: right after a change of the leader, a new job's tasks run twice.

Cause: a new leader starts jobs whose rows are newer than its own row at once, before all workers have answered it, because "earlier leaders do not know them". But a leader that has been replaced and does not know it yet, since the answers to its writes are lost, goes on reading the feed of jobs, and its own agent reaches workers that the new leader has not.

Change: a leader starts jobs that are newer than its row only if it read them within 800 ms of sending a write that the store confirmed, or has confirmed one since: to replace it, another entry must observe the heartbeat unchanged for 900 ms. The leader gets Event::LeadConfirmed from the driver; `load` says whether the lead is certain.

Tests whose store confirms all writes say so now.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -25,6 +25,7 @@
 
 pub use self::tally::Tally;
 use crate::config::Config;
+use crate::election;
 use crate::fleet::Registration;
 use crate::fleet::Worker;
 use crate::id;
@@ -45,6 +46,10 @@
 /// The time for which an agent keeps renewing leases without a message from the leader.
 pub const LEADER_CONTACT_TIMEOUT: Ms = Ms(3_000);
 
+/// The time after a confirmed write in which no other entry can take the lead, since it must observe
+/// the heartbeat unchanged for longer.
+const CERTAINTY: Ms = Ms(election::UNCHANGED_TIMEOUT.0 - 100);
+
 /// Time limits that the platform sets.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -85,6 +90,9 @@
     Committed,
     /// The store did not confirm the commit in progress, which may be durable or not.
     CommitUnconfirmed,
+    /// The store confirmed a write under the condition that this leader holds the lead; the value is
+    /// the time when the write was sent.
+    LeadConfirmed(Ms),
     /// The advice service answered for a step: the workers that may run it with their tickets, and
     /// the time for which the tickets are valid.
     AdviceReceived(id::Step, Vec<(Name, Arc<str>)>, Ms),
@@ -182,6 +190,8 @@
     /// order.
     unsettled: BTreeMap<(Task, Run), Ms>,
     committing: Option<commit::InFlight>,
+    /// No other entry can have taken the lead before this time.
+    certain_until: Ms,
     /// No commit begins before this time, because the previous one was not confirmed.
     commit_after: Ms,
     last_drain: Ms,
@@ -240,6 +250,7 @@
             ranks: BTreeMap::new(),
             unsettled: BTreeMap::new(),
             committing: None,
+            certain_until: Ms::ZERO,
             commit_after: Ms::ZERO,
             last_drain: Ms::ZERO,
             load_logged: Ms::ZERO,
@@ -290,6 +301,9 @@
             Event::Received(entry, report) => self.handle_report(now, &entry, report),
             Event::Committed => self.finish_commit(now, true),
             Event::CommitUnconfirmed => self.finish_commit(now, false),
+            Event::LeadConfirmed(sent_at) => {
+                self.certain_until = self.certain_until.max(sent_at + CERTAINTY);
+            }
             Event::AdviceReceived(step, tickets, valid) => {
                 self.handle_advice(now, step, tickets, valid)
             }
--- a/crates/scheduler/src/leader/report.rs
+++ b/crates/scheduler/src/leader/report.rs
@@ -71,13 +71,14 @@
         self.log(format!(
             "kind=load workers={workers} silent={unresponsive} capacity={capacity} booked={booked} \
              serving={serving} filling={filling} runs={runs} waiting_steps={waiting} \
-             passes={} unsettled={unsettled} unheard={} agents={}",
+             passes={} unsettled={unsettled} unheard={} agents={} certain={}",
             self.passes,
             self.workers
                 .values()
                 .filter(|worker| !worker.is_known)
                 .count(),
-            self.agents.len()
+            self.agents.len(),
+            now < self.certain_until
         ));
         if now.since(self.model_logged) >= MODEL_INTERVAL {
             self.model_logged = now;
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -136,15 +136,20 @@
         self.is_crowded = pass.is_crowded;
     }
 
-    /// Returns the tasks of a step to start, and whether others are held back because an earlier
-    /// leader may have started them on a worker that has not answered. Rows of jobs that are newer
-    /// than the leader's own row were unknown to earlier leaders.
+    /// Returns the tasks of a step to start, and whether others are held back because another leader
+    /// may start them too: an earlier one on a worker that has not answered, or a later one. Rows of
+    /// jobs that are newer than a leader's own row were unknown to earlier leaders, which start such
+    /// jobs only if they read them while they certainly held the lead.
     fn startable_tasks(&mut self, step: id::Step, has_unheard_workers: bool) -> (Vec<u32>, bool) {
-        let epoch = self.epoch.0;
+        let (epoch, certain_until) = (self.epoch.0, self.certain_until);
         let Some(job) = self.jobs.get_mut(&step.job) else {
             return (Vec::new(), false);
         };
-        let may_run_unseen = has_unheard_workers && job.row_version < epoch;
+        let is_newer = job.row_version > epoch;
+        if is_newer && job.known_since >= certain_until {
+            return (Vec::new(), true);
+        }
+        let may_run_unseen = has_unheard_workers && !is_newer;
         let is_gang = job.step_spec(step.step).is_some_and(|spec| spec.is_gang);
         let Some(state) = job.step(step) else {
             return (Vec::new(), false);
--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -77,7 +77,7 @@
 
 /// Passes events to the leader and returns its orders to agents.
 fn apply_events(leader: &mut Leader, now: Ms, events: Vec<Event>) -> Vec<Order> {
-    let mut actions = Vec::new();
+    let mut actions = leader.handle(now, Event::LeadConfirmed(now));
     for event in events {
         actions.extend(leader.handle(now, event));
     }
--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -415,6 +415,30 @@
     }
 }
 
+#[test]
+fn a_job_that_a_replaced_leader_reads_too_runs_once() {
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed, 5, 3);
+        world.elect(false);
+        // Its agent has the workers to itself, because the others join late.
+        world.max_join_delay = 9_000;
+        world.elect_at(&name("e0"), false);
+        world.run_for(1_000 + seed * 30);
+        world.max_join_delay = 500;
+        // Polls of the new leader are lost, so some workers do not know of it yet.
+        world.faults.lost_poll = 0.4;
+        world.elect_at(&name("e1"), true);
+        for job in 0..JOBS {
+            world.submit(job, chain(&[4], 800));
+            world.run_for(60);
+        }
+        world.faults = Faults::default();
+        world.run_for(30_000);
+        assert_no_violations(&world, seed, "new jobs");
+        assert_completed(&world, seed, "new jobs");
+    }
+}
+
 /// Injects one fault or changes the leader.
 fn disturb(world: &mut World, choice: u64, restarts_workers: bool) {
     let entry = name(&format!("e{}", choice % 3));
--- a/crates/scheduler/tests/serving.rs
+++ b/crates/scheduler/tests/serving.rs
@@ -154,7 +154,7 @@
 
     /// Passes events to the leader and carries out its orders to start.
     fn apply_events(&mut self, events: Vec<Event>) {
-        let mut actions = Vec::new();
+        let mut actions = self.leader.handle(self.now, Event::LeadConfirmed(self.now));
         for event in events {
             actions.extend(self.leader.handle(self.now, event));
         }
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -186,6 +186,13 @@
     /// Passes events and a tick to the leader this long after the takeover, and returns the tasks
     /// that it starts.
     fn apply(&mut self, after: Ms, events: Vec<Event>) -> Vec<Task> {
+        self.leader
+            .handle(BEGUN + after, Event::LeadConfirmed(BEGUN + after));
+        self.apply_unconfirmed(after, events)
+    }
+
+    /// Does the same while the store confirms no write of the leader.
+    fn apply_unconfirmed(&mut self, after: Ms, events: Vec<Event>) -> Vec<Task> {
         let now = BEGUN + after;
         let mut actions = Vec::new();
         for event in events.into_iter().chain([Event::Tick(now)]) {
@@ -247,3 +254,27 @@
         assert_eq!(takeover.apply(Ms(300), vec![end]), started, "{seen:?}");
     }
 }
+
+#[test]
+fn a_job_that_a_later_leader_may_start_too_waits_until_the_lead_is_confirmed() {
+    // The time of the last confirmed write before the job, and whether the job starts at once.
+    for (confirmed, is_certain) in [
+        (None, false),
+        (Some(Ms(1_000)), false),
+        (Some(Ms(1_500)), true),
+    ] {
+        let mut takeover = Takeover::begin(Vec::new(), &[]);
+        let known = vec![polled("sound", &[]), polled("silent", &[])];
+        takeover.apply_unconfirmed(Ms(10), known);
+        if let Some(sent) = confirmed {
+            takeover.apply(sent, Vec::new());
+        }
+        let job = vec![accepted(1, NEW_ROW, 1)];
+        let started = takeover.apply_unconfirmed(Ms(2_000), job);
+        assert_eq!(!started.is_empty(), is_certain, "{confirmed:?}");
+        let later = takeover.apply_unconfirmed(Ms(9_000), Vec::new());
+        assert_eq!(later, [], "{confirmed:?}");
+        let confirmed_later = takeover.apply(Ms(9_500), Vec::new());
+        assert_eq!(confirmed_later.is_empty(), is_certain, "{confirmed:?}");
+    }
+}
--- a/crates/scheduler/tests/world/agent.rs
+++ b/crates/scheduler/tests/world/agent.rs
@@ -77,13 +77,13 @@
         self.enqueue(self.now, due);
     }
 
-    /// Sends a report of an agent to the leader that it follows by now.
-    pub(super) fn notify_leader(&mut self, entry: &Name, report: Report) {
+    /// Sends a report on a call of this epoch to its leader, unless the agent follows another one by
+    /// now.
+    pub(super) fn notify_leader(&mut self, entry: &Name, epoch: Epoch, report: Report) {
         let agent = &self.agents[entry];
-        if !agent.is_connected {
+        if !agent.is_connected || agent.epoch != epoch {
             return;
         }
-        let epoch = agent.epoch;
         let delivery = Delivery::Report(epoch, entry.clone(), report);
         self.enqueue(self.now + MESSAGE_DELAY_MS, delivery);
     }
@@ -101,7 +101,7 @@
             Some(deadline.0)
         });
         let Some(deadline) = deadline else {
-            return self.notify_leader(entry, Report::Started(placement, Outcome::Unsent));
+            return self.notify_leader(entry, epoch, Report::Started(placement, Outcome::Unsent));
         };
         self.send_call(entry, epoch, placement, Some(deadline), false);
     }
@@ -115,7 +115,7 @@
     ) {
         if !self.agents[entry].watches.contains_key(&placement.worker) {
             let report = Report::Stopped(placement, Outcome::Unsent, Ms(self.now));
-            return self.notify_leader(entry, report);
+            return self.notify_leader(entry, epoch, report);
         }
         self.send_call(entry, epoch, placement, None, polls_after);
     }
@@ -167,7 +167,7 @@
         } else {
             Report::Stopped(placement, outcome, Ms(self.now))
         };
-        self.notify_leader(&call.agent, report);
+        self.notify_leader(&call.agent, call.epoch, report);
         let is_poll_due = if is_start {
             outcome == Outcome::Unknown
         } else {
--- a/crates/scheduler/tests/world/election.rs
+++ b/crates/scheduler/tests/world/election.rs
@@ -25,9 +25,15 @@
     }
 
     /// Makes this entry the leader, which agents join one after the other while it reads the store.
-    /// An earlier leader of another entry that is kept leads its own agent for some time.
+    /// An earlier leader of another entry that is kept leads its own agent for some time. It is only
+    /// replaced after the store has confirmed none of its writes for a while.
     pub fn elect_at(&mut self, entry: &Name, keep_replaced: bool) {
         let is_kept = keep_replaced && self.leader.is_some() && self.leader_entry != *entry;
+        if is_kept {
+            self.is_store_confirming = false;
+            self.run_for(UNCHANGED_TIMEOUT.0);
+            self.is_store_confirming = true;
+        }
         self.replace_leader(entry.clone(), is_kept);
         self.depose_on(entry);
         let recovered = self.now + self.random.random_range(1..MAX_RECOVERY_MS);
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -24,6 +24,7 @@
 use scheduler::config::Config;
 use scheduler::config::Queue;
 use scheduler::config::Service;
+use scheduler::election::UNCHANGED_TIMEOUT;
 use scheduler::fleet::Registration;
 use scheduler::id;
 use scheduler::id::Epoch;
@@ -177,6 +178,8 @@
     pub leader: Option<Leader>,
     leader_entry: Name,
     epoch: u64,
+    /// The store confirms the writes of the leader.
+    is_store_confirming: bool,
     /// The leaders that were replaced but have not noticed it.
     replaced_leaders: Vec<(Name, Leader)>,
     agents: BTreeMap<Name, Agent>,
@@ -285,6 +288,7 @@
             leader: None,
             leader_entry: name("e0"),
             epoch: 10,
+            is_store_confirming: true,
             replaced_leaders: Vec::new(),
             agents: agent_names.map(|name| (name, Agent::default())).collect(),
             joined: BTreeSet::new(),
@@ -317,15 +321,20 @@
         probability > 0.0 && self.random.random_bool(probability)
     }
 
+    /// Stores a job, whose row all leaders read, also those that have been replaced.
     pub fn submit(&mut self, number: u64, spec: spec::Job) {
         let id = id::Job(number);
+        let row = self.epoch + 1;
         let accepted = Accepted {
             queue: name("queue"),
             spec,
             at: Ms(self.now),
         };
-        self.jobs.insert(id, (self.epoch + 1, accepted.clone()));
-        self.handle_event(Event::Accepted(id, self.epoch + 1, accepted, None));
+        self.jobs.insert(id, (row, accepted.clone()));
+        for epoch in self.epochs() {
+            let event = Event::Accepted(id, row, accepted.clone(), None);
+            self.handle_event_in(epoch, event);
+        }
     }
 
     /// Sends the leader the rows of the hidden jobs.
--- a/crates/scheduler/tests/world/poll.rs
+++ b/crates/scheduler/tests/world/poll.rs
@@ -192,7 +192,7 @@
             watch.lease.record_answer(Ms(now), clock, incarnation);
             watch.record_known(poll.sent, &observation);
         }
-        self.notify_leader(&poll.agent, Report::Polled(observation));
+        self.notify_leader(&poll.agent, poll.epoch, Report::Polled(observation));
     }
 
     pub(super) fn handle_poll_timeout(&mut self, poll: &Poll) {
@@ -211,7 +211,7 @@
             renewal_age,
             is_closed: false,
         };
-        self.notify_leader(&poll.agent, Report::PollFailed(failure));
+        self.notify_leader(&poll.agent, poll.epoch, Report::PollFailed(failure));
         self.enqueue(now + RETRY_DELAY_MS, due);
     }
 }
--- a/crates/scheduler/tests/world/run.rs
+++ b/crates/scheduler/tests/world/run.rs
@@ -8,7 +8,7 @@
     }
 
     /// Passes an event to the leader of this epoch, which may have been replaced.
-    fn handle_event_in(&mut self, epoch: Epoch, event: Event) {
+    pub(super) fn handle_event_in(&mut self, epoch: Epoch, event: Event) {
         let now = Ms(self.now);
         let replaced = self.replaced_leaders.iter_mut();
         let mut leaders = replaced
@@ -44,7 +44,7 @@
         if epoch.0 != self.epoch {
             return;
         }
-        let is_lost = self.should_fail(self.faults.lost_commit);
+        let is_lost = !self.is_store_confirming || self.should_fail(self.faults.lost_commit);
         for (id, progress) in commit.progress {
             self.progress.insert(id, progress);
         }
@@ -84,7 +84,7 @@
         }
     }
 
-    fn epochs(&self) -> Vec<Epoch> {
+    pub(super) fn epochs(&self) -> Vec<Epoch> {
         let replaced = self.replaced_leaders.iter().map(|(_, leader)| leader);
         let leaders = replaced.chain(&self.leader);
         leaders.map(Leader::epoch).collect()
@@ -100,6 +100,9 @@
         for epoch in epochs {
             self.handle_event_in(epoch, Event::Tick(Ms(self.now)));
         }
+        if self.is_store_confirming {
+            self.handle_event(Event::LeadConfirmed(Ms(self.now)));
+        }
     }
 
     fn schedule(&mut self) {
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -88,6 +88,9 @@
     confirmed_at: AtomicU64,
     /// The store's clock at that confirmation, in ms.
     confirmed_store_time: AtomicU64,
+    /// When the newest confirmed write of this leader was sent, on this VM's clock in ms; 0 if none
+    /// was confirmed.
+    confirmed_sent_at: AtomicU64,
     /// The version of the heartbeat row, or `None` while it is unknown. Each write of the leader
     /// expects this version and changes it, so a delayed write cannot overwrite a later one.
     heartbeat_version: smol::lock::Mutex<Option<u64>>,
@@ -116,7 +119,9 @@
         connection
     }
 
-    fn record_confirmation(&self, store_time: Ms) {
+    fn record_confirmation(&self, sent_at: Ms, store_time: Ms) {
+        self.confirmed_sent_at
+            .fetch_max(sent_at.0, Ordering::SeqCst);
         self.confirmed_store_time
             .fetch_max(store_time.0, Ordering::SeqCst);
         self.confirmed_at.store(clock::now().0, Ordering::SeqCst);
@@ -144,10 +149,11 @@
             transaction.expected =
                 vec![(rows::record(), self.epoch.0), (rows::heartbeat(), version)];
             transaction.puts.push(self.heartbeat());
+            let sent_at = clock::now();
             match shared.store.transact(&transaction).await {
                 Ok(page) => {
                     *known_version = Some(page.version);
-                    self.record_confirmation(page.now);
+                    self.record_confirmation(sent_at, page.now);
                     return Ok(());
                 }
                 Err(Error::Conflict(current)) => {
@@ -192,6 +198,7 @@
         connections: AtomicU64::new(0),
         confirmed_at: AtomicU64::new(clock::now().0),
         confirmed_store_time: AtomicU64::new(store_time.0),
+        confirmed_sent_at: AtomicU64::new(0),
         heartbeat_version: smol::lock::Mutex::new(None),
     });
     log::info!("kind=lead-begun epoch={epoch}");
@@ -311,6 +318,8 @@
     agents: BTreeMap<Name, (u64, Sender<Vec<Order>>)>,
     /// Orders by agent since the last flush.
     outgoing: BTreeMap<Name, Vec<Order>>,
+    /// When the newest confirmed write that the leader knows of was sent.
+    confirmed_sent_at: Ms,
     /// How the driver has to end; `None` while it leads.
     end: Option<End>,
 }
@@ -330,6 +339,7 @@
             queue,
             agents: BTreeMap::new(),
             outgoing: BTreeMap::new(),
+            confirmed_sent_at: Ms::ZERO,
             end: None,
         }
     }
@@ -375,6 +385,7 @@
                 heartbeat_due = now + peers::HEARTBEAT_INTERVAL;
                 self.send_heartbeats();
             }
+            self.confirm_lead();
             let actions = self.leader.schedule(now);
             self.shared.instruments.record_tally(self.leader.tally());
             self.perform(actions);
@@ -382,6 +393,15 @@
         }
     }
 
+    /// Tells the leader of the newest confirmed write.
+    fn confirm_lead(&mut self) {
+        let sent_at = Ms(self.leadership.confirmed_sent_at.load(Ordering::SeqCst));
+        if sent_at > self.confirmed_sent_at {
+            self.confirmed_sent_at = sent_at;
+            self.handle_event(Event::LeadConfirmed(sent_at));
+        }
+    }
+
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::Event(Event::Received(entry, Report::Store(number, request))) => {
