Hold back old tasks until a worker has reported under the present epoch

What callers can see: after a group was handed over, a task of it runs on two workers at once.

Cause: a worker counted as adopted, so that old tasks were no longer frozen, once it had accepted any epoch of this entry. The report of an answer under another epoch than the present one is not used, though. Right after a handover the answer to the Adopt of 5.1 often comes after the row was written (6.0): the tasks in it were unknown to the board, and as soon as the group's other workers were adopted they were started there. The same holds for an answer to a command from an earlier holding of the group, after which another owner may have started tasks on the worker.

Change: only a report that the board received counts, and no longer that the worker accepted some epoch.

--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -173,6 +173,7 @@
         if !current || adoption.missing_since.is_some() {
             return;
         }
+        adoption.reported = true;
         let vm = adoption.vm.clone();
         let changed = before != (adoption.epoch(), adoption.confirmed);
         self.targets_changed |= changed;
@@ -261,6 +262,7 @@
             adoption.leaving = leaving;
             if adoption.missing_since.take().is_some() {
                 adoption.accepted = None;
+                adoption.reported = false;
                 adoption.next_send = now;
             }
         }
--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -71,6 +71,9 @@
     pub accepted: Option<Epoch>,
     /// Whether the worker accepted a command sent since the last pause of this entry.
     pub confirmed: bool,
+    /// Whether the board received a report that the worker made under the target epoch. An answer
+    /// to a command of an earlier epoch is no such report: the worker may have started tasks since.
+    pub reported: bool,
     /// Slots that are busy with requests sent under lower epochs.
     pub busy: u32,
     /// The attempts of this entry in progress on the worker, by the worker's latest report under
@@ -86,7 +89,7 @@
     pub leaving: bool,
     /// Since when the worker is missing from the platform's list; `None` while it is listed.
     pub missing_since: Option<Ms>,
-    /// Whether the group's old pieces stay frozen until this worker is adopted or its leases have
+    /// Whether the group's old pieces stay frozen until this worker has reported or its leases have
     /// expired.
     pub blocks_unfreeze: bool,
 }
@@ -100,6 +103,7 @@
             target_epoch,
             accepted: None,
             confirmed: false,
+            reported: false,
             busy: 0,
             snapshot: None,
             in_flight: None,
@@ -125,7 +129,7 @@
         let expired = self
             .missing_since
             .is_some_and(|since| leases_expired(now, since));
-        self.blocks_unfreeze && self.accepted.is_none() && !expired
+        self.blocks_unfreeze && !self.reported && !expired
     }
 }
 
--- a/crates/decision/tests/control/main.rs
+++ b/crates/decision/tests/control/main.rs
@@ -4,6 +4,8 @@
 mod chaos;
 mod drains;
 mod ownership;
+mod proofs;
+mod rig;
 mod search;
 mod world;
 
--- /dev/null
+++ b/crates/decision/tests/control/proofs.rs
@@ -0,0 +1,105 @@
+//! Tests of what an entry takes as proof that a task does not run, after it took a group over.
+//! `vm-0` and `vm-1` form the group `rack-0`; the entry `e` owned it before.
+
+use decision::peer;
+use decision::peer::Message;
+use decision::worker::Epoch;
+use decision::worker::Verb;
+
+use crate::rig::Rig;
+use crate::world::sample::name;
+use crate::world::sample::vm;
+
+const LEASE: Verb = Verb::Renew {
+    lease: decision::task::LEASE,
+};
+
+/// A group with a job of one task that the entry `e` has started on `vm-0`.
+fn rig() -> (Rig, Epoch) {
+    let mut rig = Rig::new(2);
+    let epoch = rig.write_owner("rack-0", "e");
+    rig.write_job("rack-0", "j", 1);
+    rig.start_by_peer(0, epoch, "j#0");
+    (rig, epoch)
+}
+
+fn hand_over(rig: &mut Rig, epoch: Epoch) {
+    let group = peer::Group {
+        name: name("rack-0"),
+        epoch: Epoch {
+            step: epoch.step + 1,
+            ..epoch
+        },
+    };
+    rig.deliver(Message::HandOver(vec![group]));
+}
+
+/// Runs while the entry `e` renews the lease on `vm-0`.
+fn run_renewed(rig: &mut Rig, epoch: Epoch, ms: u64) {
+    for _ in 0..ms / 2_000 {
+        rig.command_by_peer(0, epoch, LEASE);
+        rig.run(2_000);
+    }
+    rig.command_by_peer(0, epoch, LEASE);
+}
+
+/// Runs in steps and checks after each that the task runs on one worker at most.
+fn run_checked(rig: &mut Rig, ms: u64) {
+    for _ in 0..ms / 100 {
+        rig.run(100);
+        let places = rig.places("j#0");
+        assert!(places.len() <= 1, "{}: {places:?}", rig.now);
+    }
+}
+
+// Guards against a worker that counts as reported because it answered a command of the epoch before
+// the group's row was written. The report of that answer is not used, and tasks in it started again.
+#[test]
+fn an_answer_of_the_epoch_before_is_no_report() {
+    let (mut rig, epoch) = rig();
+    rig.has_peer = true;
+    rig.list = rig.list_without(&[]);
+    run_renewed(&mut rig, epoch, 30_000);
+    assert!(!rig.holds("rack-0"));
+    rig.silent.insert(vm(0).name);
+    hand_over(&mut rig, epoch);
+    rig.run(300);
+    assert!(rig.holds("rack-0"));
+    rig.release_answers();
+    run_checked(&mut rig, 8_000);
+    rig.lose_answers();
+    rig.silent.clear();
+    run_checked(&mut rig, 30_000);
+    assert_eq!(rig.places("j#0"), [vm(0).name]);
+}
+
+// Guards against an answer to a command that was sent when the entry held the group before.
+#[test]
+fn an_answer_from_an_earlier_holding_is_no_report() {
+    let mut rig = Rig::new(2);
+    rig.list = rig.list_without(&[]);
+    rig.has_peer = true;
+    rig.run(30_000);
+    assert!(rig.holds("rack-0"));
+    rig.silent.insert(vm(0).name);
+    rig.run(3_000);
+    assert!(!rig.answers.is_empty());
+    let epoch = rig.write_owner("rack-0", "e");
+    rig.write_job("rack-0", "j", 1);
+    rig.start_by_peer(0, epoch, "j#0");
+    rig.command_by_peer(1, epoch, Verb::Adopt { caretaker: false });
+    rig.run(3_000);
+    assert!(!rig.holds("rack-0"));
+    let late = std::mem::take(&mut rig.answers);
+    hand_over(&mut rig, epoch);
+    rig.run(200);
+    assert!(rig.holds("rack-0"));
+    let current = std::mem::replace(&mut rig.answers, late);
+    rig.release_answers();
+    rig.answers = current;
+    run_checked(&mut rig, 8_000);
+    rig.lose_answers();
+    rig.silent.clear();
+    run_checked(&mut rig, 30_000);
+    assert_eq!(rig.places("j#0"), [vm(0).name]);
+}
