Hold no group whose row another entry has written since it was acquired

What callers can see: two entries own a group under the same epoch for a moment; work stored in that time may be started by both.

Cause: when the answer to a commit is lost, its rows are read back, and the token of one of them proves that the commit took effect. The versions of all its rows were then taken from that read, also those of rows that another commit had written since. An entry that acquired two groups in one commit whose answer was lost, and lost one of them to another entry before the read, held that group under the version that the other entry had written: the reader's proof was about another row.

Change: a row that does not bear the token of the commit has version 0 in the resolution, and a group with that version is not held. Its row is read again.

Evidence: a_group_that_another_entry_acquired_is_not_held failed before ("rack-1" is held while its row names the other entry) and passes now. cargo test -p decision: 99 passed.

--- a/crates/decision/src/commit.rs
+++ b/crates/decision/src/commit.rs
@@ -166,7 +166,8 @@
 /// The final outcome of a transaction.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Resolution {
-    /// It took effect; holds the new versions in the order of its writes.
+    /// It took effect; holds the new versions in the order of its writes. The version is 0 for a row
+    /// that was deleted, or that another commit has written again before it was read back.
     Done(Vec<Version>),
     /// It had no effect and never will, because this row has another version.
     Conflict(Condition),
@@ -393,9 +394,10 @@
     let find = |key: &str| rows.iter().find(|row| row.key == key);
     let version = |row: Option<&Row>| row.map_or(Version(0), |row| row.version);
     if rows.iter().any(|row| row.token == flight.token) {
+        let own = |row: &&Row| row.token == flight.token;
         let writes = flight.transaction.writes.iter();
-        let versions = writes.map(|write| version(find(&write.key))).collect();
-        return Some(Resolution::Done(versions));
+        let versions = writes.map(|write| version(find(&write.key).filter(own)));
+        return Some(Resolution::Done(versions.collect()));
     }
     let mut conditions = flight.transaction.conditions.iter();
     match conditions.find(|condition| version(find(&condition.key)) != condition.version) {
--- a/crates/decision/src/control/ownership.rs
+++ b/crates/decision/src/control/ownership.rs
@@ -244,6 +244,10 @@
         match resolution {
             Resolution::Done(versions) => {
                 for ((name, fresh), version) in groups.iter().zip(versions) {
+                    if *version == table::Version(0) {
+                        self.lose_acquired(name);
+                        continue;
+                    }
                     let epoch = Epoch {
                         row: version.0,
                         step: 0,
@@ -266,6 +270,15 @@
         }
     }
 
+    /// Handles a group that this entry acquired and another entry acquired after it. The version of
+    /// its row is then the epoch of that entry.
+    fn lose_acquired(&mut self, name: &Name) {
+        if self.held.contains_key(name) {
+            self.lose_group(name, "another entry wrote its row");
+        }
+        self.due.rows = self.due.rows.min(self.now + ROWS_RETRY_DELAY);
+    }
+
     /// Begins to command a group. One that was handed over directly continues under the epoch of
     /// its row.
     pub(super) fn begin_holding(
--- a/crates/decision/tests/control/proofs.rs
+++ b/crates/decision/tests/control/proofs.rs
@@ -103,3 +103,20 @@
     run_checked(&mut rig, 30_000);
     assert_eq!(rig.places("j#0"), [vm(0).name]);
 }
+
+// Guards against an acquisition whose lost answer is replaced by reading the rows back, when another
+// entry has acquired one of the groups in between. Its version is not this entry's epoch.
+#[test]
+fn a_group_that_another_entry_acquired_is_not_held() {
+    let mut rig = Rig::new(4);
+    rig.list = rig.list_without(&[]);
+    rig.has_peer = true;
+    rig.stolen = Some("rack-1");
+    for _ in 0..200 {
+        rig.run(100);
+        for group in ["rack-0", "rack-1"] {
+            assert!(!rig.holds(group) || *rig.owner(group) == *"a", "{group}");
+        }
+    }
+    assert!(rig.stolen.is_none());
+}
--- a/crates/decision/tests/control/rig.rs
+++ b/crates/decision/tests/control/rig.rs
@@ -228,6 +228,13 @@
         }
     }
 
+    /// The entry that the row of the group names.
+    pub fn owner(&self, group: &str) -> Name {
+        let row = &self.table.rows[&format!("group/{group}")];
+        let (owner, _) = record::decode::<Group>(&row.value).unwrap().owner.unwrap();
+        owner
+    }
+
     /// Whether the entry commands the group.
     pub fn holds(&self, group: &str) -> bool {
         self.machine.groups().any(|(held, _)| **held == *group)
