Report no count of waiting jobs before a new leader has read all jobs

Cause: the heartbeat of the leader counts the jobs that it knows, and it sends heartbeats from its first moment on, while it still reads the rows of accepted jobs. An entry also answered 0 for a queue that the heartbeat does not list, as before its first heartbeat.

Change: the heartbeat has no counts until the leader has recovered, and an entry without a count for a queue refuses the request with 503, as it does without a leader (reason `no-count`).

--- a/crates/scheduler/src/leader/report.rs
+++ b/crates/scheduler/src/leader/report.rs
@@ -24,8 +24,13 @@
 }
 
 impl Leader {
-    /// Returns the number of accepted jobs without a started task, by queue.
+    /// Returns the number of accepted jobs without a started task, by queue. There are no counts
+    /// until all accepted jobs were read: that this leader knows of no job does not mean that none
+    /// waits.
     pub(super) fn count_waiting(&self) -> Vec<(Name, u32)> {
+        if !self.is_recovered {
+            return Vec::new();
+        }
         let mut counts: BTreeMap<&Name, u32> = BTreeMap::new();
         for queue in &self.config.queues {
             counts.insert(&queue.name, 0);
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -106,7 +106,8 @@
     pub store_age: Ms,
     /// The version of the leader's configuration.
     pub config: u64,
-    /// The number of accepted jobs without a started task, by queue.
+    /// The number of accepted jobs without a started task, by queue. A queue that is not listed has
+    /// no known count.
     pub waiting: Vec<(Name, u32)>,
     /// The queues that accept no more work for now, each with the time after which to retry.
     pub full: Vec<(Name, Ms)>,
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -207,6 +207,18 @@
     }
 }
 
+#[test]
+fn a_leader_that_has_not_read_all_jobs_reports_no_count_of_them() {
+    let mut leader = Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN);
+    leader.handle(BEGUN, Event::Config(Arc::new(config())));
+    assert_eq!(leader.heartbeat(Ms::ZERO).waiting, []);
+    leader.handle(BEGUN, accepted(1, OLD_ROW, 1));
+    assert_eq!(leader.heartbeat(Ms::ZERO).waiting, []);
+    leader.handle(BEGUN, Event::Recovered);
+    let counts = leader.heartbeat(Ms::ZERO).waiting;
+    assert_eq!(counts.iter().map(|(_, count)| count).sum::<u32>(), 1);
+}
+
 #[test]
 fn a_run_survives_a_failed_poll_by_an_agent_that_never_renewed_its_lease() {
     let mut takeover = Takeover::begin(vec![accepted(1, OLD_ROW, 1)], &[task(1, 0)]);
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -100,7 +100,10 @@
         .waiting
         .iter()
         .find(|(name, _)| *name == queue.name);
-    json(front::encode_waiting(found.map_or(0, |(_, count)| *count)))
+    match found {
+        Some((_, count)) => json(front::encode_waiting(*count)),
+        None => refuse(shared, "no-count", &queue.name),
+    }
 }
 
 async fn submit(
