Count the leases of workers that left the list from the first list

What callers can see: an entry that starts while the list of VMs cannot be read starts tasks again that run on a worker which left the list meanwhile.

Cause: after its start an entry does not know which workers left the list before. It therefore kept old tasks frozen until the longest lease had passed since its own start. But when the first list arrives late, the entry knows nothing of the time before that list: with a list 28 s after the start it unfroze old tasks at once.

Change: the time counts from the first list.

Evidence: leases_of_unknown_workers_count_from_the_first_list failed before (j#0 on vm-0 and vm-1, 1.3 s after the first list) and passes now. cargo test -p decision: 100 passed.

--- a/crates/decision/src/control/exchange.rs
+++ b/crates/decision/src/control/exchange.rs
@@ -32,8 +32,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Fleet {
     pub(super) list: Vec<Vm>,
-    /// Whether the list was received since the start.
-    pub(super) received: bool,
+    /// When the list was first received since the start; `None` before.
+    pub(super) first_received: Option<Ms>,
     pub(super) vms: BTreeMap<Name, Vm>,
     pub(super) groups: BTreeMap<Name, BTreeSet<Name>>,
     /// Workers that disappeared from the list, with the time, until the leases on them have
@@ -45,6 +45,11 @@
 }
 
 impl Fleet {
+    /// Whether the list was received since the start.
+    pub(super) const fn is_received(&self) -> bool {
+        self.first_received.is_some()
+    }
+
     pub(super) fn is_leaving(&self, vm: &Vm) -> bool {
         vm.state == State::Leaving || self.drained.contains(&vm.name)
     }
@@ -73,7 +78,7 @@
         }
         self.groups = groups;
         self.list = list;
-        self.received = true;
+        self.first_received.get_or_insert(now);
     }
 }
 
@@ -272,7 +277,7 @@
     }
 
     pub(super) fn update_fleet(&mut self, list: Vec<Vm>) {
-        if self.fleet.received && self.fleet.list == list {
+        if self.fleet.is_received() && self.fleet.list == list {
             return;
         }
         self.fleet.replace(self.now, list);
--- a/crates/decision/src/control/ownership.rs
+++ b/crates/decision/src/control/ownership.rs
@@ -72,7 +72,7 @@
     /// While the table is down, it may act as their caretaker instead.
     pub(super) fn maintain_ownership(&mut self) {
         let started = self.started.unwrap_or(self.now);
-        if self.now.since(started) < JOIN_DELAY || !self.fleet.received {
+        if self.now.since(started) < JOIN_DELAY || !self.fleet.is_received() {
             return;
         }
         self.update_plan();
@@ -313,13 +313,14 @@
         self.sync_group(name);
     }
 
-    /// Unfreezes old pieces of groups once no worker can run their tasks unreported. An entry that
-    /// started recently does not know which workers disappeared from the list before, so it waits
-    /// until leases on those have expired.
+    /// Unfreezes old pieces of groups once no worker can run their tasks unreported. An entry does
+    /// not know which workers disappeared from the list before it first received the list, so it
+    /// waits until leases on those have expired.
     fn unfreeze_groups(&mut self) {
-        let started = self.started.unwrap_or(self.now);
-        let max_lease = group::LEASE + group::CLOCK_BOUND;
-        let list_complete = self.now.since(started) > max_lease;
+        let Some(first_received) = self.fleet.first_received else {
+            return;
+        };
+        let list_complete = group::leases_expired(self.now, first_received);
         let mut to_unfreeze = Vec::new();
         for (name, held) in &mut self.held {
             if held.frozen && list_complete && !held.is_unfreeze_blocked(self.now) {
--- a/crates/decision/src/control/stranded.rs
+++ b/crates/decision/src/control/stranded.rs
@@ -31,11 +31,11 @@
 {
     /// Whether no worker of this group is listed.
     pub(super) fn is_workerless(&self, group: &str) -> bool {
-        self.fleet.received && !self.fleet.groups.contains_key(group)
+        self.fleet.is_received() && !self.fleet.groups.contains_key(group)
     }
 
     pub(super) fn scan_for_stranded(&mut self) {
-        if self.now < self.due.stranded || !self.fleet.received || !self.is_table_up() {
+        if self.now < self.due.stranded || !self.fleet.is_received() || !self.is_table_up() {
             return;
         }
         self.due.stranded = self.now + SCAN_INTERVAL;
--- a/crates/decision/tests/control/proofs.rs
+++ b/crates/decision/tests/control/proofs.rs
@@ -120,3 +120,13 @@
     }
     assert!(rig.stolen.is_none());
 }
+// Guards against a list that is first read long after the start: workers that left it in between
+// are not known, and their leases count from the first list at the earliest.
+#[test]
+fn leases_of_unknown_workers_count_from_the_first_list() {
+    let (mut rig, epoch) = rig();
+    run_renewed(&mut rig, epoch, 28_000);
+    rig.list = rig.list_without(&[0]);
+    run_checked(&mut rig, 60_000);
+    assert_eq!(rig.places("j#0"), [vm(1).name]);
+}
