Start no job again that was read before its rows were removed

What callers can see: a job that ended long ago runs again, from its first task. It needs a job past its retention time.

Cause: the leader forgets an ended job before the removal of its rows is durable, and reads the whole table of jobs again when the store has discarded the history of its feed. A row that was read in between arrives as accepted, without progress, and a job that the leader does not know was taken for a job that never began.

Change: the leader remembers the version of the row of a removed job for the retention time, and until the removal is durable, and ignores a row up to that version. A job that is submitted again later has a newer row.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -201,6 +201,9 @@
     clock: Ms,
     /// Jobs whose rows are to be removed from the store.
     removable: Vec<id::Job>,
+    /// Jobs that were removed from memory lately, with the version of their row and the time in ms
+    /// since 1970. A row that was read before its removal can still arrive.
+    forgotten: BTreeMap<id::Job, (u64, Ms)>,
     /// The names of the workers in `fleet`.
     stored_workers: BTreeSet<Name>,
     /// The workers have not changed since they were last compared with the stored ones.
@@ -257,6 +260,7 @@
             model_logged: Ms::ZERO,
             clock: now,
             removable: Vec::new(),
+            forgotten: BTreeMap::new(),
             stored_workers: BTreeSet::new(),
             is_fleet_synced: false,
             last_pass: Ms::ZERO,
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -170,10 +170,19 @@
                 .jobs
                 .get(&id)
                 .is_some_and(|job| job.committed == job.version);
-            if is_durable {
-                self.jobs.remove(&id);
+            if is_durable && let Some(job) = self.jobs.remove(&id) {
                 self.removable.push(id);
+                self.remember_removal(id, job.row_version);
             }
         }
     }
+
+    /// Remembers for the retention time, and until the removal is durable, that a row was removed.
+    fn remember_removal(&mut self, id: id::Job, row: u64) {
+        let (unix, retention) = (self.unix, self.bounds.retention);
+        let removable = &self.removable;
+        self.forgotten
+            .retain(|other, (_, at)| unix.since(*at) <= retention || removable.contains(other));
+        self.forgotten.insert(id, (row, unix));
+    }
 }
--- a/crates/scheduler/src/leader/jobs.rs
+++ b/crates/scheduler/src/leader/jobs.rs
@@ -21,7 +21,9 @@
         accepted: job::Accepted,
         progress: Option<Progress>,
     ) {
-        if self.jobs.contains_key(&id) {
+        let removed = self.forgotten.get(&id);
+        let was_removed = removed.is_some_and(|(removed_row, _)| row <= *removed_row);
+        if was_removed || self.jobs.contains_key(&id) {
             return;
         }
         let job = job::Job::new(id, row, accepted, progress, &mut self.model, now);
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use common::BOUNDS;
@@ -31,6 +32,8 @@
 use scheduler::message::Running;
 use scheduler::message::Start;
 use scheduler::message::Termination;
+use scheduler::progress::Outcome;
+use scheduler::progress::Progress;
 use scheduler::spec;
 
 /// The leader begins hours after its VM.
@@ -219,6 +222,33 @@
     assert_eq!(counts.iter().map(|(_, count)| count).sum::<u32>(), 1);
 }
 
+/// The same row can be read again after the store discarded the history of the table of jobs.
+#[test]
+fn a_job_that_was_read_before_its_rows_were_removed_does_not_run_again() {
+    let done = |event| match event {
+        Event::Accepted(job, row, accepted, _) => {
+            let progress = Progress {
+                has_started: true,
+                ended: Some((Outcome::Completed, BEGUN)),
+                finished_occurrences: 1,
+                steps: BTreeMap::new(),
+            };
+            Event::Accepted(job, row, accepted, Some(progress))
+        }
+        other => other,
+    };
+    let both = || vec![polled("silent", &[]), polled("sound", &[])];
+    let mut takeover = Takeover::begin(vec![done(accepted(1, OLD_ROW, 1))], &[]);
+    assert_eq!(takeover.apply(Ms(10), both()), []);
+    let later = BOUNDS.retention + Ms(1_000);
+    assert_eq!(takeover.apply(later, both()), []);
+    let again = vec![accepted(1, OLD_ROW, 1)];
+    assert_eq!(takeover.apply(later + Ms(100), again), []);
+    let submitted_again = vec![accepted(1, NEW_ROW, 1)];
+    let starts = takeover.apply(later + Ms(200), submitted_again);
+    assert_eq!(starts, [task(1, 0)]);
+}
+
 #[test]
 fn a_run_survives_a_failed_poll_by_an_agent_that_never_renewed_its_lease() {
     let mut takeover = Takeover::begin(vec![accepted(1, OLD_ROW, 1)], &[task(1, 0)]);
