Let the clocks of simulated entries begin at ten hours

Simulations of crates/decision and crates/experiment began with clocks at zero. All their clocks now begin at 36,000,000 ms, and in the tests of the control path each entry has its own origin, because points in time are comparable within one process only.

--- a/crates/decision/tests/control/world/mod.rs
+++ b/crates/decision/tests/control/world/mod.rs
@@ -37,6 +37,9 @@
 use workers::Observed;
 use workers::Worker;
 
+/// The clock of an entry shows at least this time when the world begins, as the clock of a VM that
+/// has run for hours. Times from before the start are then never recent.
+const START_MS: u64 = 36_000_000;
 const TICK_MS: u64 = 100;
 const CHECK_INTERVAL_MS: u64 = 10;
 
@@ -68,6 +71,8 @@
     pub incarnation: u64,
     pub address: SocketAddr,
     pub paused_until: u64,
+    /// What its clock shows at the start of the world. No two clocks show the same time.
+    clock_start: u64,
     /// The delay of changes in its list of workers.
     pub list_lag: u64,
     /// The last operation that began before the last pause, until a read that began later has
@@ -138,6 +143,7 @@
             machine: Machine::new(identity, Board::new(seed)),
             address,
             paused_until: 0,
+            clock_start: START_MS + 977 * u64::from(number),
             list_lag: self.random.random_range(0..4_000),
             unconfirmed_after: None,
             last_id: 0,
@@ -310,7 +316,8 @@
             {
                 state.unconfirmed_after = None;
             }
-            let actions = state.machine.step(Ms(now), event);
+            let clock = Ms(state.clock_start + now);
+            let actions = state.machine.step(clock, event);
             for action in actions {
                 self.execute(entry, incarnation, action);
             }
--- a/crates/decision/tests/place/fake/mod.rs
+++ b/crates/decision/tests/place/fake/mod.rs
@@ -37,6 +37,9 @@
 use self::worker::Objects;
 use self::worker::Worker;
 
+/// The time at the start of a world, as on a VM whose clock has run for ten hours. A time that was
+/// never set is then not recent.
+const START: Ms = Ms(36_000_000);
 pub const TICK: Ms = Ms(100);
 const RENEW_INTERVAL_MS: u64 = 2_000;
 const LEASE: Ms = Ms(20_000);
@@ -160,7 +163,7 @@
         let workers = capacities.iter().enumerate();
         let mut world = Self {
             board,
-            now: Ms(1_000),
+            now: START,
             workers: workers
                 .map(|(index, capacity)| Worker::new(vm(index, *capacity)))
                 .collect(),
--- a/crates/decision/tests/request/model.rs
+++ b/crates/decision/tests/request/model.rs
@@ -129,6 +129,8 @@
     pub check_slots: bool,
 }
 
+/// The time at the start of a simulation, as on a VM whose clock has run for ten hours.
+const START: Ms = Ms(36_000_000);
 /// Stands for a broken connection in place of an HTTP status.
 const BROKEN: u16 = 0;
 /// Stands for an attempt that did not run in place of an HTTP status.
@@ -138,7 +140,7 @@
     pub fn new(subject: S, responses: Vec<Response>) -> Self {
         let mut simulation = Self {
             subject,
-            now: Ms::ZERO,
+            now: START,
             responses,
             next_call: 0,
             calls: BTreeMap::new(),
--- a/crates/experiment/src/entry.rs
+++ b/crates/experiment/src/entry.rs
@@ -24,6 +24,7 @@
 use crate::scenario::Scenario;
 use crate::scenario::domain;
 use crate::scenario::name;
+use crate::simulation::CLOCK_START;
 use crate::simulation::Correlation;
 use crate::simulation::Event;
 use crate::simulation::Input;
@@ -261,6 +262,7 @@
 
     fn tick(&mut self, index: usize) {
         let now = self.now();
+        let clock = self.entry_clock();
         self.schedule_input(index, TICK, Input::Tick);
         let ticks = self.entries[index].ticks;
         self.entries[index].ticks += 1;
@@ -271,7 +273,7 @@
         }
         if ticks.is_multiple_of(10) {
             let requests = self.entries[index].requests.as_ref();
-            if let Some(summary) = requests.map(|requests| requests.summary(now)) {
+            if let Some(summary) = requests.map(|requests| requests.summary(clock)) {
                 self.step_control(index, control::Event::Load(summary));
             }
             self.step_control(index, control::Event::Tick);
@@ -304,7 +306,7 @@
     }
 
     fn hand_over_book(&mut self, index: usize, since: Us) {
-        let now = self.now();
+        let now = self.entry_clock();
         let entry = &mut self.entries[index];
         let successor = entry.peers.iter().find(|peer| !peer.stopping);
         let successor = successor.map(|peer| peer.entry.clone());
@@ -340,7 +342,7 @@
     }
 
     pub(crate) fn step_requests(&mut self, index: usize, event: request::Event) {
-        let now = self.now();
+        let now = self.entry_clock();
         let Some(requests) = &mut self.entries[index].requests else {
             return;
         };
@@ -353,7 +355,7 @@
     }
 
     fn wake_at(&mut self, index: usize, next: Option<Ms>) {
-        let now = self.now();
+        let now = self.entry_clock();
         let entry = &mut self.entries[index];
         let Some(next) = next.map(|next| next.max(now + Ms(1))) else {
             return;
@@ -362,12 +364,13 @@
         {
             entry.next_wake = Some(next);
             let event = Event::Input(index, entry.incarnation, Input::Wake);
-            self.queue.schedule_at(next.0 * MS, event);
+            self.queue
+                .schedule_at(next.since(CLOCK_START).0 * MS, event);
         }
     }
 
     pub(crate) fn step_control(&mut self, index: usize, event: control::Event) {
-        let now = self.now();
+        let now = self.entry_clock();
         let Some(control) = &mut self.entries[index].control else {
             return;
         };
--- a/crates/experiment/src/shell.rs
+++ b/crates/experiment/src/shell.rs
@@ -28,6 +28,7 @@
 use crate::queue::SECOND;
 use crate::queue::Us;
 use crate::simulation::Answer;
+use crate::simulation::CLOCK_START;
 use crate::simulation::Correlation;
 use crate::simulation::Event;
 use crate::simulation::Input;
@@ -54,7 +55,7 @@
                 timeout,
             } => {
                 let correlation = self.entries[index].register(index, Purpose::Attempt(attempt));
-                self.schedule_expiry(correlation, timeout.0 * MS);
+                self.schedule_expiry(correlation, timeout.since(CLOCK_START).0 * MS);
                 let entry = &self.entries[index];
                 let id = format!("{}/{:x}/{:x}", entry.name, entry.incarnation, attempt.0);
                 let request = Request {
@@ -70,7 +71,13 @@
                 entry,
                 call,
                 timeout,
-            } => self.forward(index, attempt, &entry, &call, timeout.0 * MS),
+            } => self.forward(
+                index,
+                attempt,
+                &entry,
+                &call,
+                timeout.since(CLOCK_START).0 * MS,
+            ),
             request::Action::Abandon(attempt) => self.abandon(index, attempt),
             request::Action::Reply { call, outcome } => self.reply(index, call, outcome),
             request::Action::Measured {
@@ -201,7 +208,7 @@
     }
 
     fn forward(&mut self, index: usize, attempt: Attempt, to: &Name, call: &Call, timeout: Us) {
-        let now = self.now();
+        let now = self.entry_clock();
         let message = Message::Forward(Forward {
             service: call.service.clone(),
             kind: call.kind.clone(),
@@ -296,7 +303,7 @@
                     team: forward.team,
                     repeatable: forward.repeatable,
                     ticket: forward.ticket,
-                    deadline: self.now() + forward.remaining,
+                    deadline: self.entry_clock() + forward.remaining,
                     forwarded: true,
                     body: forward.body,
                 };
@@ -315,7 +322,7 @@
     }
 
     fn reply(&mut self, index: usize, call: u64, outcome: Outcome) {
-        let now = self.now();
+        let now = self.entry_clock();
         let entry = &mut self.entries[index];
         match entry.calls.remove(&call) {
             Some(Origin::Caller { request, sending }) => {
@@ -366,7 +373,7 @@
             team: self.scenario.teams[spec.team].clone(),
             repeatable: spec.repeatable,
             ticket,
-            deadline: crate::queue::ms(self.queue.now() + remaining),
+            deadline: CLOCK_START + crate::queue::ms(self.queue.now() + remaining),
             forwarded: false,
             body: crate::caller::request_body(self.scenario, request, sending),
         };
--- a/crates/experiment/src/simulation.rs
+++ b/crates/experiment/src/simulation.rs
@@ -41,6 +41,10 @@
 /// The time after the window within which accepted batch work has to end.
 const SETTLE_LIMIT: Us = 400 * SECOND;
 
+/// The time of the entries' clocks at the start of a run. They have run for ten hours then, so that
+/// a time that was never set is not taken for a recent one.
+pub(crate) const CLOCK_START: Ms = Ms(36_000_000);
+
 /// The interval at which the tasks of all workers advance and utilisation is sampled.
 pub(crate) const SAMPLE_INTERVAL: Us = 100 * MS;
 
@@ -221,11 +225,16 @@
         }
     }
 
-    /// The current virtual time in milliseconds, as the decision logic and the observers use it.
+    /// The current virtual time in milliseconds, as the platform and the observers use it.
     pub(crate) const fn now(&self) -> Ms {
         ms(self.queue.now())
     }
 
+    /// The current time of the entries' clocks.
+    pub(crate) fn entry_clock(&self) -> Ms {
+        CLOCK_START + self.now()
+    }
+
     /// Prints a note of an entry's decision logic if the run is traced.
     pub(crate) fn trace_note(&self, index: usize, note: &timeline::Note) {
         if self.setup.trace {
