Count the lease of a worker that left the list from the takeover

What callers can see: a task runs on two workers after a takeover of a group one of whose workers left the list of VMs before, while the former owner, whose list was older, went on renewing its lease.

Cause: old tasks were unfrozen once the longest lease had passed since the worker left the list of this entry. The lease ends that long after its last renewal, which another entry made by its own list: the lapse was computed from a time that bounds nothing.

Change: for the leases that a takeover has to wait for, the time counts from the takeover instead, but from no later than 30 s after the worker left the list, which is the bound that was assumed before for the difference of two lists. Workers that left the list are remembered as long as that requires, and the same holds for those that left it before the first list.

--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -14,6 +14,7 @@
 use crate::group::Authority;
 use crate::group::COMMAND_TIMEOUT;
 use crate::group::LEASE;
+use crate::group::MAX_LIST_LAG;
 use crate::group::RENEW_INTERVAL;
 use crate::name::Name;
 use crate::place;
@@ -30,10 +31,6 @@
 use crate::worker::Report;
 use crate::worker::Verb;
 
-// A worker that first appears in the list this soon after a takeover may already have run tasks for
-// the former owner, whose list can be newer than the list of this entry.
-const MAX_LIST_LAG: Ms = Ms(30_000);
-
 // The slowdown, in percent, of a worker whose services are not slowed down.
 const NO_SLOWDOWN: u32 = 100;
 
@@ -248,6 +245,8 @@
         let mut events = Vec::new();
         let listed = self.fleet.groups.get(name).into_iter().flatten();
         for vm in listed.filter_map(|vm| self.fleet.vms.get(vm)) {
+            // A worker that first appears in the list this soon after a takeover may already have
+            // run tasks for the former owner, whose list can be newer than the list of this entry.
             let blocks_unfreeze = held.frozen && now.since(held.acquired_at) <= MAX_LIST_LAG;
             let new_adoption = || Adoption::new(vm.clone(), held.epoch, blocks_unfreeze);
             let adoption = held
@@ -278,7 +277,7 @@
                 .entry(vm.name.clone())
                 .or_insert_with(new_adoption);
             if adoption.missing_since.is_none() {
-                adoption.missing_since = Some(*since);
+                adoption.missing_since = Some(group::last_renewal(*since, held.acquired_at));
                 events.push(place::Event::Unlisted(vm.name.clone()));
             }
         }
--- a/crates/decision/src/control/exchange.rs
+++ b/crates/decision/src/control/exchange.rs
@@ -37,7 +37,7 @@
     pub(super) vms: BTreeMap<Name, Vm>,
     pub(super) groups: BTreeMap<Name, BTreeSet<Name>>,
     /// Workers that disappeared from the list, with the time, until the leases on them have
-    /// expired.
+    /// expired at every entry.
     pub(super) missing: BTreeMap<Name, (Vm, Ms)>,
     pub(super) drained: BTreeSet<Name>,
     /// Rises with every change of the set of groups, so that the plan of owners is updated then.
@@ -59,7 +59,8 @@
         let vms = BTreeMap::from_iter(vms);
         let before = std::mem::replace(&mut self.vms, vms);
         self.missing.retain(|name, (_, since)| {
-            !self.vms.contains_key(name) && !group::leases_expired(now, *since)
+            let renewed_at = *since + group::MAX_LIST_LAG;
+            !self.vms.contains_key(name) && !group::leases_expired(now, renewed_at)
         });
         for (name, vm) in before {
             if !self.vms.contains_key(&name) {
--- a/crates/decision/src/control/ownership.rs
+++ b/crates/decision/src/control/ownership.rs
@@ -320,9 +320,10 @@
         let Some(first_received) = self.fleet.first_received else {
             return;
         };
-        let list_complete = group::leases_expired(self.now, first_received);
         let mut to_unfreeze = Vec::new();
         for (name, held) in &mut self.held {
+            let renewed_at = group::last_renewal(first_received, held.acquired_at);
+            let list_complete = group::leases_expired(self.now, renewed_at);
             if held.frozen && list_complete && !held.is_unfreeze_blocked(self.now) {
                 held.frozen = false;
                 to_unfreeze.push(name.clone());
--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -16,6 +16,8 @@
 /// Upper bound of the time by which clock drift can extend a lease; equal to
 /// [`crate::task::CLOCK_BOUND`].
 pub const CLOCK_BOUND: Ms = Ms(2_000);
+/// Upper bound of the time by which the lists of two entries differ.
+pub const MAX_LIST_LAG: Ms = Ms(30_000);
 /// The delay before another attempt to adopt or renew a worker.
 pub const ADOPT_RETRY_INTERVAL: Ms = Ms(500);
 /// An `Adopt` or `Renew` without an outcome for this long is sent again.
@@ -87,7 +89,8 @@
     pub next_leftover_check: Ms,
     /// Whether the worker was leaving or drained when it was last listed.
     pub leaving: bool,
-    /// Since when the worker is missing from the platform's list; `None` while it is listed.
+    /// Since when the worker is missing from the platform's list and is not renewed by any owner;
+    /// `None` while it is listed.
     pub missing_since: Option<Ms>,
     /// Whether the group's old pieces stay frozen until this worker has reported or its leases have
     /// expired.
@@ -133,10 +136,18 @@
     }
 }
 
-/// Whether every lease on a VM that left the list at `missing_since` has expired.
+/// Whether every lease that was renewed at `renewed_at` for the last time has expired.
 #[must_use]
-pub fn leases_expired(now: Ms, missing_since: Ms) -> bool {
-    now.since(missing_since) > LEASE + CLOCK_BOUND
+pub fn leases_expired(now: Ms, renewed_at: Ms) -> bool {
+    now.since(renewed_at) > LEASE + CLOCK_BOUND
+}
+
+/// The latest time at which a VM that left this entry's list at `missing_since` may have been
+/// renewed. The former owner, whose list may be older, renewed it until the takeover at
+/// `acquired_at`.
+#[must_use]
+pub fn last_renewal(missing_since: Ms, acquired_at: Ms) -> Ms {
+    missing_since.max(acquired_at.min(missing_since + MAX_LIST_LAG))
 }
 
 /// A group whose workers this entry commands.
--- a/crates/decision/tests/control/proofs.rs
+++ b/crates/decision/tests/control/proofs.rs
@@ -120,6 +120,7 @@
     }
     assert!(rig.stolen.is_none());
 }
+
 // Guards against a list that is first read long after the start: workers that left it in between
 // are not known, and their leases count from the first list at the earliest.
 #[test]
@@ -130,3 +131,19 @@
     run_checked(&mut rig, 60_000);
     assert_eq!(rig.places("j#0"), [vm(1).name]);
 }
+
+// Guards against a lease that counts from the time at which a worker left this entry's list. The
+// former owner, whose list was older, renewed it until the takeover.
+#[test]
+fn leases_of_a_worker_that_left_the_list_count_from_the_takeover() {
+    let (mut rig, epoch) = rig();
+    rig.has_peer = true;
+    rig.list = rig.list_without(&[]);
+    run_renewed(&mut rig, epoch, 30_000);
+    rig.list = rig.list_without(&[0]);
+    run_renewed(&mut rig, epoch, 24_000);
+    rig.command_by_peer(1, epoch, Verb::Adopt { caretaker: false });
+    hand_over(&mut rig, epoch);
+    run_checked(&mut rig, 60_000);
+    assert_eq!(rig.places("j#0"), [vm(1).name]);
+}
