Take work that the first scan of a group passes over for old work

What callers can see: a task of a job that was just submitted runs on two workers after the group was handed over.

Cause: work that the first scan after a takeover finds may have been started by the former owner, so it is held back until all workers have reported. A scan passes over rows that this entry is writing itself. If the answer to a submission was still under way during the first scan, a later scan took the work for new, although the former owner had read and started it: its absence from this entry's scan was taken for its absence from the table.

Change: an owner remembers the rows that each scan so far passed over, and takes them for old work when it finds them.

--- a/crates/decision/src/control/scan.rs
+++ b/crates/decision/src/control/scan.rs
@@ -86,13 +86,23 @@
             self.lose_group(&scan.group, "its row has changed");
             return;
         }
-        // Work that the first scan finds may have been stored and started by a former owner.
-        let old = !held.fresh && !held.scanned;
-        held.scanned = true;
+        // Work that the first scan finds, or passes over, may have been stored and started by a
+        // former owner.
+        let is_first = !std::mem::replace(&mut held.scanned, true);
+        let passed_over = std::mem::take(&mut held.passed_over);
+        let fresh = held.fresh;
+        let is_old = |key: &String| !fresh && (is_first || passed_over.contains(key));
         let mut cancelled = Vec::new();
         for row in &scan.rows {
             let removed = self.removed.get(&row.key);
-            if removed.is_some_and(|at| *at >= scan.began) || self.writer.is_locked(&row.key) {
+            if removed.is_some_and(|at| *at >= scan.began) {
+                continue;
+            }
+            let old = is_old(&row.key);
+            if self.writer.is_locked(&row.key) {
+                if let Some(held) = self.held.get_mut(&scan.group).filter(|_| old) {
+                    held.passed_over.insert(row.key.clone());
+                }
                 continue;
             }
             let work = record::decode::<Work>(&row.value);
--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -1,6 +1,7 @@
 //! Ownership of groups: the planned owner, the epochs held and the adoption of workers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::clock::Ms;
 use crate::control::Id;
@@ -174,6 +175,8 @@
     pub scanning: bool,
     /// Whether a scan was completed since the group was acquired.
     pub scanned: bool,
+    /// The keys of rows that every scan so far passed over, because this entry was writing them.
+    pub passed_over: BTreeSet<String>,
 }
 
 impl Holding {
@@ -191,6 +194,7 @@
             next_scan: now,
             scanning: false,
             scanned: false,
+            passed_over: BTreeSet::new(),
         }
     }
 
--- a/crates/decision/tests/control/proofs.rs
+++ b/crates/decision/tests/control/proofs.rs
@@ -1,13 +1,16 @@
 //! Tests of what an entry takes as proof that a task does not run, after it took a group over.
 //! `vm-0` and `vm-1` form the group `rack-0`; the entry `e` owned it before.
 
+use decision::control::Event;
 use decision::peer;
 use decision::peer::Message;
 use decision::worker::Epoch;
 use decision::worker::Verb;
 
 use crate::rig::Rig;
+use crate::world::sample::job;
 use crate::world::sample::name;
+use crate::world::sample::submit;
 use crate::world::sample::vm;
 
 const LEASE: Verb = Verb::Renew {
@@ -147,3 +150,29 @@
     run_checked(&mut rig, 60_000);
     assert_eq!(rig.places("j#0"), [vm(1).name]);
 }
+
+// Guards against work that the first scan passes over, because this entry still waits for the answer
+// to its submission, and that a later scan takes for new. The former owner has started it.
+#[test]
+fn work_that_the_first_scan_passes_over_is_old() {
+    let mut rig = Rig::new(2);
+    let epoch = rig.write_owner("rack-0", "e");
+    rig.has_peer = true;
+    rig.list = rig.list_without(&[]);
+    rig.run(30_000);
+    rig.keeps_commits = true;
+    rig.step(Event::Operator(1, submit("c", job("j", 1))));
+    rig.run(300);
+    assert_eq!(rig.commits.len(), 1);
+    rig.start_by_peer(0, epoch, "j#0");
+    rig.silent.insert(vm(0).name);
+    hand_over(&mut rig, epoch);
+    rig.run(1_000);
+    assert!(rig.holds("rack-0"));
+    rig.release_commits();
+    run_checked(&mut rig, 15_000);
+    rig.lose_answers();
+    rig.silent.clear();
+    run_checked(&mut rig, 30_000);
+    assert_eq!(rig.places("j#0"), [vm(0).name]);
+}
--- a/crates/decision/tests/control/rig.rs
+++ b/crates/decision/tests/control/rig.rs
@@ -64,6 +64,9 @@
     pub answers: Vec<(Id, Name, worker::Outcome)>,
     /// A group that another entry acquires right after this entry, whose answer is then lost.
     pub stolen: Option<&'static str>,
+    /// Whether the answers to commits that store work are kept in `commits`.
+    pub keeps_commits: bool,
+    pub commits: Vec<(Id, Outcome)>,
     /// The list that the entry reads each second.
     pub list: Option<Vec<Vm>>,
     /// Whether the entry `e` is live.
@@ -96,6 +99,8 @@
             silent: BTreeSet::new(),
             answers: Vec::new(),
             stolen: None,
+            keeps_commits: false,
+            commits: Vec::new(),
             list: None,
             has_peer: false,
             starts: Vec::new(),
@@ -199,6 +204,14 @@
         }
     }
 
+    /// Delivers the answers to commits that were kept back.
+    pub fn release_commits(&mut self) {
+        self.keeps_commits = false;
+        for (id, outcome) in std::mem::take(&mut self.commits) {
+            self.step(Event::Table(id, outcome));
+        }
+    }
+
     /// Delivers a message of the entry `e`.
     pub fn deliver(&mut self, message: Message) {
         self.messages += 1;
@@ -275,6 +288,12 @@
             self.write_owner(group, "e");
             outcome = Outcome::Unknown;
         }
+        if let (Operation::Commit { writes, .. }, true) = (operation, self.keeps_commits)
+            && writes.iter().any(|write| write.key.starts_with("job/"))
+        {
+            self.commits.push((id, outcome));
+            return;
+        }
         self.step(Event::Table(id, outcome));
     }
 
