Hold back old tasks until the list was read after the takeover

What callers can see: after a handover, a task that the former owner started on a worker that had just joined runs a second time elsewhere.

Cause: old tasks were unfrozen once all workers in the entry's list had reported. That list can be from before the takeover, and the former owner's can be newer: a worker that it lacks was taken for a worker that does not exist.

Change: old tasks wait until a list arrived at least 2 s after the takeover, which is the time limit of its read, or until all leases from before the takeover have expired. Takeovers hold old tasks back for 2 to 3 s.

Evidence: a_list_from_before_the_takeover_is_not_complete failed before (j#0 on vm-0 and vm-1, 0.3 s after the takeover) and passes now. cargo test -p decision: 103 passed.

--- a/crates/decision/src/control/exchange.rs
+++ b/crates/decision/src/control/exchange.rs
@@ -34,6 +34,8 @@
     pub(super) list: Vec<Vm>,
     /// When the list was first received since the start; `None` before.
     pub(super) first_received: Option<Ms>,
+    /// When the list was last received, changed or not; `None` before the first time.
+    pub(super) last_received: Option<Ms>,
     pub(super) vms: BTreeMap<Name, Vm>,
     pub(super) groups: BTreeMap<Name, BTreeSet<Name>>,
     /// Workers that disappeared from the list, with the time, until the leases on them have
@@ -278,6 +280,7 @@
     }
 
     pub(super) fn update_fleet(&mut self, list: Vec<Vm>) {
+        self.fleet.last_received = Some(self.now);
         if self.fleet.is_received() && self.fleet.list == list {
             return;
         }
--- a/crates/decision/src/control/ownership.rs
+++ b/crates/decision/src/control/ownership.rs
@@ -37,6 +37,9 @@
 /// The table must have been down for this long before an entry acts as caretaker.
 const MIN_OUTAGE: Ms = Ms(1_000);
 
+/// A list that is received at least this long after a takeover was read after it.
+const MAX_LIST_READ: Ms = Ms(2_000);
+
 /// The planned owner of each group, for the live entries and the set of groups that it was made
 /// for.
 #[derive(Clone, Debug, Default)]
@@ -323,7 +326,8 @@
         let mut to_unfreeze = Vec::new();
         for (name, held) in &mut self.held {
             let renewed_at = group::last_renewal(first_received, held.acquired_at);
-            let list_complete = group::leases_expired(self.now, renewed_at);
+            let list_complete = group::leases_expired(self.now, renewed_at)
+                && is_listed_since(self.now, self.fleet.last_received, held.acquired_at);
             if held.frozen && list_complete && !held.is_unfreeze_blocked(self.now) {
                 held.frozen = false;
                 to_unfreeze.push(name.clone());
@@ -402,3 +406,9 @@
         }
     }
 }
+
+/// Whether the list was read after a takeover, so that it has all workers on which the former owner
+/// may have started tasks. Without a list, the leases on unknown workers have to expire.
+fn is_listed_since(now: Ms, last_received: Option<Ms>, acquired_at: Ms) -> bool {
+    last_received >= Some(acquired_at + MAX_LIST_READ) || group::leases_expired(now, acquired_at)
+}
--- a/crates/decision/tests/control/proofs.rs
+++ b/crates/decision/tests/control/proofs.rs
@@ -176,3 +176,18 @@
     run_checked(&mut rig, 30_000);
     assert_eq!(rig.places("j#0"), [vm(0).name]);
 }
+
+// Guards against a list from before the takeover. It lacks a worker that joined since, on which the
+// former owner has started tasks.
+#[test]
+fn a_list_from_before_the_takeover_is_not_complete() {
+    let (mut rig, epoch) = rig();
+    rig.has_peer = true;
+    rig.list = rig.list_without(&[0]);
+    run_renewed(&mut rig, epoch, 60_000);
+    rig.run(500);
+    hand_over(&mut rig, epoch);
+    rig.list = rig.list_without(&[]);
+    run_checked(&mut rig, 60_000);
+    assert_eq!(rig.places("j#0"), [vm(0).name]);
+}
