Bound by 5 s how long an unknown worker may have been renewed

What callers can see: since the lease of a worker that left the list counts from the takeover, an entry holds old tasks back for 22 s after each takeover in its first 30 s.

Cause: the bound of 30 s for the difference of two lists was applied to workers that left the list before the first one was received, of which nothing is known, so that every entry that starts paid for it.

Change: for these the bound is 5 s, the time in which a list is read again and answered twice (1 s and 2 s). For workers that are known to have left the list the bound stays 30 s. An entry whose reads of the list fail for longer may still renew such a worker; no test covers that.

--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -277,7 +277,8 @@
                 .entry(vm.name.clone())
                 .or_insert_with(new_adoption);
             if adoption.missing_since.is_none() {
-                adoption.missing_since = Some(group::last_renewal(*since, held.acquired_at));
+                adoption.missing_since =
+                    Some(group::last_renewal(*since, held.acquired_at, MAX_LIST_LAG));
                 events.push(place::Event::Unlisted(vm.name.clone()));
             }
         }
--- a/crates/decision/src/control/ownership.rs
+++ b/crates/decision/src/control/ownership.rs
@@ -40,6 +40,10 @@
 /// A list that is received at least this long after a takeover was read after it.
 const MAX_LIST_READ: Ms = Ms(2_000);
 
+/// Upper bound of the time by which the lists of two entries differ whose reads of it succeed. It
+/// applies to workers that nothing is known of; a longer one would delay each restarted entry.
+const USUAL_LIST_LAG: Ms = Ms(5_000);
+
 /// The planned owner of each group, for the live entries and the set of groups that it was made
 /// for.
 #[derive(Clone, Debug, Default)]
@@ -325,7 +329,7 @@
         };
         let mut to_unfreeze = Vec::new();
         for (name, held) in &mut self.held {
-            let renewed_at = group::last_renewal(first_received, held.acquired_at);
+            let renewed_at = group::last_renewal(first_received, held.acquired_at, USUAL_LIST_LAG);
             let list_complete = group::leases_expired(self.now, renewed_at)
                 && is_listed_since(self.now, self.fleet.last_received, held.acquired_at);
             if held.frozen && list_complete && !held.is_unfreeze_blocked(self.now) {
--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -144,11 +144,11 @@
 }
 
 /// The latest time at which a VM that left this entry's list at `missing_since` may have been
-/// renewed. The former owner, whose list may be older, renewed it until the takeover at
-/// `acquired_at`.
+/// renewed. The former owner, whose list may be older by up to `max_lag`, renewed it until the
+/// takeover at `acquired_at`.
 #[must_use]
-pub fn last_renewal(missing_since: Ms, acquired_at: Ms) -> Ms {
-    missing_since.max(acquired_at.min(missing_since + MAX_LIST_LAG))
+pub fn last_renewal(missing_since: Ms, acquired_at: Ms, max_lag: Ms) -> Ms {
+    missing_since.max(acquired_at.min(missing_since + max_lag))
 }
 
 /// A group whose workers this entry commands.
