Show in real processes that a leader without confirmed writes starts no new job

In this test the store drops all writes that carry a leader's heartbeat and serves all others; a job is accepted 1.2 s later by another entry, before that entry takes the lead.

--- a/tests/serve/sessions.rs
+++ b/tests/serve/sessions.rs
@@ -129,3 +129,30 @@
     drop(cluster);
     fleet.assert_no_violations();
 }
+
+/// A leader whose writes get no answer still reads new jobs. The next leader starts these at once,
+/// so the first one must not.
+#[test]
+fn a_leader_without_confirmed_writes_starts_no_new_job() {
+    let fleet = Fleet::start(1);
+    let (leader, agent) = start_leader_and_agent(&fleet);
+    fleet.store.drop_heartbeats(true);
+    // The heartbeat counts as stale after 2 s.
+    thread::sleep(Duration::from_millis(1_200));
+    let path = "/q/00000000000000c4";
+    assert_eq!(fleet.send(agent.customer, "POST", path, JOB).0, 200);
+    wait_until("the next leader", 10_000, || {
+        agent.read_log().contains("kind=lead-begun")
+    });
+    fleet.store.drop_heartbeats(false);
+    wait_until("completion", 20_000, || {
+        fleet.state(agent.customer, "00000000000000c4") == "completed"
+    });
+    let starts = |entry: &Entry| {
+        let log = entry.read_log();
+        log.matches("kind=start task=00000000000000c4").count()
+    };
+    assert_eq!(starts(&leader), 0, "{}", leader.read_log());
+    assert!(starts(&agent) > 0, "{}", agent.read_log());
+    fleet.assert_no_violations();
+}
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -35,6 +35,7 @@
     is_silent: Arc<AtomicBool>,
     delays_progress: Arc<AtomicBool>,
     refuses_writes: Arc<AtomicBool>,
+    drops_heartbeats: Arc<AtomicBool>,
 }
 
 fn text(value: &Value, name: &str) -> String {
@@ -57,6 +58,7 @@
             is_silent: Arc::default(),
             delays_progress: Arc::default(),
             refuses_writes: Arc::default(),
+            drops_heartbeats: Arc::default(),
         }
     }
 
@@ -76,6 +78,18 @@
         self.refuses_writes.store(refuses, Ordering::SeqCst);
     }
 
+    /// Sets whether writes with the heartbeat of a leader are not done and get no response. Reads,
+    /// takeovers and the writes of entries that do not lead are served.
+    pub fn drop_heartbeats(&self, drops: bool) {
+        self.drops_heartbeats.store(drops, Ordering::SeqCst);
+    }
+
+    fn drops(&self, body: &Value) -> bool {
+        let puts = body["puts"].as_array().cloned().unwrap_or_default();
+        let is_put = |key: &str| puts.iter().any(|row| text(row, "key") == key);
+        self.drops_heartbeats.load(Ordering::SeqCst) && is_put("beat") && !is_put("record")
+    }
+
     /// Returns the version of the newest write.
     pub fn version(&self) -> u64 {
         let state = self.state.lock().expect("no holder of this lock panics");
@@ -172,6 +186,7 @@
             "/rows-tx" if self.refuses_writes.load(Ordering::SeqCst) => {
                 (StatusCode::SERVICE_UNAVAILABLE, json!({}))
             }
+            "/rows-tx" if self.drops(body) => smol::future::pending().await,
             "/rows-tx" => {
                 let puts = body["puts"].as_array().cloned().unwrap_or_default();
                 let is_progress = puts.iter().any(|row| text(row, "table") == "progress");
