Show that a start which the next life of a worker answered is run twice

Sequence, without any late call: a worker restarts under its id; the leader, which does not know it, orders a start, and Expect-Instance names the id only, so the new life carries it out and answers 200. A poll of the new life, whose list is older, is answered on another connection and arrives after that answer (PROTOCOL.md: responses may overtake each other).

--- /dev/null
+++ b/crates/scheduler/tests/absence.rs
@@ -0,0 +1,149 @@
+//! Tests of what a leader may conclude from an answer that is missing, old or meant for something
+//! else.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::BOUNDS;
+use common::config;
+use common::name;
+use decision::clock::Ms;
+use decision::resource::Size;
+use scheduler::fleet::Registration;
+use scheduler::id::Epoch;
+use scheduler::id::Job;
+use scheduler::job::Accepted;
+use scheduler::leader::Action;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::message::Observation;
+use scheduler::message::Order;
+use scheduler::message::Outcome;
+use scheduler::message::Report;
+use scheduler::message::Start;
+use scheduler::spec;
+
+const EPOCH: Epoch = Epoch(17);
+/// The version of a job's row that was written after the leader took over.
+const NEW_ROW: u64 = 30;
+const INCARNATION: Ms = Ms(77);
+const NEXT_INCARNATION: Ms = Ms(78);
+/// The leader begins hours after its VM.
+const BEGUN: Ms = Ms(40_000_000);
+
+fn registration() -> Registration {
+    Registration {
+        service: name("service"),
+        address: Arc::from("10.0.0.1:1"),
+        domain: name("d1"),
+        size: Size {
+            millicores: 8_000,
+            memory_mb: 8_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        incarnation: INCARNATION,
+        is_draining: false,
+    }
+}
+
+fn registered(worker: &str) -> Event {
+    Event::RegistrationChanged(name(worker), Some(registration()))
+}
+
+/// Returns a job of one task.
+fn accepted(job: u64, row: u64) -> Event {
+    let accepted = Accepted {
+        queue: name("queue"),
+        spec: spec::Job {
+            payload: Arc::from(""),
+            steps: vec![spec::Step {
+                count: 1,
+                estimate: Ms(500),
+                ..spec::Step::default()
+            }],
+            schedule: None,
+        },
+        at: Ms(1),
+    };
+    Event::Accepted(Job(job), row, accepted, None)
+}
+
+fn observation(worker: &str, incarnation: Ms, polled_at: Ms) -> Observation {
+    Observation {
+        worker: name(worker),
+        incarnation,
+        polled_at,
+        running: Some(Vec::new()),
+        ended: Vec::new(),
+    }
+}
+
+fn polled(agent: &str, worker: &str) -> Event {
+    let report = Report::Polled(observation(worker, INCARNATION, BEGUN));
+    Event::Received(name(agent), report)
+}
+
+/// A leader with the agent `e1` that has read the rows of the store.
+struct Play {
+    leader: Leader,
+}
+
+impl Play {
+    fn begin() -> Self {
+        let mut play = Self {
+            leader: Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN),
+        };
+        let events = vec![
+            Event::Config(Arc::new(config())),
+            Event::Joined(name("e1"), name("d1")),
+            Event::Recovered,
+        ];
+        play.apply(Ms(0), events);
+        play
+    }
+
+    /// Passes events and a tick to the leader this long after it began, and returns the starts that
+    /// it orders. The store confirms that it leads.
+    fn apply(&mut self, after: Ms, events: Vec<Event>) -> Vec<Start> {
+        let now = BEGUN + after;
+        let mut actions = self.leader.handle(now, Event::LeadConfirmed(now));
+        for event in events.into_iter().chain([Event::Tick(now)]) {
+            actions.extend(self.leader.handle(now, event));
+        }
+        actions.extend(self.leader.schedule(now));
+        let starts = actions.into_iter().filter_map(|action| match action {
+            Action::Send(_, Order::Start(start)) => Some(start),
+            _ => None,
+        });
+        starts.collect()
+    }
+}
+
+#[test]
+fn a_start_that_the_next_life_of_a_worker_answered_is_not_lost_with_the_life_before() {
+    let mut play = Play::begin();
+    play.apply(Ms(10), vec![registered("w"), registered("w2")]);
+    let known = vec![
+        Event::Committed,
+        polled("e1", "w"),
+        polled("e1", "w2"),
+        accepted(1, NEW_ROW),
+    ];
+    let starts = play.apply(Ms(20), known);
+    let [start] = &starts[..] else {
+        panic!("{starts:?}");
+    };
+    // The worker has restarted under its name, lists nothing, and then carries out the order. The
+    // answer to the order overtakes that to the poll.
+    let list = observation(&start.worker, NEXT_INCARNATION, BEGUN + Ms(25));
+    let answers = vec![
+        Event::Received(
+            name("e1"),
+            Report::Started(start.placement(), Outcome::Done),
+        ),
+        Event::Received(name("e1"), Report::Polled(list)),
+    ];
+    assert_eq!(play.apply(Ms(30), answers), []);
+}
