Void a start that no list has shown at the next incarnation of its worker

Callers could see a task run twice after a quick restart of a worker under its id. Cause: the answer 200 to an order to start does not say which life of the worker gave it, but the leader took it for the life that it knew, and released the run with that life. Change: a run counts as one of an incarnation once that incarnation has listed it; before, the next incarnation is told to void it, as for a start without an answer. a_start_that_the_next_life_of_a_worker_answered_is_not_lost_with_the_life_before passes. cargo test -p scheduler: all pass but a_replaced_leader_that_is_cut_off_with_its_workers_keeps_no_task_that_starts_elsewhere and the two known red ones.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -165,6 +165,7 @@
         let is_done = task.is_done;
         match task.run(row.run) {
             Some(attempt) => {
+                attempt.is_listed |= attempt.incarnation == observation.incarnation;
                 attempt.missed_polls = 0;
                 attempt.percent = row.percent;
                 attempt.measurement = row.measurement;
@@ -225,6 +226,7 @@
             worker: name.clone(),
             incarnation,
             run,
+            is_listed: phase == Phase::Running,
             phase,
             phase_since: now,
             stop_sent: None,
@@ -415,8 +417,8 @@
         }
     }
 
-    /// Releases the runs on a worker, except those of the incarnation `kept`. An unanswered start may
-    /// still reach that incarnation, so it is voided there first.
+    /// Releases the runs on a worker, except those of the incarnation `kept`. A start that no
+    /// incarnation has listed may reach or have reached that one, so it is voided there first.
     fn release_lost_runs(&mut self, now: Ms, name: &Name, kept: Option<Ms>, reason: &'static str) {
         let Some(worker) = self.workers.get(name) else {
             return;
@@ -428,7 +430,7 @@
                 continue;
             }
             match (attempt, kept) {
-                (Some(attempt), Some(kept)) if attempt.is_unanswered_start() => {
+                (Some(attempt), Some(kept)) if attempt.may_outlive_incarnation() => {
                     attempt.incarnation = kept;
                     attempt.stop_sent = None;
                     self.stop_run(now, task, run, reason);
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -433,6 +433,7 @@
             worker: name.clone(),
             incarnation,
             run,
+            is_listed: false,
             phase: Phase::Starting,
             phase_since: now,
             stop_sent: None,
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -29,6 +29,9 @@
     pub incarnation: Ms,
     /// The run number of this start.
     pub run: Run,
+    /// That incarnation has listed the run. An answer to the order to start does not say which
+    /// incarnation gave it.
+    pub is_listed: bool,
     /// The progress of the order.
     pub phase: Phase,
     /// The time when the run entered this phase.
@@ -52,10 +55,11 @@
 }
 
 impl Attempt {
-    /// Returns whether the order to start may still be carried out.
+    /// Returns whether the next incarnation of the worker may have carried out the order to start,
+    /// or may still do so.
     #[must_use]
-    pub const fn is_unanswered_start(&self) -> bool {
-        matches!(self.phase, Phase::Starting | Phase::Unsure)
+    pub const fn may_outlive_incarnation(&self) -> bool {
+        !self.is_listed || matches!(self.phase, Phase::Starting | Phase::Unsure)
     }
 }
 
