Start tasks only on workers that the store lists whatever it has carried out

Callers could see a task run twice after the store confirmed no write for some time and the leader died. Cause: a write of the fleet that the store did not confirm was taken for not done. Change: a worker that such a write leaves out no longer counts as stored from its sending on, and the fleet is written again until the store confirms it.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -201,8 +201,12 @@
     clock: Ms,
     /// Jobs whose rows are to be removed from the store.
     removable: Vec<id::Job>,
-    /// The names of the workers in `fleet`.
+    /// The workers that the store certainly lists, whether or not it has carried out a write that
+    /// it did not confirm.
     stored_workers: BTreeSet<Name>,
+    /// The store has not confirmed the last write of the fleet, so it lists either that fleet or
+    /// the one before it.
+    is_fleet_uncertain: bool,
     /// The workers have not changed since they were last compared with the stored ones.
     is_fleet_synced: bool,
     /// The time of the last pass over the waiting steps, and the number of passes so far.
@@ -258,6 +262,7 @@
             clock: now,
             removable: Vec::new(),
             stored_workers: BTreeSet::new(),
+            is_fleet_uncertain: false,
             is_fleet_synced: false,
             last_pass: Ms::ZERO,
             passes: 0,
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -75,6 +75,12 @@
         let removed = self.removable.len().min(free / 3);
         commit.removed = self.removable.drain(..removed).collect();
         commit.fleet = fleet.as_ref().map(|fleet| fleet.iter().cloned().collect());
+        if let Some(fleet) = &fleet {
+            // The store may carry out this write without confirming it.
+            self.stored_workers
+                .retain(|name| fleet.iter().any(|member| member.worker == *name));
+            self.is_fleet_uncertain = true;
+        }
         self.committing = Some(InFlight {
             versions,
             removed: commit.removed.clone(),
@@ -109,6 +115,7 @@
         if let Some(fleet) = fleet {
             self.stored_workers = fleet.iter().map(|member| member.worker.clone()).collect();
             self.fleet = fleet;
+            self.is_fleet_uncertain = false;
         }
         self.acknowledge_all();
     }
@@ -123,7 +130,7 @@
         (!summary.serving.is_empty()).then_some(summary)
     }
 
-    /// Returns the workers on which tasks may run, if they differ from the stored ones.
+    /// Returns the workers on which tasks may run, if they may differ from the stored ones.
     fn changed_fleet(&self) -> Option<BTreeSet<Member>> {
         let wanted = self.workers.iter().filter_map(|(name, worker)| {
             let known = self.fleet.iter().find(|member| member.worker == *name);
@@ -137,7 +144,7 @@
             }
         });
         let wanted: BTreeSet<Member> = wanted.collect();
-        (wanted != self.fleet).then_some(wanted)
+        (self.is_fleet_uncertain || wanted != self.fleet).then_some(wanted)
     }
 
     /// Returns whether the store lists a worker, so that a later leader will poll it. Tasks are
