Show that a completed job runs again if its rows are read before they are removed

Sequence: the time to keep an ended job passes; the leader forgets the job and writes the removal of its rows, which the store carries out late, or not at once because it was away. The store has discarded its history (410 to the feed of jobs, usual after it was away), so the table is read anew, and the row of the job, still there, is passed on without its progress, since progress is read once at the beginning. The leader takes the job for a new one and starts all its tasks, whose ends were taken note of.

--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -18,11 +18,13 @@
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
+use scheduler::message::End;
 use scheduler::message::Observation;
 use scheduler::message::Order;
 use scheduler::message::Outcome;
 use scheduler::message::Report;
 use scheduler::message::Start;
+use scheduler::message::Termination;
 use scheduler::spec;
 
 const EPOCH: Epoch = Epoch(17);
@@ -85,6 +87,21 @@
     }
 }
 
+/// Returns an observation of the end of a run as the first one of its worker.
+fn ended(start: &Start, termination: Termination) -> Observation {
+    let end = End {
+        number: 1,
+        task: start.task,
+        run: start.run,
+        termination,
+        checkpoint: None,
+    };
+    Observation {
+        ended: vec![end],
+        ..observation(&start.worker, INCARNATION, BEGUN)
+    }
+}
+
 fn polled(agent: &str, worker: &str) -> Event {
     let report = Report::Polled(observation(worker, INCARNATION, BEGUN));
     Event::Received(name(agent), report)
@@ -202,3 +219,31 @@
     assert_eq!(play.stored, [name("w")]);
     assert_eq!(play.apply(Ms(210), vec![Event::Committed]).len(), 1);
 }
+
+#[test]
+fn a_completed_job_whose_rows_are_not_removed_yet_does_not_run_again() {
+    let mut play = Play::begin();
+    play.apply(Ms(10), vec![registered("w")]);
+    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let starts = play.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
+    let [start] = &starts[..] else {
+        panic!("{starts:?}");
+    };
+    let done = Event::Received(name("e1"), Report::Polled(ended(start, Termination::Done)));
+    play.apply(Ms(900), vec![done]);
+    play.apply(Ms(910), vec![Event::Committed]);
+    // The time to keep the job passes, and the write that removes its rows is under way when the
+    // store, which has discarded its history, is read anew.
+    let over = Ms(900) + BOUNDS.retention + Ms(100);
+    play.apply(over, vec![polled("e1", "w")]);
+    let again = play.apply(over + Ms(100), vec![accepted(1, NEW_ROW)]);
+    assert_eq!(again, []);
+    let unconfirmed = vec![Event::CommitUnconfirmed, accepted(1, NEW_ROW)];
+    assert_eq!(play.apply(over + Ms(1_600), unconfirmed), []);
+    play.apply(over + Ms(1_800), vec![Event::Committed]);
+    // The read may be older than the removal.
+    let again = play.apply(over + Ms(1_900), vec![accepted(1, NEW_ROW)]);
+    assert_eq!(again, []);
+    let newer = vec![accepted(1, NEW_ROW + 50)];
+    assert_eq!(play.apply(over + Ms(2_000), newer).len(), 1);
+}
