Remember the rows of removed jobs for as long as they may still be read

Callers could see a completed job run again when the store had discarded its history. Cause: the leader took a row that it had read before, or whose removal the store had not carried out yet, for that of a new job. Change: it keeps the versions of the rows of removed jobs until the removal has been confirmed for another retention time, and passes over rows up to these versions.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -201,6 +201,10 @@
     clock: Ms,
     /// Jobs whose rows are to be removed from the store.
     removable: Vec<id::Job>,
+    /// The versions of the rows of removed jobs, which may still be read.
+    forgotten: BTreeMap<id::Job, u64>,
+    /// The removed jobs by the time when the store confirmed the removal of their rows.
+    removed: BTreeSet<(Ms, id::Job)>,
     /// The workers that the store certainly lists, whether or not it has carried out a write that
     /// it did not confirm.
     stored_workers: BTreeSet<Name>,
@@ -261,6 +265,8 @@
             model_logged: Ms::ZERO,
             clock: now,
             removable: Vec::new(),
+            forgotten: BTreeMap::new(),
+            removed: BTreeSet::new(),
             stored_workers: BTreeSet::new(),
             is_fleet_uncertain: false,
             is_fleet_synced: false,
@@ -400,7 +406,7 @@
         }
         self.retry_stops(now);
         self.expire_leases(now);
-        self.remove_expired_jobs();
+        self.remove_expired_jobs(now);
         self.move_from_draining(now);
     }
 
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -112,6 +112,7 @@
                 job.commit(version);
             }
         }
+        self.removed.extend(removed.into_iter().map(|id| (now, id)));
         if let Some(fleet) = fleet {
             self.stored_workers = fleet.iter().map(|member| member.worker.clone()).collect();
             self.fleet = fleet;
@@ -167,20 +168,33 @@
     }
 
     /// Removes the jobs whose retention time is over, and schedules the removal of their rows.
-    pub(super) fn remove_expired_jobs(&mut self) {
+    pub(super) fn remove_expired_jobs(&mut self, now: Ms) {
+        self.drop_forgotten_jobs(now);
         while let Some(&(at, id)) = self.ended.first() {
             if self.unix.since(at) <= self.bounds.retention {
                 return;
             }
             self.ended.pop_first();
-            let is_durable = self
+            let durable = self
                 .jobs
                 .get(&id)
-                .is_some_and(|job| job.committed == job.version);
-            if is_durable {
+                .filter(|job| job.committed == job.version);
+            if let Some(row) = durable.map(|job| job.row_version) {
                 self.jobs.remove(&id);
+                self.forgotten.insert(id, row);
                 self.removable.push(id);
             }
         }
     }
+
+    /// Drops the versions of rows that were removed so long ago that no read can still return them.
+    fn drop_forgotten_jobs(&mut self, now: Ms) {
+        while let Some(&(at, id)) = self.removed.first() {
+            if now.since(at) <= self.bounds.retention {
+                return;
+            }
+            self.removed.pop_first();
+            self.forgotten.remove(&id);
+        }
+    }
 }
--- a/crates/scheduler/src/leader/jobs.rs
+++ b/crates/scheduler/src/leader/jobs.rs
@@ -21,7 +21,8 @@
         accepted: job::Accepted,
         progress: Option<Progress>,
     ) {
-        if self.jobs.contains_key(&id) {
+        let is_forgotten = self.forgotten.get(&id).is_some_and(|&last| row <= last);
+        if self.jobs.contains_key(&id) || is_forgotten {
             return;
         }
         let job = job::Job::new(id, row, accepted, progress, &mut self.model, now);
