--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -17,8 +17,10 @@
 use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
+use scheduler::leader::LEADER_CONTACT_TIMEOUT;
 use scheduler::leader::Leader;
 use scheduler::message::End;
+use scheduler::message::Failure;
 use scheduler::message::Observation;
 use scheduler::message::Order;
 use scheduler::message::Outcome;
@@ -247,3 +249,45 @@
     let newer = vec![accepted(1, NEW_ROW + 50)];
     assert_eq!(play.apply(over + Ms(2_000), newer).len(), 1);
 }
+
+#[test]
+fn a_lease_outlasts_a_change_of_agents_that_the_first_agent_does_not_learn() {
+    let mut play = Play::begin();
+    play.apply(Ms(5), vec![Event::Left(name("e1"))]);
+    play.apply(
+        Ms(10),
+        vec![Event::Joined(name("e1"), name("d2")), registered("w")],
+    );
+    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let starts = play.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
+    assert_eq!(starts.len(), 1);
+    play.apply(Ms(40), vec![registered("w2")]);
+    // From here on the first agent hears nothing more. It does not learn that an agent in the domain
+    // of the worker takes over, and renews the lease for 3 s.
+    let handover = Ms(60_000);
+    let events = vec![
+        Event::Committed,
+        polled("e1", "w"),
+        Event::Joined(name("e2"), name("d1")),
+    ];
+    play.apply(handover, events);
+    play.apply(handover + Ms(1_400), vec![Event::Left(name("e1"))]);
+    let lease_end = LEADER_CONTACT_TIMEOUT + BOUNDS.lease + Ms(BOUNDS.lease.0 * 2 / 100);
+    let mut starts = Vec::new();
+    for round in 1.. {
+        let after = Ms(round * 700);
+        if after >= lease_end {
+            break;
+        }
+        let failure = Failure {
+            worker: name("w"),
+            renewal_age: after,
+            is_closed: false,
+        };
+        let failed = Event::Received(name("e2"), Report::PollFailed(failure));
+        starts.extend(play.apply(handover + after, vec![polled("e2", "w2"), failed]));
+    }
+    assert_eq!(starts, []);
+    let over = handover + lease_end + Ms(500);
+    assert_eq!(play.apply(over, vec![polled("e2", "w2")]).len(), 1);
+}
