--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -1,5 +1,5 @@
-//! Tests of what a leader may conclude from an answer that is missing, old or meant for something
-//! else.
+//! Tests of what a leader and its agents may conclude from an answer that is missing, old or meant
+//! for something else.
 
 mod common;
 
@@ -11,6 +11,7 @@
 use decision::clock::Ms;
 use decision::name::Name;
 use decision::resource::Size;
+use scheduler::agent::Lease;
 use scheduler::fleet::Registration;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
@@ -291,3 +292,17 @@
     let over = handover + lease_end + Ms(500);
     assert_eq!(play.apply(over, vec![polled("e2", "w2")]).len(), 1);
 }
+
+#[test]
+fn no_end_is_acknowledged_to_a_worker_that_may_have_restarted_since_its_last_answer() {
+    let mut lease = Lease::new(BOUNDS.lease, BEGUN);
+    let acknowledged = Some((INCARNATION, 50));
+    lease.record_answer(BEGUN, Ms(1_000), INCARNATION);
+    assert_eq!(lease.acknowledged(acknowledged), 50);
+    // The worker has lost its power with this poll. The next poll may be the first one of its next
+    // life, which counts its ends anew.
+    lease.record_failure(BEGUN + Ms(1_500));
+    assert_eq!(lease.acknowledged(acknowledged), 0);
+    lease.record_answer(BEGUN + Ms(1_600), Ms(2_600), INCARNATION);
+    assert_eq!(lease.acknowledged(acknowledged), 50);
+}
