Acknowledge no end in a poll that may be the first of a worker's next life

Callers could see a task run again after its end was taken note of, when a worker lost its power and came back within the time limit of a poll. Cause: the number of the life before was named again in the poll after a failed one. Change: a failed poll makes the incarnation of the worker unknown, so the next poll names 0 until an answer shows the incarnation again. no_end_is_acknowledged_to_a_worker_that_may_have_restarted_since_its_last_answer passes.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -36,7 +36,8 @@
     clock: Option<(Ms, Ms)>,
     /// The time when the last renewal was sent.
     renewed: Option<Ms>,
-    /// The incarnation of the worker in its last answer.
+    /// The incarnation of the worker in its last answer; absent after a poll without an answer,
+    /// because the worker may have restarted.
     incarnation: Option<Ms>,
     is_unresponsive: bool,
 }
@@ -86,8 +87,8 @@
     }
 
     /// Returns the number up to which the worker may discard its ends, given the incarnation and
-    /// number that the leader sent. The number is 0 for another incarnation, which counts its ends
-    /// anew.
+    /// number that the leader sent. The number is 0 if another incarnation may receive it, which
+    /// counts its ends anew.
     #[must_use]
     pub fn acknowledged(&self, reported: Option<(Ms, u64)>) -> u64 {
         match reported {
@@ -110,6 +111,7 @@
     /// agent began to poll the worker if it has sent none.
     pub const fn record_failure(&mut self, now: Ms) -> Ms {
         self.is_unresponsive = true;
+        self.incarnation = None;
         match self.renewed {
             Some(at) => now.since(at),
             None => now.since(self.begun),
