--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -63,6 +63,8 @@
     /// How often a call with this fencing token was refused because the worker had seen a higher
     /// one.
     pub fenced_calls: BTreeMap<Epoch, u32>,
+    /// The time of the last poll that extended a lease, by its fencing token.
+    pub renewed_at: BTreeMap<Epoch, Instant>,
 }
 
 /// Holds back the polls of the leader of one epoch until a later leader polls, whose own polls get
@@ -434,6 +436,7 @@
         }
         if let Some(deadline) = body["deadlineMs"].as_u64() {
             worker.extend_lease(now, deadline);
+            self.renewed_at.insert(token, Instant::now());
         }
         let upto = body["ackedUpto"].as_u64().unwrap_or(0);
         worker.ends.retain(|end| end.number > upto);
--- a/tests/serve/sessions.rs
+++ b/tests/serve/sessions.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::JOB;
 use crate::fleet::Entry;
@@ -129,3 +130,34 @@
     drop(cluster);
     fleet.assert_no_violations();
 }
+
+/// The messages that a leader sent before it died wait in the connection of a suspended agent. They
+/// are no sign that it lives when the agent reads them.
+#[test]
+fn a_resumed_agent_renews_no_lease_because_of_messages_from_before_its_suspension() {
+    let fleet = Fleet::start(1);
+    let (mut leader, agent) = start_leader_and_agent(&fleet);
+    let epoch = {
+        let cluster = fleet.cluster.lock().expect("no holder of this lock panics");
+        cluster.workers["i-0"].fencing_token
+    };
+    agent.signal("-STOP");
+    thread::sleep(Duration::from_millis(1_000));
+    leader.signal("-KILL");
+    leader.wait();
+    // Leaders count on the last renewal within 3 s of the last contact.
+    thread::sleep(Duration::from_millis(3_500));
+    let resumed_at = Instant::now();
+    agent.signal("-CONT");
+    wait_until("the next leader", 10_000, || {
+        agent.read_log().contains("kind=worker-known")
+    });
+    let cluster = fleet.cluster.lock().expect("no holder of this lock panics");
+    let renewed_at = cluster.renewed_at[&epoch];
+    let log = agent.read_log();
+    assert!(
+        renewed_at < resumed_at,
+        "the lease was renewed for the dead leader {:?} after the agent was resumed: {log}",
+        renewed_at - resumed_at
+    );
+}
