Show that an agent takes messages from before its suspension for a sign of life

Sequence: the machine of an agent is suspended for 2 to 6 s. Up to 1.4 s of heartbeats of the leader wait in its connection, then the leader takes the agent for lost. The steady clock does not count the suspension (DEPLOY.md), so the timer that checks for silence is not due, the heartbeats are read first, and record_contact takes the time of reading, on the clock that counts it, for the time of the last contact. The agent renews leases and carries out waiting starts for up to 3 s more: up to 15 s after the last message of the leader, which counts these leases as expired 10.9 s after it if the next agent cannot reach the worker.

--- a/crates/scheduler/tests/session.rs
+++ b/crates/scheduler/tests/session.rs
@@ -57,6 +57,17 @@
     }
 }
 
+/// The messages that a leader sent before an agent's machine was suspended are read when it runs
+/// again, and its timers do not count that time.
+#[test]
+fn a_heartbeat_after_a_long_silence_is_no_sign_of_life() {
+    let mut session = Session::new(Epoch(7), BEGUN);
+    session.record_contact(BEGUN + Ms(1_400));
+    session.record_contact(BEGUN + Ms(6_000));
+    assert_eq!(session.last_contact(), BEGUN + Ms(1_400));
+    assert_eq!(session.start_contact(), None);
+}
+
 /// A refusal that arrives after the next session began does not concern that session.
 #[test]
 fn a_refused_token_ends_only_the_session_of_the_call() {
