Count no message that was read after a long silence as a contact with the leader

Callers could see a task run twice after an agent's machine was suspended for 2 to 6 s while the next agent could not reach a worker. Cause: heartbeats from before the suspension, read after it, passed for new ones.

--- a/crates/scheduler/src/session.rs
+++ b/crates/scheduler/src/session.rs
@@ -4,6 +4,9 @@
 
 use crate::id::Epoch;
 
+/// The time without a message from the leader after which a session counts as lost.
+pub const SILENCE_TIMEOUT: Ms = Ms(1_400);
+
 /// How far a session has come.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum State {
@@ -50,8 +53,13 @@
         self.last_contact
     }
 
-    /// Records a heartbeat of the leader, which counts only while the connection is open.
+    /// Records a heartbeat of the leader, which counts only while the connection is open. One that
+    /// is read after a longer silence may have waited while this machine was suspended, so the
+    /// session counts as lost.
     pub const fn record_contact(&mut self, now: Ms) {
+        if now.since(self.last_contact).0 > SILENCE_TIMEOUT.0 {
+            self.lose();
+        }
         if self.is_open() {
             self.last_contact = now;
         }
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -13,6 +13,7 @@
 use scheduler::message::Hello;
 use scheduler::message::Order;
 use scheduler::message::Report;
+use scheduler::session::SILENCE_TIMEOUT;
 use smol::Task;
 use smol::Timer;
 use smol::channel::Receiver;
@@ -33,8 +34,6 @@
 
 /// The interval of heartbeats on a connection, in both directions.
 pub(super) const HEARTBEAT_INTERVAL: Ms = Ms(400);
-/// The time without a message after which a connection counts as lost.
-const SILENCE_TIMEOUT: Ms = Ms(1_400);
 /// The time limit for connecting to the leader.
 const CONNECT_TIMEOUT: Ms = Ms(600);
 /// The pause after a failed accept before the next one.
