--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -201,8 +201,16 @@
     clock: Ms,
     /// Jobs whose rows are to be removed from the store.
     removable: Vec<id::Job>,
-    /// The names of the workers in `fleet`.
+    /// The versions of the rows of removed jobs, which may still be read.
+    forgotten: BTreeMap<id::Job, u64>,
+    /// The removed jobs by the time when the store confirmed the removal of their rows.
+    removed: BTreeSet<(Ms, id::Job)>,
+    /// The workers that the store certainly lists, whether or not it has carried out a write that
+    /// it did not confirm.
     stored_workers: BTreeSet<Name>,
+    /// The store has not confirmed the last write of the fleet, so it lists either that fleet or
+    /// the one before it.
+    is_fleet_uncertain: bool,
     /// The workers have not changed since they were last compared with the stored ones.
     is_fleet_synced: bool,
     /// The time of the last pass over the waiting steps, and the number of passes so far.
@@ -257,7 +265,10 @@
             model_logged: Ms::ZERO,
             clock: now,
             removable: Vec::new(),
+            forgotten: BTreeMap::new(),
+            removed: BTreeSet::new(),
             stored_workers: BTreeSet::new(),
+            is_fleet_uncertain: false,
             is_fleet_synced: false,
             last_pass: Ms::ZERO,
             passes: 0,
@@ -395,7 +406,7 @@
         }
         self.retry_stops(now);
         self.expire_leases(now);
-        self.remove_expired_jobs();
+        self.remove_expired_jobs(now);
         self.move_from_draining(now);
     }
 
