Start a step only after the second runs of the tasks before it

Change: a step starts only when the tasks before it have no runs left, apart from gangs and speculative steps, whose ends never count for this conclusion. So whoever sees such a run under his own token knows that the steps after it are untouched. In the normal course no run is left when a step is completed, and nothing waits.

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -53,6 +53,10 @@
             is_fresh: false,
         }
     }
+
+    fn has_runs(&self) -> bool {
+        self.tasks.iter().any(|task| !task.runs.is_empty())
+    }
 }
 
 /// The state of a job.
@@ -169,16 +173,22 @@
         self.occurrences.insert(occurrence, steps);
     }
 
-    /// Returns whether all steps that this one waits for are completed.
+    /// Returns whether all steps that this one waits for are completed and have no second runs left.
+    /// A later leader that sees such a run relies on it that the steps after it are untouched.
     #[must_use]
     pub fn is_unblocked(&self, occurrence: u32, step: u16) -> bool {
         let Some(steps) = self.occurrences.get(&occurrence) else {
             return false;
         };
         let predecessors = &self.spec.steps[usize::from(step)].after;
-        predecessors
-            .iter()
-            .all(|&index| steps[usize::from(index)].unfinished == 0)
+        predecessors.iter().all(|&index| {
+            let (spec, state) = (
+                &self.spec.steps[usize::from(index)],
+                &steps[usize::from(index)],
+            );
+            let has_copies = spec.is_gang || spec.is_speculative;
+            state.unfinished == 0 && (has_copies || !state.has_runs())
+        })
     }
 
     /// Records that this leader has seen a run of a step before the step was completed.
@@ -284,9 +294,9 @@
     /// Removes the oldest occurrences that are completed and have no runs left.
     fn remove_finished_occurrences(&mut self) {
         while let Some(steps) = self.occurrences.get(&self.progress.finished_occurrences) {
-            let has_work = steps.iter().any(|step| {
-                step.unfinished > 0 || step.tasks.iter().any(|task| !task.runs.is_empty())
-            });
+            let has_work = steps
+                .iter()
+                .any(|step| step.unfinished > 0 || step.has_runs());
             if has_work {
                 return;
             }
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -225,7 +225,7 @@
         let Some(attempt) = task.remove_run(run) else {
             return;
         };
-        let is_startable = task.is_startable();
+        let (is_startable, is_done) = (task.is_startable(), task.is_done);
         if let Some(worker) = self.workers.get_mut(&attempt.worker) {
             worker.free(&claim, id, run);
         }
@@ -246,6 +246,10 @@
             step.startable.insert(id.index);
             self.enqueue(id.step);
         }
+        if is_done {
+            // The steps after it may have waited for this run.
+            self.enqueue_unblocked(id.step.job, id.step.occurrence);
+        }
     }
 }
 
--- a/crates/scheduler/src/leader/jobs.rs
+++ b/crates/scheduler/src/leader/jobs.rs
@@ -61,8 +61,17 @@
         }
     }
 
-    /// Enqueues the unblocked steps of an occurrence.
+    /// Enqueues the unblocked steps of an occurrence, and closes it if all steps are completed.
     pub(super) fn enqueue_occurrence(&mut self, id: id::Job, occurrence: u32) {
+        self.enqueue_unblocked(id, occurrence);
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.close_occurrence(occurrence, self.unix);
+        }
+        self.schedule_write(id);
+    }
+
+    /// Enqueues the unblocked steps of an occurrence.
+    pub(super) fn enqueue_unblocked(&mut self, id: id::Job, occurrence: u32) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -78,10 +87,6 @@
                 step,
             });
         }
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.close_occurrence(occurrence, self.unix);
-        }
-        self.schedule_write(id);
     }
 
     /// Enqueues a step if it is unblocked and has tasks to start.
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -278,3 +278,35 @@
         assert_eq!(confirmed_later.is_empty(), is_certain, "{confirmed:?}");
     }
 }
+
+/// A later leader that sees the second run end would take it for the only one, and the next step for
+/// one that no earlier leader can have started.
+#[test]
+fn a_step_waits_for_second_runs_of_the_completed_tasks_before_it() {
+    let mut takeover = Takeover::begin(vec![accepted(1, OLD_ROW, 2)], &[]);
+    let known = vec![polled("sound", &[task(1, 0)]), polled("silent", &[])];
+    assert_eq!(takeover.apply(Ms(40), known), []);
+    for round in 1..10 {
+        let after = Ms(round * 900);
+        let events = vec![failed("sound", after), polled("silent", &[])];
+        assert_eq!(takeover.apply(after, events), []);
+    }
+    let second = takeover.apply(LEASES_OVER, Vec::new());
+    assert_eq!(second, [task(1, 0)]);
+    // The first run had ended before its lease did.
+    let first = completed("sound", task(1, 0));
+    assert_eq!(takeover.apply(LEASES_OVER + Ms(100), vec![first]), []);
+    let end = End {
+        number: 1,
+        task: task(1, 0),
+        run: Run::new(EPOCH, 1),
+        termination: Termination::Stopped,
+        checkpoint: None,
+    };
+    let second = received(Report::Polled(Observation {
+        ended: vec![end],
+        ..observation("silent", &[])
+    }));
+    let started = takeover.apply(LEASES_OVER + Ms(200), vec![second]);
+    assert_eq!(started, [task(1, 1)]);
+}
