--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -136,7 +136,14 @@
     /// it orders. The store confirms that it leads.
     fn apply(&mut self, after: Ms, events: Vec<Event>) -> Vec<Start> {
         let now = BEGUN + after;
-        let mut actions = self.leader.handle(now, Event::LeadConfirmed(now));
+        self.leader.handle(now, Event::LeadConfirmed(now));
+        self.apply_unconfirmed(after, events)
+    }
+
+    /// Does the same while the store confirms no write of the leader.
+    fn apply_unconfirmed(&mut self, after: Ms, events: Vec<Event>) -> Vec<Start> {
+        let now = BEGUN + after;
+        let mut actions = Vec::new();
         for event in events.into_iter().chain([Event::Tick(now)]) {
             actions.extend(self.leader.handle(now, event));
         }
@@ -306,3 +313,30 @@
     lease.record_answer(BEGUN + Ms(1_600), Ms(2_600), INCARNATION);
     assert_eq!(lease.acknowledged(acknowledged), 50);
 }
+
+#[test]
+fn a_leader_that_may_have_been_replaced_counts_no_lease_as_expired() {
+    let mut play = Play::begin();
+    play.apply(Ms(10), vec![registered("w")]);
+    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let starts = play.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
+    assert_eq!(starts.len(), 1);
+    play.apply(Ms(40), vec![registered("w2")]);
+    play.apply(Ms(20_000), vec![Event::Committed, polled("e1", "w")]);
+    // From here on the leader and its agent reach neither the store nor the worker. Another leader
+    // may have renewed the lease.
+    for round in 1..=30 {
+        let age = Ms(round * 500);
+        let failure = Failure {
+            worker: name("w"),
+            renewal_age: age,
+            is_closed: false,
+        };
+        let failed = Event::Received(name("e1"), Report::PollFailed(failure));
+        let events = vec![polled("e1", "w2"), failed];
+        assert_eq!(play.apply_unconfirmed(Ms(20_000) + age, events), []);
+    }
+    // No other entry had taken the lead by now, so nobody has.
+    let starts = play.apply(Ms(36_000), vec![polled("e1", "w2")]);
+    assert_eq!(starts.len(), 1);
+}
