Count leases as expired only while no other entry can have taken the lead before

Callers could see tasks run twice when a leader was cut off from the store and from some workers for more than 7 s: it released their runs, which the agents of the next leader kept alive, and started the tasks on workers that had not heard of the next leader. Cause: its own silence was taken for that of all.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -379,12 +379,14 @@
         }
     }
 
-    /// Releases the runs on workers that did not answer until all their leases expired.
+    /// Releases the runs on workers that did not answer until all their leases expired. If another
+    /// entry may have taken the lead before, its agents may have renewed them.
     pub(super) fn expire_leases(&mut self, now: Ms) {
+        let has_expired = |at: Ms| at <= now && at < self.certain_until;
         let expired: Vec<Name> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.lease_expiry.is_some_and(|at| at <= now))
+            .filter(|(_, worker)| worker.lease_expiry.is_some_and(has_expired))
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
--- a/crates/scheduler/tests/tally.rs
+++ b/crates/scheduler/tests/tally.rs
@@ -119,6 +119,7 @@
     leader.handle(NOW, Event::Tick(NOW));
     assert_eq!(leader.tally().lapses, 0);
     for after in [60_000, 60_050] {
+        leader.handle(NOW + Ms(after), Event::LeadConfirmed(NOW + Ms(after)));
         leader.handle(NOW + Ms(after), Event::Tick(NOW + Ms(after)));
         assert_eq!(leader.tally().lapses, 1, "{after}");
     }
