Show that a run whose end is not listed yet counts as lost

PROTOCOL.md: a worker returns ends 500 at a time. While the store confirms no write, ends are not acknowledged; once a worker has more than 500 (many short tasks), the next run that ends is neither listed as running nor as ended. After three polls the leader orders a stop, the worker answers, the run is released as stopped and its task starts elsewhere, although it has ended as done and that end is taken note of later.

--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -15,6 +15,9 @@
 use scheduler::fleet::Registration;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
+use scheduler::id::Run;
+use scheduler::id::Step;
+use scheduler::id::Task;
 use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
@@ -26,6 +29,7 @@
 use scheduler::message::Order;
 use scheduler::message::Outcome;
 use scheduler::message::Report;
+use scheduler::message::Running;
 use scheduler::message::Start;
 use scheduler::message::Termination;
 use scheduler::spec;
@@ -340,3 +344,54 @@
     let starts = play.apply(Ms(36_000), vec![polled("e1", "w2")]);
     assert_eq!(starts.len(), 1);
 }
+
+#[test]
+fn a_run_whose_end_is_beyond_a_full_list_of_ends_does_not_start_again() {
+    let mut play = Play::begin();
+    play.apply(Ms(10), vec![registered("w")]);
+    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let starts = play.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
+    let [start] = &starts[..] else {
+        panic!("{starts:?}");
+    };
+    let running = Running {
+        task: start.task,
+        run: start.run,
+        checkpoint: None,
+        percent: 0,
+        measurement: 0,
+    };
+    let listed = Observation {
+        running: Some(vec![running]),
+        ..observation("w", INCARNATION, BEGUN)
+    };
+    play.apply(
+        Ms(40),
+        vec![Event::Received(name("e1"), Report::Polled(listed))],
+    );
+    // The worker lists 500 ends at a time. The store confirms no write, so none is acknowledged.
+    let end = |number: u64| End {
+        number,
+        task: Task {
+            step: Step {
+                job: Job(1_000 + number),
+                ..start.task.step
+            },
+            index: 0,
+        },
+        run: Run(number),
+        termination: Termination::Done,
+        checkpoint: None,
+    };
+    for round in 0..12 {
+        let after = Ms(900 + round * 800);
+        let full = Observation {
+            ended: (1..=500).map(end).collect(),
+            ..observation("w", INCARNATION, BEGUN + after)
+        };
+        let stopped = Report::Stopped(start.placement(), Outcome::Done, BEGUN + Ms(after.0 - 1));
+        let events = [stopped, Report::Polled(full)];
+        let events = events.map(|report| Event::Received(name("e1"), report));
+        assert_eq!(play.apply(after, events.into()), []);
+    }
+}
