Take no run for lost while a worker has more ends than it lists

Callers could see a completed task start again after the store had been away while a worker completed more than 500 runs. Cause: a run that was listed neither as running nor as ended was taken for lost. Change: a list with 500 ends says nothing of the runs that it does not name. a_run_whose_end_is_beyond_a_full_list_of_ends_does_not_start_again passes. cargo test -p scheduler: all pass but a_replaced_leader_that_is_cut_off_with_its_workers_keeps_no_task_that_starts_elsewhere and the two known red ones.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -23,6 +23,10 @@
 /// The time after which the outcome of a start is no longer expected.
 const START_TIMEOUT: Ms = Ms(2_500);
 
+/// The most ends that a worker lists at a time. It keeps any further ones until these are
+/// acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// The number of consecutive polls that must miss a run before it counts as lost.
 const MAX_MISSED_POLLS: u8 = 3;
 
@@ -140,7 +144,11 @@
             return;
         };
         worker.unknown_runs.retain(|run| reported.contains(run));
-        let missing: Vec<(Task, Run)> = worker.runs.difference(&reported).copied().collect();
+        let mut missing: Vec<(Task, Run)> = worker.runs.difference(&reported).copied().collect();
+        if observation.ended.len() >= MAX_LISTED_ENDS {
+            // The missing runs may have ended in a way that the worker has not listed yet.
+            missing.clear();
+        }
         for (task, run) in missing {
             self.handle_missing_run(now, entry, observation, task, run);
         }
