Show that a leader starts jobs after the store has shown its resignation

Sequence: SIGTERM of the leader; it writes a record without an entry while it goes on leading; the store carries the write out, and its answer is late or lost (1.5 s). Any entry that reads the record takes the lead at once, without observing the heartbeat for 0.9 s, but the leader holds its lead for certain for 0.8 s after its last confirmed heartbeat and starts new jobs, which the next leader, for which their rows are newer, starts too. The test shows the start after the resignation, not the second run.

--- a/tests/serve/sessions.rs
+++ b/tests/serve/sessions.rs
@@ -161,3 +161,28 @@
         renewed_at - resumed_at
     );
 }
+
+/// Once the store may show that there is no leader, any entry may take the lead at once, so the one
+/// that resigns must not start anything, although it has led for certain a moment ago.
+#[test]
+fn a_leader_that_resigns_starts_nothing_although_the_answer_of_the_store_is_lost() {
+    let fleet = Fleet::start(1);
+    let (leader, agent) = start_leader_and_agent(&fleet);
+    fleet.store.lose_next_record_answer();
+    leader.signal("-TERM");
+    wait_until("the resignation", 5_000, || {
+        fleet.store.has_lost_record_answer()
+    });
+    let job = "00000000000000c4";
+    let path = format!("/q/{job}");
+    assert_eq!(fleet.send(agent.customer, "POST", &path, JOB).0, 200);
+    wait_until("completion", 20_000, || {
+        fleet.state(agent.customer, job) == "completed"
+    });
+    let log = leader.read_log();
+    let started = log
+        .lines()
+        .find(|line| line.contains("kind=start ") && line.contains(job));
+    assert_eq!(started, None);
+    fleet.assert_no_violations();
+}
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -35,6 +35,7 @@
     is_silent: Arc<AtomicBool>,
     delays_progress: Arc<AtomicBool>,
     refuses_writes: Arc<AtomicBool>,
+    loses_record_answer: Arc<AtomicBool>,
 }
 
 fn text(value: &Value, name: &str) -> String {
@@ -57,6 +58,7 @@
             is_silent: Arc::default(),
             delays_progress: Arc::default(),
             refuses_writes: Arc::default(),
+            loses_record_answer: Arc::default(),
         }
     }
 
@@ -71,6 +73,16 @@
         self.delays_progress.store(true, Ordering::SeqCst);
     }
 
+    /// Applies the next write of the leader record and sends no response to it.
+    pub fn lose_next_record_answer(&self) {
+        self.loses_record_answer.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the write of the leader record whose response is lost has been applied.
+    pub fn has_lost_record_answer(&self) -> bool {
+        !self.loses_record_answer.load(Ordering::SeqCst)
+    }
+
     /// Sets whether writes are refused. Reads are always served.
     pub fn refuse_writes(&self, refuses: bool) {
         self.refuses_writes.store(refuses, Ordering::SeqCst);
@@ -175,7 +187,13 @@
             "/rows-tx" => {
                 let puts = body["puts"].as_array().cloned().unwrap_or_default();
                 let is_progress = puts.iter().any(|row| text(row, "table") == "progress");
-                if is_progress && self.delays_progress.swap(false, Ordering::SeqCst) {
+                let is_record = puts.iter().any(|row| text(row, "key") == "record");
+                if is_record && self.loses_record_answer.load(Ordering::SeqCst) {
+                    self.transact(body);
+                    self.loses_record_answer.store(false, Ordering::SeqCst);
+                    Timer::after(WRITE_DELAY).await;
+                    (StatusCode::SERVICE_UNAVAILABLE, json!({}))
+                } else if is_progress && self.delays_progress.swap(false, Ordering::SeqCst) {
                     self.transact_delayed(body).await
                 } else {
                     self.transact(body)
