--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -15,6 +15,9 @@
 use scheduler::fleet::Registration;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
+use scheduler::id::Run;
+use scheduler::id::Step;
+use scheduler::id::Task;
 use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
@@ -26,6 +29,7 @@
 use scheduler::message::Order;
 use scheduler::message::Outcome;
 use scheduler::message::Report;
+use scheduler::message::Running;
 use scheduler::message::Start;
 use scheduler::message::Termination;
 use scheduler::spec;
@@ -136,7 +140,14 @@
     /// it orders. The store confirms that it leads.
     fn apply(&mut self, after: Ms, events: Vec<Event>) -> Vec<Start> {
         let now = BEGUN + after;
-        let mut actions = self.leader.handle(now, Event::LeadConfirmed(now));
+        self.leader.handle(now, Event::LeadConfirmed(now));
+        self.apply_unconfirmed(after, events)
+    }
+
+    /// Does the same while the store confirms no write of the leader.
+    fn apply_unconfirmed(&mut self, after: Ms, events: Vec<Event>) -> Vec<Start> {
+        let now = BEGUN + after;
+        let mut actions = Vec::new();
         for event in events.into_iter().chain([Event::Tick(now)]) {
             actions.extend(self.leader.handle(now, event));
         }
@@ -306,3 +317,81 @@
     lease.record_answer(BEGUN + Ms(1_600), Ms(2_600), INCARNATION);
     assert_eq!(lease.acknowledged(acknowledged), 50);
 }
+
+#[test]
+fn a_leader_that_may_have_been_replaced_counts_no_lease_as_expired() {
+    let mut play = Play::begin();
+    play.apply(Ms(10), vec![registered("w")]);
+    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let starts = play.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
+    assert_eq!(starts.len(), 1);
+    play.apply(Ms(40), vec![registered("w2")]);
+    play.apply(Ms(20_000), vec![Event::Committed, polled("e1", "w")]);
+    // From here on the leader and its agent reach neither the store nor the worker. Another leader
+    // may have renewed the lease.
+    for round in 1..=30 {
+        let age = Ms(round * 500);
+        let failure = Failure {
+            worker: name("w"),
+            renewal_age: age,
+            is_closed: false,
+        };
+        let failed = Event::Received(name("e1"), Report::PollFailed(failure));
+        let events = vec![polled("e1", "w2"), failed];
+        assert_eq!(play.apply_unconfirmed(Ms(20_000) + age, events), []);
+    }
+    // No other entry had taken the lead by now, so nobody has.
+    let starts = play.apply(Ms(36_000), vec![polled("e1", "w2")]);
+    assert_eq!(starts.len(), 1);
+}
+
+#[test]
+fn a_run_whose_end_is_beyond_a_full_list_of_ends_does_not_start_again() {
+    let mut play = Play::begin();
+    play.apply(Ms(10), vec![registered("w")]);
+    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let starts = play.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
+    let [start] = &starts[..] else {
+        panic!("{starts:?}");
+    };
+    let running = Running {
+        task: start.task,
+        run: start.run,
+        checkpoint: None,
+        percent: 0,
+        measurement: 0,
+    };
+    let listed = Observation {
+        running: Some(vec![running]),
+        ..observation("w", INCARNATION, BEGUN)
+    };
+    play.apply(
+        Ms(40),
+        vec![Event::Received(name("e1"), Report::Polled(listed))],
+    );
+    // The worker lists 500 ends at a time. The store confirms no write, so none is acknowledged.
+    let end = |number: u64| End {
+        number,
+        task: Task {
+            step: Step {
+                job: Job(1_000 + number),
+                ..start.task.step
+            },
+            index: 0,
+        },
+        run: Run(number),
+        termination: Termination::Done,
+        checkpoint: None,
+    };
+    for round in 0..12 {
+        let after = Ms(900 + round * 800);
+        let full = Observation {
+            ended: (1..=500).map(end).collect(),
+            ..observation("w", INCARNATION, BEGUN + after)
+        };
+        let stopped = Report::Stopped(start.placement(), Outcome::Done, BEGUN + Ms(after.0 - 1));
+        let events = [stopped, Report::Polled(full)];
+        let events = events.map(|report| Event::Received(name("e1"), report));
+        assert_eq!(play.apply(after, events.into()), []);
+    }
+}
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -36,6 +36,7 @@
     delays_progress: Arc<AtomicBool>,
     refuses_writes: Arc<AtomicBool>,
     drops_heartbeats: Arc<AtomicBool>,
+    loses_record_answer: Arc<AtomicBool>,
 }
 
 fn text(value: &Value, name: &str) -> String {
@@ -59,6 +60,7 @@
             delays_progress: Arc::default(),
             refuses_writes: Arc::default(),
             drops_heartbeats: Arc::default(),
+            loses_record_answer: Arc::default(),
         }
     }
 
@@ -73,6 +75,16 @@
         self.delays_progress.store(true, Ordering::SeqCst);
     }
 
+    /// Applies the next write of the leader record and sends no response to it.
+    pub fn lose_next_record_answer(&self) {
+        self.loses_record_answer.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the write of the leader record whose response is lost has been applied.
+    pub fn has_lost_record_answer(&self) -> bool {
+        !self.loses_record_answer.load(Ordering::SeqCst)
+    }
+
     /// Sets whether writes are refused. Reads are always served.
     pub fn refuse_writes(&self, refuses: bool) {
         self.refuses_writes.store(refuses, Ordering::SeqCst);
@@ -190,7 +202,13 @@
             "/rows-tx" => {
                 let puts = body["puts"].as_array().cloned().unwrap_or_default();
                 let is_progress = puts.iter().any(|row| text(row, "table") == "progress");
-                if is_progress && self.delays_progress.swap(false, Ordering::SeqCst) {
+                let is_record = puts.iter().any(|row| text(row, "key") == "record");
+                if is_record && self.loses_record_answer.load(Ordering::SeqCst) {
+                    self.transact(body);
+                    self.loses_record_answer.store(false, Ordering::SeqCst);
+                    Timer::after(WRITE_DELAY).await;
+                    (StatusCode::SERVICE_UNAVAILABLE, json!({}))
+                } else if is_progress && self.delays_progress.swap(false, Ordering::SeqCst) {
                     self.transact_delayed(body).await
                 } else {
                     self.transact(body)
