Keep the counts of waiting jobs until a new leader has read the jobs

Change: heartbeats have no counts until the rows are read, and one follows at once then. An entry keeps the counts of the leader before, which are at most some seconds old, and refuses with 503 if it never had any.

Evidence: the_counts_of_waiting_jobs_outlast_a_change_of_the_leader; before, the heartbeat of a leader that had read one of its rows counted that one.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -362,7 +362,11 @@
         Heartbeat {
             store_age,
             config: self.config.version,
-            waiting: self.count_waiting(),
+            waiting: if self.is_recovered {
+                self.count_waiting()
+            } else {
+                Vec::new()
+            },
             full: Vec::new(),
         }
     }
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -23,6 +23,7 @@
 use scheduler::leader::Member;
 use scheduler::message::End;
 use scheduler::message::Failure;
+use scheduler::message::Heartbeat;
 use scheduler::message::Hello;
 use scheduler::message::Observation;
 use scheduler::message::Order;
@@ -310,3 +311,26 @@
     let started = takeover.apply(LEASES_OVER + Ms(200), vec![second]);
     assert_eq!(started, [task(1, 1)]);
 }
+
+/// A leader that has read no jobs yet does not know that none wait.
+#[test]
+fn the_counts_of_waiting_jobs_outlast_a_change_of_the_leader() {
+    let mut leader = Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN);
+    leader.handle(BEGUN, Event::Config(Arc::new(config())));
+    leader.handle(BEGUN, accepted(1, OLD_ROW, 1));
+    let unread = leader.heartbeat(Ms::ZERO);
+    leader.handle(BEGUN, Event::Recovered);
+    let read = leader.heartbeat(Ms::ZERO);
+    let earlier = Heartbeat {
+        waiting: vec![(name("queue"), 7)],
+        ..Heartbeat::default()
+    };
+    let cases = [
+        (unread.clone().after(Heartbeat::default()), None),
+        (unread.after(earlier.clone()), Some(7)),
+        (read.after(earlier), Some(1)),
+    ];
+    for (heartbeat, count) in cases {
+        assert_eq!(heartbeat.waiting_in("queue"), count, "{heartbeat:?}");
+    }
+}
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -201,7 +201,9 @@
             Order::Beat(heartbeat) => {
                 let leader_version = heartbeat.config;
                 session.record_contact();
-                lock(&self.state).heartbeat = heartbeat;
+                let mut state = lock(&self.state);
+                state.heartbeat = heartbeat.after(std::mem::take(&mut state.heartbeat));
+                drop(state);
                 if let Some(raw) = shared.newer_config(leader_version) {
                     session.report(Report::Config(raw));
                 }
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -96,11 +96,10 @@
     let Some(heartbeat) = shared.agent.heartbeat() else {
         return refuse(shared, "no-leader", &queue.name);
     };
-    let found = heartbeat
-        .waiting
-        .iter()
-        .find(|(name, _)| *name == queue.name);
-    json(front::encode_waiting(found.map_or(0, |(_, count)| *count)))
+    match heartbeat.waiting_in(&queue.name) {
+        Some(count) => json(front::encode_waiting(count)),
+        None => refuse(shared, "no-counts", &queue.name),
+    }
 }
 
 async fn submit(
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -456,8 +456,13 @@
                 self.shared.instruments.record_end(end.termination);
             }
         }
+        let is_recovered = matches!(event, Event::Recovered);
         let actions = self.leader.handle(clock::now(), event);
         self.perform(actions);
+        if is_recovered {
+            // The heartbeats before had no counts of waiting jobs.
+            self.send_heartbeats();
+        }
     }
 
     fn perform(&mut self, actions: Vec<Action>) {
