End a leadership before the store shows its resignation

Callers could see a new job run twice around the shutdown of the leader. Cause: the leader led on until the answer to its resignation came, but other entries lead as soon as they read it.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -330,7 +330,7 @@
 async fn stop(shared: &Arc<Shared>, front: &Server, ready: Option<&Server>) {
     log::info!("kind=process-stopping");
     shared.is_stopping.store(true, Ordering::SeqCst);
-    resign::resign(shared).await;
+    resign::resign(shared);
     let stop_time = shared.options.stop.since(CLOSE_MARGIN);
     sleep(DRAIN_TIME.min(stop_time)).await;
     let close_time = stop_time.since(DRAIN_TIME);
--- a/src/serve/resign.rs
+++ b/src/serve/resign.rs
@@ -30,14 +30,11 @@
     }
 }
 
-/// Gives up the leadership, so that another entry can take over at once.
-pub(super) async fn resign(shared: &Arc<Shared>) {
-    let Some(leadership) = shared.leadership() else {
-        return;
-    };
-    match write_vacant_record(shared, leadership.epoch).await {
-        Ok(()) => leadership.send(Input::Ended(End::Confirmed("resigned"))),
-        Err(error) => log::warn!("kind=resign-failed cause={:?}", error.to_string()),
+/// Gives up the leadership. It ends before the store shows that there is no leader, because another
+/// entry takes the lead at once when it reads that.
+pub(super) fn resign(shared: &Shared) {
+    if let Some(leadership) = shared.leadership() {
+        leadership.send(Input::Ended(End::Unconfirmed("resigned")));
     }
 }
 
