Acknowledge no ends in polls that a restarted worker may carry out late

Callers see no task start again after it has ended `done`, when a worker restarts under its id and a poll that was sent to its new life, before the agent knew of the restart, is carried out late.

Cause: such a poll names the number up to which the former life may discard its ends. It is harmless at once, when the new life has no ends, but seconds later it discards new ends that nobody has read, and the tasks start again. The agent knows that the worker may have restarted: its regular poll has broken off. A poll out of turn is sent while the regular one still waits, so it knows less.

Change: an agent acknowledges nothing while its last poll of the worker is unanswered, and nothing in polls out of turn.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -87,11 +87,16 @@
 
     /// Returns the number up to which the worker may discard its ends, given the incarnation and
     /// number that the leader sent. The number is 0 for another incarnation, which counts its ends
-    /// anew.
+    /// anew. It is also 0 while the worker does not answer: it may have restarted, and a poll that is
+    /// carried out late would discard ends of the next incarnation.
     #[must_use]
     pub fn acknowledged(&self, reported: Option<(Ms, u64)>) -> u64 {
         match reported {
-            Some((incarnation, number)) if self.incarnation == Some(incarnation) => number,
+            Some((incarnation, number))
+                if self.incarnation == Some(incarnation) && !self.is_unresponsive =>
+            {
+                number
+            }
             _ => 0,
         }
     }
--- a/crates/scheduler/tests/world/poll.rs
+++ b/crates/scheduler/tests/world/poll.rs
@@ -87,18 +87,15 @@
         self.send_poll(poll);
     }
 
-    /// Polls the worker of a call without a renewal.
+    /// Polls the worker of a call without a renewal and without an acknowledgement.
     pub(super) fn send_extra_poll(&mut self, call: &Call) {
-        let watch = self.watch_of(&call.agent, &call.placement.worker);
-        let watch = watch.filter(|watch| watch.epoch == call.epoch);
-        let acknowledged = watch.map_or(0, |watch| watch.lease.acknowledged(watch.acknowledged));
         self.send_poll(Poll {
             agent: call.agent.clone(),
             worker: call.placement.worker.clone(),
             epoch: call.epoch,
             watch: None,
             deadline: None,
-            acknowledged,
+            acknowledged: 0,
             sent: self.now,
             is_answered: true,
         });
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -185,7 +185,8 @@
         }
     }
 
-    /// Polls the worker immediately, without waiting for an end and without renewing the lease.
+    /// Polls the worker immediately, without waiting for an end and without renewing the lease. It
+    /// acknowledges no ends, because the worker may have restarted while the regular poll waits.
     async fn poll_now(&self, shared: &Shared) {
         // The sleep makes the time of this poll later than that of the preceding answer, because
         // times are in whole milliseconds.
@@ -194,7 +195,12 @@
             return;
         }
         let sent_at = clock::now();
-        let request = self.poll_request(None, Ms::ZERO);
+        let request = Poll {
+            epoch: self.session.epoch(),
+            deadline: None,
+            acknowledged: 0,
+            wait: Ms::ZERO,
+        };
         match shared.workers.poll(&self.name, self.address, request).await {
             Ok(status) => {
                 let now = clock::now();
