--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -36,8 +36,7 @@
     clock: Option<(Ms, Ms)>,
     /// The time when the last renewal was sent.
     renewed: Option<Ms>,
-    /// The incarnation of the worker in its last answer; absent after a poll without an answer,
-    /// because the worker may have restarted.
+    /// The incarnation of the worker in its last answer.
     incarnation: Option<Ms>,
     is_unresponsive: bool,
 }
@@ -87,12 +86,17 @@
     }
 
     /// Returns the number up to which the worker may discard its ends, given the incarnation and
-    /// number that the leader sent. The number is 0 if another incarnation may receive it, which
-    /// counts its ends anew.
+    /// number that the leader sent. The number is 0 for another incarnation, which counts its ends
+    /// anew. It is also 0 while the worker does not answer: it may have restarted, and a poll that is
+    /// carried out late would discard ends of the next incarnation.
     #[must_use]
     pub fn acknowledged(&self, reported: Option<(Ms, u64)>) -> u64 {
         match reported {
-            Some((incarnation, number)) if self.incarnation == Some(incarnation) => number,
+            Some((incarnation, number))
+                if self.incarnation == Some(incarnation) && !self.is_unresponsive =>
+            {
+                number
+            }
             _ => 0,
         }
     }
@@ -111,7 +115,6 @@
     /// agent began to poll the worker if it has sent none.
     pub const fn record_failure(&mut self, now: Ms) -> Ms {
         self.is_unresponsive = true;
-        self.incarnation = None;
         match self.renewed {
             Some(at) => now.since(at),
             None => now.since(self.begun),
