--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -362,11 +362,7 @@
         Heartbeat {
             store_age,
             config: self.config.version,
-            waiting: if self.is_recovered {
-                self.count_waiting()
-            } else {
-                Vec::new()
-            },
+            waiting: self.count_waiting(),
             full: Vec::new(),
         }
     }
