Split the leader on an entry into four modules

Three modules took the type of the inputs from it, and the driver read an atomic field of the handle.

- leadership.rs: Input, Leadership, write_heartbeats
- driver.rs: Driver, and the transaction of a commit
- own_agent.rs: the agent on the leader's own entry
- lead.rs: begins a leadership, starts its tasks, ends it

The functions are moved as they stood. New are only Leadership::new and Leadership::confirmed_sent_at, in place of a struct literal and a load from outside. Log lines, metric names, constants and timing are as before; the log shows no module names.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -3,14 +3,17 @@
 
 mod agent;
 mod clock;
+mod driver;
 mod election;
 mod feeds;
 mod frame;
 mod front;
 mod instruments;
 mod lead;
+mod leadership;
 pub mod logging;
 pub mod options;
+mod own_agent;
 mod peers;
 mod persist;
 mod resign;
@@ -47,7 +50,7 @@
 
 use self::agent::Agent;
 use self::instruments::Instruments;
-use self::lead::Leadership;
+use self::leadership::Leadership;
 use self::options::Options;
 
 /// How long an idle connection is kept. It is longer than the intervals of polls and feeds, so that
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -17,7 +17,7 @@
 use smol::channel::Sender;
 
 use super::Shared;
-use super::lead::Input;
+use super::leadership::Input;
 use super::rows;
 use super::rows::Kind;
 use super::sleep;
--- /dev/null
+++ b/src/serve/own_agent.rs
@@ -0,0 +1,52 @@
+//! The agent on the leader's own entry.
+
+use std::sync::Arc;
+
+use scheduler::election;
+use scheduler::leader::Event;
+use scheduler::message::Report;
+use smol::future::FutureExt;
+
+use super::Shared;
+use super::leadership::Input;
+use super::leadership::Leadership;
+use super::peers;
+use super::resign::End;
+use super::session::Session;
+use super::sleep;
+
+/// The reason given when a worker refused the fencing token of this leader in a poll.
+const FENCED: &str = "fenced by a worker";
+
+/// Runs the agent on the leader's own entry over channels instead of a connection, and starts a new
+/// session whenever one ends. A session that a worker's refusal ended also ends the leadership.
+pub(super) async fn run(shared: Arc<Shared>, leadership: Arc<Leadership>) {
+    let entry = shared.options.name.clone();
+    loop {
+        let (reports, received) = smol::channel::unbounded();
+        let (out, orders) = smol::channel::unbounded();
+        let mut connection = None;
+        let relay = async {
+            while let Ok(report) = received.recv().await {
+                if let Report::Hello(hello) = report {
+                    connection = Some(leadership.join(hello, out.clone()));
+                } else {
+                    leadership.send_event(Event::Received(entry.clone(), report));
+                }
+            }
+        };
+        let session = Session::begin(leadership.epoch, reports);
+        let running = async {
+            peers::run_session(&shared, &session, orders).await;
+        };
+        relay.or(running).await;
+        log::warn!("kind=own-agent-lost epoch={}", leadership.epoch);
+        if session.is_fenced() {
+            return leadership.send(Input::Ended(End::Unconfirmed(FENCED)));
+        }
+        if let Some(connection) = connection {
+            leadership.send(Input::Left(entry.clone(), connection));
+        }
+        sleep(election::CHECK_INTERVAL).await;
+    }
+}
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -26,7 +26,7 @@
 use super::Shared;
 use super::clock;
 use super::frame;
-use super::lead::Input;
+use super::leadership::Input;
 use super::rows;
 use super::session::Session;
 use super::sleep;
--- a/src/serve/resign.rs
+++ b/src/serve/resign.rs
@@ -9,7 +9,7 @@
 use scheduler::id::Epoch;
 
 use super::Shared;
-use super::lead::Input;
+use super::leadership::Input;
 use super::rows;
 use super::sleep;
 
