Split the fake platform of the process tests by concern

The start of a process was a method of the platform although it needs only the address of the store.

- cluster.rs: the fake workers and the violations that they note
- server.rs: a server on loopback for a fake part of the platform
- entry.rs: starts, signals and ends entries as processes
- fleet.rs: the platform and a client of its entries

Code is moved as it stood, apart from its paths; the four free addresses of an entry come from one function. No test and no check changes.

--- /dev/null
+++ b/tests/serve/entry.rs
@@ -0,0 +1,117 @@
+//! Entries as real processes.
+
+use std::array;
+use std::fs;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::ChildStdout;
+use std::process::Command;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+
+/// Attempts to start an entry whose ports may be taken before it listens.
+const MAX_START_ATTEMPTS: usize = 5;
+/// The time within which an entry whose port is taken has exited.
+const START_TIME: Duration = Duration::from_millis(150);
+
+/// An entry process, which is killed on drop.
+pub struct Entry {
+    child: Child,
+    pub customer: SocketAddr,
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+    /// The file that its log is written to.
+    pub log: PathBuf,
+}
+
+impl Entry {
+    /// Starts an entry as a process. An outgoing connection may take one of its ports before the
+    /// entry listens, so an entry that exits at once is started again with other ports.
+    pub fn start(name: &str, store: SocketAddr) -> Self {
+        for _ in 0..MAX_START_ATTEMPTS {
+            let mut entry = Self::spawn(name, store, None);
+            thread::sleep(START_TIME);
+            if !entry.has_ended() {
+                return entry;
+            }
+        }
+        panic!("entry {name} exited after each of {MAX_START_ATTEMPTS} starts");
+    }
+
+    /// Starts an entry whose standard output is a pipe that the caller may leave unread.
+    pub fn start_with_unread_log(name: &str, store: SocketAddr) -> (Self, ChildStdout) {
+        let mut entry = Self::spawn(name, store, Some(Stdio::piped()));
+        let log = entry.child.stdout.take().expect("standard output is piped");
+        (entry, log)
+    }
+
+    fn spawn(name: &str, store: SocketAddr, output: Option<Stdio>) -> Self {
+        let [customer, ready, peer, metrics] = array::from_fn(|_| free_address());
+        let text = format!(
+            "[entry]\nname = {name}\nfailure_domain = z\n[listen]\ncustomer = {customer}\n\
+             ready = {ready}\npeer = {peer}\nmetrics = {metrics}\n[platform]\nstore = {store}\n\
+             [bounds]\nlease_ms = 6000\nretention_s = 120\nharm_ms = 4000\nstop_s = 6\n"
+        );
+        let file = Path::new(env!("CARGO_TARGET_TMPDIR"))
+            .join(format!("serve-{name}-{}.ini", customer.port()));
+        fs::write(&file, text).expect("the scratch file can be written");
+        let log_file = file.with_extension("log");
+        let log = File::create(&log_file).expect("the scratch file can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_samphiretrail"))
+            .arg("serve")
+            .env("SAMPHIRETRAIL_BOOT", &file)
+            .stdout(output.unwrap_or_else(|| log.into()))
+            .spawn()
+            .expect("the binary can be started");
+        Self {
+            child,
+            customer,
+            ready,
+            metrics,
+            log: log_file,
+        }
+    }
+
+    /// Returns what the entry has logged so far.
+    pub fn read_log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([signal, &id]).status();
+        assert!(sent.expect("the kill command runs").success());
+    }
+
+    pub fn has_ended(&mut self) -> bool {
+        self.child
+            .try_wait()
+            .expect("the entry is a child of this process")
+            .is_some()
+    }
+
+    pub fn wait(&mut self) -> Option<i32> {
+        self.child
+            .wait()
+            .expect("the entry is a child of this process")
+            .code()
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// Returns a loopback address on which nothing listens at the moment.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+    listener.local_addr().expect("the listener has an address")
+}
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -1,9 +1,12 @@
 //! Tests of entries as real processes against a fake platform.
 
+mod cluster;
+mod entry;
 mod fleet;
 #[path = "../../crates/scheduler/tests/known_red/mod.rs"]
 mod known_red;
 mod proxy;
+mod server;
 mod sessions;
 mod soak;
 mod store;
@@ -16,7 +19,7 @@
 
 use std::io::Read;
 
-use fleet::Entry;
+use entry::Entry;
 use fleet::Fleet;
 use fleet::wait_until;
 
@@ -204,7 +207,7 @@
 #[test]
 fn an_unread_log_does_not_block_requests() {
     let fleet = Fleet::start(1);
-    let (entry, mut log) = fleet.entry_with_unread_log("a");
+    let (entry, mut log) = Entry::start_with_unread_log("a", fleet.store_proxy.address);
     wait_until("readiness", 5_000, || {
         fleet.send(entry.ready, "GET", "/readiness", "").0 == 200
     });
--- a/tests/serve/sessions.rs
+++ b/tests/serve/sessions.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use crate::JOB;
-use crate::fleet::Entry;
+use crate::cluster::HeldPolls;
+use crate::entry::Entry;
 use crate::fleet::Fleet;
-use crate::fleet::HeldPolls;
 use crate::fleet::wait_until;
 use crate::start;
 
--- a/tests/serve/soak.rs
+++ b/tests/serve/soak.rs
@@ -9,7 +9,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::fleet::Entry;
+use crate::entry::Entry;
 use crate::fleet::Fleet;
 use crate::fleet::wait_until;
 use crate::proxy::Mode;
