Write the steps that the process tests share once

The process tests wrote the same steps again in each test: lock the fake workers, submit a job and expect 200, submit until an entry accepts, wait until a job is completed, wait until an entry is ready, count the running tasks. Two functions read the epochs of a leader from its log, and three places read the log file directly. Each job was spelled twice, as a path and as a number.

- Fleet: cluster, submit, wait_for_readiness, wait_for_acceptance, wait_for_completion; a failure shows the line of the test and the job
- Cluster::running counts the tasks that run
- Entry::logged returns the values of a key in the log lines of a kind
- assert_each_epoch_was_led_once stands for a check made at two times

Each limit, status and state that a test expects is as before. The texts of three waits for acceptance gave the reason for the wait and now give the job.

--- a/tests/serve/cluster.rs
+++ b/tests/serve/cluster.rs
@@ -66,6 +66,12 @@
 }
 
 impl Cluster {
+    /// Returns the number of tasks that run now.
+    pub fn running(&self) -> usize {
+        let workers = self.workers.values();
+        workers.map(|worker| worker.executions.len()).sum()
+    }
+
     fn advance(&mut self, now: u64) {
         for worker in self.workers.values_mut() {
             for (task, how) in worker.advance(now) {
--- a/tests/serve/entry.rs
+++ b/tests/serve/entry.rs
@@ -26,7 +26,7 @@
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
     /// The file that its log is written to.
-    pub log: PathBuf,
+    log: PathBuf,
 }
 
 impl Entry {
@@ -82,6 +82,20 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Returns the values of a key in the log lines of a kind, in the order of the log.
+    pub fn logged(&self, kind: &str, key: &str) -> Vec<String> {
+        let log = self.read_log();
+        let (kind, key) = (format!("kind={kind}"), format!("{key}="));
+        let lines = log
+            .lines()
+            .map(|line| line.split(' ').collect::<Vec<_>>())
+            .filter(|words| words.contains(&kind.as_str()));
+        lines
+            .filter_map(|words| words.iter().find_map(|word| word.strip_prefix(&*key)))
+            .map(str::to_owned)
+            .collect()
+    }
+
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([signal, &id]).status();
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -30,7 +31,7 @@
 pub struct Fleet {
     spawner: Spawner,
     pub store: Store,
-    pub cluster: Arc<Mutex<Cluster>>,
+    cluster: Arc<Mutex<Cluster>>,
     pub store_proxy: Proxy,
     pub worker_proxies: Vec<Proxy>,
     started_at: Instant,
@@ -85,7 +86,7 @@
         };
         let worker = Worker::new(size, 0);
         let born = worker.incarnation.0;
-        let mut cluster = self.cluster.lock().expect("no holder of this lock panics");
+        let mut cluster = self.cluster();
         cluster.workers.insert(id.clone(), worker);
         drop(cluster);
         let (shared, name, started_at) = (Arc::clone(&self.cluster), id.clone(), self.started_at);
@@ -102,6 +103,11 @@
         self.store.put("servers", &id, &row.to_string());
     }
 
+    /// Returns the state of the workers, which stand still until it is dropped.
+    pub fn cluster(&self) -> MutexGuard<'_, Cluster> {
+        self.cluster.lock().expect("no holder of this lock panics")
+    }
+
     /// Starts an entry of this platform.
     pub fn entry(&self, name: &str) -> Entry {
         Entry::start(name, self.store_proxy.address)
@@ -122,6 +128,13 @@
         })
     }
 
+    /// Submits a job, and panics unless the entry accepts it.
+    #[track_caller]
+    pub fn submit(&self, to: SocketAddr, job: &str, spec: &str) {
+        let (status, _) = self.send(to, "POST", &format!("/q/{job}"), spec);
+        assert_eq!(status, 200, "{job}");
+    }
+
     /// Returns the state of a job according to an entry; empty if the entry returns none.
     pub fn state(&self, to: SocketAddr, job: &str) -> String {
         let (_, body) = self.send(to, "GET", &format!("/q/{job}"), "");
@@ -129,23 +142,49 @@
         value["state"].as_str().unwrap_or_default().into()
     }
 
+    /// Waits until an entry reports that it is ready, and panics after `limit` ms.
+    #[track_caller]
+    pub fn wait_for_readiness(&self, ready: SocketAddr, limit: u64) {
+        wait_until("readiness", limit, || {
+            self.send(ready, "GET", "/readiness", "").0 == 200
+        });
+    }
+
+    /// Submits a job until an entry accepts it, and panics after `limit` ms.
+    #[track_caller]
+    pub fn wait_for_acceptance(&self, to: SocketAddr, job: &str, spec: &str, limit: u64) {
+        let path = format!("/q/{job}");
+        wait_until(&format!("acceptance of {job}"), limit, || {
+            self.send(to, "POST", &path, spec).0 == 200
+        });
+    }
+
+    /// Waits until an entry shows a job as completed, and panics after `limit` ms.
+    #[track_caller]
+    pub fn wait_for_completion(&self, to: SocketAddr, job: &str, limit: u64) {
+        wait_until(&format!("completion of {job}"), limit, || {
+            self.state(to, job) == "completed"
+        });
+    }
+
     /// Lets a worker see the fencing token of a leader that the store does not show yet. The next
     /// leader has at least this token.
     pub fn fence(&self, worker: &str) {
         let token = Epoch(self.store.version() + 1);
-        let mut cluster = self.cluster.lock().expect("no holder of this lock panics");
+        let mut cluster = self.cluster();
         let worker = cluster.workers.get_mut(worker).expect("the worker exists");
         assert!(worker.accept_token(token), "{token} is the highest token");
     }
 
     /// Panics if a worker has observed a violation.
     pub fn assert_no_violations(&self) {
-        let cluster = self.cluster.lock().expect("no holder of this lock panics");
+        let cluster = self.cluster();
         assert!(cluster.violations.is_empty(), "{:?}", cluster.violations);
     }
 }
 
 /// Waits until a condition holds, and panics after `limit` ms.
+#[track_caller]
 pub fn wait_until(what: &str, limit: u64, mut condition: impl FnMut() -> bool) {
     let end = Instant::now() + Duration::from_millis(limit);
     while !condition() {
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -18,6 +18,9 @@
 mod worker;
 
 use std::io::Read;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
 
 use entry::Entry;
 use fleet::Fleet;
@@ -32,9 +35,7 @@
 fn start(fleet: &Fleet, names: &[&str]) -> Vec<Entry> {
     let entries: Vec<Entry> = names.iter().map(|name| fleet.entry(name)).collect();
     for entry in &entries {
-        wait_until("readiness", 5_000, || {
-            fleet.send(entry.ready, "GET", "/readiness", "").0 == 200
-        });
+        fleet.wait_for_readiness(entry.ready, 5_000);
     }
     entries
 }
@@ -43,21 +44,12 @@
 fn a_job_submitted_at_several_entries_runs_once() {
     let fleet = Fleet::start(3);
     let entries = start(&fleet, &["a", "b", "c"]);
-    let path = "/q/00000000000000a1";
-    assert_eq!(fleet.send(entries[0].customer, "POST", path, JOB).0, 200);
-    assert_eq!(fleet.send(entries[1].customer, "POST", path, JOB).0, 200);
-    wait_until("completion", 10_000, || {
-        fleet.state(entries[2].customer, "00000000000000a1") == "completed"
-    });
-    assert_eq!(fleet.send(entries[0].customer, "POST", path, JOB).0, 200);
-    let done: Vec<u32> = fleet
-        .cluster
-        .lock()
-        .expect("no holder of this lock panics")
-        .done
-        .values()
-        .copied()
-        .collect();
+    let job = "00000000000000a1";
+    fleet.submit(entries[0].customer, job, JOB);
+    fleet.submit(entries[1].customer, job, JOB);
+    fleet.wait_for_completion(entries[2].customer, job, 10_000);
+    fleet.submit(entries[0].customer, job, JOB);
+    let done: Vec<u32> = fleet.cluster().done.values().copied().collect();
     assert_eq!(done, [1; 9]);
     fleet.assert_no_violations();
 }
@@ -85,27 +77,11 @@
 #[test]
 fn a_cancelled_job_is_stopped_on_its_workers() {
     let fleet = Fleet::start(2);
-    fleet
-        .cluster
-        .lock()
-        .expect("no holder of this lock panics")
-        .runs_forever = true;
+    fleet.cluster().runs_forever = true;
     let entries = start(&fleet, &["a", "b"]);
     let path = "/q/00000000000000b2";
-    let running = || {
-        let cluster = fleet.cluster.lock().expect("no holder of this lock panics");
-        cluster
-            .workers
-            .values()
-            .map(|worker| worker.executions.len())
-            .sum::<usize>()
-    };
-    assert_eq!(
-        fleet
-            .send(entries[0].customer, "POST", path, LONG_RUNNING_JOB)
-            .0,
-        200
-    );
+    let running = || fleet.cluster().running();
+    fleet.submit(entries[0].customer, "00000000000000b2", LONG_RUNNING_JOB);
     wait_until("both tasks", 5_000, || running() == 2);
     assert_eq!(fleet.send(entries[1].customer, "DELETE", path, "").0, 200);
     wait_until("the end of both tasks", 3_000, || running() == 0);
@@ -134,15 +110,10 @@
         entries[index].signal("-KILL");
         assert!(entries[index].wait().is_none());
         entries[index] = fleet.entry(name);
-        let ready = entries[index].ready;
-        wait_until("readiness", 5_000, || {
-            fleet.send(ready, "GET", "/readiness", "").0 == 200
-        });
+        fleet.wait_for_readiness(entries[index].ready, 5_000);
     }
     for id in &ids {
-        wait_until("completion", 30_000, || {
-            fleet.state(entries[0].customer, id) == "completed"
-        });
+        fleet.wait_for_completion(entries[0].customer, id, 30_000);
     }
     fleet.assert_no_violations();
 }
@@ -152,7 +123,7 @@
     let fleet = Fleet::start(1);
     let mut entries = start(&fleet, &["a", "b"]);
     entries[0].signal("-HUP");
-    std::thread::sleep(std::time::Duration::from_millis(300));
+    thread::sleep(Duration::from_millis(300));
     assert!(!entries[0].has_ended());
     fleet.configure(2);
     entries[0].signal("-TERM");
@@ -162,13 +133,9 @@
     });
     wait_until("exit after SIGTERM", 6_000, || entries[0].has_ended());
     assert_eq!(entries[0].wait(), Some(0));
-    let path = "/q/00000000000000d4";
-    wait_until("acceptance by the other entry", 5_000, || {
-        fleet.send(entries[1].customer, "POST", path, JOB).0 == 200
-    });
-    wait_until("completion", 10_000, || {
-        fleet.state(entries[1].customer, "00000000000000d4") == "completed"
-    });
+    let job = "00000000000000d4";
+    fleet.wait_for_acceptance(entries[1].customer, job, JOB, 5_000);
+    fleet.wait_for_completion(entries[1].customer, job, 10_000);
     fleet.assert_no_violations();
 }
 
@@ -180,7 +147,7 @@
     let mut refused = Vec::new();
     wait_until("a refusal within 500 ms", 15_000, || {
         let id = format!("00000000000000e{}", refused.len() % 10);
-        let started_at = std::time::Instant::now();
+        let started_at = Instant::now();
         let (status, _) = fleet.send(entries[0].customer, "POST", &format!("/q/{id}"), JOB);
         let is_quick = started_at.elapsed().as_millis() < 500;
         refused.push((id, status));
@@ -188,13 +155,9 @@
     });
     let (last, _) = refused.pop().expect("at least one submission was refused");
     fleet.store.set_silent(false);
-    let path = "/q/00000000000000ef";
-    wait_until("acceptance after the outage", 10_000, || {
-        fleet.send(entries[1].customer, "POST", path, JOB).0 == 200
-    });
-    wait_until("completion", 10_000, || {
-        fleet.state(entries[1].customer, "00000000000000ef") == "completed"
-    });
+    let job = "00000000000000ef";
+    fleet.wait_for_acceptance(entries[1].customer, job, JOB, 10_000);
+    fleet.wait_for_completion(entries[1].customer, job, 10_000);
     assert_eq!(
         fleet
             .send(entries[1].customer, "GET", &format!("/q/{last}"), "")
@@ -208,14 +171,12 @@
 fn an_unread_log_does_not_block_requests() {
     let fleet = Fleet::start(1);
     let (entry, mut log) = Entry::start_with_unread_log("a", fleet.store_proxy.address);
-    wait_until("readiness", 5_000, || {
-        fleet.send(entry.ready, "GET", "/readiness", "").0 == 200
-    });
+    fleet.wait_for_readiness(entry.ready, 5_000);
     // Each request logs one line. The log queue and the pipe together hold fewer lines than this.
     for _ in 0..8_000 {
         assert_eq!(fleet.send(entry.customer, "POST", "/q/no-job", "").0, 400);
     }
-    let reader = std::thread::spawn(move || {
+    let reader = thread::spawn(move || {
         let mut output = Vec::new();
         let mut chunk = [0; 64 << 10];
         while let Ok(count) = log.read(&mut chunk) {
@@ -245,73 +206,45 @@
     let fleet = Fleet::start(3);
     let mut entries = start(&fleet, &["a"]);
     fleet.store.delay_next_progress_write();
-    let path = "/q/00000000000000f5";
-    assert_eq!(fleet.send(entries[0].customer, "POST", path, JOB).0, 200);
+    let job = "00000000000000f5";
+    fleet.submit(entries[0].customer, job, JOB);
     wait_until("the delayed write", 5_000, || fleet.store.has_delayed());
-    wait_until("completion", 15_000, || {
-        fleet.state(entries[0].customer, "00000000000000f5") == "completed"
-    });
+    fleet.wait_for_completion(entries[0].customer, job, 15_000);
     // The store has attempted the delayed write by the end of this sleep. A new leader then reads
     // the stored progress.
-    std::thread::sleep(std::time::Duration::from_millis(3_000));
+    thread::sleep(Duration::from_millis(3_000));
     entries[0].signal("-KILL");
     entries[0].wait();
     let next = start(&fleet, &["b"]);
     wait_until("the stage", 10_000, || {
-        !fleet.state(next[0].customer, "00000000000000f5").is_empty()
+        !fleet.state(next[0].customer, job).is_empty()
     });
-    std::thread::sleep(std::time::Duration::from_millis(1_000));
-    assert_eq!(
-        fleet.state(next[0].customer, "00000000000000f5"),
-        "completed"
-    );
+    thread::sleep(Duration::from_millis(1_000));
+    assert_eq!(fleet.state(next[0].customer, job), "completed");
     fleet.assert_no_violations();
 }
 
 #[test]
 fn a_leader_keeps_its_own_agent_while_the_store_refuses_writes() {
     let fleet = Fleet::start(2);
-    fleet
-        .cluster
-        .lock()
-        .expect("no holder of this lock panics")
-        .runs_forever = true;
+    fleet.cluster().runs_forever = true;
     let entries = start(&fleet, &["a"]);
     let to = entries[0].customer;
-    let running = || {
-        let cluster = fleet.cluster.lock().expect("no holder of this lock panics");
-        cluster
-            .workers
-            .values()
-            .map(|worker| worker.executions.len())
-            .sum::<usize>()
-    };
-    assert_eq!(
-        fleet
-            .send(to, "POST", "/q/00000000000000a6", LONG_RUNNING_JOB)
-            .0,
-        200
-    );
+    let running = || fleet.cluster().running();
+    fleet.submit(to, "00000000000000a6", LONG_RUNNING_JOB);
     wait_until("both tasks", 5_000, || running() == 2);
     fleet.store.refuse_writes(true);
-    std::thread::sleep(std::time::Duration::from_millis(13_000));
+    thread::sleep(Duration::from_millis(13_000));
     assert_eq!(
         running(),
         2,
         "a task stopped because its worker's lease expired"
     );
     fleet.store.refuse_writes(false);
-    fleet
-        .cluster
-        .lock()
-        .expect("no holder of this lock panics")
-        .runs_forever = false;
-    wait_until("acceptance", 5_000, || {
-        fleet.send(to, "POST", "/q/00000000000000a7", JOB).0 == 200
-    });
-    wait_until("completion", 10_000, || {
-        fleet.state(to, "00000000000000a7") == "completed"
-    });
+    fleet.cluster().runs_forever = false;
+    let job = "00000000000000a7";
+    fleet.wait_for_acceptance(to, job, JOB, 5_000);
+    fleet.wait_for_completion(to, job, 10_000);
     fleet.assert_no_violations();
 }
 
@@ -330,18 +263,15 @@
     entries.extend(start(&fleet, &["b"]));
     let to = entries[1].customer;
     entries[0].signal("-STOP");
-    assert_eq!(fleet.send(to, "POST", "/q/00000000000000a8", JOB).0, 200);
+    fleet.submit(to, "00000000000000a8", JOB);
     wait_until("completion without the frozen leader", 6_000, || {
         fleet.state(to, "00000000000000a8") == "completed"
     });
     entries[0].signal("-CONT");
     let resumed = entries[0].customer;
-    wait_until("acceptance by the resumed entry", 5_000, || {
-        fleet.send(resumed, "POST", "/q/00000000000000a9", JOB).0 == 200
-    });
-    wait_until("completion", 10_000, || {
-        fleet.state(resumed, "00000000000000a9") == "completed"
-    });
+    let job = "00000000000000a9";
+    fleet.wait_for_acceptance(resumed, job, JOB, 5_000);
+    fleet.wait_for_completion(resumed, job, 10_000);
     fleet.assert_no_violations();
 }
 
@@ -350,21 +280,18 @@
     let fleet = Fleet::start(2);
     let entries = start(&fleet, &["a"]);
     let to = entries[0].customer;
-    assert_eq!(fleet.send(to, "POST", "/q/00000000000000b8", JOB).0, 200);
-    wait_until("completion", 10_000, || {
-        fleet.state(to, "00000000000000b8") == "completed"
-    });
+    fleet.submit(to, "00000000000000b8", JOB);
+    fleet.wait_for_completion(to, "00000000000000b8", 10_000);
     entries[0].signal("-STOP");
-    std::thread::sleep(std::time::Duration::from_millis(2_500));
+    thread::sleep(Duration::from_millis(2_500));
     entries[0].signal("-CONT");
     wait_until("a new epoch", 5_000, || {
-        let log = std::fs::read_to_string(&entries[0].log).unwrap_or_default();
+        let log = entries[0].read_log();
         log.contains("reason=\"suspended\"") && log.matches("kind=lead-begun").count() == 2
     });
-    assert_eq!(fleet.send(to, "POST", "/q/00000000000000b9", JOB).0, 200);
-    wait_until("completion", 10_000, || {
-        fleet.state(to, "00000000000000b9") == "completed"
-    });
+    let job = "00000000000000b9";
+    fleet.submit(to, job, JOB);
+    fleet.wait_for_completion(to, job, 10_000);
     fleet.assert_no_violations();
 }
 
@@ -381,30 +308,14 @@
     wait_until("the end of the election", 5_000, || {
         value("leads_total") == Some(1) && values() == [Some(0); 3]
     });
-    let path = "/q/00000000000000aa";
-    assert_eq!(fleet.send(entries[0].customer, "POST", path, JOB).0, 200);
-    wait_until("completion", 10_000, || {
-        fleet.state(entries[0].customer, "00000000000000aa") == "completed"
-    });
+    let job = "00000000000000aa";
+    fleet.submit(entries[0].customer, job, JOB);
+    fleet.wait_for_completion(entries[0].customer, job, 10_000);
     fleet.worker_proxies[0].set(proxy::Mode::Stall);
     wait_until("the lapse", 15_000, || value("lapses_total") == Some(1));
     assert_eq!(values(), [Some(1), Some(0), Some(0)]);
 }
 
-/// Returns the values of a key in the log lines of a kind.
-fn logged(entry: &Entry, kind: &str, key: &str) -> Vec<String> {
-    let log = std::fs::read_to_string(&entry.log).unwrap_or_default();
-    let (kind, key) = (format!("kind={kind}"), format!("{key}="));
-    let lines = log
-        .lines()
-        .map(|line| line.split(' ').collect::<Vec<_>>())
-        .filter(|words| words.contains(&kind.as_str()));
-    lines
-        .filter_map(|words| words.iter().find_map(|word| word.strip_prefix(&*key)))
-        .map(str::to_owned)
-        .collect()
-}
-
 #[test]
 fn the_log_tells_for_which_leader_a_worker_was_polled_and_since_when_its_lease_runs() {
     let fleet = Fleet::start(1);
@@ -412,31 +323,31 @@
     let entries = start(&fleet, &["a"]);
     let entry = &entries[0];
     wait_until("a failed poll without a lease", 10_000, || {
-        !logged(entry, "look-failed", "renewed_ago_ms").is_empty()
+        !entry.logged("look-failed", "renewed_ago_ms").is_empty()
     });
-    assert_eq!(logged(entry, "look-failed", "renewed_ago_ms")[0], "none");
-    let first = logged(entry, "lead-begun", "epoch");
-    assert_eq!(logged(entry, "look-failed", "epoch")[0], first[0]);
-    assert_eq!(logged(entry, "watch-begun", "epoch"), first);
+    assert_eq!(entry.logged("look-failed", "renewed_ago_ms")[0], "none");
+    let first = entry.logged("lead-begun", "epoch");
+    assert_eq!(entry.logged("look-failed", "epoch")[0], first[0]);
+    assert_eq!(entry.logged("watch-begun", "epoch"), first);
     fleet.worker_proxies[0].set(proxy::Mode::Pass);
     wait_until("an answer of the worker", 10_000, || {
-        !logged(entry, "worker-known", "worker").is_empty()
+        !entry.logged("worker-known", "worker").is_empty()
     });
     // The poll after an answer renews the lease.
-    std::thread::sleep(std::time::Duration::from_millis(1_000));
+    thread::sleep(Duration::from_millis(1_000));
     fleet.worker_proxies[0].set(proxy::Mode::Stall);
     wait_until("a failed poll with a lease", 10_000, || {
-        let ages = logged(entry, "look-failed", "renewed_ago_ms");
+        let ages = entry.logged("look-failed", "renewed_ago_ms");
         ages.iter()
             .any(|age| age.parse().is_ok_and(|age: u64| age < 10_000))
     });
     entry.signal("-STOP");
-    std::thread::sleep(std::time::Duration::from_millis(2_500));
+    thread::sleep(Duration::from_millis(2_500));
     entry.signal("-CONT");
     wait_until("the polls for the next leader", 10_000, || {
-        logged(entry, "watch-begun", "epoch").len() == 2
-            && logged(entry, "watch-ended", "epoch") == first
+        entry.logged("watch-begun", "epoch").len() == 2
+            && entry.logged("watch-ended", "epoch") == first
     });
-    let epochs = logged(entry, "lead-begun", "epoch");
-    assert_eq!(logged(entry, "watch-begun", "epoch"), epochs);
+    let epochs = entry.logged("lead-begun", "epoch");
+    assert_eq!(entry.logged("watch-begun", "epoch"), epochs);
 }
--- a/tests/serve/sessions.rs
+++ b/tests/serve/sessions.rs
@@ -11,12 +11,12 @@
 use crate::fleet::wait_until;
 use crate::start;
 
-/// Returns the epochs in which an entry began to lead, in order.
-fn epochs_led(entry: &Entry) -> Vec<String> {
-    let log = entry.read_log();
-    let begun = log.split("kind=lead-begun epoch=").skip(1);
-    let epochs = begun.filter_map(|rest| rest.split_whitespace().next());
-    epochs.map(str::to_owned).collect()
+/// Panics if an entry began to lead twice in one epoch.
+#[track_caller]
+fn assert_each_epoch_was_led_once(entry: &Entry) {
+    let epochs = entry.logged("lead-begun", "epoch");
+    let distinct: BTreeSet<&String> = epochs.iter().collect();
+    assert_eq!(distinct.len(), epochs.len(), "epochs led: {epochs:?}");
 }
 
 /// Starts a leader and then an agent that polls the only worker.
@@ -41,14 +41,14 @@
     let fleet = Fleet::start(1);
     let (mut leader, agent) = start_leader_and_agent(&fleet);
     {
-        let mut cluster = fleet.cluster.lock().expect("no holder of this lock panics");
+        let mut cluster = fleet.cluster();
         let epoch = cluster.workers["i-0"].fencing_token;
         cluster.held_polls = Some(HeldPolls::of(epoch));
     }
     leader.signal("-KILL");
     leader.wait();
     wait_until("an answer to a held poll", 10_000, || {
-        let cluster = fleet.cluster.lock().expect("no holder of this lock panics");
+        let cluster = fleet.cluster();
         let held = cluster.held_polls.as_ref();
         held.is_some_and(|held| held.answered > 0)
     });
@@ -58,16 +58,10 @@
         !log.contains("kind=worker-known"),
         "the leader counts a worker as known that has answered none of its polls: {log}"
     );
-    fleet
-        .cluster
-        .lock()
-        .expect("no holder of this lock panics")
-        .held_polls = None;
-    let path = "/q/00000000000000c1";
-    assert_eq!(fleet.send(agent.customer, "POST", path, JOB).0, 200);
-    wait_until("completion", 20_000, || {
-        fleet.state(agent.customer, "00000000000000c1") == "completed"
-    });
+    fleet.cluster().held_polls = None;
+    let job = "00000000000000c1";
+    fleet.submit(agent.customer, job, JOB);
+    fleet.wait_for_completion(agent.customer, job, 20_000);
     fleet.assert_no_violations();
 }
 
@@ -81,20 +75,14 @@
         entry.read_log().contains("kind=worker-known")
     });
     fleet.fence("i-0");
-    let path = "/q/00000000000000c2";
-    assert_eq!(fleet.send(entry.customer, "POST", path, JOB).0, 200);
+    let job = "00000000000000c2";
+    fleet.submit(entry.customer, job, JOB);
     wait_until("the next leadership", 10_000, || {
-        epochs_led(&entry).len() >= 2
-    });
-    let epochs = epochs_led(&entry);
-    let distinct: BTreeSet<&String> = epochs.iter().collect();
-    assert_eq!(distinct.len(), epochs.len(), "epochs led: {epochs:?}");
-    wait_until("completion", 20_000, || {
-        fleet.state(entry.customer, "00000000000000c2") == "completed"
+        entry.logged("lead-begun", "epoch").len() >= 2
     });
-    let epochs = epochs_led(&entry);
-    let distinct: BTreeSet<&String> = epochs.iter().collect();
-    assert_eq!(distinct.len(), epochs.len(), "epochs led: {epochs:?}");
+    assert_each_epoch_was_led_once(&entry);
+    fleet.wait_for_completion(entry.customer, job, 20_000);
+    assert_each_epoch_was_led_once(&entry);
     fleet.assert_no_violations();
 }
 
@@ -115,14 +103,10 @@
     wait_until("the end of the leadership", 10_000, || {
         leader.read_log().contains("kind=lead-ended")
     });
-    let path = "/q/00000000000000c3";
-    wait_until("acceptance", 10_000, || {
-        fleet.send(agent.customer, "POST", path, JOB).0 == 200
-    });
-    wait_until("completion", 20_000, || {
-        fleet.state(agent.customer, "00000000000000c3") == "completed"
-    });
-    let cluster = fleet.cluster.lock().expect("no holder of this lock panics");
+    let job = "00000000000000c3";
+    fleet.wait_for_acceptance(agent.customer, job, JOB, 10_000);
+    fleet.wait_for_completion(agent.customer, job, 20_000);
+    let cluster = fleet.cluster();
     // One refused call and at most three further ones with the same token.
     let is_bounded = cluster.fenced_calls.values().all(|&count| count <= 4);
     assert!(is_bounded, "refused calls: {:?}", cluster.fenced_calls);
--- a/tests/serve/soak.rs
+++ b/tests/serve/soak.rs
@@ -35,9 +35,7 @@
         let fleet = Fleet::start(4);
         let entries: Vec<Entry> = ENTRY_NAMES.iter().map(|name| fleet.entry(name)).collect();
         for entry in &entries {
-            wait_until("readiness", 10_000, || {
-                fleet.send(entry.ready, "GET", "/readiness", "").0 == 200
-            });
+            fleet.wait_for_readiness(entry.ready, 10_000);
         }
         Self {
             fleet,
