Read the list of known failures in one place

What counts as an entry is as before: a line that is the name of the test, or one that ends in the command of a run. The checks are at least as strict: an unreadable list fails the test, and only the comparison of the two outputs is passed over, not the runs before it.

--- a/crates/experiment/tests/promises.rs
+++ b/crates/experiment/tests/promises.rs
@@ -1,5 +1,12 @@
 //! Guards against decisions that violate an invariant, with fixed cases, pairs of faults and seeds.
 
+#[allow(
+    dead_code,
+    reason = "the runs of this test are listed by command, not by name"
+)]
+#[path = "../../scheduler/tests/known_red/mod.rs"]
+mod known_red;
+
 use experiment::case::Case;
 use experiment::case::Fault;
 use experiment::case::Policy;
@@ -82,13 +89,10 @@
 
 /// Whether the list at the root names the run. Violations of such a run are printed and do not fail
 /// the test.
-fn known_red(command: &str) -> bool {
+fn is_known_red(command: &str) -> bool {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../KNOWN-RED.txt");
-    let list = std::fs::read_to_string(path).unwrap_or_default();
-    list.lines().any(|line| {
-        line.trim_start()
-            .ends_with(&format!("experiment -- {command}"))
-    })
+    let command = format!("experiment -- {command}");
+    known_red::lists(path, |line| line.ends_with(&command))
 }
 
 #[test]
@@ -107,8 +111,8 @@
         };
         let (line, _) = measure(&Scenario::new(parameters), &setup);
         let command = command(*case, faults, *seed, *entries);
-        if known_red(&command) {
-            println!("known red: {command}: {:?}", line.violations);
+        if is_known_red(&command) {
+            known_red::print(&command, &format!("{:?}", line.violations));
         } else if !line.violations.is_empty() {
             broken.push((command, line.violations));
         }
--- a/crates/experiment/tests/runs.rs
+++ b/crates/experiment/tests/runs.rs
@@ -1,6 +1,9 @@
 //! Guards against runs of the same seed that differ, and against checks that do not report the
 //! harness's deliberate mistakes.
 
+#[path = "../../scheduler/tests/known_red/mod.rs"]
+mod known_red;
+
 use experiment::case::Case;
 use experiment::case::Fault;
 use experiment::case::Mistake;
@@ -35,14 +38,11 @@
     let setup = setup(&[Fault::EntryCrash, Fault::LostWriteAnswer]);
     let text = |_| serde_json::to_string(&small(Case::RollingRestart, 3, &setup)).unwrap();
     let lines: Vec<String> = (0..2).map(text).collect();
-    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../KNOWN-RED.txt");
-    let list = std::fs::read_to_string(path).unwrap_or_default();
-    let test = "the_same_seed_gives_the_same_output";
-    if list.lines().any(|line| line == test) {
-        println!("known red: {test}: equal: {}", lines[0] == lines[1]);
-    } else {
-        assert_eq!(lines[0], lines[1]);
-    }
+    known_red::run(
+        concat!(env!("CARGO_MANIFEST_DIR"), "/../../KNOWN-RED.txt"),
+        "the_same_seed_gives_the_same_output",
+        || assert_eq!(lines[0], lines[1]),
+    );
 }
 
 /// Guards against a check that reports nothing. The harness makes each mistake in place of the
