Convert a worker's changes into facts of the history in one place

The demo and the experiment each had a function that turns a change of a stand-in worker into a fact of the history, alike in every case: task_fact in src/demo/fleet.rs and worker_fact in crates/experiment/src/ledger.rs.

standin::worker::Change::into_fact stands for both; the crate standin now depends on history.

No behaviour changes.

--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -345,7 +345,7 @@
                     .insert((task.name.clone(), task.attempt), now);
             }
             self.fleet.ledger.apply(vm, &change);
-            let fact = crate::ledger::worker_fact(&self.scenario.vms[vm].name, change);
+            let fact = change.into_fact(self.scenario.vms[vm].name.clone());
             self.record(fact);
         }
     }
--- a/crates/experiment/src/ledger.rs
+++ b/crates/experiment/src/ledger.rs
@@ -7,8 +7,6 @@
 use decision::name::Name;
 use decision::worker::State;
 use decision::worker::Task;
-use history::Ending;
-use history::Fact;
 use standin::worker::Change;
 
 use crate::scenario::Scenario;
@@ -170,42 +168,3 @@
         }
     }
 }
-
-/// Converts a change on a worker into a fact of the history.
-pub(crate) fn worker_fact(vm: &Name, change: Change) -> Fact {
-    let vm = vm.clone();
-    match change {
-        Change::Started(task, from) => Fact::TaskStarted {
-            vm,
-            task: task.name,
-            attempt: task.attempt,
-            grant: task.grant,
-            from,
-        },
-        Change::Saved(task, key) => Fact::Checkpointed {
-            vm,
-            task: task.name,
-            attempt: task.attempt,
-            key,
-        },
-        Change::Acknowledged(task) => Fact::Acknowledged {
-            vm,
-            task: task.name,
-            attempt: task.attempt,
-        },
-        Change::Overfull(task) => Fact::Overfull {
-            vm,
-            work: task.to_string(),
-        },
-        Change::Ended(task) => Fact::TaskEnded {
-            vm,
-            task: task.name,
-            attempt: task.attempt,
-            ending: match task.state {
-                State::Completed => Ending::Completed,
-                State::Failed(_) => Ending::Failed,
-                State::Stopped | State::Running => Ending::Stopped,
-            },
-        },
-    }
-}
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -15,6 +15,8 @@
 use decision::worker::State;
 use decision::worker::Task;
 use decision::worker::Verb;
+use history::Ending;
+use history::Fact;
 
 use crate::checkpoint;
 
@@ -45,6 +47,47 @@
     Overfull(Name),
 }
 
+impl Change {
+    /// Converts the change into a fact of the history of the worker `vm`.
+    #[must_use]
+    pub fn into_fact(self, vm: Name) -> Fact {
+        match self {
+            Self::Started(task, from) => Fact::TaskStarted {
+                vm,
+                task: task.name,
+                attempt: task.attempt,
+                grant: task.grant,
+                from,
+            },
+            Self::Ended(task) => Fact::TaskEnded {
+                vm,
+                task: task.name,
+                attempt: task.attempt,
+                ending: match task.state {
+                    State::Completed => Ending::Completed,
+                    State::Failed(_) => Ending::Failed,
+                    State::Stopped | State::Running => Ending::Stopped,
+                },
+            },
+            Self::Saved(task, key) => Fact::Checkpointed {
+                vm,
+                task: task.name,
+                attempt: task.attempt,
+                key,
+            },
+            Self::Acknowledged(task) => Fact::Acknowledged {
+                vm,
+                task: task.name,
+                attempt: task.attempt,
+            },
+            Self::Overfull(task) => Fact::Overfull {
+                vm,
+                work: task.to_string(),
+            },
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Slot {
     task: Task,
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -11,8 +11,6 @@
 use decision::resource::Size;
 use decision::vm::State;
 use decision::vm::Vm;
-use decision::worker;
-use history::Ending;
 use history::Fact;
 use history::Log;
 use smol::Task;
@@ -21,7 +19,6 @@
 use standin::backend::Observation;
 use standin::platform::Platform;
 use standin::serve::Server;
-use standin::worker::Change;
 use standin::worker::Need;
 
 const RACKS: usize = 3;
@@ -120,55 +117,7 @@
         },
         Observation::Ended { request, .. } => Fact::RunEnded { vm, id: request },
         Observation::Overfull { request } => Fact::Overfull { vm, work: request },
-        Observation::Task(change) => task_fact(vm, change),
-    }
-}
-
-fn task_fact(vm: Name, change: Change) -> Fact {
-    match change {
-        Change::Started(task, from) => {
-            let worker::Task {
-                name,
-                attempt,
-                grant,
-                ..
-            } = task;
-            Fact::TaskStarted {
-                vm,
-                task: name,
-                attempt,
-                grant,
-                from,
-            }
-        }
-        Change::Ended(task) => {
-            let ending = match task.state {
-                worker::State::Completed => Ending::Completed,
-                worker::State::Failed(_) => Ending::Failed,
-                worker::State::Running | worker::State::Stopped => Ending::Stopped,
-            };
-            Fact::TaskEnded {
-                vm,
-                task: task.name,
-                attempt: task.attempt,
-                ending,
-            }
-        }
-        Change::Saved(task, key) => Fact::Checkpointed {
-            vm,
-            task: task.name,
-            attempt: task.attempt,
-            key,
-        },
-        Change::Acknowledged(task) => Fact::Acknowledged {
-            vm,
-            task: task.name,
-            attempt: task.attempt,
-        },
-        Change::Overfull(task) => Fact::Overfull {
-            vm,
-            work: task.to_string(),
-        },
+        Observation::Task(change) => change.into_fact(vm),
     }
 }
 
