Explain the words of a leadership

Driver, own agent, session, confirmed write, deposed and suspended stood in code and log without an explanation, "fenced" and "replaced" beside "deposed" for one thing, and "known red" for a known failure. Fields and functions of the modules that were split had no comment.

--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -83,6 +83,7 @@
         }
     }
 
+    /// Runs the loop until the leadership has to end, and returns how it ends.
     pub(super) async fn run(&mut self) -> End {
         if let Some(config) = self.shared.config() {
             self.handle_event(Event::Config(config));
@@ -219,6 +220,7 @@
         }
     }
 
+    /// Sends each agent the orders that have been collected for it.
     fn flush(&mut self) {
         for (agent, orders) in mem::take(&mut self.outgoing) {
             if let Some((_, out)) = self.agents.get(&agent) {
@@ -263,6 +265,7 @@
         self.shared.spawner.spawn(write).detach();
     }
 
+    /// Writes a commit to the store and queues the result as an input.
     fn commit(&self, commit: &Commit) {
         let transaction = transaction(commit);
         let shared = Arc::clone(&self.shared);
@@ -282,6 +285,7 @@
     }
 }
 
+/// Returns the rows that a commit writes and removes, without the rows that it expects.
 fn transaction(commit: &Commit) -> Transaction {
     let progress = commit.progress.iter();
     let mut puts: Vec<_> = progress
--- a/src/serve/leadership.rs
+++ b/src/serve/leadership.rs
@@ -33,6 +33,7 @@
 /// An input of the driver loop.
 #[derive(Debug)]
 pub(super) enum Input {
+    /// An event for the leader, from a feed, an agent or a task of the leadership.
     Event(Event),
     /// An agent connected: its first message, the number of the connection, and where its orders
     /// go.
@@ -51,6 +52,7 @@
 #[derive(Debug)]
 pub(super) struct Leadership {
     pub(super) epoch: Epoch,
+    /// The queue of the driver loop.
     pub(super) inputs: Sender<Input>,
     /// The number of the next connection of an agent.
     connections: AtomicU64,
@@ -80,6 +82,7 @@
         }
     }
 
+    /// Queues an input for the driver loop.
     pub(super) fn send(&self, input: Input) {
         // Sending fails once the driver has ended. The next leader obtains the same information
         // from the store and the agents.
@@ -102,6 +105,8 @@
         connection
     }
 
+    /// Records a confirmed write: when it was sent, on this VM's clock, and the store's clock in
+    /// the answer.
     fn record_confirmation(&self, sent_at: Ms, store_time: Ms) {
         self.confirmed_sent_at
             .fetch_max(sent_at.0, Ordering::SeqCst);
--- a/tests/serve/entry.rs
+++ b/tests/serve/entry.rs
@@ -22,8 +22,11 @@
 /// An entry process, which is killed on drop.
 pub struct Entry {
     child: Child,
+    /// The address for customers' requests.
     pub customer: SocketAddr,
+    /// The address of the readiness check.
     pub ready: SocketAddr,
+    /// The address of the metrics.
     pub metrics: SocketAddr,
     /// The file that its log is written to.
     log: PathBuf,
@@ -96,6 +99,7 @@
             .collect()
     }
 
+    /// Sends the process a signal, named as an option of `kill`.
     pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([signal, &id]).status();
@@ -109,6 +113,7 @@
             .is_some()
     }
 
+    /// Waits for the process to end, and returns its exit code; `None` if a signal ended it.
     pub fn wait(&mut self) -> Option<i32> {
         self.child
             .wait()
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -33,6 +33,7 @@
 const LONG_RUNNING_JOB: &str = r#"{"taskSpec":"x","steps":[
     {"count":2,"cpu":500,"memMb":100,"estimateMs":150,"longRunning":true}]}"#;
 
+/// Starts entries and waits until each is ready.
 fn start(fleet: &Fleet, names: &[&str]) -> Vec<Entry> {
     let entries: Vec<Entry> = names.iter().map(|name| fleet.entry(name)).collect();
     for entry in &entries {
@@ -124,6 +125,7 @@
     );
 }
 
+/// Stops a leader for so long that another entry has to take the lead, and continues it.
 fn replace_a_frozen_leader() {
     let fleet = Fleet::start(2);
     let mut entries = start(&fleet, &["a"]);
