Show that two leaders start a new job after a takeover of a refused address

Fails, by decisions alone: an entry whose connections the leader's address refused or closed twice, 150 ms apart, takes the lead without observing the heartbeat, while the leader, if it lives, counts itself certain for 0.8 s after its last confirmed write, and both start jobs whose rows were written after the takeover.

--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -12,6 +12,9 @@
 use decision::name::Name;
 use decision::resource::Size;
 use scheduler::agent::Lease;
+use scheduler::election;
+use scheduler::election::Record;
+use scheduler::election::View;
 use scheduler::fleet::Registration;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
@@ -23,6 +26,7 @@
 use scheduler::leader::Event;
 use scheduler::leader::LEADER_CONTACT_TIMEOUT;
 use scheduler::leader::Leader;
+use scheduler::leader::Member;
 use scheduler::message::End;
 use scheduler::message::Failure;
 use scheduler::message::Observation;
@@ -395,3 +399,50 @@
         assert_eq!(play.apply(after, events.into()), []);
     }
 }
+
+#[test]
+fn a_new_job_is_not_started_by_two_leaders_if_the_first_one_refused_connections() {
+    // An entry whose connections the leader's address refused twice reads its record and a recent
+    // heartbeat.
+    let record = Record {
+        entry: Some(name("e0")),
+        instance: 1,
+        address: Arc::from("10.0.0.1:7720"),
+    };
+    let view = View {
+        record: Some((EPOCH, record)),
+        heartbeat_age: Some(Ms(100)),
+        unchanged: Ms::ZERO,
+        is_vacant: true,
+    };
+    let takes_over = election::should_campaign(&view, &name("e1"), 1);
+    // The first leader is alive: a write that it sent 100 ms before was confirmed.
+    let mut first = Play::begin();
+    first.apply(Ms(10), vec![registered("w")]);
+    first.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    first.apply(Ms(10_000), vec![polled("e1", "w")]);
+    // The second one has not heard the worker of the first one yet.
+    let member = |worker| Member {
+        worker: name(worker),
+        address: Arc::from("10.0.0.1:1"),
+        domain: name("d1"),
+    };
+    let mut second = Play {
+        leader: Leader::new(name("e1"), Epoch(20), BOUNDS, BEGUN + Ms(10_100)),
+        stored: Vec::new(),
+    };
+    let events = vec![
+        Event::Config(Arc::new(config())),
+        Event::Fleet(vec![member("w"), member("w2")]),
+        Event::Joined(name("e1"), name("d1")),
+        Event::Recovered,
+        registered("w"),
+        registered("w2"),
+        polled("e1", "w2"),
+    ];
+    second.apply(Ms(10_100), events);
+    // Both read the row of a job that was written after the takeover.
+    let mut starts = first.apply_unconfirmed(Ms(10_200), vec![accepted(1, NEW_ROW)]);
+    starts.extend(second.apply(Ms(10_200), vec![accepted(1, NEW_ROW)]));
+    assert!(!takes_over || starts.len() == 1, "{starts:?}");
+}
