Show that a member of a gang starts alone while another one holds the run before

A gang whose members have different run numbers never works together. Sequence: the start of one member is refused, not sent or lost, or its worker restarts; the member alone starts again with a new run number while the order for the other one is open or its run goes on. Both wait for 3 s and end alone, one after the other, and so on.

--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -446,3 +446,30 @@
     starts.extend(second.apply(Ms(10_200), vec![accepted(1, NEW_ROW)]));
     assert!(!takes_over || starts.len() == 1, "{starts:?}");
 }
+
+#[test]
+fn a_member_of_a_gang_does_not_start_again_while_another_one_holds_the_run_before() {
+    let mut play = Play::begin();
+    play.apply(Ms(10), vec![registered("w")]);
+    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let Event::Accepted(id, row, mut gang, progress) = accepted(1, NEW_ROW) else {
+        unreachable!("the event is an accepted job");
+    };
+    gang.spec.steps[0].count = 2;
+    gang.spec.steps[0].is_gang = true;
+    let starts = play.apply(Ms(30), vec![Event::Accepted(id, row, gang, progress)]);
+    let [first, second] = &starts[..] else {
+        panic!("{starts:?}");
+    };
+    // One member is refused; the order of the other one is answered late or never.
+    let refused = Report::Started(first.placement(), Outcome::Unsent);
+    play.apply(Ms(40), vec![Event::Received(name("e1"), refused)]);
+    let mut started = Vec::new();
+    for round in 1..10 {
+        let after = Ms(40 + round * 100);
+        started.extend(play.apply(after, Vec::new()));
+    }
+    let unknown = Report::Started(second.placement(), Outcome::Unknown);
+    started.extend(play.apply(Ms(1_000), vec![Event::Received(name("e1"), unknown)]));
+    assert_eq!(started, []);
+}
