Start no member of a gang before the last run of all its members has ended

Now the gang as a whole starts again once its members have ended; a member whose partner was refused still ends alone once.

--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -155,6 +155,10 @@
             return (Vec::new(), false);
         };
         let mut tasks: Vec<u32> = state.startable.iter().copied().collect();
+        if is_gang && tasks.len() < state.unfinished as usize {
+            // The members share one run, so none starts before the last run of all has ended.
+            return (Vec::new(), false);
+        }
         if !may_run_unseen || state.is_fresh {
             return (tasks, false);
         }
