Show that a failed run is acknowledged before the failure of its job is durable

Sequence: one task of a job fails for the last time; the job counts as failed, but the store has not confirmed it. A run of another task fails; its end is not counted and is acknowledged at once. The leader dies and the worker of the first task crashes. The next leader knows neither that the job has failed nor of that run, and starts the second task once too often (BUDGET).

--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use common::BOUNDS;
@@ -123,6 +124,8 @@
     leader: Leader,
     /// The workers in the fleet that the leader wrote last.
     stored: Vec<Name>,
+    /// The numbers up to which ends were acknowledged last, by worker.
+    acknowledged: BTreeMap<Name, u64>,
 }
 
 impl Play {
@@ -130,6 +133,7 @@
         let mut play = Self {
             leader: Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN),
             stored: Vec::new(),
+            acknowledged: BTreeMap::new(),
         };
         let events = vec![
             Event::Config(Arc::new(config())),
@@ -160,6 +164,10 @@
         for action in actions {
             match action {
                 Action::Send(_, Order::Start(start)) => starts.push(start),
+                Action::Send(_, Order::Watch(watch)) => {
+                    let (_, number) = watch.acknowledged.unwrap_or_default();
+                    self.acknowledged.insert(watch.worker, number);
+                }
                 Action::Commit(commit) => {
                     if let Some(fleet) = commit.fleet {
                         self.stored = fleet.into_iter().map(|member| member.worker).collect();
@@ -430,6 +438,7 @@
     let mut second = Play {
         leader: Leader::new(name("e1"), Epoch(20), BOUNDS, BEGUN + Ms(10_100)),
         stored: Vec::new(),
+        acknowledged: BTreeMap::new(),
     };
     let events = vec![
         Event::Config(Arc::new(config())),
@@ -473,3 +482,45 @@
     started.extend(play.apply(Ms(1_000), vec![Event::Received(name("e1"), unknown)]));
     assert_eq!(started, []);
 }
+
+#[test]
+fn a_failed_run_of_a_job_whose_own_failure_is_not_durable_is_not_acknowledged() {
+    let mut play = Play::begin();
+    play.apply(Ms(10), vec![registered("w"), registered("w2")]);
+    let known = vec![Event::Committed, polled("e1", "w"), polled("e1", "w2")];
+    play.apply(Ms(20), known);
+    let Event::Accepted(id, row, mut job, progress) = accepted(1, NEW_ROW) else {
+        unreachable!("the event is an accepted job");
+    };
+    job.spec.steps[0].count = 2;
+    job.spec.steps[0].per_worker = Some(1);
+    let mut starts = play.apply(Ms(30), vec![Event::Accepted(id, row, job, progress)]);
+    starts.sort_by_key(|start| start.task.index);
+    let [mut first, second] = <[Start; 2]>::try_from(starts).expect("both tasks start");
+    // The first task fails as often as it may.
+    for number in 1..=3 {
+        let mut observation = ended(&first, Termination::Failed);
+        observation.ended[0].number = number;
+        let failed = Event::Received(name("e1"), Report::Polled(observation));
+        let after = Ms(1_000 * number);
+        if number == 3 {
+            play.apply(after, vec![failed]);
+        } else {
+            let again = play.apply(after, vec![failed]);
+            first = again.into_iter().next().expect("the task starts again");
+            play.apply(after + Ms(50), Vec::new());
+            play.apply(after + Ms(100), vec![Event::Committed]);
+        }
+    }
+    // The store has not confirmed that the job has failed when a run of the second task fails. The
+    // next leader may find neither.
+    let failed = ended(&second, Termination::Failed);
+    play.apply(
+        Ms(3_010),
+        vec![Event::Received(name("e1"), Report::Polled(failed))],
+    );
+    assert_eq!(play.acknowledged[&second.worker], 0);
+    play.apply(Ms(3_100), vec![Event::Committed]);
+    play.apply(Ms(3_200), vec![Event::Committed]);
+    assert_eq!(play.acknowledged[&second.worker], 1);
+}
