--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -152,8 +152,11 @@
             task.is_done
         });
         let mut failures = 0;
-        if !is_lasting && !is_done && !job.has_ended() {
-            failures = job.record_failure(id, end.run);
+        if !is_lasting {
+            if !is_done && !job.has_ended() {
+                failures = job.record_failure(id, end.run);
+            }
+            // Without the progress that makes the failure irrelevant, it counts.
             let version = job.version;
             self.record_pending(name, end.number, id.step.job, version);
             self.schedule_write(id.step.job);
