--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -3,6 +3,7 @@
 
 mod common;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use common::BOUNDS;
@@ -12,6 +13,9 @@
 use decision::name::Name;
 use decision::resource::Size;
 use scheduler::agent::Lease;
+use scheduler::election;
+use scheduler::election::Record;
+use scheduler::election::View;
 use scheduler::fleet::Registration;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
@@ -23,6 +27,7 @@
 use scheduler::leader::Event;
 use scheduler::leader::LEADER_CONTACT_TIMEOUT;
 use scheduler::leader::Leader;
+use scheduler::leader::Member;
 use scheduler::message::End;
 use scheduler::message::Failure;
 use scheduler::message::Observation;
@@ -119,6 +124,8 @@
     leader: Leader,
     /// The workers in the fleet that the leader wrote last.
     stored: Vec<Name>,
+    /// The numbers up to which ends were acknowledged last, by worker.
+    acknowledged: BTreeMap<Name, u64>,
 }
 
 impl Play {
@@ -126,6 +133,7 @@
         let mut play = Self {
             leader: Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN),
             stored: Vec::new(),
+            acknowledged: BTreeMap::new(),
         };
         let events = vec![
             Event::Config(Arc::new(config())),
@@ -156,6 +164,10 @@
         for action in actions {
             match action {
                 Action::Send(_, Order::Start(start)) => starts.push(start),
+                Action::Send(_, Order::Watch(watch)) => {
+                    let (_, number) = watch.acknowledged.unwrap_or_default();
+                    self.acknowledged.insert(watch.worker, number);
+                }
                 Action::Commit(commit) => {
                     if let Some(fleet) = commit.fleet {
                         self.stored = fleet.into_iter().map(|member| member.worker).collect();
@@ -395,3 +407,120 @@
         assert_eq!(play.apply(after, events.into()), []);
     }
 }
+
+#[test]
+fn a_new_job_is_not_started_by_two_leaders_if_the_first_one_refused_connections() {
+    // An entry whose connections the leader's address refused twice reads its record and a recent
+    // heartbeat.
+    let record = Record {
+        entry: Some(name("e0")),
+        instance: 1,
+        address: Arc::from("10.0.0.1:7720"),
+    };
+    let view = View {
+        record: Some((EPOCH, record)),
+        heartbeat_age: Some(Ms(100)),
+        unchanged: Ms::ZERO,
+        is_vacant: true,
+    };
+    let takes_over = election::should_campaign(&view, &name("e1"), 1);
+    // The first leader is alive: a write that it sent 100 ms before was confirmed.
+    let mut first = Play::begin();
+    first.apply(Ms(10), vec![registered("w")]);
+    first.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    first.apply(Ms(10_000), vec![polled("e1", "w")]);
+    // The second one has not heard the worker of the first one yet.
+    let member = |worker| Member {
+        worker: name(worker),
+        address: Arc::from("10.0.0.1:1"),
+        domain: name("d1"),
+    };
+    let mut second = Play {
+        leader: Leader::new(name("e1"), Epoch(20), BOUNDS, BEGUN + Ms(10_100)),
+        stored: Vec::new(),
+        acknowledged: BTreeMap::new(),
+    };
+    let events = vec![
+        Event::Config(Arc::new(config())),
+        Event::Fleet(vec![member("w"), member("w2")]),
+        Event::Joined(name("e1"), name("d1")),
+        Event::Recovered,
+        registered("w"),
+        registered("w2"),
+        polled("e1", "w2"),
+    ];
+    second.apply(Ms(10_100), events);
+    // Both read the row of a job that was written after the takeover.
+    let mut starts = first.apply_unconfirmed(Ms(10_200), vec![accepted(1, NEW_ROW)]);
+    starts.extend(second.apply(Ms(10_200), vec![accepted(1, NEW_ROW)]));
+    assert!(!takes_over || starts.len() == 1, "{starts:?}");
+}
+
+#[test]
+fn a_member_of_a_gang_does_not_start_again_while_another_one_holds_the_run_before() {
+    let mut play = Play::begin();
+    play.apply(Ms(10), vec![registered("w")]);
+    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let Event::Accepted(id, row, mut gang, progress) = accepted(1, NEW_ROW) else {
+        unreachable!("the event is an accepted job");
+    };
+    gang.spec.steps[0].count = 2;
+    gang.spec.steps[0].is_gang = true;
+    let starts = play.apply(Ms(30), vec![Event::Accepted(id, row, gang, progress)]);
+    let [first, second] = &starts[..] else {
+        panic!("{starts:?}");
+    };
+    // One member is refused; the order of the other one is answered late or never.
+    let refused = Report::Started(first.placement(), Outcome::Unsent);
+    play.apply(Ms(40), vec![Event::Received(name("e1"), refused)]);
+    let mut started = Vec::new();
+    for round in 1..10 {
+        let after = Ms(40 + round * 100);
+        started.extend(play.apply(after, Vec::new()));
+    }
+    let unknown = Report::Started(second.placement(), Outcome::Unknown);
+    started.extend(play.apply(Ms(1_000), vec![Event::Received(name("e1"), unknown)]));
+    assert_eq!(started, []);
+}
+
+#[test]
+fn a_failed_run_of_a_job_whose_own_failure_is_not_durable_is_not_acknowledged() {
+    let mut play = Play::begin();
+    play.apply(Ms(10), vec![registered("w"), registered("w2")]);
+    let known = vec![Event::Committed, polled("e1", "w"), polled("e1", "w2")];
+    play.apply(Ms(20), known);
+    let Event::Accepted(id, row, mut job, progress) = accepted(1, NEW_ROW) else {
+        unreachable!("the event is an accepted job");
+    };
+    job.spec.steps[0].count = 2;
+    job.spec.steps[0].per_worker = Some(1);
+    let mut starts = play.apply(Ms(30), vec![Event::Accepted(id, row, job, progress)]);
+    starts.sort_by_key(|start| start.task.index);
+    let [mut first, second] = <[Start; 2]>::try_from(starts).expect("both tasks start");
+    // The first task fails as often as it may.
+    for number in 1..=3 {
+        let mut observation = ended(&first, Termination::Failed);
+        observation.ended[0].number = number;
+        let failed = Event::Received(name("e1"), Report::Polled(observation));
+        let after = Ms(1_000 * number);
+        if number == 3 {
+            play.apply(after, vec![failed]);
+        } else {
+            let again = play.apply(after, vec![failed]);
+            first = again.into_iter().next().expect("the task starts again");
+            play.apply(after + Ms(50), Vec::new());
+            play.apply(after + Ms(100), vec![Event::Committed]);
+        }
+    }
+    // The store has not confirmed that the job has failed when a run of the second task fails. The
+    // next leader may find neither.
+    let failed = ended(&second, Termination::Failed);
+    play.apply(
+        Ms(3_010),
+        vec![Event::Received(name("e1"), Report::Polled(failed))],
+    );
+    assert_eq!(play.acknowledged[&second.worker], 0);
+    play.apply(Ms(3_100), vec![Event::Committed]);
+    play.apply(Ms(3_200), vec![Event::Committed]);
+    assert_eq!(play.acknowledged[&second.worker], 1);
+}
