Take over a leader that refuses connections only if its heartbeat stands still

What callers could see: a new job runs twice. Cause: an entry whose connections the leader's address refused twice took the lead at once, while a leader that is alive behind a cut which refuses, or whose fresh connections are reset, counted itself certain for 0.8 s after its last confirmed write and started the same new jobs. The silence of one address was taken for the leader's death.

Change: such a takeover needs a heartbeat that stays unchanged for 450 ms, and a lead is certain for 350 ms after a confirmed write. A leader without other writes writes a heartbeat each 300 ms instead of 600 ms, so that new jobs need not wait. A killed leader is replaced one check, 0.15 s, later than before.

--- a/crates/scheduler/src/election.rs
+++ b/crates/scheduler/src/election.rs
@@ -13,13 +13,20 @@
 
 use crate::id::Epoch;
 
-/// The interval at which the leader writes heartbeats to the store.
-pub const HEARTBEAT_INTERVAL: Ms = Ms(600);
+/// The interval at which the leader writes heartbeats to the store. It is shorter than [`CERTAINTY`],
+/// so that new jobs do not wait.
+pub const HEARTBEAT_INTERVAL: Ms = Ms(300);
 /// The age of a heartbeat at which the leader counts as lost.
 const STALE_AFTER: Ms = Ms(2_000);
 /// The time for which a stale heartbeat must stay unchanged while the store serves this entry. It
 /// gives a leader the time to write a heartbeat after an outage of the store.
 pub const UNCHANGED_TIMEOUT: Ms = Ms(900);
+/// The time for which the heartbeat of a leader whose address refuses connections must stay
+/// unchanged, because a leader that is alive may be unreachable for this entry alone.
+const VACANT_TIMEOUT: Ms = Ms(450);
+/// The time after a confirmed write in which no other entry can take the lead, since it must observe
+/// the heartbeat unchanged for longer. The difference covers late timers.
+pub const CERTAINTY: Ms = Ms(VACANT_TIMEOUT.0 - 100);
 /// The interval at which an entry without a connection to the leader checks the store.
 pub const CHECK_INTERVAL: Ms = Ms(150);
 /// The time without a message from the leader after which its heartbeat in the store is checked.
@@ -88,7 +95,8 @@
         return record.instance != instance;
     }
     let is_stale = view.heartbeat_age.is_some_and(|age| age >= STALE_AFTER);
-    view.is_vacant || is_stale && view.unchanged >= UNCHANGED_TIMEOUT
+    view.is_vacant && view.unchanged >= VACANT_TIMEOUT
+        || is_stale && view.unchanged >= UNCHANGED_TIMEOUT
 }
 
 /// Observes the heartbeat of the leader over several reads of the store.
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -25,7 +25,7 @@
 
 pub use self::tally::Tally;
 use crate::config::Config;
-use crate::election;
+use crate::election::CERTAINTY;
 use crate::fleet::Registration;
 use crate::fleet::Worker;
 use crate::id;
@@ -46,10 +46,6 @@
 /// The time for which an agent keeps renewing leases without a message from the leader.
 pub const LEADER_CONTACT_TIMEOUT: Ms = Ms(3_000);
 
-/// The time after a confirmed write in which no other entry can take the lead, since it must observe
-/// the heartbeat unchanged for longer.
-const CERTAINTY: Ms = Ms(election::UNCHANGED_TIMEOUT.0 - 100);
-
 /// Time limits that the platform sets.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -58,6 +58,13 @@
             false,
         ),
     ];
+    let reached_by_others = View {
+        unchanged: Ms(300),
+        ..view(Some(record(Some("b"), 1)), 100, true)
+    };
+    let cases = cases
+        .into_iter()
+        .chain([("a changing heartbeat", reached_by_others, false)]);
     for (case, view, expected) in cases {
         assert_eq!(
             election::should_campaign(&view, &name("a"), 9),
