--- a/crates/decision/src/control/exchange.rs
+++ b/crates/decision/src/control/exchange.rs
@@ -32,12 +32,12 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Fleet {
     pub(super) list: Vec<Vm>,
-    /// Whether the list was received since the start.
-    pub(super) received: bool,
+    /// When the list was first received since the start; `None` before.
+    pub(super) first_received: Option<Ms>,
     pub(super) vms: BTreeMap<Name, Vm>,
     pub(super) groups: BTreeMap<Name, BTreeSet<Name>>,
     /// Workers that disappeared from the list, with the time, until the leases on them have
-    /// expired.
+    /// expired at every entry.
     pub(super) missing: BTreeMap<Name, (Vm, Ms)>,
     pub(super) drained: BTreeSet<Name>,
     /// Rises with every change of the set of groups, so that the plan of owners is updated then.
@@ -45,6 +45,11 @@
 }
 
 impl Fleet {
+    /// Whether the list was received since the start.
+    pub(super) const fn is_received(&self) -> bool {
+        self.first_received.is_some()
+    }
+
     pub(super) fn is_leaving(&self, vm: &Vm) -> bool {
         vm.state == State::Leaving || self.drained.contains(&vm.name)
     }
@@ -54,7 +59,8 @@
         let vms = BTreeMap::from_iter(vms);
         let before = std::mem::replace(&mut self.vms, vms);
         self.missing.retain(|name, (_, since)| {
-            !self.vms.contains_key(name) && !group::leases_expired(now, *since)
+            let renewed_at = *since + group::MAX_LIST_LAG;
+            !self.vms.contains_key(name) && !group::leases_expired(now, renewed_at)
         });
         for (name, vm) in before {
             if !self.vms.contains_key(&name) {
@@ -73,7 +79,7 @@
         }
         self.groups = groups;
         self.list = list;
-        self.received = true;
+        self.first_received.get_or_insert(now);
     }
 }
 
@@ -272,7 +278,7 @@
     }
 
     pub(super) fn update_fleet(&mut self, list: Vec<Vm>) {
-        if self.fleet.received && self.fleet.list == list {
+        if self.fleet.is_received() && self.fleet.list == list {
             return;
         }
         self.fleet.replace(self.now, list);
--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -1,6 +1,7 @@
 //! Ownership of groups: the planned owner, the epochs held and the adoption of workers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::clock::Ms;
 use crate::control::Id;
@@ -16,6 +17,8 @@
 /// Upper bound of the time by which clock drift can extend a lease; equal to
 /// [`crate::task::CLOCK_BOUND`].
 pub const CLOCK_BOUND: Ms = Ms(2_000);
+/// Upper bound of the time by which the lists of two entries differ.
+pub const MAX_LIST_LAG: Ms = Ms(30_000);
 /// The delay before another attempt to adopt or renew a worker.
 pub const ADOPT_RETRY_INTERVAL: Ms = Ms(500);
 /// An `Adopt` or `Renew` without an outcome for this long is sent again.
@@ -87,7 +90,8 @@
     pub next_leftover_check: Ms,
     /// Whether the worker was leaving or drained when it was last listed.
     pub leaving: bool,
-    /// Since when the worker is missing from the platform's list; `None` while it is listed.
+    /// Since when the worker is missing from the platform's list and is not renewed by any owner;
+    /// `None` while it is listed.
     pub missing_since: Option<Ms>,
     /// Whether the group's old pieces stay frozen until this worker has reported or its leases have
     /// expired.
@@ -133,10 +137,18 @@
     }
 }
 
-/// Whether every lease on a VM that left the list at `missing_since` has expired.
+/// Whether every lease that was renewed at `renewed_at` for the last time has expired.
 #[must_use]
-pub fn leases_expired(now: Ms, missing_since: Ms) -> bool {
-    now.since(missing_since) > LEASE + CLOCK_BOUND
+pub fn leases_expired(now: Ms, renewed_at: Ms) -> bool {
+    now.since(renewed_at) > LEASE + CLOCK_BOUND
+}
+
+/// The latest time at which a VM that left this entry's list at `missing_since` may have been
+/// renewed. The former owner, whose list may be older, renewed it until the takeover at
+/// `acquired_at`.
+#[must_use]
+pub fn last_renewal(missing_since: Ms, acquired_at: Ms) -> Ms {
+    missing_since.max(acquired_at.min(missing_since + MAX_LIST_LAG))
 }
 
 /// A group whose workers this entry commands.
@@ -163,6 +175,8 @@
     pub scanning: bool,
     /// Whether a scan was completed since the group was acquired.
     pub scanned: bool,
+    /// The keys of rows that every scan so far passed over, because this entry was writing them.
+    pub passed_over: BTreeSet<String>,
 }
 
 impl Holding {
@@ -180,6 +194,7 @@
             next_scan: now,
             scanning: false,
             scanned: false,
+            passed_over: BTreeSet::new(),
         }
     }
 
