Count the lapse of a silent worker once

Cause: each further failed poll expected an expiry that had already passed. Change: a worker that has lapsed and holds no run does not lapse again until it has answered.

each_lapse_of_a_worker_is_counted_once, with polls that go on failing, failed before (2 instead of 1) and passes. cargo test -p scheduler: all pass but the three known red tests. No decision changes.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -132,6 +132,8 @@
     pub min_lease_expiry: Ms,
     /// The time when all leases have expired unless the worker answers before.
     pub lease_expiry: Option<Ms>,
+    /// All leases have expired since the worker last answered.
+    pub has_lapsed: bool,
     /// The resources booked by runs; those of filling runs contain no processors.
     pub booked: Size,
     /// The millicores that filling runs requested.
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -88,6 +88,7 @@
         }
         worker.is_unresponsive = false;
         worker.lease_expiry = None;
+        worker.has_lapsed = false;
         if worker.incarnation != Some(observation.incarnation) {
             let is_restart = worker.incarnation.is_some();
             worker.restart(observation.incarnation);
@@ -370,7 +371,9 @@
         let is_new = !worker.is_unresponsive;
         worker.is_unresponsive = true;
         let has_left = worker.was_draining && worker.registration.is_none() && failure.is_closed;
-        worker.expect_lease_expiry(lease_expiry);
+        if !worker.has_lapsed || !worker.runs.is_empty() {
+            worker.expect_lease_expiry(lease_expiry);
+        }
         if has_left {
             // A worker that was draining, is no longer registered and refuses connections has
             // exited.
@@ -413,6 +416,7 @@
             worker.is_known = true;
             worker.is_unresponsive = true;
             worker.lease_expiry = None;
+            worker.has_lapsed = true;
             self.log(line);
             self.tally.lapses += 1;
             if self
--- a/crates/scheduler/tests/tally.rs
+++ b/crates/scheduler/tests/tally.rs
@@ -107,22 +107,28 @@
     let mut leader = leader(false);
     leader.handle(NOW, answer("w1", &[5]));
     leader.handle(NOW, answer("w2", &[]));
-    let failure = Failure {
-        worker: name("w1"),
-        renewal_age: Ms(100),
-        is_closed: false,
+    let failed = |renewal_age| {
+        let failure = Failure {
+            worker: name("w1"),
+            renewal_age,
+            is_closed: false,
+        };
+        Event::Received(name("e1"), Report::PollFailed(failure))
     };
-    leader.handle(
-        NOW,
-        Event::Received(name("e1"), Report::PollFailed(failure)),
-    );
+    leader.handle(NOW, failed(Ms(100)));
     leader.handle(NOW, Event::Tick(NOW));
     assert_eq!(leader.tally().lapses, 0);
     for after in [60_000, 60_050] {
         leader.handle(NOW + Ms(after), Event::LeadConfirmed(NOW + Ms(after)));
         leader.handle(NOW + Ms(after), Event::Tick(NOW + Ms(after)));
         assert_eq!(leader.tally().lapses, 1, "{after}");
+        // The polls go on while the worker is silent.
+        leader.handle(NOW + Ms(after), failed(Ms(after)));
     }
+    let later = NOW + Ms(60_100);
+    leader.handle(later, Event::LeadConfirmed(later));
+    leader.handle(later, Event::Tick(later));
+    assert_eq!(leader.tally().lapses, 1);
 }
 
 #[test]
