--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -152,8 +152,11 @@
             task.is_done
         });
         let mut failures = 0;
-        if !is_lasting && !is_done && !job.has_ended() {
-            failures = job.record_failure(id, end.run);
+        if !is_lasting {
+            if !is_done && !job.has_ended() {
+                failures = job.record_failure(id, end.run);
+            }
+            // Without the progress that makes the failure irrelevant, it counts.
             let version = job.version;
             self.record_pending(name, end.number, id.step.job, version);
             self.schedule_write(id.step.job);
@@ -225,7 +228,7 @@
         let Some(attempt) = task.remove_run(run) else {
             return;
         };
-        let is_startable = task.is_startable();
+        let (is_startable, is_done) = (task.is_startable(), task.is_done);
         if let Some(worker) = self.workers.get_mut(&attempt.worker) {
             worker.free(&claim, id, run);
         }
@@ -246,6 +249,10 @@
             step.startable.insert(id.index);
             self.enqueue(id.step);
         }
+        if is_done {
+            // The steps after it may have waited for this run.
+            self.enqueue_unblocked(id.step.job, id.step.occurrence);
+        }
     }
 }
 
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -23,6 +23,10 @@
 /// The time after which the outcome of a start is no longer expected.
 const START_TIMEOUT: Ms = Ms(2_500);
 
+/// The most ends that a worker lists at a time. It keeps any further ones until these are
+/// acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// The number of consecutive polls that must miss a run before it counts as lost.
 const MAX_MISSED_POLLS: u8 = 3;
 
@@ -84,6 +88,7 @@
         }
         worker.is_unresponsive = false;
         worker.lease_expiry = None;
+        worker.has_lapsed = false;
         if worker.incarnation != Some(observation.incarnation) {
             let is_restart = worker.incarnation.is_some();
             worker.restart(observation.incarnation);
@@ -140,7 +145,11 @@
             return;
         };
         worker.unknown_runs.retain(|run| reported.contains(run));
-        let missing: Vec<(Task, Run)> = worker.runs.difference(&reported).copied().collect();
+        let mut missing: Vec<(Task, Run)> = worker.runs.difference(&reported).copied().collect();
+        if observation.ended.len() >= MAX_LISTED_ENDS {
+            // The missing runs may have ended in a way that the worker has not listed yet.
+            missing.clear();
+        }
         for (task, run) in missing {
             self.handle_missing_run(now, entry, observation, task, run);
         }
@@ -165,6 +174,7 @@
         let is_done = task.is_done;
         match task.run(row.run) {
             Some(attempt) => {
+                attempt.is_listed |= attempt.incarnation == observation.incarnation;
                 attempt.missed_polls = 0;
                 attempt.percent = row.percent;
                 attempt.measurement = row.measurement;
@@ -225,6 +235,7 @@
             worker: name.clone(),
             incarnation,
             run,
+            is_listed: phase == Phase::Running,
             phase,
             phase_since: now,
             stop_sent: None,
@@ -360,7 +371,9 @@
         let is_new = !worker.is_unresponsive;
         worker.is_unresponsive = true;
         let has_left = worker.was_draining && worker.registration.is_none() && failure.is_closed;
-        worker.expect_lease_expiry(lease_expiry);
+        if !worker.has_lapsed || !worker.runs.is_empty() {
+            worker.expect_lease_expiry(lease_expiry);
+        }
         if has_left {
             // A worker that was draining, is no longer registered and refuses connections has
             // exited.
@@ -377,12 +390,14 @@
         }
     }
 
-    /// Releases the runs on workers that did not answer until all their leases expired.
+    /// Releases the runs on workers that did not answer until all their leases expired. If another
+    /// entry may have taken the lead before, its agents may have renewed them.
     pub(super) fn expire_leases(&mut self, now: Ms) {
+        let has_expired = |at: Ms| at <= now && at < self.certain_until;
         let expired: Vec<Name> = self
             .workers
             .iter()
-            .filter(|(_, worker)| worker.lease_expiry.is_some_and(|at| at <= now))
+            .filter(|(_, worker)| worker.lease_expiry.is_some_and(has_expired))
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
@@ -401,6 +416,7 @@
             worker.is_known = true;
             worker.is_unresponsive = true;
             worker.lease_expiry = None;
+            worker.has_lapsed = true;
             self.log(line);
             self.tally.lapses += 1;
             if self
@@ -415,8 +431,8 @@
         }
     }
 
-    /// Releases the runs on a worker, except those of the incarnation `kept`. An unanswered start may
-    /// still reach that incarnation, so it is voided there first.
+    /// Releases the runs on a worker, except those of the incarnation `kept`. A start that no
+    /// incarnation has listed may reach or have reached that one, so it is voided there first.
     fn release_lost_runs(&mut self, now: Ms, name: &Name, kept: Option<Ms>, reason: &'static str) {
         let Some(worker) = self.workers.get(name) else {
             return;
@@ -428,7 +444,7 @@
                 continue;
             }
             match (attempt, kept) {
-                (Some(attempt), Some(kept)) if attempt.is_unanswered_start() => {
+                (Some(attempt), Some(kept)) if attempt.may_outlive_incarnation() => {
                     attempt.incarnation = kept;
                     attempt.stop_sent = None;
                     self.stop_run(now, task, run, reason);
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -155,6 +155,10 @@
             return (Vec::new(), false);
         };
         let mut tasks: Vec<u32> = state.startable.iter().copied().collect();
+        if is_gang && tasks.len() < state.unfinished as usize {
+            // The members share one run, so none starts before the last run of all has ended.
+            return (Vec::new(), false);
+        }
         if !may_run_unseen || state.is_fresh {
             return (tasks, false);
         }
@@ -433,6 +437,7 @@
             worker: name.clone(),
             incarnation,
             run,
+            is_listed: false,
             phase: Phase::Starting,
             phase_since: now,
             stop_sent: None,
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -96,13 +96,9 @@
     let Some(heartbeat) = shared.agent.heartbeat() else {
         return refuse(shared, "no-leader", &queue.name);
     };
-    let found = heartbeat
-        .waiting
-        .iter()
-        .find(|(name, _)| *name == queue.name);
-    match found {
-        Some((_, count)) => json(front::encode_waiting(*count)),
-        None => refuse(shared, "no-count", &queue.name),
+    match heartbeat.waiting_in(&queue.name) {
+        Some(count) => json(front::encode_waiting(count)),
+        None => refuse(shared, "no-counts", &queue.name),
     }
 }
 
