--- a/crates/decision/src/control/ownership.rs
+++ b/crates/decision/src/control/ownership.rs
@@ -37,6 +37,13 @@
 /// The table must have been down for this long before an entry acts as caretaker.
 const MIN_OUTAGE: Ms = Ms(1_000);
 
+/// A list that is received at least this long after a takeover was read after it.
+const MAX_LIST_READ: Ms = Ms(2_000);
+
+/// Upper bound of the time by which the lists of two entries differ whose reads of it succeed. It
+/// applies to workers that nothing is known of; a longer one would delay each restarted entry.
+const USUAL_LIST_LAG: Ms = Ms(5_000);
+
 /// The planned owner of each group, for the live entries and the set of groups that it was made
 /// for.
 #[derive(Clone, Debug, Default)]
@@ -72,7 +79,7 @@
     /// While the table is down, it may act as their caretaker instead.
     pub(super) fn maintain_ownership(&mut self) {
         let started = self.started.unwrap_or(self.now);
-        if self.now.since(started) < JOIN_DELAY || !self.fleet.received {
+        if self.now.since(started) < JOIN_DELAY || !self.fleet.is_received() {
             return;
         }
         self.update_plan();
@@ -244,6 +251,10 @@
         match resolution {
             Resolution::Done(versions) => {
                 for ((name, fresh), version) in groups.iter().zip(versions) {
+                    if *version == table::Version(0) {
+                        self.lose_acquired(name);
+                        continue;
+                    }
                     let epoch = Epoch {
                         row: version.0,
                         step: 0,
@@ -266,6 +277,15 @@
         }
     }
 
+    /// Handles a group that this entry acquired and another entry acquired after it. The version of
+    /// its row is then the epoch of that entry.
+    fn lose_acquired(&mut self, name: &Name) {
+        if self.held.contains_key(name) {
+            self.lose_group(name, "another entry wrote its row");
+        }
+        self.due.rows = self.due.rows.min(self.now + ROWS_RETRY_DELAY);
+    }
+
     /// Begins to command a group. One that was handed over directly continues under the epoch of
     /// its row.
     pub(super) fn begin_holding(
@@ -300,15 +320,18 @@
         self.sync_group(name);
     }
 
-    /// Unfreezes old pieces of groups once no worker can run their tasks unreported. An entry that
-    /// started recently does not know which workers disappeared from the list before, so it waits
-    /// until leases on those have expired.
+    /// Unfreezes old pieces of groups once no worker can run their tasks unreported. An entry does
+    /// not know which workers disappeared from the list before it first received the list, so it
+    /// waits until leases on those have expired.
     fn unfreeze_groups(&mut self) {
-        let started = self.started.unwrap_or(self.now);
-        let max_lease = group::LEASE + group::CLOCK_BOUND;
-        let list_complete = self.now.since(started) > max_lease;
+        let Some(first_received) = self.fleet.first_received else {
+            return;
+        };
         let mut to_unfreeze = Vec::new();
         for (name, held) in &mut self.held {
+            let renewed_at = group::last_renewal(first_received, held.acquired_at, USUAL_LIST_LAG);
+            let list_complete = group::leases_expired(self.now, renewed_at)
+                && is_listed_since(self.now, self.fleet.last_received, held.acquired_at);
             if held.frozen && list_complete && !held.is_unfreeze_blocked(self.now) {
                 held.frozen = false;
                 to_unfreeze.push(name.clone());
@@ -387,3 +410,9 @@
         }
     }
 }
+
+/// Whether the list was read after a takeover, so that it has all workers on which the former owner
+/// may have started tasks. Without a list, the leases on unknown workers have to expire.
+fn is_listed_since(now: Ms, last_received: Option<Ms>, acquired_at: Ms) -> bool {
+    last_received >= Some(acquired_at + MAX_LIST_READ) || group::leases_expired(now, acquired_at)
+}
--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -1,6 +1,7 @@
 //! Ownership of groups: the planned owner, the epochs held and the adoption of workers.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::clock::Ms;
 use crate::control::Id;
@@ -16,6 +17,8 @@
 /// Upper bound of the time by which clock drift can extend a lease; equal to
 /// [`crate::task::CLOCK_BOUND`].
 pub const CLOCK_BOUND: Ms = Ms(2_000);
+/// Upper bound of the time by which the lists of two entries differ.
+pub const MAX_LIST_LAG: Ms = Ms(30_000);
 /// The delay before another attempt to adopt or renew a worker.
 pub const ADOPT_RETRY_INTERVAL: Ms = Ms(500);
 /// An `Adopt` or `Renew` without an outcome for this long is sent again.
@@ -71,6 +74,9 @@
     pub accepted: Option<Epoch>,
     /// Whether the worker accepted a command sent since the last pause of this entry.
     pub confirmed: bool,
+    /// Whether the board received a report that the worker made under the target epoch. An answer
+    /// to a command of an earlier epoch is no such report: the worker may have started tasks since.
+    pub reported: bool,
     /// Slots that are busy with requests sent under lower epochs.
     pub busy: u32,
     /// The attempts of this entry in progress on the worker, by the worker's latest report under
@@ -84,9 +90,10 @@
     pub next_leftover_check: Ms,
     /// Whether the worker was leaving or drained when it was last listed.
     pub leaving: bool,
-    /// Since when the worker is missing from the platform's list; `None` while it is listed.
+    /// Since when the worker is missing from the platform's list and is not renewed by any owner;
+    /// `None` while it is listed.
     pub missing_since: Option<Ms>,
-    /// Whether the group's old pieces stay frozen until this worker is adopted or its leases have
+    /// Whether the group's old pieces stay frozen until this worker has reported or its leases have
     /// expired.
     pub blocks_unfreeze: bool,
 }
@@ -100,6 +107,7 @@
             target_epoch,
             accepted: None,
             confirmed: false,
+            reported: false,
             busy: 0,
             snapshot: None,
             in_flight: None,
@@ -125,14 +133,22 @@
         let expired = self
             .missing_since
             .is_some_and(|since| leases_expired(now, since));
-        self.blocks_unfreeze && self.accepted.is_none() && !expired
+        self.blocks_unfreeze && !self.reported && !expired
     }
 }
 
-/// Whether every lease on a VM that left the list at `missing_since` has expired.
+/// Whether every lease that was renewed at `renewed_at` for the last time has expired.
 #[must_use]
-pub fn leases_expired(now: Ms, missing_since: Ms) -> bool {
-    now.since(missing_since) > LEASE + CLOCK_BOUND
+pub fn leases_expired(now: Ms, renewed_at: Ms) -> bool {
+    now.since(renewed_at) > LEASE + CLOCK_BOUND
+}
+
+/// The latest time at which a VM that left this entry's list at `missing_since` may have been
+/// renewed. The former owner, whose list may be older by up to `max_lag`, renewed it until the
+/// takeover at `acquired_at`.
+#[must_use]
+pub fn last_renewal(missing_since: Ms, acquired_at: Ms, max_lag: Ms) -> Ms {
+    missing_since.max(acquired_at.min(missing_since + max_lag))
 }
 
 /// A group whose workers this entry commands.
@@ -159,6 +175,8 @@
     pub scanning: bool,
     /// Whether a scan was completed since the group was acquired.
     pub scanned: bool,
+    /// The keys of rows that every scan so far passed over, because this entry was writing them.
+    pub passed_over: BTreeSet<String>,
 }
 
 impl Holding {
@@ -176,6 +194,7 @@
             next_scan: now,
             scanning: false,
             scanned: false,
+            passed_over: BTreeSet::new(),
         }
     }
 
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -25,7 +25,7 @@
 
 pub use self::tally::Tally;
 use crate::config::Config;
-use crate::election;
+use crate::election::CERTAINTY;
 use crate::fleet::Registration;
 use crate::fleet::Worker;
 use crate::id;
@@ -46,10 +46,6 @@
 /// The time for which an agent keeps renewing leases without a message from the leader.
 pub const LEADER_CONTACT_TIMEOUT: Ms = Ms(3_000);
 
-/// The time after a confirmed write in which no other entry can take the lead, since it must observe
-/// the heartbeat unchanged for longer.
-const CERTAINTY: Ms = Ms(election::UNCHANGED_TIMEOUT.0 - 100);
-
 /// Time limits that the platform sets.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
@@ -201,8 +197,16 @@
     clock: Ms,
     /// Jobs whose rows are to be removed from the store.
     removable: Vec<id::Job>,
-    /// The names of the workers in `fleet`.
+    /// The versions of the rows of removed jobs, which may still be read.
+    forgotten: BTreeMap<id::Job, u64>,
+    /// The removed jobs by the time when the store confirmed the removal of their rows.
+    removed: BTreeSet<(Ms, id::Job)>,
+    /// The workers that the store certainly lists, whether or not it has carried out a write that
+    /// it did not confirm.
     stored_workers: BTreeSet<Name>,
+    /// The store has not confirmed the last write of the fleet, so it lists either that fleet or
+    /// the one before it.
+    is_fleet_uncertain: bool,
     /// The workers have not changed since they were last compared with the stored ones.
     is_fleet_synced: bool,
     /// The time of the last pass over the waiting steps, and the number of passes so far.
@@ -257,7 +261,10 @@
             model_logged: Ms::ZERO,
             clock: now,
             removable: Vec::new(),
+            forgotten: BTreeMap::new(),
+            removed: BTreeSet::new(),
             stored_workers: BTreeSet::new(),
+            is_fleet_uncertain: false,
             is_fleet_synced: false,
             last_pass: Ms::ZERO,
             passes: 0,
@@ -395,7 +402,7 @@
         }
         self.retry_stops(now);
         self.expire_leases(now);
-        self.remove_expired_jobs();
+        self.remove_expired_jobs(now);
         self.move_from_draining(now);
     }
 
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -75,6 +75,12 @@
         let removed = self.removable.len().min(free / 3);
         commit.removed = self.removable.drain(..removed).collect();
         commit.fleet = fleet.as_ref().map(|fleet| fleet.iter().cloned().collect());
+        if let Some(fleet) = &fleet {
+            // The store may carry out this write without confirming it.
+            self.stored_workers
+                .retain(|name| fleet.iter().any(|member| member.worker == *name));
+            self.is_fleet_uncertain = true;
+        }
         self.committing = Some(InFlight {
             versions,
             removed: commit.removed.clone(),
@@ -106,9 +112,11 @@
                 job.commit(version);
             }
         }
+        self.removed.extend(removed.into_iter().map(|id| (now, id)));
         if let Some(fleet) = fleet {
             self.stored_workers = fleet.iter().map(|member| member.worker.clone()).collect();
             self.fleet = fleet;
+            self.is_fleet_uncertain = false;
         }
         self.acknowledge_all();
     }
@@ -123,7 +131,7 @@
         (!summary.serving.is_empty()).then_some(summary)
     }
 
-    /// Returns the workers on which tasks may run, if they differ from the stored ones.
+    /// Returns the workers on which tasks may run, if they may differ from the stored ones.
     fn changed_fleet(&self) -> Option<BTreeSet<Member>> {
         let wanted = self.workers.iter().filter_map(|(name, worker)| {
             let known = self.fleet.iter().find(|member| member.worker == *name);
@@ -137,7 +145,7 @@
             }
         });
         let wanted: BTreeSet<Member> = wanted.collect();
-        (wanted != self.fleet).then_some(wanted)
+        (self.is_fleet_uncertain || wanted != self.fleet).then_some(wanted)
     }
 
     /// Returns whether the store lists a worker, so that a later leader will poll it. Tasks are
@@ -160,20 +168,33 @@
     }
 
     /// Removes the jobs whose retention time is over, and schedules the removal of their rows.
-    pub(super) fn remove_expired_jobs(&mut self) {
+    pub(super) fn remove_expired_jobs(&mut self, now: Ms) {
+        self.drop_forgotten_jobs(now);
         while let Some(&(at, id)) = self.ended.first() {
             if self.unix.since(at) <= self.bounds.retention {
                 return;
             }
             self.ended.pop_first();
-            let is_durable = self
+            let durable = self
                 .jobs
                 .get(&id)
-                .is_some_and(|job| job.committed == job.version);
-            if is_durable {
+                .filter(|job| job.committed == job.version);
+            if let Some(row) = durable.map(|job| job.row_version) {
                 self.jobs.remove(&id);
+                self.forgotten.insert(id, row);
                 self.removable.push(id);
             }
         }
     }
+
+    /// Drops the versions of rows that were removed so long ago that no read can still return them.
+    fn drop_forgotten_jobs(&mut self, now: Ms) {
+        while let Some(&(at, id)) = self.removed.first() {
+            if now.since(at) <= self.bounds.retention {
+                return;
+            }
+            self.removed.pop_first();
+            self.forgotten.remove(&id);
+        }
+    }
 }
