--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -7,16 +7,16 @@
 use std::sync::Arc;
 
 use common::BOUNDS;
+use common::INCARNATION;
 use common::config;
 use common::name;
+use common::registration;
 use decision::clock::Ms;
 use decision::name::Name;
-use decision::resource::Size;
 use scheduler::agent::Lease;
 use scheduler::election;
 use scheduler::election::Record;
 use scheduler::election::View;
-use scheduler::fleet::Registration;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
 use scheduler::id::Run;
@@ -42,33 +42,16 @@
 const EPOCH: Epoch = Epoch(17);
 /// The version of a job's row that was written after the leader took over.
 const NEW_ROW: u64 = 30;
-const INCARNATION: Ms = Ms(77);
 const NEXT_INCARNATION: Ms = Ms(78);
 /// The leader begins hours after its VM.
 const BEGUN: Ms = Ms(40_000_000);
 
-fn registration() -> Registration {
-    Registration {
-        service: name("service"),
-        address: Arc::from("10.0.0.1:1"),
-        domain: name("d1"),
-        size: Size {
-            millicores: 8_000,
-            memory_mb: 8_000,
-            accelerators: 0,
-        },
-        labels: Vec::new(),
-        incarnation: INCARNATION,
-        is_draining: false,
-    }
-}
-
 fn unregistered(worker: &str) -> Event {
     Event::RegistrationChanged(name(worker), None)
 }
 
 fn registered(worker: &str) -> Event {
-    Event::RegistrationChanged(name(worker), Some(registration()))
+    Event::RegistrationChanged(name(worker), Some(registration("d1")))
 }
 
 /// Returns a job of one task.
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -4,8 +4,10 @@
 
 use decision::clock::Ms;
 use decision::name::Name;
+use decision::resource::Size;
 use scheduler::config::Config;
 use scheduler::config::Queue;
+use scheduler::fleet::Registration;
 use scheduler::leader::Bounds;
 
 /// The time limits of the platform.
@@ -15,6 +17,9 @@
     harm: Ms(4_000),
 };
 
+/// The incarnation of all registered workers.
+pub const INCARNATION: Ms = Ms(77);
+
 pub fn name(raw: &str) -> Name {
     Name::try_from(raw).expect("test names are valid")
 }
@@ -38,3 +43,20 @@
         max_body_bytes: 1_000,
     }
 }
+
+/// Returns the registration of a worker in this failure domain.
+pub fn registration(domain: &str) -> Registration {
+    Registration {
+        service: name("service"),
+        address: Arc::from("10.0.0.1:1"),
+        domain: name(domain),
+        size: Size {
+            millicores: 8_000,
+            memory_mb: 8_000,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        incarnation: INCARNATION,
+        is_draining: false,
+    }
+}
--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 
 use common::BOUNDS;
+use common::INCARNATION;
 use common::config;
 use common::name;
+use common::registration;
 use decision::clock::Ms;
-use decision::resource::Size;
-use scheduler::fleet::Registration;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
 use scheduler::job::Accepted;
@@ -26,25 +26,8 @@
 use scheduler::message::Termination;
 use scheduler::spec;
 
-const INCARNATION: Ms = Ms(77);
 const NEXT_INCARNATION: Ms = Ms(78);
 
-fn registration() -> Registration {
-    Registration {
-        service: name("service"),
-        address: Arc::from("10.0.0.1:1"),
-        domain: name("d2"),
-        size: Size {
-            millicores: 8_000,
-            memory_mb: 8_000,
-            accelerators: 0,
-        },
-        labels: Vec::new(),
-        incarnation: INCARNATION,
-        is_draining: false,
-    }
-}
-
 fn accepted() -> Accepted {
     Accepted {
         queue: name("queue"),
@@ -96,7 +79,7 @@
         Event::Config(Arc::new(config())),
         Event::Joined(name("e1"), name("d1")),
         Event::Recovered,
-        Event::RegistrationChanged(name("w"), Some(registration())),
+        Event::RegistrationChanged(name("w"), Some(registration("d2"))),
     ];
     apply_events(&mut leader, Ms(1_000), begin);
     let known = vec![
@@ -141,7 +124,8 @@
 fn an_unanswered_start_is_voided_at_the_next_incarnation_before_its_task_starts_again() {
     let agent = name("e1");
     let received = |report| Event::Received(agent.clone(), report);
-    let registered = |worker: &str| Event::RegistrationChanged(name(worker), Some(registration()));
+    let registered =
+        |worker: &str| Event::RegistrationChanged(name(worker), Some(registration("d2")));
     let mut leader = Leader::new(name("e0"), Epoch(17), BOUNDS, Ms(1_000));
     let begin = vec![
         Event::Config(Arc::new(config())),
@@ -197,7 +181,8 @@
     let agent = name("e1");
     let received = |report| Event::Received(agent.clone(), report);
     let mut leader = Leader::new(name("e0"), Epoch(17), BOUNDS, Ms(1_000));
-    let registered = |worker: &str| Event::RegistrationChanged(name(worker), Some(registration()));
+    let registered =
+        |worker: &str| Event::RegistrationChanged(name(worker), Some(registration("d2")));
     let begin = vec![
         Event::Config(Arc::new(config())),
         Event::Joined(agent.clone(), name("d1")),
--- a/crates/scheduler/tests/serving.rs
+++ b/crates/scheduler/tests/serving.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use common::BOUNDS;
+use common::INCARNATION;
 use common::config;
 use common::name;
 use decision::clock::Ms;
@@ -26,7 +27,6 @@
 use scheduler::message::Start;
 use scheduler::spec;
 
-const INCARNATION: Ms = Ms(77);
 const TAIL_LIMIT: Ms = Ms(18);
 const NORMAL_TAIL_MS: u32 = 8;
 const SLOW_TAIL_MS: u32 = 1_000;
@@ -37,13 +37,8 @@
 
 fn registration() -> Registration {
     Registration {
-        service: name("service"),
-        address: Arc::from("10.0.0.1:1"),
-        domain: name("d1"),
         size: size(16_000),
-        labels: Vec::new(),
-        incarnation: INCARNATION,
-        is_draining: false,
+        ..common::registration("d1")
     }
 }
 
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -6,12 +6,12 @@
 use std::sync::Arc;
 
 use common::BOUNDS;
+use common::INCARNATION;
 use common::config;
 use common::name;
+use common::registration;
 use decision::clock::Ms;
-use decision::resource::Size;
 use scheduler::agent::Lease;
-use scheduler::fleet::Registration;
 use scheduler::id;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
@@ -44,7 +44,6 @@
 const OLD_ROW: u64 = 5;
 /// The version of a job's row that was written after this leader took over.
 const NEW_ROW: u64 = 30;
-const INCARNATION: Ms = Ms(77);
 /// The run of an earlier leader.
 const OLD_RUN: Run = Run(9);
 /// The time after the takeover at which no lease of earlier leaders can last.
@@ -80,20 +79,7 @@
 }
 
 fn registered(worker: &str) -> Event {
-    let registration = Registration {
-        service: name("service"),
-        address: Arc::from("10.0.0.1:1"),
-        domain: name("d1"),
-        size: Size {
-            millicores: 8_000,
-            memory_mb: 8_000,
-            accelerators: 0,
-        },
-        labels: Vec::new(),
-        incarnation: INCARNATION,
-        is_draining: false,
-    };
-    Event::RegistrationChanged(name(worker), Some(registration))
+    Event::RegistrationChanged(name(worker), Some(registration("d1")))
 }
 
 fn observation(worker: &str, running: &[Task]) -> Observation {
--- a/crates/scheduler/tests/tally.rs
+++ b/crates/scheduler/tests/tally.rs
@@ -5,11 +5,11 @@
 use std::sync::Arc;
 
 use common::BOUNDS;
+use common::INCARNATION;
 use common::config;
 use common::name;
+use common::registration;
 use decision::clock::Ms;
-use decision::resource::Size;
-use scheduler::fleet::Registration;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
 use scheduler::id::Run;
@@ -24,7 +24,6 @@
 use scheduler::message::Running;
 use scheduler::spec;
 
-const INCARNATION: Ms = Ms(77);
 const NOW: Ms = Ms(1_000);
 const TASK: Task = Task {
     step: Step {
@@ -35,22 +34,6 @@
     index: 0,
 };
 
-fn registration() -> Registration {
-    Registration {
-        service: name("service"),
-        address: Arc::from("10.0.0.1:1"),
-        domain: name("d1"),
-        size: Size {
-            millicores: 8_000,
-            memory_mb: 8_000,
-            accelerators: 0,
-        },
-        labels: Vec::new(),
-        incarnation: INCARNATION,
-        is_draining: false,
-    }
-}
-
 /// Returns a leader with an agent, the workers `w1` and `w2`, and a job of one task, which an
 /// earlier leader may have started.
 fn leader(is_speculative: bool) -> Leader {
@@ -75,8 +58,8 @@
         Event::Accepted(Job(1), 20, accepted, None),
         Event::Joined(name("e1"), name("d1")),
         Event::Recovered,
-        Event::RegistrationChanged(name("w1"), Some(registration())),
-        Event::RegistrationChanged(name("w2"), Some(registration())),
+        Event::RegistrationChanged(name("w1"), Some(registration("d1"))),
+        Event::RegistrationChanged(name("w2"), Some(registration("d1"))),
     ] {
         leader.handle(NOW, event);
     }
