--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -103,7 +103,7 @@
 }
 
 /// A leader with the agent `e1` that has read the rows of the store.
-struct Play {
+struct Fixture {
     leader: Leader,
     /// The workers in the fleet that the leader wrote last.
     stored: Vec<Name>,
@@ -111,9 +111,9 @@
     acknowledged: BTreeMap<Name, u64>,
 }
 
-impl Play {
+impl Fixture {
     fn begin() -> Self {
-        let mut play = Self {
+        let mut fixture = Self {
             leader: Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN),
             stored: Vec::new(),
             acknowledged: BTreeMap::new(),
@@ -123,8 +123,8 @@
             Event::Joined(name("e1"), name("d1")),
             Event::Recovered,
         ];
-        play.apply(Ms(0), events);
-        play
+        fixture.apply(Ms(0), events);
+        fixture
     }
 
     /// Passes events and a tick to the leader this long after it began, and returns the starts that
@@ -165,15 +165,15 @@
 
 #[test]
 fn a_start_that_the_next_life_of_a_worker_answered_is_not_lost_with_the_life_before() {
-    let mut play = Play::begin();
-    play.apply(Ms(10), vec![registered("w"), registered("w2")]);
+    let mut fixture = Fixture::begin();
+    fixture.apply(Ms(10), vec![registered("w"), registered("w2")]);
     let known = vec![
         Event::Committed,
         polled("e1", "w"),
         polled("e1", "w2"),
         accepted(1, NEW_ROW),
     ];
-    let starts = play.apply(Ms(20), known);
+    let starts = fixture.apply(Ms(20), known);
     let [start] = &starts[..] else {
         panic!("{starts:?}");
     };
@@ -187,88 +187,88 @@
         ),
         Event::Received(name("e1"), Report::Polled(list)),
     ];
-    assert_eq!(play.apply(Ms(30), answers), []);
+    assert_eq!(fixture.apply(Ms(30), answers), []);
 }
 
 #[test]
 fn no_task_starts_on_a_worker_that_an_unconfirmed_write_removed_from_the_stored_fleet() {
-    let mut play = Play::begin();
-    play.apply(Ms(10), vec![registered("w")]);
-    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let mut fixture = Fixture::begin();
+    fixture.apply(Ms(10), vec![registered("w")]);
+    fixture.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
     // Its registration expires while the store is away. The store carries out the write of the
     // fleet without the worker but does not confirm it.
-    play.apply(Ms(100), vec![unregistered("w")]);
-    assert_eq!(play.stored, []);
-    play.apply(Ms(1_600), vec![Event::CommitUnconfirmed, registered("w")]);
-    play.apply(Ms(1_800), vec![polled("e1", "w")]);
-    let starts = play.apply(Ms(1_810), vec![accepted(1, NEW_ROW)]);
+    fixture.apply(Ms(100), vec![unregistered("w")]);
+    assert_eq!(fixture.stored, []);
+    fixture.apply(Ms(1_600), vec![Event::CommitUnconfirmed, registered("w")]);
+    fixture.apply(Ms(1_800), vec![polled("e1", "w")]);
+    let starts = fixture.apply(Ms(1_810), vec![accepted(1, NEW_ROW)]);
     // Another leader would not know that the worker may have runs of this one.
     assert!(
-        starts.is_empty() || play.stored == [name("w")],
+        starts.is_empty() || fixture.stored == [name("w")],
         "{starts:?}, stored: {:?}",
-        play.stored
+        fixture.stored
     );
-    let starts = play.apply(Ms(1_850), vec![Event::Committed]);
-    assert_eq!(play.stored, [name("w")]);
+    let starts = fixture.apply(Ms(1_850), vec![Event::Committed]);
+    assert_eq!(fixture.stored, [name("w")]);
     assert_eq!(starts.len(), 1);
 }
 
 #[test]
 fn no_task_starts_on_a_worker_that_a_write_in_progress_removes_from_the_stored_fleet() {
-    let mut play = Play::begin();
-    play.apply(Ms(10), vec![registered("w")]);
-    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
-    play.apply(Ms(100), vec![unregistered("w")]);
-    play.apply(Ms(110), vec![registered("w")]);
-    play.apply(Ms(120), vec![polled("e1", "w")]);
-    let starts = play.apply(Ms(130), vec![accepted(1, NEW_ROW)]);
-    assert_eq!((starts, &play.stored[..]), (Vec::new(), &[][..]));
+    let mut fixture = Fixture::begin();
+    fixture.apply(Ms(10), vec![registered("w")]);
+    fixture.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    fixture.apply(Ms(100), vec![unregistered("w")]);
+    fixture.apply(Ms(110), vec![registered("w")]);
+    fixture.apply(Ms(120), vec![polled("e1", "w")]);
+    let starts = fixture.apply(Ms(130), vec![accepted(1, NEW_ROW)]);
+    assert_eq!((starts, &fixture.stored[..]), (Vec::new(), &[][..]));
     // The next write lists the worker again.
-    assert_eq!(play.apply(Ms(170), vec![Event::Committed]), []);
-    assert_eq!(play.stored, [name("w")]);
-    assert_eq!(play.apply(Ms(210), vec![Event::Committed]).len(), 1);
+    assert_eq!(fixture.apply(Ms(170), vec![Event::Committed]), []);
+    assert_eq!(fixture.stored, [name("w")]);
+    assert_eq!(fixture.apply(Ms(210), vec![Event::Committed]).len(), 1);
 }
 
 #[test]
 fn a_completed_job_whose_rows_are_not_removed_yet_does_not_run_again() {
-    let mut play = Play::begin();
-    play.apply(Ms(10), vec![registered("w")]);
-    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
-    let starts = play.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
+    let mut fixture = Fixture::begin();
+    fixture.apply(Ms(10), vec![registered("w")]);
+    fixture.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let starts = fixture.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
     let [start] = &starts[..] else {
         panic!("{starts:?}");
     };
     let done = Event::Received(name("e1"), Report::Polled(ended(start, Termination::Done)));
-    play.apply(Ms(900), vec![done]);
-    play.apply(Ms(910), vec![Event::Committed]);
+    fixture.apply(Ms(900), vec![done]);
+    fixture.apply(Ms(910), vec![Event::Committed]);
     // The time to keep the job passes, and the write that removes its rows is under way when the
     // store, which has discarded its history, is read anew.
     let over = Ms(900) + BOUNDS.retention + Ms(100);
-    play.apply(over, vec![polled("e1", "w")]);
-    let again = play.apply(over + Ms(100), vec![accepted(1, NEW_ROW)]);
+    fixture.apply(over, vec![polled("e1", "w")]);
+    let again = fixture.apply(over + Ms(100), vec![accepted(1, NEW_ROW)]);
     assert_eq!(again, []);
     let unconfirmed = vec![Event::CommitUnconfirmed, accepted(1, NEW_ROW)];
-    assert_eq!(play.apply(over + Ms(1_600), unconfirmed), []);
-    play.apply(over + Ms(1_800), vec![Event::Committed]);
+    assert_eq!(fixture.apply(over + Ms(1_600), unconfirmed), []);
+    fixture.apply(over + Ms(1_800), vec![Event::Committed]);
     // The read may be older than the removal.
-    let again = play.apply(over + Ms(1_900), vec![accepted(1, NEW_ROW)]);
+    let again = fixture.apply(over + Ms(1_900), vec![accepted(1, NEW_ROW)]);
     assert_eq!(again, []);
     let newer = vec![accepted(1, NEW_ROW + 50)];
-    assert_eq!(play.apply(over + Ms(2_000), newer).len(), 1);
+    assert_eq!(fixture.apply(over + Ms(2_000), newer).len(), 1);
 }
 
 #[test]
 fn a_lease_outlasts_a_change_of_agents_that_the_first_agent_does_not_learn() {
-    let mut play = Play::begin();
-    play.apply(Ms(5), vec![Event::Left(name("e1"))]);
-    play.apply(
+    let mut fixture = Fixture::begin();
+    fixture.apply(Ms(5), vec![Event::Left(name("e1"))]);
+    fixture.apply(
         Ms(10),
         vec![Event::Joined(name("e1"), name("d2")), registered("w")],
     );
-    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
-    let starts = play.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
+    fixture.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let starts = fixture.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
     assert_eq!(starts.len(), 1);
-    play.apply(Ms(40), vec![registered("w2")]);
+    fixture.apply(Ms(40), vec![registered("w2")]);
     // From here on the first agent hears nothing more. It does not learn that an agent in the domain
     // of the worker takes over, and renews the lease for 3 s.
     let handover = Ms(60_000);
@@ -277,8 +277,8 @@
         polled("e1", "w"),
         Event::Joined(name("e2"), name("d1")),
     ];
-    play.apply(handover, events);
-    play.apply(handover + Ms(1_400), vec![Event::Left(name("e1"))]);
+    fixture.apply(handover, events);
+    fixture.apply(handover + Ms(1_400), vec![Event::Left(name("e1"))]);
     let lease_end = LEADER_CONTACT_TIMEOUT + BOUNDS.lease + Ms(BOUNDS.lease.0 * 2 / 100);
     let mut starts = Vec::new();
     for round in 1.. {
@@ -292,11 +292,11 @@
             is_closed: false,
         };
         let failed = Event::Received(name("e2"), Report::PollFailed(failure));
-        starts.extend(play.apply(handover + after, vec![polled("e2", "w2"), failed]));
+        starts.extend(fixture.apply(handover + after, vec![polled("e2", "w2"), failed]));
     }
     assert_eq!(starts, []);
     let over = handover + lease_end + Ms(500);
-    assert_eq!(play.apply(over, vec![polled("e2", "w2")]).len(), 1);
+    assert_eq!(fixture.apply(over, vec![polled("e2", "w2")]).len(), 1);
 }
 
 #[test]
@@ -315,13 +315,13 @@
 
 #[test]
 fn a_leader_that_may_have_been_replaced_counts_no_lease_as_expired() {
-    let mut play = Play::begin();
-    play.apply(Ms(10), vec![registered("w")]);
-    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
-    let starts = play.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
+    let mut fixture = Fixture::begin();
+    fixture.apply(Ms(10), vec![registered("w")]);
+    fixture.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let starts = fixture.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
     assert_eq!(starts.len(), 1);
-    play.apply(Ms(40), vec![registered("w2")]);
-    play.apply(Ms(20_000), vec![Event::Committed, polled("e1", "w")]);
+    fixture.apply(Ms(40), vec![registered("w2")]);
+    fixture.apply(Ms(20_000), vec![Event::Committed, polled("e1", "w")]);
     // From here on the leader and its agent reach neither the store nor the worker. Another leader
     // may have renewed the lease.
     for round in 1..=30 {
@@ -333,19 +333,19 @@
         };
         let failed = Event::Received(name("e1"), Report::PollFailed(failure));
         let events = vec![polled("e1", "w2"), failed];
-        assert_eq!(play.apply_unconfirmed(Ms(20_000) + age, events), []);
+        assert_eq!(fixture.apply_unconfirmed(Ms(20_000) + age, events), []);
     }
     // No other entry had taken the lead by now, so nobody has.
-    let starts = play.apply(Ms(36_000), vec![polled("e1", "w2")]);
+    let starts = fixture.apply(Ms(36_000), vec![polled("e1", "w2")]);
     assert_eq!(starts.len(), 1);
 }
 
 #[test]
 fn a_run_whose_end_is_beyond_a_full_list_of_ends_does_not_start_again() {
-    let mut play = Play::begin();
-    play.apply(Ms(10), vec![registered("w")]);
-    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
-    let starts = play.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
+    let mut fixture = Fixture::begin();
+    fixture.apply(Ms(10), vec![registered("w")]);
+    fixture.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let starts = fixture.apply(Ms(30), vec![accepted(1, NEW_ROW)]);
     let [start] = &starts[..] else {
         panic!("{starts:?}");
     };
@@ -360,7 +360,7 @@
         running: Some(vec![running]),
         ..observation("w", INCARNATION, BEGUN)
     };
-    play.apply(
+    fixture.apply(
         Ms(40),
         vec![Event::Received(name("e1"), Report::Polled(listed))],
     );
@@ -387,7 +387,7 @@
         let stopped = Report::Stopped(start.placement(), Outcome::Done, BEGUN + Ms(after.0 - 1));
         let events = [stopped, Report::Polled(full)];
         let events = events.map(|report| Event::Received(name("e1"), report));
-        assert_eq!(play.apply(after, events.into()), []);
+        assert_eq!(fixture.apply(after, events.into()), []);
     }
 }
 
@@ -408,7 +408,7 @@
     };
     let takes_over = election::should_campaign(&view, &name("e1"), 1);
     // The first leader is alive: a write that it sent 100 ms before was confirmed.
-    let mut first = Play::begin();
+    let mut first = Fixture::begin();
     first.apply(Ms(10), vec![registered("w")]);
     first.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
     first.apply(Ms(10_000), vec![polled("e1", "w")]);
@@ -418,7 +418,7 @@
         address: Arc::from("10.0.0.1:1"),
         domain: name("d1"),
     };
-    let mut second = Play {
+    let mut second = Fixture {
         leader: Leader::new(name("e1"), Epoch(20), BOUNDS, BEGUN + Ms(10_100)),
         stored: Vec::new(),
         acknowledged: BTreeMap::new(),
@@ -441,43 +441,43 @@
 
 #[test]
 fn a_member_of_a_gang_does_not_start_again_while_another_one_holds_the_run_before() {
-    let mut play = Play::begin();
-    play.apply(Ms(10), vec![registered("w")]);
-    play.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let mut fixture = Fixture::begin();
+    fixture.apply(Ms(10), vec![registered("w")]);
+    fixture.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
     let Event::Accepted(id, row, mut gang, progress) = accepted(1, NEW_ROW) else {
         unreachable!("the event is an accepted job");
     };
     gang.spec.steps[0].count = 2;
     gang.spec.steps[0].is_gang = true;
-    let starts = play.apply(Ms(30), vec![Event::Accepted(id, row, gang, progress)]);
+    let starts = fixture.apply(Ms(30), vec![Event::Accepted(id, row, gang, progress)]);
     let [first, second] = &starts[..] else {
         panic!("{starts:?}");
     };
     // One member is refused; the order of the other one is answered late or never.
     let refused = Report::Started(first.placement(), Outcome::Unsent);
-    play.apply(Ms(40), vec![Event::Received(name("e1"), refused)]);
+    fixture.apply(Ms(40), vec![Event::Received(name("e1"), refused)]);
     let mut started = Vec::new();
     for round in 1..10 {
         let after = Ms(40 + round * 100);
-        started.extend(play.apply(after, Vec::new()));
+        started.extend(fixture.apply(after, Vec::new()));
     }
     let unknown = Report::Started(second.placement(), Outcome::Unknown);
-    started.extend(play.apply(Ms(1_000), vec![Event::Received(name("e1"), unknown)]));
+    started.extend(fixture.apply(Ms(1_000), vec![Event::Received(name("e1"), unknown)]));
     assert_eq!(started, []);
 }
 
 #[test]
 fn a_failed_run_of_a_job_whose_own_failure_is_not_durable_is_not_acknowledged() {
-    let mut play = Play::begin();
-    play.apply(Ms(10), vec![registered("w"), registered("w2")]);
+    let mut fixture = Fixture::begin();
+    fixture.apply(Ms(10), vec![registered("w"), registered("w2")]);
     let known = vec![Event::Committed, polled("e1", "w"), polled("e1", "w2")];
-    play.apply(Ms(20), known);
+    fixture.apply(Ms(20), known);
     let Event::Accepted(id, row, mut job, progress) = accepted(1, NEW_ROW) else {
         unreachable!("the event is an accepted job");
     };
     job.spec.steps[0].count = 2;
     job.spec.steps[0].per_worker = Some(1);
-    let mut starts = play.apply(Ms(30), vec![Event::Accepted(id, row, job, progress)]);
+    let mut starts = fixture.apply(Ms(30), vec![Event::Accepted(id, row, job, progress)]);
     starts.sort_by_key(|start| start.task.index);
     let [mut first, second] = <[Start; 2]>::try_from(starts).expect("both tasks start");
     // The first task fails as often as it may.
@@ -487,23 +487,23 @@
         let failed = Event::Received(name("e1"), Report::Polled(observation));
         let after = Ms(1_000 * number);
         if number == 3 {
-            play.apply(after, vec![failed]);
+            fixture.apply(after, vec![failed]);
         } else {
-            let again = play.apply(after, vec![failed]);
+            let again = fixture.apply(after, vec![failed]);
             first = again.into_iter().next().expect("the task starts again");
-            play.apply(after + Ms(50), Vec::new());
-            play.apply(after + Ms(100), vec![Event::Committed]);
+            fixture.apply(after + Ms(50), Vec::new());
+            fixture.apply(after + Ms(100), vec![Event::Committed]);
         }
     }
     // The store has not confirmed that the job has failed when a run of the second task fails. The
     // next leader may find neither.
     let failed = ended(&second, Termination::Failed);
-    play.apply(
+    fixture.apply(
         Ms(3_010),
         vec![Event::Received(name("e1"), Report::Polled(failed))],
     );
-    assert_eq!(play.acknowledged[&second.worker], 0);
-    play.apply(Ms(3_100), vec![Event::Committed]);
-    play.apply(Ms(3_200), vec![Event::Committed]);
-    assert_eq!(play.acknowledged[&second.worker], 1);
+    assert_eq!(fixture.acknowledged[&second.worker], 0);
+    fixture.apply(Ms(3_100), vec![Event::Committed]);
+    fixture.apply(Ms(3_200), vec![Event::Committed]);
+    assert_eq!(fixture.acknowledged[&second.worker], 1);
 }
