Stop the runs of jobs that had ended before the takeover at once

Cause: a job whose stored progress has ended has no task states in the new leader, so its runs counted as those of an unknown job, whose row may still arrive.

Evidence: the test failed before, with no order to stop among the actions after the poll that listed the run.

Change: the wait is skipped if the job is known to have ended; the log line gives the reason.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -10,6 +10,7 @@
 use crate::id;
 use crate::id::Run;
 use crate::id::Task;
+use crate::job;
 use crate::message::Failure;
 use crate::message::Hello;
 use crate::message::Observation;
@@ -267,8 +268,9 @@
         }
     }
 
-    /// Records a run whose job this leader does not know, and stops it if the row of the job does
-    /// not arrive in time.
+    /// Records a run whose job this leader does not know or that had ended before this leader began.
+    /// Stops it at once in the latter case, and otherwise if the row of the job does not arrive in
+    /// time.
     fn observe_unknown_run(&mut self, now: Ms, observation: &Observation, task: Task, run: Run) {
         let placement = Placement {
             worker: observation.worker.clone(),
@@ -280,7 +282,9 @@
             worker.unknown_runs.insert((task, run));
         }
         let since = *self.unknown_runs.entry(placement.clone()).or_insert(now);
-        if now.since(since) < UNKNOWN_JOB_TIMEOUT {
+        let job = self.jobs.get(&task.step.job);
+        let has_ended = job.is_some_and(job::Job::has_ended);
+        if !has_ended && now.since(since) < UNKNOWN_JOB_TIMEOUT {
             return;
         }
         let worker = self.workers.get(&observation.worker);
@@ -288,8 +292,13 @@
             return;
         };
         self.log(format!(
-            "kind=stop task={task} run={run} worker={} reason=unknown-job",
-            observation.worker
+            "kind=stop task={task} run={run} worker={} reason={}",
+            observation.worker,
+            if has_ended {
+                "job-ended"
+            } else {
+                "unknown-job"
+            }
         ));
         self.send(&agent, Order::Stop(placement));
     }
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -236,6 +236,27 @@
     assert_eq!(starts, [task(1, 0)]);
 }
 
+/// The leader before died between the write of the end and its orders to stop.
+#[test]
+fn a_run_of_a_job_that_had_ended_before_the_takeover_is_stopped_at_once() {
+    let Event::Accepted(job, row, accepted, _) = accepted(1, OLD_ROW, 1) else {
+        unreachable!("the helper returns an accepted job");
+    };
+    let progress = Progress {
+        has_started: true,
+        ended: Some((Outcome::Cancelled, BEGUN)),
+        finished_occurrences: 0,
+        steps: BTreeMap::new(),
+    };
+    let ended = Event::Accepted(job, row, accepted, Some(progress));
+    let mut takeover = Takeover::begin(vec![ended], &[]);
+    let actions = takeover
+        .leader
+        .handle(BEGUN + Ms(10), polled("sound", &[task(1, 0)]));
+    let is_stop = |action: &Action| matches!(action, Action::Send(_, Order::Stop(placement)) if placement.run == OLD_RUN);
+    assert!(actions.iter().any(is_stop), "{actions:?}");
+}
+
 #[test]
 fn a_run_survives_a_failed_poll_by_an_agent_that_never_renewed_its_lease() {
     let mut takeover = Takeover::begin(vec![accepted(1, OLD_ROW, 1)], &[task(1, 0)]);
