Count runs and ends of an occurrence that is not due by the new leader's clock

Cause: the tasks of an occurrence exist in the leader's state only from the moment when it is due by the leader's own clock. An end `done` of one was then settled without any progress and acknowledged at once; a run of one counted as a run of an unknown job and was not adopted when the occurrence began. In both cases the task started when it became due: again after its acknowledged end, or a second time beside its run.

Change: a run or an end of an occurrence that has not begun creates its tasks, from the stored progress as at its begin. Its steps wait until it is due, so that no start comes earlier than before. An occurrence that is completed before it is due by this clock counts as begun, so that its job goes on and ends.

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -84,9 +84,10 @@
     pub committed: u64,
     /// The stage that customers are shown, which reflects only durable progress.
     pub visible_stage: Stage,
-    /// The occurrences in progress, each with its steps.
+    /// The occurrences in progress, each with its steps. They include those that an earlier leader
+    /// began and that are not due yet by the clock of this one.
     pub occurrences: BTreeMap<u32, Vec<Step>>,
-    /// The next occurrence to begin, counted from 0.
+    /// The next occurrence to become due, counted from 0.
     pub next_occurrence: u32,
 }
 
@@ -155,7 +156,19 @@
         begun
     }
 
+    /// Records that an earlier leader has begun an occurrence, whose runs and ends count although it
+    /// may not be due yet by the clock of this leader.
+    pub fn discover(&mut self, occurrence: u32) {
+        let expected = self.next_occurrence..self.spec.occurrences();
+        if expected.contains(&occurrence) && !self.has_ended() {
+            self.begin(occurrence);
+        }
+    }
+
     fn begin(&mut self, occurrence: u32) {
+        if self.occurrences.contains_key(&occurrence) {
+            return;
+        }
         let steps = self.spec.steps.iter().map(|step| Step::new(step.count));
         let mut steps: Vec<Step> = steps.collect();
         for (index, step) in steps.iter_mut().enumerate() {
@@ -173,10 +186,14 @@
         self.occurrences.insert(occurrence, steps);
     }
 
-    /// Returns whether all steps that this one waits for are completed and have no second runs left.
-    /// A later leader that sees such a run relies on it that the steps after it are untouched.
+    /// Returns whether the occurrence has become due, and all steps that this one waits for are
+    /// completed and have no second runs left. A later leader that sees such a run relies on it that
+    /// the steps after it are untouched.
     #[must_use]
     pub fn is_unblocked(&self, occurrence: u32, step: u16) -> bool {
+        if occurrence >= self.next_occurrence {
+            return false;
+        }
         let Some(steps) = self.occurrences.get(&occurrence) else {
             return false;
         };
@@ -281,12 +298,13 @@
         if is_oldest && self.spec.occurrences() > 1 {
             self.remove_finished_occurrences();
         }
-        let occurrence_count = self.spec.occurrences();
+        let mut unbegun = self.next_occurrence..self.spec.occurrences();
+        let have_all_begun = unbegun.all(|number| self.occurrences.contains_key(&number));
         let has_unfinished_tasks = self
             .occurrences
             .values()
             .any(|steps| steps.iter().any(|step| step.unfinished > 0));
-        if self.next_occurrence >= occurrence_count && !has_unfinished_tasks {
+        if have_all_begun && !has_unfinished_tasks {
             self.end(Outcome::Completed, unix);
         }
     }
@@ -304,6 +322,7 @@
             self.occurrences.remove(&finished);
             self.progress.steps.retain(|key, _| key.0 != finished);
             self.progress.finished_occurrences += 1;
+            self.next_occurrence = self.next_occurrence.max(finished + 1);
             self.bump_version();
         }
     }
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -39,6 +39,7 @@
         }
         worker.pending.insert(end.number, Pending::Settled);
         let id = end.task;
+        self.discover_occurrence(id.step);
         if let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task(id))
             && end.checkpoint.is_some()
         {
--- a/crates/scheduler/src/leader/jobs.rs
+++ b/crates/scheduler/src/leader/jobs.rs
@@ -61,6 +61,13 @@
         }
     }
 
+    /// Records that an earlier leader has begun the occurrence of a step.
+    pub(super) fn discover_occurrence(&mut self, step: id::Step) {
+        if let Some(job) = self.jobs.get_mut(&step.job) {
+            job.discover(step.occurrence);
+        }
+    }
+
     /// Enqueues the unblocked steps of an occurrence, and closes it if all steps are completed.
     pub(super) fn enqueue_occurrence(&mut self, id: id::Job, occurrence: u32) {
         self.enqueue_unblocked(id, occurrence);
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -161,6 +161,7 @@
             .jobs
             .get(&row.task.step.job)
             .is_none_or(|job| job.has_ended());
+        self.discover_occurrence(row.task.step);
         let known = self
             .jobs
             .get_mut(&row.task.step.job)
@@ -312,6 +313,7 @@
             if let Some(worker) = self.workers.get_mut(&worker) {
                 worker.unknown_runs.remove(&(task, run));
             }
+            self.discover_occurrence(task.step);
             self.adopt_run(now, &worker, incarnation, task, run, Phase::Unsure);
         }
     }
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -35,6 +35,7 @@
 use scheduler::message::Termination;
 use scheduler::progress::Outcome;
 use scheduler::progress::Progress;
+use scheduler::progress::Stage;
 use scheduler::spec;
 
 /// The leader begins hours after its VM.
@@ -340,6 +341,66 @@
     assert_eq!(started, [task(1, 1)]);
 }
 
+/// Returns a job of single tasks, each after the one before it, that is due this long after the
+/// takeover and then each second.
+fn scheduled(steps: u16, due: Ms, count: u32) -> Event {
+    let Event::Accepted(id, row, mut accepted, progress) = accepted(1, OLD_ROW, steps) else {
+        unreachable!("the event is an accepted job");
+    };
+    accepted.spec.schedule = Some(spec::Schedule {
+        first: BEGUN + due,
+        interval: Ms(1_000),
+        count,
+    });
+    Event::Accepted(id, row, accepted, progress)
+}
+
+/// The clock of the leader before was ahead of the clock of this one.
+#[test]
+fn an_occurrence_that_an_earlier_leader_began_is_not_started_again_when_it_is_due() {
+    let known = || polled("silent", &[]);
+    let cases = [
+        ("runs", polled("sound", &[task(1, 0)])),
+        ("has ended", completed("sound", task(1, 0))),
+    ];
+    let started = cases.map(|(case, event)| {
+        let mut takeover = Takeover::begin(vec![scheduled(1, Ms(2_000), 2)], &[]);
+        let mut starts = takeover.apply(Ms(10), vec![event, known()]);
+        starts.extend(takeover.apply(Ms(1_990), Vec::new()));
+        starts.extend(takeover.apply(Ms(2_010), Vec::new()));
+        (case, starts)
+    });
+    assert_eq!(started, [("runs", vec![]), ("has ended", vec![])]);
+}
+
+#[test]
+fn a_step_of_an_occurrence_that_an_earlier_leader_began_waits_until_it_is_due() {
+    let mut takeover = Takeover::begin(vec![scheduled(2, Ms(2_000), 2)], &[]);
+    let ended = vec![completed("sound", task(1, 0)), polled("silent", &[])];
+    assert_eq!(takeover.apply(Ms(10), ended), []);
+    assert_eq!(takeover.apply(Ms(1_990), Vec::new()), []);
+    assert_eq!(takeover.apply(Ms(2_010), Vec::new()), [task(1, 1)]);
+}
+
+#[test]
+fn a_job_whose_occurrences_an_earlier_leader_began_goes_on_and_ends() {
+    let mut takeover = Takeover::begin(vec![scheduled(1, Ms(2_000), 2)], &[]);
+    let ended = vec![completed("sound", task(1, 0)), polled("silent", &[])];
+    assert_eq!(takeover.apply(Ms(10), ended), []);
+    assert_eq!(takeover.apply(Ms(2_010), Vec::new()), []);
+    let mut second = task(1, 0);
+    second.step.occurrence = 1;
+    assert_eq!(takeover.apply(Ms(3_010), Vec::new()), [second]);
+
+    let mut takeover = Takeover::begin(vec![scheduled(1, Ms(2_000), 1)], &[]);
+    let ended = vec![completed("sound", task(1, 0)), polled("silent", &[])];
+    assert_eq!(takeover.apply(Ms(10), ended), []);
+    takeover.apply(Ms(100), vec![Event::Committed]);
+    takeover.apply(Ms(200), vec![Event::Committed]);
+    let ended = Some(Stage::Ended(Outcome::Completed));
+    assert_eq!(takeover.leader.stage(Job(1)), ended);
+}
+
 /// A leader that has read no jobs yet does not know that none wait.
 #[test]
 fn the_counts_of_waiting_jobs_outlast_a_change_of_the_leader() {
