Let no lease expire before the rows of earlier leaders are read

What callers could see: two runs of one task after a change of the leader whose rows take longer to read than 9.5 s.

Cause: the reports of agents are deferred until the rows are read, since they name jobs that the leader does not know yet. The expiry of leases was not: 9.5 s after it began, the leader counted each worker as known without runs, while its own agents had polled these workers and renewed their leases. The deferred reports put this right only if they still count. If the agent that sent them had been lost meanwhile, or the worker had left the list, they were ignored, and the tasks on it were free to start elsewhere.

Evidence: leases_that_agents_renew_while_the_leader_reads_the_rows_do_not_lapse failed before: task 1.0.0.0 started on the other worker.

Change: leases expire only from the moment on when the rows are read and the deferred reports are handled. A worker of which none tells lapses at the next tick, as before.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -393,8 +393,12 @@
     }
 
     /// Releases the runs on workers that did not answer until all their leases expired. If another
-    /// entry may have taken the lead before, its agents may have renewed them.
+    /// entry may have taken the lead before, its agents may have renewed them. Until the rows of
+    /// earlier leaders are read, reports are deferred, and they may tell of renewals too.
     pub(super) fn expire_leases(&mut self, now: Ms) {
+        if !self.is_recovered {
+            return;
+        }
         let has_expired = |at: Ms| at <= now && at < self.certain_until;
         let expired: Vec<Name> = self
             .workers
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -122,6 +122,16 @@
     }))
 }
 
+/// Returns the event that the store lists both workers.
+fn fleet() -> Event {
+    let member = |worker| Member {
+        worker: name(worker),
+        address: Arc::from("10.0.0.1:1"),
+        domain: name("d1"),
+    };
+    Event::Fleet(vec![member("silent"), member("sound")])
+}
+
 fn failed(worker: &str, renewal_age: Ms) -> Event {
     received(Report::PollFailed(Failure {
         worker: name(worker),
@@ -142,11 +152,6 @@
 impl Takeover {
     /// Begins with these jobs in the store. The agent remembers these tasks as runs on `silent`.
     fn begin(jobs: Vec<Event>, remembered: &[Task]) -> Self {
-        let member = |worker| Member {
-            worker: name(worker),
-            address: Arc::from("10.0.0.1:1"),
-            domain: name("d1"),
-        };
         let placements = remembered.iter().map(|&task| Placement {
             worker: name("silent"),
             incarnation: INCARNATION,
@@ -161,7 +166,7 @@
         };
         let mut events = vec![
             Event::Config(Arc::new(config())),
-            Event::Fleet(vec![member("silent"), member("sound")]),
+            fleet(),
             received(Report::Hello(hello)),
             Event::Joined(name("e1"), name("d1")),
         ];
@@ -341,6 +346,36 @@
     assert_eq!(started, [task(1, 1)]);
 }
 
+#[test]
+fn leases_that_agents_renew_while_the_leader_reads_the_rows_do_not_lapse() {
+    let mut takeover = Takeover {
+        leader: Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN),
+    };
+    let begin = vec![
+        Event::Config(Arc::new(config())),
+        Event::Joined(name("e1"), name("d1")),
+        registered("silent"),
+        registered("sound"),
+    ];
+    takeover.apply(Ms(0), begin);
+    let renewed = vec![polled("silent", &[task(1, 0)])];
+    takeover.apply(Ms(9_000), renewed);
+    takeover.apply(LEASES_OVER, Vec::new());
+    // The agent that has renewed the lease is lost.
+    let change = vec![
+        Event::Left(name("e1")),
+        Event::Joined(name("e2"), name("d1")),
+    ];
+    takeover.apply(LEASES_OVER + Ms(100), change);
+    let rows = vec![fleet(), accepted(1, OLD_ROW, 1), Event::Recovered];
+    let mut starts = takeover.apply(LEASES_OVER + Ms(400), rows);
+    let other = Report::Polled(observation("sound", &[]));
+    let other = Event::Received(name("e2"), other);
+    starts.extend(takeover.apply(LEASES_OVER + Ms(500), vec![other]));
+    starts.extend(takeover.apply(Ms(15_000), Vec::new()));
+    assert_eq!(starts, []);
+}
+
 /// Returns a job of single tasks, each after the one before it, that is due this long after the
 /// takeover and then each second.
 fn scheduled(steps: u16, due: Ms, count: u32) -> Event {
