--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -84,9 +84,10 @@
     pub committed: u64,
     /// The stage that customers are shown, which reflects only durable progress.
     pub visible_stage: Stage,
-    /// The occurrences in progress, each with its steps.
+    /// The occurrences in progress, each with its steps. They include those that an earlier leader
+    /// began and that are not due yet by the clock of this one.
     pub occurrences: BTreeMap<u32, Vec<Step>>,
-    /// The next occurrence to begin, counted from 0.
+    /// The next occurrence to become due, counted from 0.
     pub next_occurrence: u32,
 }
 
@@ -142,30 +143,31 @@
 
     /// Begins the occurrences that are due and returns their numbers.
     pub fn begin_due_occurrences(&mut self, unix: Ms) -> Vec<u32> {
-        let spec = Arc::clone(&self.spec);
-        self.begin_while(|occurrence| spec.due(occurrence).is_none_or(|due| due <= unix))
-    }
-
-    /// Begins the occurrences up to this one and returns their numbers.
-    pub fn begin_occurrences_to(&mut self, last: u32) -> Vec<u32> {
-        if last >= self.spec.occurrences() {
-            return Vec::new();
-        }
-        self.begin_while(|occurrence| occurrence <= last)
-    }
-
-    fn begin_while(&mut self, should_begin: impl Fn(u32) -> bool) -> Vec<u32> {
-        let first = self.next_occurrence;
-        let begun = (first..self.spec.occurrences()).take_while(|&next| should_begin(next));
-        let begun: Vec<u32> = begun.collect();
-        for &occurrence in &begun {
-            self.next_occurrence = occurrence + 1;
+        let mut begun = Vec::new();
+        while self.next_occurrence < self.spec.occurrences() {
+            let occurrence = self.next_occurrence;
+            if self.spec.due(occurrence).is_some_and(|due| due > unix) {
+                break;
+            }
+            self.next_occurrence += 1;
             self.begin(occurrence);
+            begun.push(occurrence);
         }
         begun
     }
 
-    fn begin(&mut self, occurrence: u32) {
+    /// Records that an earlier leader has begun an occurrence, whose runs and ends count although it
+    /// may not be due yet by the clock of this leader. Returns whether this is new.
+    pub fn discover(&mut self, occurrence: u32) -> bool {
+        let expected = self.next_occurrence..self.spec.occurrences();
+        expected.contains(&occurrence) && !self.has_ended() && self.begin(occurrence)
+    }
+
+    /// Creates the tasks of an occurrence and returns whether it had none.
+    fn begin(&mut self, occurrence: u32) -> bool {
+        if self.occurrences.contains_key(&occurrence) {
+            return false;
+        }
         let steps = self.spec.steps.iter().map(|step| Step::new(step.count));
         let mut steps: Vec<Step> = steps.collect();
         for (index, step) in steps.iter_mut().enumerate() {
@@ -181,12 +183,17 @@
             }
         }
         self.occurrences.insert(occurrence, steps);
+        true
     }
 
-    /// Returns whether all steps that this one waits for are completed and have no second runs left.
-    /// A later leader that sees such a run relies on it that the steps after it are untouched.
+    /// Returns whether the occurrence has become due, and all steps that this one waits for are
+    /// completed and have no second runs left. A later leader that sees such a run relies on it that
+    /// the steps after it are untouched.
     #[must_use]
     pub fn is_unblocked(&self, occurrence: u32, step: u16) -> bool {
+        if occurrence >= self.next_occurrence {
+            return false;
+        }
         let Some(steps) = self.occurrences.get(&occurrence) else {
             return false;
         };
@@ -291,12 +298,13 @@
         if is_oldest && self.spec.occurrences() > 1 {
             self.remove_finished_occurrences();
         }
-        let occurrence_count = self.spec.occurrences();
+        let mut unbegun = self.next_occurrence..self.spec.occurrences();
+        let have_all_begun = unbegun.all(|number| self.occurrences.contains_key(&number));
         let has_unfinished_tasks = self
             .occurrences
             .values()
             .any(|steps| steps.iter().any(|step| step.unfinished > 0));
-        if self.next_occurrence >= occurrence_count && !has_unfinished_tasks {
+        if have_all_begun && !has_unfinished_tasks {
             self.end(Outcome::Completed, unix);
         }
     }
@@ -314,6 +322,7 @@
             self.occurrences.remove(&finished);
             self.progress.steps.retain(|key, _| key.0 != finished);
             self.progress.finished_occurrences += 1;
+            self.next_occurrence = self.next_occurrence.max(finished + 1);
             self.bump_version();
         }
     }
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -158,11 +158,11 @@
     }
 
     fn observe_run(&mut self, now: Ms, observation: &Observation, row: &Running) {
-        self.begin_started(row.task);
         let is_job_over = self
             .jobs
             .get(&row.task.step.job)
             .is_none_or(|job| job.has_ended());
+        self.discover_occurrence(row.task.step);
         let known = self
             .jobs
             .get_mut(&row.task.step.job)
@@ -291,14 +291,14 @@
         let Some(agent) = worker.and_then(|worker| worker.agent.clone()) else {
             return;
         };
+        let reason = if has_ended {
+            "job-ended"
+        } else {
+            "unknown-job"
+        };
         self.log(format!(
-            "kind=stop task={task} run={run} worker={} reason={}",
-            observation.worker,
-            if has_ended {
-                "job-ended"
-            } else {
-                "unknown-job"
-            }
+            "kind=stop task={task} run={run} worker={} reason={reason}",
+            observation.worker
         ));
         self.send(&agent, Order::Stop(placement));
     }
@@ -322,6 +322,7 @@
             if let Some(worker) = self.workers.get_mut(&worker) {
                 worker.unknown_runs.remove(&(task, run));
             }
+            self.discover_occurrence(task.step);
             self.adopt_run(now, &worker, incarnation, task, run, Phase::Unsure);
         }
     }
@@ -401,8 +402,12 @@
     }
 
     /// Releases the runs on workers that did not answer until all their leases expired. If another
-    /// entry may have taken the lead before, its agents may have renewed them.
+    /// entry may have taken the lead before, its agents may have renewed them. Until the rows of
+    /// earlier leaders are read, reports are deferred, and they may tell of renewals too.
     pub(super) fn expire_leases(&mut self, now: Ms) {
+        if !self.is_recovered {
+            return;
+        }
         let has_expired = |at: Ms| at <= now && at < self.certain_until;
         let expired: Vec<Name> = self
             .workers
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -35,6 +35,7 @@
 use scheduler::message::Termination;
 use scheduler::progress::Outcome;
 use scheduler::progress::Progress;
+use scheduler::progress::Stage;
 use scheduler::spec;
 
 /// The leader begins hours after its VM.
@@ -121,6 +122,16 @@
     }))
 }
 
+/// Returns the event that the store lists both workers.
+fn fleet() -> Event {
+    let member = |worker| Member {
+        worker: name(worker),
+        address: Arc::from("10.0.0.1:1"),
+        domain: name("d1"),
+    };
+    Event::Fleet(vec![member("silent"), member("sound")])
+}
+
 fn failed(worker: &str, renewal_age: Ms) -> Event {
     received(Report::PollFailed(Failure {
         worker: name(worker),
@@ -141,11 +152,6 @@
 impl Takeover {
     /// Begins with these jobs in the store. The agent remembers these tasks as runs on `silent`.
     fn begin(jobs: Vec<Event>, remembered: &[Task]) -> Self {
-        let member = |worker| Member {
-            worker: name(worker),
-            address: Arc::from("10.0.0.1:1"),
-            domain: name("d1"),
-        };
         let placements = remembered.iter().map(|&task| Placement {
             worker: name("silent"),
             incarnation: INCARNATION,
@@ -160,7 +166,7 @@
         };
         let mut events = vec![
             Event::Config(Arc::new(config())),
-            Event::Fleet(vec![member("silent"), member("sound")]),
+            fleet(),
             received(Report::Hello(hello)),
             Event::Joined(name("e1"), name("d1")),
         ];
@@ -361,6 +367,96 @@
     assert_eq!(started, [task(1, 1)]);
 }
 
+#[test]
+fn leases_that_agents_renew_while_the_leader_reads_the_rows_do_not_lapse() {
+    let mut takeover = Takeover {
+        leader: Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN),
+    };
+    let begin = vec![
+        Event::Config(Arc::new(config())),
+        Event::Joined(name("e1"), name("d1")),
+        registered("silent"),
+        registered("sound"),
+    ];
+    takeover.apply(Ms(0), begin);
+    let renewed = vec![polled("silent", &[task(1, 0)])];
+    takeover.apply(Ms(9_000), renewed);
+    takeover.apply(LEASES_OVER, Vec::new());
+    // The agent that has renewed the lease is lost.
+    let change = vec![
+        Event::Left(name("e1")),
+        Event::Joined(name("e2"), name("d1")),
+    ];
+    takeover.apply(LEASES_OVER + Ms(100), change);
+    let rows = vec![fleet(), accepted(1, OLD_ROW, 1), Event::Recovered];
+    let mut starts = takeover.apply(LEASES_OVER + Ms(400), rows);
+    let other = Report::Polled(observation("sound", &[]));
+    let other = Event::Received(name("e2"), other);
+    starts.extend(takeover.apply(LEASES_OVER + Ms(500), vec![other]));
+    starts.extend(takeover.apply(Ms(15_000), Vec::new()));
+    assert_eq!(starts, []);
+}
+
+/// Returns a job of single tasks, each after the one before it, that is due this long after the
+/// takeover and then each second.
+fn scheduled(steps: u16, due: Ms, count: u32) -> Event {
+    let Event::Accepted(id, row, mut accepted, progress) = accepted(1, OLD_ROW, steps) else {
+        unreachable!("the event is an accepted job");
+    };
+    accepted.spec.schedule = Some(spec::Schedule {
+        first: BEGUN + due,
+        interval: Ms(1_000),
+        count,
+    });
+    Event::Accepted(id, row, accepted, progress)
+}
+
+/// The clock of the leader before was ahead of the clock of this one.
+#[test]
+fn an_occurrence_that_an_earlier_leader_began_is_not_started_again_when_it_is_due() {
+    let known = || polled("silent", &[]);
+    let cases = [
+        ("runs", polled("sound", &[task(1, 0)])),
+        ("has ended", completed("sound", task(1, 0))),
+    ];
+    let started = cases.map(|(case, event)| {
+        let mut takeover = Takeover::begin(vec![scheduled(1, Ms(2_000), 2)], &[]);
+        let mut starts = takeover.apply(Ms(10), vec![event, known()]);
+        starts.extend(takeover.apply(Ms(1_990), Vec::new()));
+        starts.extend(takeover.apply(Ms(2_010), Vec::new()));
+        (case, starts)
+    });
+    assert_eq!(started, [("runs", vec![]), ("has ended", vec![])]);
+}
+
+#[test]
+fn a_step_of_an_occurrence_that_an_earlier_leader_began_waits_until_it_is_due() {
+    let mut takeover = Takeover::begin(vec![scheduled(2, Ms(2_000), 2)], &[]);
+    let ended = vec![completed("sound", task(1, 0)), polled("silent", &[])];
+    assert_eq!(takeover.apply(Ms(10), ended), []);
+    assert_eq!(takeover.apply(Ms(1_990), Vec::new()), []);
+    assert_eq!(takeover.apply(Ms(2_010), Vec::new()), [task(1, 1)]);
+}
+
+#[test]
+fn a_job_whose_occurrences_an_earlier_leader_began_goes_on_and_ends() {
+    let mut takeover = Takeover::begin(vec![scheduled(1, Ms(2_000), 2)], &[]);
+    let ended = vec![completed("sound", task(1, 0)), polled("silent", &[])];
+    assert_eq!(takeover.apply(Ms(10), ended), []);
+    assert_eq!(takeover.apply(Ms(2_010), Vec::new()), []);
+    let mut second = task(1, 0);
+    second.step.occurrence = 1;
+    assert_eq!(takeover.apply(Ms(3_010), Vec::new()), [second]);
+
+    let mut takeover = Takeover::begin(vec![scheduled(1, Ms(2_000), 1)], &[]);
+    let ended = vec![completed("sound", task(1, 0)), polled("silent", &[])];
+    assert_eq!(takeover.apply(Ms(10), ended), []);
+    takeover.apply(Ms(100), vec![Event::Committed]);
+    takeover.apply(Ms(200), vec![Event::Committed]);
+    let ended = Some(Stage::Ended(Outcome::Completed));
+    assert_eq!(takeover.leader.stage(Job(1)), ended);
+}
+
 /// A leader that has read no jobs yet does not know that none wait.
 #[test]
 fn the_counts_of_waiting_jobs_outlast_a_change_of_the_leader() {
