Simulate slow recoveries, clocks that differ, unlisted workers and 300 workers

The simulation had no jobs with times, read all rows within 0.3 s, had at most five workers that were always listed, and did not check the first half of the rule on second runs: a start after an end `done` that is acknowledged only later.

- Each start is remembered; when an end `done` is acknowledged, a start after it is a violation, unless the lease of the worker has lapsed since the end.
- Entries may have clocks that are behind.
The reading of rows takes up to `max_recovery`, and the registrations arrive at another time than the rows.
- Workers may be listed again.

--- a/crates/scheduler/tests/world/election.rs
+++ b/crates/scheduler/tests/world/election.rs
@@ -4,8 +4,6 @@
 
 /// The longest time until the own agent of a new leader connects to it.
 const MAX_OWN_JOIN_DELAY_MS: u64 = 50;
-/// The longest time for which a new leader reads the rows of the store.
-const MAX_RECOVERY_MS: u64 = 300;
 /// The time after which a leader notices that an agent is gone.
 const DISCONNECT_MS: u64 = 1_400;
 /// The longest time until a replaced leader learns of it.
@@ -22,6 +20,7 @@
             self.join(&entry);
         }
         self.recover();
+        self.update_registrations();
     }
 
     /// Makes this entry the leader, which agents join one after the other while it reads the store.
@@ -36,8 +35,11 @@
         }
         self.replace_leader(entry.clone(), is_kept);
         self.depose_on(entry);
-        let recovered = self.now + self.random.random_range(1..MAX_RECOVERY_MS);
-        self.enqueue(recovered, Delivery::Recovered(Epoch(self.epoch)));
+        let epoch = Epoch(self.epoch);
+        let recovered = self.now + self.random.random_range(1..self.max_recovery);
+        self.enqueue(recovered, Delivery::Recovered(epoch));
+        let listed = self.now + self.random.random_range(1..self.max_recovery);
+        self.enqueue(listed, Delivery::Listed(epoch));
         for agent in self.agents.keys().cloned().collect::<Vec<_>>() {
             let max_delay = if agent == *entry {
                 MAX_OWN_JOIN_DELAY_MS
@@ -88,7 +90,16 @@
         self.log(&format!("elected entry={entry} epoch={epoch}"));
         self.leader = Some(Leader::new(entry, epoch, bounds, Ms(self.now)));
         self.handle_event(Event::Config(Arc::new(config(self.needs_ticket))));
-        self.handle_event(Event::Tick(Ms(self.now)));
+        self.handle_event(Event::Tick(self.unix(epoch)));
+    }
+
+    /// Returns the time of day by the clock of the entry that leads in this epoch.
+    pub(super) fn unix(&self, epoch: Epoch) -> Ms {
+        let replaced = self.replaced_leaders.iter();
+        let mut replaced = replaced.filter(|(_, leader)| leader.epoch() == epoch);
+        let entry = replaced.next().map_or(&self.leader_entry, |(name, _)| name);
+        let lag = self.clock_lags.get(entry).copied().unwrap_or_default();
+        Ms(self.now - lag)
     }
 
     fn recover(&mut self) {
@@ -103,6 +114,9 @@
             self.handle_event(Event::Cancelled(id));
         }
         self.handle_event(Event::Recovered);
+    }
+
+    pub(super) fn update_registrations(&mut self) {
         let workers: Vec<Name> = self.workers.keys().cloned().collect();
         for worker in workers {
             self.update_registration(&worker);
--- a/crates/scheduler/tests/world/fleet.rs
+++ b/crates/scheduler/tests/world/fleet.rs
@@ -30,6 +30,12 @@
         self.update_registration(worker);
     }
 
+    /// Lists a worker again.
+    pub fn restore_registration(&mut self, worker: &Name) {
+        self.unregistered.remove(worker);
+        self.update_registration(worker);
+    }
+
     /// Restarts a worker, which loses all its runs.
     pub fn crash(&mut self, worker: &Name, down: u64) {
         let size = self.workers[worker].size;
--- a/crates/scheduler/tests/world/invariants.rs
+++ b/crates/scheduler/tests/world/invariants.rs
@@ -1,7 +1,10 @@
 //! The invariants that are checked at each start of a run.
 
+use decision::name::Name;
 use scheduler::id;
 use scheduler::id::Task;
+use scheduler::message::End;
+use scheduler::message::Termination;
 
 use super::Call;
 use super::START_MS;
@@ -36,10 +39,29 @@
         self.violations.push(format!("{time}: {task} {what}"));
     }
 
+    /// Records the ends that a worker has discarded, and checks that no completed task started again
+    /// after its end. An end counts only if the lease of the worker has not lapsed since.
+    pub(super) fn record_acknowledged(&mut self, name: &Name, ends: Vec<End>) {
+        for end in ends {
+            if end.termination != Termination::Done {
+                continue;
+            }
+            let worker = &self.workers[name];
+            let ended_at = worker.end_times[&end.number];
+            let started_at = self.started.get(&end.task).copied().unwrap_or_default();
+            if started_at > ended_at && worker.lapsed_at < ended_at {
+                let ended = ended_at - START_MS;
+                self.violate(end.task, &format!("started again after its end at {ended}"));
+            }
+            self.acknowledged_done.insert(end.task);
+        }
+    }
+
     /// Checks the invariants that concern the start of a run.
     pub(super) fn check_start(&mut self, call: &Call) {
         let task = call.placement.task;
         let target = &call.placement.worker;
+        self.started.insert(task, self.now);
         let others = self.workers.iter().filter(|(name, _)| *name != target);
         let other_worker = others
             .filter(|(_, worker)| worker.executions.contains_key(&task))
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -57,6 +57,8 @@
 const START_MS: u64 = 36_000_000;
 /// The difference between the clocks of two workers.
 const CLOCK_STEP_MS: u64 = 1_000_000;
+/// The number of workers whose clocks all differ.
+const CLOCKS: u64 = 30;
 const TICK_INTERVAL_MS: u64 = 50;
 const CALL_TIMEOUT_MS: u64 = 800;
 /// The least delay of a call that is carried out late.
@@ -123,6 +125,8 @@
     Join(Name),
     /// The leader of this epoch learns that an agent is gone.
     Left(Epoch, Name),
+    /// The leader of this epoch has read the registrations of the workers.
+    Listed(Epoch),
     /// The leader of this epoch has read the rows of the store.
     Recovered(Epoch),
     /// The replaced leader of this epoch learns that it is replaced.
@@ -173,6 +177,10 @@
     pub calls_end_with_workers: bool,
     /// The longest time until an agent connects to a new leader of another entry, in ms.
     pub max_join_delay: u64,
+    /// The longest time for which a new leader reads the rows of the store, in ms.
+    pub max_recovery: u64,
+    /// The time by which the clocks of entries are behind, in ms.
+    pub clock_lags: BTreeMap<Name, u64>,
     pub workers: BTreeMap<Name, Worker>,
     pub violations: Vec<String>,
     /// The log lines of the leaders and the injected faults, with their times.
@@ -197,6 +205,8 @@
     fleet: Vec<Member>,
     /// The tasks that a worker has completed.
     done: BTreeSet<Task>,
+    /// The time of the last start of each task.
+    started: BTreeMap<Task, u64>,
     /// The completed tasks whose ends the leader has acknowledged.
     acknowledged_done: BTreeSet<Task>,
     random: StdRng,
@@ -283,9 +293,16 @@
             needs_ticket: false,
             calls_end_with_workers: false,
             max_join_delay: 500,
-            workers: (1..)
+            max_recovery: 300,
+            clock_lags: BTreeMap::new(),
+            workers: (0..)
                 .zip(worker_names)
-                .map(|(index, name)| (name, Worker::new(size, index * CLOCK_STEP_MS)))
+                .map(|(index, name)| {
+                    (
+                        name,
+                        Worker::new(size, (index % CLOCKS + 1) * CLOCK_STEP_MS),
+                    )
+                })
                 .collect(),
             violations: Vec::new(),
             log: Vec::new(),
@@ -303,6 +320,7 @@
             progress: BTreeMap::new(),
             fleet: Vec::new(),
             done: BTreeSet::new(),
+            started: BTreeMap::new(),
             acknowledged_done: BTreeSet::new(),
             random: StdRng::seed_from_u64(seed),
             queue: BTreeMap::new(),
--- a/crates/scheduler/tests/world/poll.rs
+++ b/crates/scheduler/tests/world/poll.rs
@@ -9,7 +9,6 @@
 use scheduler::message::Observation;
 use scheduler::message::Placement;
 use scheduler::message::Report;
-use scheduler::message::Termination;
 
 use super::Call;
 use super::Delivery;
@@ -146,10 +145,7 @@
         }
         let incarnation = worker.incarnation;
         let discarded = worker.acknowledge(poll.acknowledged);
-        let done = discarded
-            .into_iter()
-            .filter(|end| end.termination == Termination::Done);
-        self.acknowledged_done.extend(done.map(|end| end.task));
+        self.record_acknowledged(&poll.worker, discarded);
         if poll.is_answered {
             self.enqueue(now + poll.wait(), Delivery::PollHeld(poll, incarnation));
         }
--- a/crates/scheduler/tests/world/run.rs
+++ b/crates/scheduler/tests/world/run.rs
@@ -98,7 +98,7 @@
             }
         }
         for epoch in epochs {
-            self.handle_event_in(epoch, Event::Tick(Ms(self.now)));
+            self.handle_event_in(epoch, Event::Tick(self.unix(epoch)));
         }
         if self.is_store_confirming {
             self.handle_event(Event::LeadConfirmed(Ms(self.now)));
@@ -146,6 +146,8 @@
             }
             Delivery::Join(agent) => self.join(&agent),
             Delivery::Left(epoch, agent) => self.remove_agent(epoch, &agent),
+            Delivery::Listed(epoch) if epoch.0 == self.epoch => self.update_registrations(),
+            Delivery::Listed(_) => {}
             Delivery::Recovered(epoch) => self.recover_late(epoch),
             Delivery::Deposed(epoch) => self.depose(epoch),
             Delivery::Called(call) => self.deliver_call(call),
--- a/crates/scheduler/tests/world/worker.rs
+++ b/crates/scheduler/tests/world/worker.rs
@@ -33,8 +33,12 @@
     pub fencing_token: Epoch,
     pub executions: BTreeMap<Task, Execution>,
     pub ends: Vec<End>,
+    /// The times of the ends, by number.
+    pub end_times: BTreeMap<u64, u64>,
     pub next_end: u64,
     pub lease_end: u64,
+    /// The last time at which the lease had lapsed.
+    pub lapsed_at: u64,
     /// The highest run number that was stopped or has ended, by task.
     pub ended_runs: BTreeMap<Task, Run>,
     /// The time from which this life of the worker accepts connections.
@@ -54,8 +58,10 @@
             fencing_token: Epoch(0),
             executions: BTreeMap::new(),
             ends: Vec::new(),
+            end_times: BTreeMap::new(),
             next_end: 1,
             lease_end: 0,
+            lapsed_at: 0,
             ended_runs: BTreeMap::new(),
             up_since: 0,
             unreachable_until: 0,
@@ -72,7 +78,7 @@
         sizes.fold(Size::ZERO, Size::plus)
     }
 
-    fn end(&mut self, task: Task, termination: Termination) {
+    fn end(&mut self, now: u64, task: Task, termination: Termination) {
         if let Some(execution) = self.executions.remove(&task) {
             self.ended_runs.insert(task, execution.run);
             self.ends.push(End {
@@ -82,6 +88,7 @@
                 termination,
                 checkpoint: None,
             });
+            self.end_times.insert(self.next_end, now);
             self.next_end += 1;
         }
     }
@@ -89,6 +96,9 @@
     /// Ends the runs that are over by now, and returns their tasks and how they ended.
     pub fn advance(&mut self, now: u64) -> Vec<(Task, Termination)> {
         let has_lapsed = self.clock(now) > self.lease_end;
+        if has_lapsed {
+            self.lapsed_at = now;
+        }
         let ended: Vec<(Task, Termination)> = self
             .executions
             .iter()
@@ -101,7 +111,7 @@
             })
             .collect();
         for &(task, termination) in &ended {
-            self.end(task, termination);
+            self.end(now, task, termination);
         }
         ended
     }
