Stop runs of a job that ended under an earlier leader at once

What callers could see: a task of a cancelled or failed job runs on for ten seconds after a change of the leader, if the order to stop it had not reached its worker before (UNASKED), and its worker gets no tasks meanwhile.

Cause: a new leader creates no tasks for a job whose stored progress says that it has ended, or for an occurrence that is finished. A run of one was taken for a run of a job whose row may still arrive, and left alone for 10 s.

Evidence: runs_of_a_job_that_ended_under_an_earlier_leader_are_stopped_at_once failed before: no order to stop.

Change: only runs of jobs that the leader does not know wait. Runs whose job is known but does not need them are stopped at each poll that lists them.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -267,8 +267,8 @@
         }
     }
 
-    /// Records a run whose job this leader does not know, and stops it if the row of the job does
-    /// not arrive in time.
+    /// Records a run whose task this leader does not know. It stops the run if the job no longer
+    /// needs it, or if the row of the job does not arrive in time.
     fn observe_unknown_run(&mut self, now: Ms, observation: &Observation, task: Task, run: Run) {
         let placement = Placement {
             worker: observation.worker.clone(),
@@ -279,17 +279,25 @@
         if let Some(worker) = self.workers.get_mut(&observation.worker) {
             worker.unknown_runs.insert((task, run));
         }
-        let since = *self.unknown_runs.entry(placement.clone()).or_insert(now);
-        if now.since(since) < UNKNOWN_JOB_TIMEOUT {
-            return;
+        let is_job_known = self.jobs.contains_key(&task.step.job);
+        if !is_job_known {
+            let since = *self.unknown_runs.entry(placement.clone()).or_insert(now);
+            if now.since(since) < UNKNOWN_JOB_TIMEOUT {
+                return;
+            }
         }
         let worker = self.workers.get(&observation.worker);
         let Some(agent) = worker.and_then(|worker| worker.agent.clone()) else {
             return;
         };
         self.log(format!(
-            "kind=stop task={task} run={run} worker={} reason=unknown-job",
-            observation.worker
+            "kind=stop task={task} run={run} worker={} reason={}",
+            observation.worker,
+            if is_job_known {
+                "not-wanted"
+            } else {
+                "unknown-job"
+            }
         ));
         self.send(&agent, Order::Stop(placement));
     }
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -346,6 +346,28 @@
     assert_eq!(started, [task(1, 1)]);
 }
 
+/// An earlier leader may have ended the job without reaching the worker.
+#[test]
+fn runs_of_a_job_that_ended_under_an_earlier_leader_are_stopped_at_once() {
+    let Event::Accepted(id, row, job, _) = accepted(1, OLD_ROW, 1) else {
+        unreachable!("the event is an accepted job");
+    };
+    let cancelled = Progress {
+        has_started: true,
+        ended: Some((Outcome::Cancelled, BEGUN)),
+        ..Progress::default()
+    };
+    let job = Event::Accepted(id, row, job, Some(cancelled));
+    let mut takeover = Takeover::begin(vec![job], &[]);
+    let observed = polled("sound", &[task(1, 0)]);
+    let actions = takeover.leader.handle(BEGUN + Ms(10), observed);
+    let stops = actions.into_iter().filter_map(|action| match action {
+        Action::Send(_, Order::Stop(placement)) => Some((placement.task, placement.run)),
+        _ => None,
+    });
+    assert_eq!(stops.collect::<Vec<_>>(), [(task(1, 0), OLD_RUN)]);
+}
+
 #[test]
 fn leases_that_agents_renew_while_the_leader_reads_the_rows_do_not_lapse() {
     let mut takeover = Takeover {
