--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -10,7 +10,6 @@
 use crate::id;
 use crate::id::Run;
 use crate::id::Task;
-use crate::job;
 use crate::message::Failure;
 use crate::message::Hello;
 use crate::message::Observation;
@@ -268,9 +267,8 @@
         }
     }
 
-    /// Records a run whose job this leader does not know or that had ended before this leader began.
-    /// Stops it at once in the latter case, and otherwise if the row of the job does not arrive in
-    /// time.
+    /// Records a run whose task this leader does not know. It stops the run if the job no longer
+    /// needs it, or if the row of the job does not arrive in time.
     fn observe_unknown_run(&mut self, now: Ms, observation: &Observation, task: Task, run: Run) {
         let placement = Placement {
             worker: observation.worker.clone(),
@@ -281,18 +279,19 @@
         if let Some(worker) = self.workers.get_mut(&observation.worker) {
             worker.unknown_runs.insert((task, run));
         }
-        let since = *self.unknown_runs.entry(placement.clone()).or_insert(now);
-        let job = self.jobs.get(&task.step.job);
-        let has_ended = job.is_some_and(job::Job::has_ended);
-        if !has_ended && now.since(since) < UNKNOWN_JOB_TIMEOUT {
-            return;
+        let is_job_known = self.jobs.contains_key(&task.step.job);
+        if !is_job_known {
+            let since = *self.unknown_runs.entry(placement.clone()).or_insert(now);
+            if now.since(since) < UNKNOWN_JOB_TIMEOUT {
+                return;
+            }
         }
         let worker = self.workers.get(&observation.worker);
         let Some(agent) = worker.and_then(|worker| worker.agent.clone()) else {
             return;
         };
-        let reason = if has_ended {
-            "job-ended"
+        let reason = if is_job_known {
+            "not-wanted"
         } else {
             "unknown-job"
         };
