Keep a worker in the stored fleet until the progress of its ends is durable

What callers could see: tasks that start again after a run of them had ended as done, when their leader dies right after their worker has left the list and the worker is listed again later (its end is then taken note of). The list drops workers while the store is away, too.

Cause: a worker that is not listed and has no runs was dropped from the leader's table and from the stored fleet at once, with the ends that it had reported but whose progress was not durable. One write holds the progress of 45 jobs, and the fleet goes with the first one. A leader that takes over before the rest is written does not know that there is a worker to ask, and starts the tasks.

Evidence: a_worker_with_ends_that_are_not_durable_stays_in_the_stored_fleet failed before: the first of two writes for 60 ended jobs had an empty fleet.

Change: a worker counts as unused only when it has no runs, no runs of unknown jobs, and no ends that wait for their progress. Its entry then goes when its polls fail and its leases have lapsed, as for a worker whose runs end after it has left the list. The removal of a worker whose leases have lapsed needs no such condition: ends before the lapse do not count any more.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -231,6 +231,13 @@
         self.is_inherited && !self.is_known
     }
 
+    /// Returns whether the worker has no runs, and no ends whose effect is not durable yet. The next
+    /// leader must poll it to learn of either.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.runs.is_empty() && self.unknown_runs.is_empty() && self.pending.is_empty()
+    }
+
     /// Expects the leases to expire at this time unless the worker answers before, but not before
     /// the leases that other agents may have renewed.
     pub fn expect_lease_expiry(&mut self, at: Ms) {
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -87,7 +87,7 @@
             worker.was_draining = registration.is_draining;
         }
         worker.registration = registration;
-        let is_unused = worker.registration.is_none() && worker.runs.is_empty() && worker.is_known;
+        let is_unused = worker.registration.is_none() && worker.is_known && worker.is_settled();
         if let Some(change) = change {
             self.log(format!("kind=worker-{change} worker={name}"));
         }
--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -190,6 +190,37 @@
     assert_eq!(fixture.apply(Ms(30), answers), []);
 }
 
+/// The next leader would not poll it, and take the tasks for unfinished.
+#[test]
+fn a_worker_with_ends_that_are_not_durable_stays_in_the_stored_fleet() {
+    // More than one write can hold.
+    const JOBS: u64 = 60;
+    let mut fixture = Fixture::begin();
+    fixture.apply(Ms(10), vec![registered("w")]);
+    fixture.apply(Ms(20), vec![Event::Committed, polled("e1", "w")]);
+    let jobs = (0..JOBS).map(|job| accepted(job, NEW_ROW)).collect();
+    let mut starts = fixture.apply(Ms(30), jobs);
+    for round in 1..10 {
+        starts.extend(fixture.apply(Ms(30 + round), Vec::new()));
+    }
+    assert_eq!(starts.len() as u64, JOBS);
+    let ends = (1..).zip(&starts).map(|(number, start)| {
+        let mut end = ended(start, Termination::Done).ended.remove(0);
+        end.number = number;
+        end
+    });
+    let observation = Observation {
+        ended: ends.collect(),
+        ..observation("w", INCARNATION, BEGUN + Ms(40))
+    };
+    let ended = Event::Received(name("e1"), Report::Polled(observation));
+    fixture.apply(Ms(50), vec![ended, unregistered("w")]);
+    assert_eq!(fixture.stored, [name("w")]);
+    fixture.apply(Ms(60), vec![Event::Committed]);
+    assert_eq!(fixture.stored, [name("w")]);
+    assert_eq!(fixture.acknowledged[&name("w")], 45);
+}
+
 #[test]
 fn no_task_starts_on_a_worker_that_an_unconfirmed_write_removed_from_the_stored_fleet() {
     let mut fixture = Fixture::begin();
