--- a/crates/scheduler/tests/recovery/mod.rs
+++ b/crates/scheduler/tests/recovery/mod.rs
@@ -3,6 +3,9 @@
 
 use decision::clock::Ms;
 use decision::name::Name;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
 use scheduler::spec;
 
 use super::COMPLETED;
@@ -124,3 +127,70 @@
         assert_completed(&world, JOBS, seed);
     }
 }
+
+/// Submits a job, half of the time with occurrences.
+fn submit_at_random(world: &mut World, random: &mut StdRng, job: u64) {
+    let mut spec = chain(&[random.random_range(1..6), 2], 800);
+    if random.random_bool(0.5) {
+        spec.schedule = Some(spec::Schedule {
+            first: Ms(world.now + random.random_range(0..4_000)),
+            interval: Ms(random.random_range(100..3_000)),
+            count: random.random_range(1..4),
+        });
+    }
+    world.submit(job, spec);
+}
+
+/// Changes the leader or disturbs a worker or an entry.
+fn disturb(world: &mut World, random: &mut StdRng) {
+    let chosen = entry(random.random_range(0..4));
+    let worker = name(&format!("w{}", random.random_range(0..6)));
+    match random.random_range(0..10) {
+        0..3 => world.elect_at(&chosen, random.random_bool(0.5)),
+        3 => world.kill(&chosen, random.random_range(100..4_000)),
+        4 => world.partition(&worker, random.random_range(500..9_000)),
+        5 => world.remove_registration(&worker),
+        6 => world.restore_registration(&worker),
+        7 => world.crash(&worker, random.random_range(50..900)),
+        8 => world.drain(&name(&format!("w{}", random.random_range(0..3)))),
+        _ => world.reconnect(&chosen, random.random_range(1..90)),
+    }
+    if world.leader.is_none() {
+        world.run_for(random.random_range(450..3_000));
+        world.elect_at(&entry(random.random_range(0..4)), false);
+    }
+}
+
+#[test]
+fn invariants_hold_over_slow_recoveries_unlisted_workers_and_differing_clocks_at_random() {
+    const ROUNDS: u64 = 24;
+    for seed in 0..SEEDS {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut world = World::new(seed, 6, 4);
+        world.calls_end_with_workers = true;
+        world.elect(false);
+        for round in 0..ROUNDS {
+            let lag = random.random_range(0..2_500);
+            world.clock_lags.insert(entry(round % 4), lag);
+            world.max_join_delay = random.random_range(50..3_000);
+            world.max_recovery = [300, 2_000, 16_000][random.random_range(0..3)];
+            world.faults = Faults {
+                lost_answer: 0.05,
+                late: 0.1,
+                lost_poll: random.random_range(0.0..0.5),
+                failed_run: 0.02,
+                lost_commit: 0.1,
+            };
+            submit_at_random(&mut world, &mut random, round);
+            world.run_for(random.random_range(50..2_500));
+            disturb(&mut world, &mut random);
+        }
+        world.faults = Faults::default();
+        for worker in 0..6 {
+            world.restore_registration(&name(&format!("w{worker}")));
+        }
+        world.run_for(60_000);
+        assert_no_violations(&world, seed, "random recoveries");
+        assert_completed(&world, ROUNDS, seed);
+    }
+}
