Give up tasks that crash the workers that start them

Cause: a run that was lost with its worker was no attempt; only ends that workers list as failed were counted, and a crashed worker lists nothing. The task started again each 3.6 to 6.6 s.

Change: the leader concludes crashes, stores by run number which runs had just begun, starts these tasks apart from others, and gives a task up after two to four crashes, by what else is lost at that time. The rows keep their form. Polls to an address where another worker answers now count as refused connections.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -130,6 +130,15 @@
     /// Leases that earlier agents or agents of earlier leaders renewed may last until this time, so
     /// none counts as expired before it. An answer of the worker does not shorten them.
     pub min_lease_expiry: Ms,
+    /// The time when the worker's address first refused connections since the worker last answered,
+    /// or another worker answered there.
+    pub refused_since: Option<Ms>,
+    /// The time when the last answer to a poll arrived.
+    pub last_answer: Ms,
+    /// The time when a run was last booked.
+    pub last_start: Ms,
+    /// Only tasks of this job that may crash the worker start there before this time.
+    pub trial: Option<(id::Job, Ms)>,
     /// The time when all leases have expired unless the worker answers before.
     pub lease_expiry: Option<Ms>,
     /// All leases have expired since the worker last answered.
@@ -195,6 +204,11 @@
         if !self.runs.remove(&(task, run)) {
             return;
         }
+        let job = task.step.job;
+        let is_last = !self.runs.iter().any(|(other, _)| other.step.job == job);
+        if is_last && self.trial.is_some_and(|(on_trial, _)| on_trial == job) {
+            self.trial = None;
+        }
         self.booked = self.booked.minus(claim.size);
         if let Some(count) = self.steps.get_mut(&task.step) {
             *count -= 1;
@@ -225,6 +239,13 @@
         }
     }
 
+    /// Returns the job whose tasks are on trial on the worker; no others start there.
+    #[must_use]
+    pub fn trial_job(&self, now: Ms) -> Option<id::Job> {
+        let (job, until) = self.trial?;
+        (now < until).then_some(job)
+    }
+
     /// Returns whether runs of an earlier leader may be on the worker that this leader has not seen.
     #[must_use]
     pub const fn is_unheard(&self) -> bool {
@@ -254,6 +275,7 @@
         self.consecutive_failures = 0;
         self.avoid_until = Ms::ZERO;
         self.slow_until = Ms::ZERO;
+        self.trial = None;
     }
 
     /// Removes the ends that the worker may discard by now, and returns whether there were any.
--- a/crates/scheduler/src/id.rs
+++ b/crates/scheduler/src/id.rs
@@ -146,6 +146,18 @@
     pub const fn new(epoch: Epoch, count: u64) -> Self {
         Self(epoch.0 * RUNS_PER_EPOCH + count)
     }
+
+    /// Returns a run number of an epoch that no start has.
+    #[must_use]
+    pub const fn unused(epoch: Epoch) -> Self {
+        Self::new(epoch, 0)
+    }
+
+    /// Returns whether no start has this number.
+    #[must_use]
+    pub const fn is_unused(self) -> bool {
+        self.0.is_multiple_of(RUNS_PER_EPOCH)
+    }
 }
 
 impl fmt::Display for Run {
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -82,6 +82,8 @@
     pub version: u64,
     /// The newest version of the progress that is durable.
     pub committed: u64,
+    /// The version of the progress that last changed the crashes under tasks.
+    crashes_version: u64,
     /// The stage that customers are shown, which reflects only durable progress.
     pub visible_stage: Stage,
     /// The occurrences in progress, each with its steps.
@@ -117,6 +119,7 @@
             progress,
             version: 0,
             committed: 0,
+            crashes_version: 0,
             occurrences: BTreeMap::new(),
         }
     }
@@ -267,6 +270,35 @@
         count
     }
 
+    /// Records that a worker crashed under a run, and returns the number of crashes under its task.
+    /// A repeated call for the same run has no effect.
+    pub fn record_crash(&mut self, id: id::Task, run: id::Run) -> usize {
+        if self.progress.record_crash(id, run) {
+            self.bump_version();
+            self.crashes_version = self.version;
+        }
+        self.progress.crashes(id)
+    }
+
+    /// Removes the record of a crash under a run, because its worker has not crashed.
+    pub fn retract_crash(&mut self, id: id::Task, run: id::Run) {
+        if self.progress.retract_crash(id, run) {
+            self.bump_version();
+        }
+    }
+
+    /// Returns whether a worker crashed under a task.
+    #[must_use]
+    pub fn is_suspect(&self, id: id::Task) -> bool {
+        self.progress.crashes(id) > 0
+    }
+
+    /// Returns whether all crashes under tasks are durable, so that a later leader counts them too.
+    #[must_use]
+    pub const fn are_crashes_durable(&self) -> bool {
+        self.committed >= self.crashes_version
+    }
+
     /// Closes an occurrence if all its steps are completed, and ends the job if no other occurrence
     /// is left.
     pub fn close_occurrence(&mut self, occurrence: u32, unix: Ms) {
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -4,6 +4,7 @@
 mod advice;
 mod assign;
 mod commit;
+mod crashes;
 mod drain;
 mod ends;
 mod jobs;
@@ -220,6 +221,8 @@
     scheduled: BTreeSet<id::Job>,
     /// Ended jobs by the time of their end, in ms since 1970.
     ended: BTreeSet<(Ms, id::Job)>,
+    /// The crashes of workers by worker and incarnation.
+    crashes: BTreeMap<(Name, Ms), crashes::Crash>,
     /// The pacing of each worker that runs both serving and filling tasks.
     pacers: BTreeMap<Name, Pacer>,
     advice: advice::Cache,
@@ -272,6 +275,7 @@
             dirty: BTreeMap::new(),
             scheduled: BTreeSet::new(),
             ended: BTreeSet::new(),
+            crashes: BTreeMap::new(),
             pacers: BTreeMap::new(),
             advice: advice::Cache::default(),
             model: Model::default(),
--- a/crates/scheduler/src/leader/drain.rs
+++ b/crates/scheduler/src/leader/drain.rs
@@ -76,6 +76,7 @@
             step: id.step,
             tickets: None,
             failed_on: None,
+            is_suspect: false,
             rack: None,
             avoids_slow: true,
             kept_slack: placement::AMPLE_SLACK,
--- a/crates/scheduler/src/leader/orders.rs
+++ b/crates/scheduler/src/leader/orders.rs
@@ -5,6 +5,7 @@
 
 use super::Action;
 use super::Leader;
+use super::crashes::Evidence;
 use crate::id::Run;
 use crate::id::Task;
 use crate::message::Order;
@@ -161,7 +162,11 @@
                 attempt.stopped_by = Some(entry.clone());
             }
             Outcome::Fenced => self.actions.push(Action::Resign("fenced by a worker")),
-            Outcome::Reborn => self.release(now, placement.task, placement.run, "worker-restarted"),
+            Outcome::Reborn => {
+                let incarnation = attempt.incarnation;
+                self.record_crash(now, &placement.worker, incarnation, Evidence::Replaced);
+                self.release(now, placement.task, placement.run, "worker-restarted");
+            }
             other => self.log(format!(
                 "kind=stop-failed task={} run={} worker={} outcome={other:?}",
                 placement.task, placement.run, placement.worker
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -7,6 +7,7 @@
 
 use super::LEADER_CONTACT_TIMEOUT;
 use super::Leader;
+use super::crashes::Evidence;
 use crate::id;
 use crate::id::Run;
 use crate::id::Task;
@@ -89,10 +90,22 @@
         worker.is_unresponsive = false;
         worker.lease_expiry = None;
         worker.has_lapsed = false;
-        if worker.incarnation != Some(observation.incarnation) {
-            let is_restart = worker.incarnation.is_some();
-            worker.restart(observation.incarnation);
-            if is_restart {
+        let earlier = worker.incarnation;
+        if earlier == Some(observation.incarnation) {
+            worker.last_answer = now;
+            worker.refused_since = None;
+        }
+        self.retract_crash(&observation.worker, observation.incarnation);
+        if earlier != Some(observation.incarnation) {
+            if let Some(earlier) = earlier {
+                self.record_crash(now, &observation.worker, earlier, Evidence::Restarted);
+            }
+            if let Some(worker) = self.workers.get_mut(&observation.worker) {
+                worker.restart(observation.incarnation);
+                worker.last_answer = now;
+                worker.refused_since = None;
+            }
+            if earlier.is_some() {
                 self.log(format!(
                     "kind=worker-restarted worker={} born={}",
                     observation.worker, observation.incarnation
@@ -235,6 +248,7 @@
             worker: name.clone(),
             incarnation,
             run,
+            started_at: Ms::ZERO,
             is_listed: phase == Phase::Running,
             phase,
             phase_since: now,
@@ -370,6 +384,9 @@
         let lease_expiry = Ms(now.0.saturating_sub(renewal_age.0)) + lease;
         let is_new = !worker.is_unresponsive;
         worker.is_unresponsive = true;
+        if failure.is_closed {
+            worker.refused_since.get_or_insert(now);
+        }
         let has_left = worker.was_draining && worker.registration.is_none() && failure.is_closed;
         if !worker.has_lapsed || !worker.runs.is_empty() {
             worker.expect_lease_expiry(lease_expiry);
@@ -401,6 +418,7 @@
             .map(|(name, _)| name.clone())
             .collect();
         for name in expired {
+            self.record_crash_at_lapse(now, &name);
             self.release_lost_runs(now, &name, None, "lease-expired");
             let Some(worker) = self.workers.get_mut(&name) else {
                 continue;
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -9,6 +9,7 @@
 
 use super::Leader;
 use super::Rank;
+use super::crashes;
 use crate::fleet::Claim;
 use crate::fleet::Class;
 use crate::id;
@@ -67,12 +68,13 @@
     }
 
     /// Records a step that could not be placed; `has_room` is set if some worker has the free
-    /// capacity that it needs.
-    fn record_unplaced(&mut self, request: &Request<'_>, has_room: bool) {
+    /// capacity that it needs, `has_suspects` if some of its tasks start only apart from others.
+    fn record_unplaced(&mut self, request: &Request<'_>, has_room: bool, has_suspects: bool) {
         self.is_crowded = true;
         self.tried[class_index(request.claim)] += 1;
         let spec = request.spec;
-        let is_constrained = spec.is_gang
+        let is_constrained = has_suspects
+            || spec.is_gang
             || spec.label.is_some()
             || spec.per_worker.is_some()
             || request.tickets.is_some();
@@ -159,11 +161,14 @@
             // The members share one run, so none starts before the last run of all has ended.
             return (Vec::new(), false);
         }
-        if !may_run_unseen || state.is_fresh {
-            return (tasks, false);
+        if may_run_unseen && !state.is_fresh {
+            tasks.retain(|&index| state.tasks[index as usize].is_seen);
         }
-        tasks.retain(|&index| state.tasks[index as usize].is_seen);
-        let is_held = tasks.len() < state.startable.len();
+        let startable = state.startable.len();
+        if !job.are_crashes_durable() {
+            tasks.retain(|&index| !job.is_suspect(Task { step, index }));
+        }
+        let is_held = tasks.len() < startable;
         if is_gang && is_held {
             tasks.clear();
         }
@@ -191,6 +196,9 @@
             return;
         };
         let queue = job.queue.clone();
+        if !pass.has_unheard_workers {
+            self.assume_crashes(step);
+        }
         let (indices, is_held) = self.startable_tasks(step, pass.has_unheard_workers);
         pass.is_crowded |= is_held;
         if is_held && indices.is_empty() {
@@ -208,6 +216,7 @@
             step,
             tickets: tickets.as_ref(),
             failed_on: None,
+            is_suspect: false,
             rack: None,
             avoids_slow: placement::can_avoid_slow(self.workers.values(), now),
             kept_slack: self.kept_slack(now, step),
@@ -222,9 +231,10 @@
         };
         let is_whole = chosen.len() == indices.len();
         if !is_whole {
+            let has_suspects = self.has_suspects(step, &indices);
             let mut workers = self.workers.values();
             let has_room = workers.any(|worker| placement::has_room(&request, worker, now));
-            pass.record_unplaced(&request, has_room);
+            pass.record_unplaced(&request, has_room, has_suspects);
         }
         if is_whole && !is_held {
             self.dequeue(step);
@@ -290,6 +300,9 @@
             let Some(worker) = self.book_best(now, request, task, run, None) else {
                 // The run number was not used.
                 self.run_count -= 1;
+                if self.is_suspect(task) {
+                    continue;
+                }
                 break;
             };
             chosen.push((task, run, worker));
@@ -393,14 +406,21 @@
             .get_mut(&task.step.job)
             .and_then(|job| job.task(task))
             .and_then(|state| state.failed_on.clone());
+        let is_suspect = self.is_suspect(task);
         let request = Request {
             failed_on: failed_on.as_ref(),
+            is_suspect,
             rack,
             ..*request
         };
         let is_usable = |name: &Name| self.is_stored(name);
         let name = placement::choose(&request, &self.model, self.workers.iter(), is_usable, now)?;
-        self.workers.get_mut(&name)?.book(request.claim, task, run);
+        let worker = self.workers.get_mut(&name)?;
+        worker.book(request.claim, task, run);
+        worker.last_start = now;
+        if is_suspect {
+            worker.trial = Some((task.step.job, now + crashes::TRIAL_DURATION));
+        }
         Some(name)
     }
 
@@ -437,6 +457,7 @@
             worker: name.clone(),
             incarnation,
             run,
+            started_at: now,
             is_listed: false,
             phase: Phase::Starting,
             phase_since: now,
--- a/crates/scheduler/src/leader/tally.rs
+++ b/crates/scheduler/src/leader/tally.rs
@@ -5,6 +5,10 @@
 pub struct Tally {
     /// How often the leases of a worker counted as expired.
     pub lapses: u64,
+    /// Crashes of workers on which runs had just begun.
+    pub crashes: u64,
+    /// Jobs given up because a task crashes the workers that start it.
+    pub crashing_jobs: u64,
     /// Runs found or reported while their task, which is not speculative, had another run.
     pub second_runs: u64,
     /// The workers of earlier leaders that have not answered this leader yet.
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -202,7 +202,7 @@
     /// The time since the agent last sent an order that may have extended the lease, or since it
     /// began to poll the worker if it has sent none.
     pub renewal_age: Ms,
-    /// The worker's address refuses connections.
+    /// The worker's address refuses connections, or another worker answers there.
     pub is_closed: bool,
 }
 
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -28,6 +28,17 @@
 const RACK_BONUS: i64 = 2_000;
 /// The penalty of the worker on which the task failed last.
 const FAILED_HERE_PENALTY: i64 = 3_000;
+/// The penalty of a worker for each run that a task loses if it crashes the worker.
+const LOST_RUN_PENALTY: i64 = 200;
+/// The penalty of a worker with long-running tasks that may be lost in the same way.
+const LOST_SERVING_PENALTY: i64 = 2_000;
+/// The penalty of a worker with another run that has just begun, because a crash would not tell
+/// which of both was the cause.
+const AMBIGUITY_PENALTY: i64 = 5_000;
+/// The time for which a run has just begun in this sense.
+const RECENT_START: Ms = Ms(1_100);
+/// The bonus of a worker on which suspects of the same job are on trial already.
+const SAME_TRIAL_BONUS: i64 = 4_000;
 /// The penalty of a filling task for each unit of slack that it takes from serving tasks.
 const SLACK_COST_PENALTY: f64 = 450.0;
 /// The bonus of a worker for each serving task of the same image, so that images that are sensitive
@@ -59,6 +70,8 @@
     pub tickets: Option<&'a BTreeSet<Name>>,
     /// The worker on which the task failed last; absent if it has not failed.
     pub failed_on: Option<&'a Name>,
+    /// A worker crashed when the task had just begun there.
+    pub is_suspect: bool,
     /// The rack that all tasks of the step should share; absent if they need not share one.
     pub rack: Option<&'a Name>,
     /// Slow workers are not eligible.
@@ -137,6 +150,10 @@
     {
         return None;
     }
+    let trial = worker.trial_job(now);
+    if trial.is_some_and(|job| !request.is_suspect || job != request.step.job) {
+        return None;
+    }
     let room = registration.size.minus(worker.booked);
     if !request.claim.size.fits(room) {
         return None;
@@ -174,6 +191,9 @@
         score -= FAILED_HERE_PENALTY;
     }
     score -= i64::from(worker.consecutive_failures) * FAILURE_PENALTY;
+    if request.is_suspect {
+        score -= trial_cost(worker, now);
+    }
     let rack = request.spec.rack.as_ref().or(request.rack);
     if rack.is_some_and(|rack| registration.labels.contains(rack)) {
         score += RACK_BONUS;
@@ -181,6 +201,22 @@
     Some(score)
 }
 
+/// Returns the penalty of a worker for a task that may crash it.
+fn trial_cost(worker: &Worker, now: Ms) -> i64 {
+    if worker.trial_job(now).is_some() {
+        return -SAME_TRIAL_BONUS;
+    }
+    let mut cost = i64::try_from(worker.runs.len()).unwrap_or(i64::MAX / LOST_RUN_PENALTY);
+    cost *= LOST_RUN_PENALTY;
+    if worker.serving_millicores > 0 {
+        cost += LOST_SERVING_PENALTY;
+    }
+    if now.since(worker.last_start) < RECENT_START {
+        cost += AMBIGUITY_PENALTY;
+    }
+    cost
+}
+
 /// Returns the slack that a filling task takes from the serving tasks on a worker, or `None` if one
 /// of them would be left with too little.
 fn slack_cost(
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -7,14 +7,19 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id;
 use crate::id::Run;
 
+/// The crashes under the tasks of a step are stored as failed runs of a step whose number is higher
+/// by this, which no job has. Earlier builds read such rows and keep what they do not use.
+const CRASHES_OFFSET: u16 = 1 << 15;
+
 /// The ways in which a job ends.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
     /// All tasks are completed.
     Completed,
-    /// A task failed too often, or a worker refused it as invalid.
+    /// A task failed too often, crashed the workers that started it, or was refused as invalid.
     Failed,
     /// The customer cancelled the job.
     Cancelled,
@@ -65,6 +70,10 @@
     ((index / u64::BITS) as usize, 1 << (index % u64::BITS))
 }
 
+const fn crash_key(task: id::Task) -> (u32, u16) {
+    (task.step.occurrence, task.step.step + CRASHES_OFFSET)
+}
+
 /// The progress of a job.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Progress {
@@ -79,6 +88,42 @@
 }
 
 impl Progress {
+    /// Records that a worker crashed under this run of a task, and returns whether this is new.
+    pub fn record_crash(&mut self, task: id::Task, run: Run) -> bool {
+        let step = self.steps.entry(crash_key(task)).or_default();
+        step.failures.entry(task.index).or_default().insert(run)
+    }
+
+    /// Removes the record of a crash, and returns whether there was one.
+    pub fn retract_crash(&mut self, task: id::Task, run: Run) -> bool {
+        let step = self.steps.get_mut(&crash_key(task));
+        let runs = step.and_then(|step| step.failures.get_mut(&task.index));
+        runs.is_some_and(|runs| runs.remove(&run))
+    }
+
+    /// Returns whether workers crashed under tasks of a step.
+    #[must_use]
+    pub fn has_crashes(&self, step: id::Step) -> bool {
+        let key = (step.occurrence, step.step + CRASHES_OFFSET);
+        self.steps.contains_key(&key)
+    }
+
+    /// Returns the number of workers that crashed under a task.
+    #[must_use]
+    pub fn crashes(&self, task: id::Task) -> usize {
+        let step = self.steps.get(&crash_key(task));
+        let runs = step.and_then(|step| step.failures.get(&task.index));
+        runs.map_or(0, BTreeSet::len)
+    }
+
+    /// Returns the number of those crashes that a leader has observed and not merely assumed.
+    #[must_use]
+    pub fn observed_crashes(&self, task: id::Task) -> usize {
+        let step = self.steps.get(&crash_key(task));
+        let runs = step.and_then(|step| step.failures.get(&task.index));
+        runs.map_or(0, |runs| runs.iter().filter(|run| !run.is_unused()).count())
+    }
+
     /// Returns the stage that customers are shown.
     #[must_use]
     pub fn stage(&self) -> Stage {
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -29,6 +29,8 @@
     pub incarnation: Ms,
     /// The run number of this start.
     pub run: Run,
+    /// The time when the order to start was sent; 0 if an earlier leader started the run.
+    pub started_at: Ms,
     /// That incarnation has listed the run. An answer to the order to start does not say which
     /// incarnation gave it.
     pub is_listed: bool,
--- a/crates/scheduler/tests/world/fleet.rs
+++ b/crates/scheduler/tests/world/fleet.rs
@@ -37,6 +37,7 @@
         fresh.up_since = self.now + down;
         fresh.unreachable_until = fresh.up_since;
         self.log(&format!("crash worker={worker} ms={down}"));
+        self.count_crash(worker);
         self.workers.insert(worker.clone(), fresh);
         self.update_registration(worker);
     }
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -2,6 +2,7 @@
 //! and fixed seeds.
 
 mod agent;
+pub mod deadly;
 mod election;
 mod fleet;
 mod invariants;
@@ -47,6 +48,7 @@
 use scheduler::progress::Stage;
 use scheduler::spec;
 
+use self::deadly::Deadly;
 use self::poll::Poll;
 use self::worker::MAX_LEASE_MS;
 use self::worker::Worker;
@@ -64,6 +66,8 @@
 const MESSAGE_DELAY_MS: u64 = 2;
 const COMMIT_DURATION_MS: u64 = 6;
 const ADVICE_DURATION_MS: u64 = 25;
+/// The time for which a member of a gang waits for the others.
+const GANG_WAIT_MS: u64 = 3_000;
 const TICKET_VALIDITY_MS: u64 = 900;
 
 /// The probabilities with which calls, runs and writes fail.
@@ -144,6 +148,12 @@
     PollTimedOut(Poll),
     /// The commit is answered; the value is whether the store confirms it.
     Commit(Epoch, bool),
+    /// A worker crashes under this start of a task.
+    Crash(Call),
+    /// The registration of a worker expires.
+    Expire(Name),
+    /// A worker of this name starts.
+    Appear(Name),
     /// The advice service answers for these workers.
     Advice(Epoch, id::Step, Vec<Name>),
 }
@@ -177,6 +187,10 @@
     pub violations: Vec<String>,
     /// The log lines of the leaders and the injected faults, with their times.
     pub log: Vec<String>,
+    /// The number of workers that crashed under a task.
+    pub crashes: BTreeMap<Task, u32>,
+    /// The tasks that crash the workers that start them.
+    pub deadly: Deadly,
     /// The number of failed runs by task.
     pub failures: BTreeMap<Task, u32>,
     pub leader: Option<Leader>,
@@ -289,6 +303,8 @@
                 .collect(),
             violations: Vec::new(),
             log: Vec::new(),
+            crashes: BTreeMap::new(),
+            deadly: Deadly::default(),
             failures: BTreeMap::new(),
             leader: None,
             leader_entry: name("e0"),
--- a/src/serve/instruments.rs
+++ b/src/serve/instruments.rs
@@ -38,6 +38,8 @@
     leads: Counter<u64>,
     feeds_lost: Counter<u64>,
     lapses: Counter<u64>,
+    crashes: Counter<u64>,
+    crashing_jobs: Counter<u64>,
     second_runs: Counter<u64>,
     unheard: Gauge<u64>,
     /// The tally that was recorded last.
@@ -64,6 +66,11 @@
             leads: counter("leads", "Times that this entry became the leader"),
             feeds_lost: counter("feeds_lost", "Feeds of the store that broke off, by table"),
             lapses: counter("lapses", "Workers whose leases counted as expired"),
+            crashes: counter("crashes", "Crashes of workers on which runs had just begun"),
+            crashing_jobs: counter(
+                "crashing_jobs",
+                "Jobs given up because a task crashes the workers that start it",
+            ),
             second_runs: counter("second_runs", "Runs found while their task had another run"),
             unheard: meter
                 .u64_gauge("unheard")
@@ -76,6 +83,8 @@
         };
         // An instrument without a value is not exported.
         instruments.lapses.add(0, &[]);
+        instruments.crashes.add(0, &[]);
+        instruments.crashing_jobs.add(0, &[]);
         instruments.second_runs.add(0, &[]);
         instruments.unheard.record(0, &[]);
         Ok(instruments)
@@ -114,6 +123,10 @@
         }
         self.lapses
             .add(tally.lapses.saturating_sub(last.lapses), &[]);
+        self.crashes
+            .add(tally.crashes.saturating_sub(last.crashes), &[]);
+        self.crashing_jobs
+            .add(tally.crashing_jobs.saturating_sub(last.crashing_jobs), &[]);
         self.second_runs
             .add(tally.second_runs.saturating_sub(last.second_runs), &[]);
         self.unheard.record(tally.unheard as u64, &[]);
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -277,7 +277,7 @@
                 self.session.report(Report::PollFailed(Failure {
                     worker: self.name.clone(),
                     renewal_age,
-                    is_closed: matches!(error, Error::Closed),
+                    is_closed: matches!(error, Error::Closed | Error::Replaced),
                 }));
                 RETRY_DELAY
             }
