Start nothing on a worker whose runs exceed its shrunk capacity

What callers saw: after a worker had reported a smaller capacity, tasks that need nothing of the exceeded dimension (filling tasks where the processors are exceeded, tasks without accelerators where those are) still started there, while its runs held more than its capacity (LIMIT).

Cause: placement compared the need of a task with the free capacity, which saturates at zero in each dimension by itself. The sum of all runs was never compared with the capacity.

Change: a task fits if the bookings with it stay within the capacity in all dimensions.

--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -8,6 +8,7 @@
 
 use decision::clock::Ms;
 use decision::name::Name;
+use decision::resource::Size;
 
 use crate::fleet::Claim;
 use crate::fleet::Class;
@@ -108,13 +109,18 @@
 #[must_use]
 pub fn has_room(request: &Request<'_>, worker: &Worker, now: Ms) -> bool {
     worker.registration.as_ref().is_some_and(|registration| {
-        let room = registration.size.minus(worker.booked);
         registration.service == *request.service
             && is_open(worker, now)
-            && request.claim.size.fits(room)
+            && fits_beside(request.claim.size, registration, worker)
     })
 }
 
+/// Returns whether a task keeps the worker within its capacity. A capacity that has shrunk may be
+/// exceeded in a dimension that the task does not need.
+fn fits_beside(size: Size, registration: &Registration, worker: &Worker) -> bool {
+    worker.booked.plus(size).fits(registration.size)
+}
+
 /// Returns the score of a worker for a task, or `None` if the task does not fit. Higher is better.
 #[must_use]
 pub fn score(
@@ -137,8 +143,7 @@
     {
         return None;
     }
-    let room = registration.size.minus(worker.booked);
-    if !request.claim.size.fits(room) {
+    if !fits_beside(request.claim.size, registration, worker) {
         return None;
     }
     if let Some(limit) = request.spec.per_worker {
