Log each change of a worker's capacity

The log did not show that the capacity of a worker had changed while it ran, so that a start over it could not be told from a booking fault.

kind=worker-resized gives the old and the new size as millicores, memory in MB and accelerators, once a change. The test each_change_of_a_capacity_is_logged_once failed before (no line).

--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -5,6 +5,7 @@
 
 use decision::clock::Ms;
 use decision::name::Name;
+use decision::resource::Size;
 
 use super::Agent;
 use super::LEADER_CONTACT_TIMEOUT;
@@ -76,6 +77,10 @@
             (Some(old), Some(new)) if old.incarnation != new.incarnation => Some("reborn"),
             _ => None,
         };
+        let resize = match (&worker.registration, &registration) {
+            (Some(old), Some(new)) if old.size != new.size => Some((old.size, new.size)),
+            _ => None,
+        };
         let address = |registration: &Option<Registration>| {
             registration
                 .as_ref()
@@ -91,6 +96,13 @@
         if let Some(change) = change {
             self.log(format!("kind=worker-{change} worker={name}"));
         }
+        if let Some((old, new)) = resize {
+            self.log(format!(
+                "kind=worker-resized worker={name} old={} new={}",
+                describe(old),
+                describe(new)
+            ));
+        }
         if is_unused {
             self.unwatch(&name);
             self.workers.remove(&name);
@@ -246,3 +258,13 @@
         }
     }
 }
+
+/// Returns a size as millicores, memory in MB and accelerators.
+fn describe(size: Size) -> String {
+    let Size {
+        millicores,
+        memory_mb,
+        accelerators,
+    } = size;
+    format!("{millicores}/{memory_mb}/{accelerators}")
+}
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -72,6 +72,7 @@
     jobs: u64,
     ends: u64,
     running: BTreeMap<Task, Run>,
+    log: Vec<String>,
 }
 
 impl Bench {
@@ -91,6 +92,7 @@
             jobs: 0,
             ends: 0,
             running: BTreeMap::new(),
+            log: Vec::new(),
         };
         bench.apply_event(Event::Config(Arc::new(config())));
         bench.apply_event(Event::Joined(name("e1"), name("d1")));
@@ -117,6 +119,7 @@
                     self.apply_event(Event::Received(name("e1"), report));
                 }
                 Action::Commit(_) => self.apply_event(Event::Committed),
+                Action::Log(line) => self.log.push(line),
                 _ => {}
             }
         }
@@ -293,3 +296,21 @@
     bench.register(Some(size(4_000, 8_000, 0)));
     assert_eq!(bench.submit(filling(8, size(1_000, 100, 0))), 2);
 }
+
+#[test]
+fn each_change_of_a_capacity_is_logged_once() {
+    let mut bench = Bench::new(FULL);
+    let shrunk = size(4_000, 8_000, 2);
+    for capacity in [FULL, shrunk, shrunk, FULL] {
+        bench.register(Some(capacity));
+    }
+    let lines = bench.log.iter();
+    let lines: Vec<&String> = lines
+        .filter(|line| line.starts_with("kind=worker-resized"))
+        .collect();
+    let expected = [
+        "kind=worker-resized worker=w old=8000/8000/2 new=4000/8000/2",
+        "kind=worker-resized worker=w old=4000/8000/2 new=8000/8000/2",
+    ];
+    assert_eq!(lines, expected);
+}
