Let capacities shrink and grow in the simulation

The simulated workers had one capacity for life and all runs the same size, so no test could see a start over a capacity that had shrunk.

World::resize changes a capacity; the store lists it after at most one registration interval. A start counts against what runs at the worker, also what is being stopped, and against the largest capacity of the last 4.5 s before the order (contactMs and one heartbeat). Runs take what their step requests, filling ones no processors, and lasting ones stay.

--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -3,12 +3,14 @@
 mod known_red;
 mod world;
 
+use decision::resource::Size;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use scheduler::id::Job;
 use scheduler::progress::Outcome;
 use scheduler::progress::Stage;
+use scheduler::spec;
 use world::Faults;
 use world::MAX_ATTEMPTS;
 use world::World;
@@ -560,3 +562,103 @@
         || assert_invariants_at_random("random", 2 * SEEDS, Workers::RestartOutlived),
     );
 }
+
+const FULL_SIZE: Size = Size {
+    millicores: 8_000,
+    memory_mb: 64_000,
+    accelerators: 2,
+};
+
+/// Returns steps that need different resources of a worker: some only memory or accelerators, some
+/// processors that others leave.
+fn mixed_job(job: u64) -> spec::Job {
+    let mut spec = chain(&[20, 30, 10, 20], 800);
+    for (index, step) in (0..).zip(&mut spec.steps) {
+        match (job + index) % 4 {
+            0 => {}
+            1 => step.need.millicores = 0,
+            2 => step.is_filling = true,
+            _ => step.need.accelerators = 1,
+        }
+    }
+    spec
+}
+
+/// Returns a capacity that has one of these parts of each resource.
+fn random_size(random: &mut StdRng) -> Size {
+    let mut part = |whole: u32| whole * [0, 1, 2, 4][random.random_range(0..4)] / 4;
+    Size {
+        millicores: part(FULL_SIZE.millicores),
+        memory_mb: part(FULL_SIZE.memory_mb / 4),
+        accelerators: part(FULL_SIZE.accelerators * 2) / 2,
+    }
+}
+
+fn resizing_world(seed: u64) -> World {
+    let mut world = World::new(seed, 5, 3);
+    for worker in world.workers.values_mut() {
+        worker.size = FULL_SIZE;
+    }
+    world.elect(false);
+    for job in 0..JOBS {
+        world.submit(job, mixed_job(job));
+    }
+    // Its tasks hold what has shrunk for as long as the world lasts.
+    let mut spec = chain(&[4], 800);
+    spec.steps[0].is_lasting = true;
+    spec.steps[0].need.accelerators = 1;
+    world.submit(JOBS, spec);
+    world
+}
+
+fn assert_within_capacities(case: &str, faults: Faults, changes_leader: bool) {
+    for seed in 0..2 * SEEDS {
+        let mut world = resizing_world(seed);
+        let mut random = StdRng::seed_from_u64(seed);
+        world.faults = faults;
+        for round in 0..16 {
+            // A shrink counts only after a while, so most capacities last longer than that.
+            world.run_for(random.random_range(200..2_500));
+            let worker = name(&format!("w{}", random.random_range(0..5)));
+            world.resize(&worker, random_size(&mut random));
+            if changes_leader && round % 5 == 4 {
+                let entry = name(&format!("e{}", random.random_range(0..3)));
+                world.elect_at(&entry, true);
+            }
+        }
+        world.faults = Faults::default();
+        for worker in 0..5 {
+            world.resize(&name(&format!("w{worker}")), FULL_SIZE);
+        }
+        world.run_for(60_000);
+        assert_no_violations(&world, seed, case);
+        assert_completed(&world, seed, case);
+    }
+}
+
+#[test]
+fn starts_stay_within_capacities_that_shrink_and_grow() {
+    assert_within_capacities("capacities", Faults::default(), false);
+}
+
+#[test]
+fn starts_stay_within_changing_capacities_while_orders_are_lost_or_late() {
+    let faults = Faults {
+        lost_answer: 0.1,
+        late: 0.08,
+        lost_poll: 0.2,
+        failed_run: 0.02,
+        lost_commit: 0.1,
+    };
+    assert_within_capacities("capacities, lost orders", faults, false);
+}
+
+#[test]
+fn starts_stay_within_changing_capacities_over_changes_of_the_leader() {
+    let faults = Faults {
+        lost_answer: 0.05,
+        late: 0.05,
+        ..Faults::default()
+    };
+    assert_within_capacities("capacities, leaders", faults, true);
+}
--- a/crates/scheduler/tests/world/mod.rs
+++ b/crates/scheduler/tests/world/mod.rs
@@ -64,6 +64,10 @@
 const MESSAGE_DELAY_MS: u64 = 2;
 const COMMIT_DURATION_MS: u64 = 6;
 const ADVICE_DURATION_MS: u64 = 25;
+/// The interval at which a worker writes its registration.
+const REGISTRATION_INTERVAL_MS: u64 = 1_500;
+/// The time after which a capacity that has shrunk counts.
+const SHRINK_GRACE_MS: u64 = 3_000 + REGISTRATION_INTERVAL_MS;
 const TICKET_VALIDITY_MS: u64 = 900;
 
 /// The probabilities with which calls, runs and writes fail.
@@ -146,6 +150,8 @@
     Commit(Epoch, bool),
     /// The advice service answers for these workers.
     Advice(Epoch, id::Step, Vec<Name>),
+    /// The store lists the present capacity of a worker.
+    Resized(Name),
 }
 
 /// An order in transit to a worker.
@@ -205,6 +211,10 @@
     sequence: u64,
     unregistered: BTreeSet<Name>,
     draining: BTreeSet<Name>,
+    /// The capacities that the store lists for workers whose own has changed.
+    listed_sizes: BTreeMap<Name, Size>,
+    /// The former capacities of workers, with the times of their changes.
+    former_sizes: BTreeMap<Name, Vec<(u64, Size)>>,
     /// The jobs whose rows a new leader has not read yet.
     pub hidden: BTreeSet<id::Job>,
 }
@@ -309,6 +319,8 @@
             sequence: 0,
             unregistered: BTreeSet::new(),
             draining: BTreeSet::new(),
+            listed_sizes: BTreeMap::new(),
+            former_sizes: BTreeMap::new(),
             hidden: BTreeSet::new(),
         }
     }
--- a/crates/scheduler/tests/world/run.rs
+++ b/crates/scheduler/tests/world/run.rs
@@ -163,6 +163,7 @@
                     self.answer_advice(step, workers);
                 }
             }
+            Delivery::Resized(worker) => self.list_size(&worker),
             Delivery::Commit(epoch, is_durable) => {
                 let event = if is_durable {
                     Event::Committed
