Take an odd entry for no worker, also under the name of one

What callers saw: when another writer overwrote a worker's entry with one that cannot be read, the leader went on starting tasks there with what it had read before, while a leader that began later used the worker for nothing.

Cause: an entry that cannot be decoded was skipped instead of replacing the one before it.

Change: the entry counts as a removed one. What runs on the worker goes on and its lease is renewed; when the entry is mended, it gets tasks again.

--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -210,7 +210,8 @@
                             "kind=registration-ignored worker={name} cause={:?}",
                             error.to_string()
                         );
-                        continue;
+                        // The entry names no worker to use, also where a good one was before.
+                        None
                     }
                 };
                 if registration.is_some() {
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -126,12 +126,28 @@
 
     /// Writes a row without an expected version, as the operator or a worker does.
     pub fn put(&self, table: &str, key: &str, value: &str) {
+        self.put_raw(table, "", key, &base64(value.as_bytes()));
+    }
+
+    /// Writes a row in this part of a table with a value that may be no base64.
+    pub fn put_raw(&self, table: &str, part: &str, key: &str, value: &str) {
+        self.set_row(table, part, key, Some(value.into()));
+    }
+
+    /// Returns the value of a row as it was written with [`Self::put_raw`].
+    pub fn raw_value(&self, table: &str, key: &str) -> String {
+        let state = self.state.lock().expect("no holder of this lock panics");
+        let row = state.rows.get(&(table.into(), String::new(), key.into()));
+        row.and_then(|(value, _)| value.clone())
+            .expect("the row exists")
+    }
+
+    fn set_row(&self, table: &str, part: &str, key: &str, value: Option<String>) {
         let mut state = self.state.lock().expect("no holder of this lock panics");
         state.version += 1;
         let version = state.version;
-        let row_key = (table.into(), String::new(), key.into());
-        let value = base64(value.as_bytes());
-        state.rows.insert(row_key, (Some(value), version));
+        let row_key = (table.into(), part.into(), key.into());
+        state.rows.insert(row_key, (value, version));
     }
 
     fn page(&self, version: u64, rows: Vec<Value>) -> Value {
