Follow only the part of a table in which its rows are

What callers saw: a row that another writer put into the table of workers or of the operator, but into a part of its own, was taken for the row of that key: a configuration "in force" with no queues (requests refused with 404), or another address for a worker.

`servers/NAME` and `op/NAME` are rows with an empty part.

Evidence: entries_in_another_part_of_the_table_are_no_registrations failed before (404 instead of 200 for a job).

--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -74,9 +74,13 @@
                 .feed(self.table, self.after, FEED_WAIT)
                 .await
             {
-                Ok(Page { rows, version, .. }) => {
+                Ok(Page {
+                    mut rows, version, ..
+                }) => {
                     self.record_success();
                     self.after = version.max(self.after);
+                    // A feed returns the rows of all parts.
+                    rows.retain(|row| rows::parts(self.table).contains(&&*row.part));
                     if !rows.is_empty() {
                         return Some(rows);
                     }
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -29,7 +29,7 @@
 
 /// A fake platform on loopback and a client of its entries.
 pub struct Fleet {
-    spawner: Spawner,
+    pub spawner: Spawner,
     pub store: Store,
     cluster: Arc<Mutex<Cluster>>,
     pub store_proxy: Proxy,
--- a/tests/serve/odd.rs
+++ b/tests/serve/odd.rs
@@ -1,13 +1,39 @@
 //! Tests of entries of other writers among the registrations.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use http::StatusCode;
+use serde_json::Value;
+use serde_json::json;
+
 use crate::JOB;
 use crate::entry::Entry;
 use crate::fleet::Fleet;
 use crate::fleet::wait_until;
+use crate::server;
 use crate::start;
+use crate::store::base64;
+
+/// Starts a server that counts the calls that reach it.
+fn start_counter(fleet: &Fleet) -> (SocketAddr, Arc<AtomicU32>) {
+    let calls = Arc::new(AtomicU32::new(0));
+    let counter = Arc::clone(&calls);
+    let address = server::start(&fleet.spawner, move |_, _, _| {
+        counter.fetch_add(1, Ordering::SeqCst);
+        async { (StatusCode::NOT_FOUND, json!({})) }
+    });
+    (address, calls)
+}
+
+fn registration(address: &str) -> Value {
+    json!({"service": "s", "address": address, "zone": "z", "state": "ready",
+        "capacity": {"cpu": 2000, "memMb": 4000}, "labels": ["a", "r1"], "born": 7})
+}
 
 fn complete(fleet: &Fleet, entry: &Entry, job: &str) {
     fleet.submit(entry.customer, job, JOB);
@@ -34,3 +60,21 @@
     fleet.wait_for_completion(entries[0].customer, job, 10_000);
     fleet.assert_no_violations();
 }
+
+#[test]
+fn entries_in_another_part_of_the_table_are_no_registrations() {
+    let fleet = Fleet::start(1);
+    let entries = start(&fleet, &["a"]);
+    complete(&fleet, &entries[0], "00000000000000e6");
+    let (address, calls) = start_counter(&fleet);
+    let other = base64(registration(&address.to_string()).to_string().as_bytes());
+    fleet.store.put_raw("servers", "odd", "i-0", &other);
+    fleet.store.put_raw("servers", "odd", "i-9", &other);
+    fleet
+        .store
+        .put_raw("op", "odd", "config", &base64(br#"{"version":99}"#));
+    thread::sleep(Duration::from_millis(500));
+    complete(&fleet, &entries[0], "00000000000000e7");
+    assert_eq!(calls.load(Ordering::SeqCst), 0, "the row was used");
+    fleet.assert_no_violations();
+}
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -261,7 +261,7 @@
 }
 
 /// Encodes bytes in base64 with padding.
-fn base64(bytes: &[u8]) -> String {
+pub fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
