--- a/tests/serve/odd.rs
+++ b/tests/serve/odd.rs
@@ -19,6 +19,9 @@
 use crate::start;
 use crate::store::base64;
 
+/// The rows of a full page of the store.
+const PAGE_ROWS: usize = 500;
+
 /// Starts a server that counts the calls that reach it.
 fn start_counter(fleet: &Fleet) -> (SocketAddr, Arc<AtomicU32>) {
     let calls = Arc::new(AtomicU32::new(0));
@@ -78,3 +81,17 @@
     assert_eq!(calls.load(Ordering::SeqCst), 0, "the row was used");
     fleet.assert_no_violations();
 }
+
+#[test]
+fn a_list_whose_page_ends_with_an_odd_key_is_read_to_its_end() {
+    let fleet = Fleet::start(1);
+    let (address, _) = start_counter(&fleet);
+    let valid = registration(&address.to_string()).to_string();
+    for index in 0..PAGE_ROWS {
+        let key = format!("a{index:03} &#%\"\u{e9}<");
+        fleet.store.put("servers", &key, &valid);
+    }
+    let entries = start(&fleet, &["a"]);
+    complete(&fleet, &entries[0], "00000000000000e8");
+    fleet.assert_no_violations();
+}
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -208,7 +208,7 @@
             let mut found = pairs
                 .filter(|(key, _)| *key == name)
                 .map(|(_, value)| value);
-            found.next().unwrap_or_default().to_owned()
+            percent_decoded(found.next().unwrap_or_default())
         };
         match path {
             "/rows-tx" if self.refuses_writes.load(Ordering::SeqCst) => {
@@ -237,8 +237,11 @@
                 let (version, mut rows) = self.rows(|(row_table, row_part, key), _, exists| {
                     exists && *row_table == table && *row_part == part && *key >= from
                 });
+                let has_more = rows.len() > limit;
                 rows.truncate(limit);
-                (StatusCode::OK, self.page(version, rows))
+                let mut page = self.page(version, rows);
+                page["hasMore"] = has_more.into();
+                (StatusCode::OK, page)
             }
             "/rows-feed" => {
                 let table = parameter("table");
@@ -260,6 +263,25 @@
     }
 }
 
+/// Decodes the `%` escapes of a query parameter.
+fn percent_decoded(raw: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = raw.as_bytes();
+    while let [first, after @ ..] = rest {
+        rest = after;
+        let escape = after.get(..2).filter(|_| *first == b'%');
+        let value = escape.and_then(|digits| std::str::from_utf8(digits).ok());
+        match value.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            Some(byte) => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            None => bytes.push(*first),
+        }
+    }
+    String::from_utf8(bytes).expect("keys are texts")
+}
+
 /// Encodes bytes in base64 with padding.
 pub fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
