Take an entry without a usable address for no worker

What callers would see: an entry with a port out of range, port 0, a host name or no address was assigned to an agent, which refused it with an error in the log at each change of the agents. The leader stored it as a worker on which tasks may run, so that each later leader held back the tasks of earlier ones for 9.5 s, until its leases would have expired.

Cause: the address was taken as any text and only parsed by the agent.

Members that an earlier build stored with an unusable one are dropped at the takeover: no task can have started there.

--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -13,6 +13,7 @@
 use scheduler::id;
 use scheduler::job::Accepted;
 use scheduler::leader::Event;
+use scheduler::leader::Member;
 use scheduler::progress::Progress;
 use smol::channel::Sender;
 
@@ -247,7 +248,7 @@
     let fleet = Follower::new(&shared, rows::FLEET).read_all().await;
     for row in fleet {
         match rows::decode(&row) {
-            Ok(members) => drop(send(Event::Fleet(members))),
+            Ok(members) => drop(send(Event::Fleet(reachable(members)))),
             Err(error) => log::error!("kind=row-ignored table=fleet cause={:?}", error.to_string()),
         }
     }
@@ -273,6 +274,15 @@
     }
 }
 
+/// Returns the members that agents can poll. Earlier builds also stored workers whose address
+/// nothing can connect to, so that no task has ever started there.
+fn reachable(members: Vec<Member>) -> Vec<Member> {
+    let members = members.into_iter();
+    members
+        .filter(|member| directory::is_usable(&member.address))
+        .collect()
+}
+
 fn send_job(row: &Row, progress: &mut Vec<Row>, send: &impl Fn(Event) -> bool) -> bool {
     let ignored = |error: &rows::Error| {
         log::error!(
