Log an odd entry in one short line

What callers saw: the line on an odd entry repeated up to 8 KB of it, for each odd entry and each time the list was read again. An entry under a key that is no name was skipped without a line.

Evidence: entries_serve_on_beside_odd_registrations_and_leave_those_alone (two real processes, 29 odd entries each before the start and while they run) failed before: "a line has Some(8176) bytes". The rest of this test held before: no process ends, jobs complete, no odd entry is polled, an entry that is mended is.

Change: what another writer chose is quoted up to 240 bytes; a key that is no name is logged. The same holds for a configuration that is refused.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -51,6 +51,7 @@
 use self::agent::Agent;
 use self::instruments::Instruments;
 use self::leadership::Leadership;
+use self::logging::quote;
 use self::options::Options;
 
 /// How long an idle connection is kept. It is longer than the intervals of polls and feeds, so that
@@ -163,7 +164,7 @@
         let config = match adapter::config::decode(raw) {
             Ok(config) => Arc::new(config),
             Err(error) => {
-                log::error!("kind=config-refused cause={:?}", error.to_string());
+                log::error!("kind=config-refused cause={}", quote(&error.to_string()));
                 return;
             }
         };
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -19,6 +19,7 @@
 
 use super::Shared;
 use super::leadership::Input;
+use super::logging::quote;
 use super::rows;
 use super::rows::Kind;
 use super::sleep;
@@ -194,7 +195,8 @@
     };
     loop {
         let mut rows = follower.read_all().await;
-        let names = rows.iter().filter_map(|row| worker_name(&row.key));
+        let names = rows.iter().map(|row| Name::try_from(&*row.key));
+        let names = names.filter_map(Result::ok);
         let stored: BTreeSet<Name> = names.collect();
         for removed in known_names.difference(&stored) {
             if !send(removed.clone(), None) {
@@ -212,8 +214,8 @@
                     Ok(registration) => Some(registration),
                     Err(error) => {
                         log::warn!(
-                            "kind=registration-ignored worker={name} cause={:?}",
-                            error.to_string()
+                            "kind=registration-ignored worker={name} cause={}",
+                            quote(&error.to_string())
                         );
                         // The entry names no worker to use, also where a good one was before.
                         None
@@ -235,7 +237,17 @@
 }
 
 fn worker_name(key: &str) -> Option<Name> {
-    Name::try_from(key).ok()
+    match Name::try_from(key) {
+        Ok(name) => Some(name),
+        Err(error) => {
+            log::warn!(
+                "kind=registration-ignored key={} cause={:?}",
+                quote(key),
+                error.to_string()
+            );
+            None
+        }
+    }
 }
 
 /// Passes the jobs, progress and fleet that earlier leaders stored to the leader, then follows
--- a/src/serve/logging.rs
+++ b/src/serve/logging.rs
@@ -29,6 +29,8 @@
 pub const MAX_WRITE_BYTES: usize = 8_192;
 /// The most bytes of the mark at the end of a line that was cut.
 const MAX_MARK_BYTES: usize = " cut=\n".len() + 20;
+/// The most bytes of a quoted text that another writer chose, so that it does not displace the log.
+const MAX_QUOTED_BYTES: usize = 240;
 const APPENDER_NAME: &str = "queue";
 
 /// A line in the queue.
@@ -189,6 +191,16 @@
     line + &mark
 }
 
+/// Returns a text in quotes and with escapes, cut if it is long.
+pub(super) fn quote(text: &str) -> String {
+    let mut quoted = format!("{text:?}");
+    if quoted.len() > MAX_QUOTED_BYTES {
+        quoted.truncate(quoted.floor_char_boundary(MAX_QUOTED_BYTES));
+        quoted += "...\"";
+    }
+    quoted
+}
+
 /// Creates the queue for the log lines of an entry.
 #[must_use]
 pub fn queue(entry: &str) -> (Queue, Writer) {
--- a/tests/serve/odd.rs
+++ b/tests/serve/odd.rs
@@ -19,6 +19,8 @@
 use crate::start;
 use crate::store::base64;
 
+/// The longest line of the log about an odd entry.
+const MAX_LINE_BYTES: usize = 600;
 /// The rows of a full page of the store.
 const PAGE_ROWS: usize = 500;
 
@@ -38,11 +40,110 @@
         "capacity": {"cpu": 2000, "memMb": 4000}, "labels": ["a", "r1"], "born": 7})
 }
 
+/// Returns odd entries that show `address`.
+fn odd_values(address: SocketAddr) -> Vec<String> {
+    let valid = registration(&address.to_string());
+    let with = |field: &str, value: Value| {
+        let mut odd = valid.clone();
+        odd[field] = value;
+        odd.to_string()
+    };
+    let long = "x".repeat(45_000);
+    let mut values = vec![
+        with("state", "asleep".into()),
+        with("state", json!(long)),
+        with("service", json!(4)),
+        with("born", json!(long)),
+        with("zone", "".into()),
+        with("capacity", json!({"cpu": 4_294_967_296_u64})),
+        with("address", format!("{}:70000", address.ip()).into()),
+        with("address", format!("{}:0", address.ip()).into()),
+        with("address", json!(long)),
+        with("labels", json!([1])),
+        valid.to_string().replace("\"born\":7", "\"born\":1e400"),
+        valid
+            .to_string()
+            .replace("\"born\":7", "\"born\":7,\"born\":7"),
+        valid.to_string().replace("2000", "18446744073709551616"),
+        String::new(),
+        "[".repeat(48_000),
+        "{\"a\":".repeat(9_000),
+    ];
+    for depth in [200, 20_000] {
+        let nested = format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+        values.push(valid.to_string().replace("\"r1\"", &nested));
+        values.push(nested);
+    }
+    values
+}
+
+fn put_odd_entries(fleet: &Fleet, prefix: &str, address: SocketAddr) {
+    for (index, value) in odd_values(address).iter().enumerate() {
+        fleet
+            .store
+            .put("servers", &format!("{prefix}-{index}"), value);
+    }
+    let valid = registration(&address.to_string()).to_string();
+    for key in [
+        "",
+        " ",
+        "a b",
+        "\u{e9}",
+        "a\"b\\",
+        "a&from=z#%zz",
+        &"k".repeat(200),
+    ] {
+        fleet
+            .store
+            .put("servers", &format!("{prefix}{key}\u{1}"), &valid);
+    }
+    fleet
+        .store
+        .put_raw("servers", "", &format!("{prefix}-raw"), "no base64!");
+    fleet
+        .store
+        .put_raw("servers", "", &format!("{prefix}-empty"), "");
+}
+
 fn complete(fleet: &Fleet, entry: &Entry, job: &str) {
     fleet.submit(entry.customer, job, JOB);
     fleet.wait_for_completion(entry.customer, job, 10_000);
 }
 
+#[test]
+fn entries_serve_on_beside_odd_registrations_and_leave_those_alone() {
+    let fleet = Fleet::start(2);
+    let (address, calls) = start_counter(&fleet);
+    put_odd_entries(&fleet, "first", address);
+    let mut entries = start(&fleet, &["a", "b"]);
+    complete(&fleet, &entries[0], "00000000000000e1");
+    put_odd_entries(&fleet, "second", address);
+    complete(&fleet, &entries[1], "00000000000000e2");
+    for index in 0..odd_values(address).len() {
+        fleet.store.remove("servers", &format!("first-{index}"));
+    }
+    complete(&fleet, &entries[0], "00000000000000e3");
+    thread::sleep(Duration::from_millis(500));
+    assert_eq!(calls.load(Ordering::SeqCst), 0, "an odd entry was polled");
+    for entry in &mut entries {
+        assert!(!entry.has_ended());
+        let log = entry.read_log();
+        let longest = log.lines().map(str::len).max();
+        assert!(
+            longest <= Some(MAX_LINE_BYTES),
+            "a line has {longest:?} bytes"
+        );
+        assert_eq!(entry.logged("watch-refused", "worker"), [""; 0]);
+    }
+    // An odd entry that is mended names a worker.
+    let valid = registration(&address.to_string()).to_string();
+    fleet.store.put("servers", "second-0", &valid);
+    wait_until("a poll of the mended entry", 5_000, || {
+        calls.load(Ordering::SeqCst) > 0
+    });
+    fleet.assert_no_violations();
+}
+
 #[test]
 fn a_worker_under_whose_name_another_writer_left_an_odd_entry_gets_no_tasks_until_it_is_mended() {
     let fleet = Fleet::start(1);
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -134,6 +134,11 @@
         self.set_row(table, part, key, Some(value.into()));
     }
 
+    /// Removes a row without an expected version.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.set_row(table, "", key, None);
+    }
+
     /// Returns the value of a row as it was written with [`Self::put_raw`].
     pub fn raw_value(&self, table: &str, key: &str) -> String {
         let state = self.state.lock().expect("no holder of this lock panics");
