Drop workers that never answer from the list for the next leader

What callers would see: an entry of another writer that reads well but at whose address nothing answers was stored as a worker on which tasks may run, for as long as it was listed. Each new leader waited for its leases to expire and held back the tasks of jobs of before for 9.5 s.

Cause: every registered worker was stored, whether or not it had ever answered.

Change: a worker that has never answered this leader is no longer stored once a poll has failed after all leases of earlier leaders had expired. Until then it is stored as before, and it is stored again before a task starts there. The form of the row does not change.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -134,6 +134,9 @@
     pub lease_expiry: Option<Ms>,
     /// All leases have expired since the worker last answered.
     pub has_lapsed: bool,
+    /// The worker has never answered this leader: a poll failed after all leases had expired, so
+    /// nothing runs on it.
+    pub is_unreached: bool,
     /// The resources booked by runs; those of filling runs contain no processors.
     pub booked: Size,
     /// The millicores that filling runs requested.
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -133,7 +133,9 @@
 
     /// Returns the workers on which tasks may run, if they may differ from the stored ones.
     fn changed_fleet(&self) -> Option<BTreeSet<Member>> {
-        let wanted = self.workers.iter().filter_map(|(name, worker)| {
+        let reached = self.workers.iter();
+        let reached = reached.filter(|(_, worker)| !worker.is_unreached);
+        let wanted = reached.filter_map(|(name, worker)| {
             let known = self.fleet.iter().find(|member| member.worker == *name);
             match &worker.registration {
                 Some(registration) => Some(Member {
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -89,6 +89,8 @@
         worker.is_unresponsive = false;
         worker.lease_expiry = None;
         worker.has_lapsed = false;
+        self.is_fleet_synced &= !worker.is_unreached;
+        worker.is_unreached = false;
         if worker.incarnation != Some(observation.incarnation) {
             let is_restart = worker.incarnation.is_some();
             worker.restart(observation.incarnation);
@@ -370,6 +372,10 @@
         let lease_expiry = Ms(now.0.saturating_sub(renewal_age.0)) + lease;
         let is_new = !worker.is_unresponsive;
         worker.is_unresponsive = true;
+        if worker.has_lapsed && worker.incarnation.is_none() && !worker.is_unreached {
+            worker.is_unreached = true;
+            self.is_fleet_synced = false;
+        }
         let has_left = worker.was_draining && worker.registration.is_none() && failure.is_closed;
         if !worker.has_lapsed || !worker.runs.is_empty() {
             worker.expect_lease_expiry(lease_expiry);
