--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -90,6 +90,8 @@
         worker.is_unresponsive = false;
         worker.lease_expiry = None;
         worker.has_lapsed = false;
+        self.is_fleet_synced &= !worker.is_unreached;
+        worker.is_unreached = false;
         let earlier = worker.incarnation;
         if earlier == Some(observation.incarnation) {
             worker.last_answer = now;
@@ -397,6 +399,10 @@
         if failure.is_closed {
             worker.refused_since.get_or_insert(now);
         }
+        if worker.has_lapsed && worker.incarnation.is_none() && !worker.is_unreached {
+            worker.is_unreached = true;
+            self.is_fleet_synced = false;
+        }
         let has_left = worker.was_draining && worker.registration.is_none() && failure.is_closed;
         if !worker.has_lapsed || !worker.runs.is_empty() {
             worker.expect_lease_expiry(lease_expiry);
--- a/crates/scheduler/tests/world/deadly.rs
+++ b/crates/scheduler/tests/world/deadly.rs
@@ -122,10 +122,6 @@
         &accepted.spec.steps[usize::from(task.step.step)]
     }
 
-    pub(super) fn is_lasting(&self, task: Task) -> bool {
-        self.step_spec(task).is_lasting
-    }
-
     /// Returns whether the members of the task's gang wait in vain for a deadly one.
     pub(super) fn is_in_deadly_gang(&self, task: Task) -> bool {
         let is_deadly = self
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -13,11 +13,13 @@
 use scheduler::id;
 use scheduler::job::Accepted;
 use scheduler::leader::Event;
+use scheduler::leader::Member;
 use scheduler::progress::Progress;
 use smol::channel::Sender;
 
 use super::Shared;
 use super::leadership::Input;
+use super::logging::quote;
 use super::rows;
 use super::rows::Kind;
 use super::sleep;
@@ -74,9 +76,13 @@
                 .feed(self.table, self.after, FEED_WAIT)
                 .await
             {
-                Ok(Page { rows, version, .. }) => {
+                Ok(Page {
+                    mut rows, version, ..
+                }) => {
                     self.record_success();
                     self.after = version.max(self.after);
+                    // A feed returns the rows of all parts.
+                    rows.retain(|row| rows::parts(self.table).contains(&&*row.part));
                     if !rows.is_empty() {
                         return Some(rows);
                     }
@@ -189,7 +195,8 @@
     };
     loop {
         let mut rows = follower.read_all().await;
-        let names = rows.iter().filter_map(|row| worker_name(&row.key));
+        let names = rows.iter().map(|row| Name::try_from(&*row.key));
+        let names = names.filter_map(Result::ok);
         let stored: BTreeSet<Name> = names.collect();
         for removed in known_names.difference(&stored) {
             if !send(removed.clone(), None) {
@@ -207,10 +214,11 @@
                     Ok(registration) => Some(registration),
                     Err(error) => {
                         log::warn!(
-                            "kind=registration-ignored worker={name} cause={:?}",
-                            error.to_string()
+                            "kind=registration-ignored worker={name} cause={}",
+                            quote(&error.to_string())
                         );
-                        continue;
+                        // The entry names no worker to use, also where a good one was before.
+                        None
                     }
                 };
                 if registration.is_some() {
@@ -229,7 +237,17 @@
 }
 
 fn worker_name(key: &str) -> Option<Name> {
-    Name::try_from(key).ok()
+    match Name::try_from(key) {
+        Ok(name) => Some(name),
+        Err(error) => {
+            log::warn!(
+                "kind=registration-ignored key={} cause={:?}",
+                quote(key),
+                error.to_string()
+            );
+            None
+        }
+    }
 }
 
 /// Passes the jobs, progress and fleet that earlier leaders stored to the leader, then follows
@@ -242,7 +260,7 @@
     let fleet = Follower::new(&shared, rows::FLEET).read_all().await;
     for row in fleet {
         match rows::decode(&row) {
-            Ok(members) => drop(send(Event::Fleet(members))),
+            Ok(members) => drop(send(Event::Fleet(reachable(members)))),
             Err(error) => log::error!("kind=row-ignored table=fleet cause={:?}", error.to_string()),
         }
     }
@@ -268,6 +286,15 @@
     }
 }
 
+/// Returns the members that agents can poll. Earlier builds also stored workers whose address
+/// nothing can connect to, so that no task has ever started there.
+fn reachable(members: Vec<Member>) -> Vec<Member> {
+    let members = members.into_iter();
+    members
+        .filter(|member| directory::is_usable(&member.address))
+        .collect()
+}
+
 fn send_job(row: &Row, progress: &mut Vec<Row>, send: &impl Fn(Event) -> bool) -> bool {
     let ignored = |error: &rows::Error| {
         log::error!(
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -126,12 +126,33 @@
 
     /// Writes a row without an expected version, as the operator or a worker does.
     pub fn put(&self, table: &str, key: &str, value: &str) {
+        self.put_raw(table, "", key, &base64(value.as_bytes()));
+    }
+
+    /// Writes a row in this part of a table with a value that may be no base64.
+    pub fn put_raw(&self, table: &str, part: &str, key: &str, value: &str) {
+        self.set_row(table, part, key, Some(value.into()));
+    }
+
+    /// Removes a row without an expected version.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.set_row(table, "", key, None);
+    }
+
+    /// Returns the value of a row as it was written with [`Self::put_raw`].
+    pub fn raw_value(&self, table: &str, key: &str) -> String {
+        let state = self.state.lock().expect("no holder of this lock panics");
+        let row = state.rows.get(&(table.into(), String::new(), key.into()));
+        row.and_then(|(value, _)| value.clone())
+            .expect("the row exists")
+    }
+
+    fn set_row(&self, table: &str, part: &str, key: &str, value: Option<String>) {
         let mut state = self.state.lock().expect("no holder of this lock panics");
         state.version += 1;
         let version = state.version;
-        let row_key = (table.into(), String::new(), key.into());
-        let value = base64(value.as_bytes());
-        state.rows.insert(row_key, (Some(value), version));
+        let row_key = (table.into(), part.into(), key.into());
+        state.rows.insert(row_key, (value, version));
     }
 
     fn page(&self, version: u64, rows: Vec<Value>) -> Value {
@@ -192,7 +213,7 @@
             let mut found = pairs
                 .filter(|(key, _)| *key == name)
                 .map(|(_, value)| value);
-            found.next().unwrap_or_default().to_owned()
+            percent_decoded(found.next().unwrap_or_default())
         };
         match path {
             "/rows-tx" if self.refuses_writes.load(Ordering::SeqCst) => {
@@ -221,8 +242,11 @@
                 let (version, mut rows) = self.rows(|(row_table, row_part, key), _, exists| {
                     exists && *row_table == table && *row_part == part && *key >= from
                 });
+                let has_more = rows.len() > limit;
                 rows.truncate(limit);
-                (StatusCode::OK, self.page(version, rows))
+                let mut page = self.page(version, rows);
+                page["hasMore"] = has_more.into();
+                (StatusCode::OK, page)
             }
             "/rows-feed" => {
                 let table = parameter("table");
@@ -244,8 +268,27 @@
     }
 }
 
+/// Decodes the `%` escapes of a query parameter.
+fn percent_decoded(raw: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = raw.as_bytes();
+    while let [first, after @ ..] = rest {
+        rest = after;
+        let escape = after.get(..2).filter(|_| *first == b'%');
+        let value = escape.and_then(|digits| std::str::from_utf8(digits).ok());
+        match value.and_then(|digits| u8::from_str_radix(digits, 16).ok()) {
+            Some(byte) => {
+                bytes.push(byte);
+                rest = &after[2..];
+            }
+            None => bytes.push(*first),
+        }
+    }
+    String::from_utf8(bytes).expect("keys are texts")
+}
+
 /// Encodes bytes in base64 with padding.
-fn base64(bytes: &[u8]) -> String {
+pub fn base64(bytes: &[u8]) -> String {
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
