--- /dev/null
+++ b/crates/scheduler/tests/unread.rs
@@ -0,0 +1,456 @@
+//! Tests of what a leader may conclude from reports that it did not handle, rows that it has not
+//! read, and tasks that it no longer keeps.
+
+mod common;
+mod known_red;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use common::BOUNDS;
+use common::INCARNATION;
+use common::config;
+use common::name;
+use common::registration;
+use decision::clock::Ms;
+use scheduler::fleet::Registration;
+use scheduler::id;
+use scheduler::id::Epoch;
+use scheduler::id::Job;
+use scheduler::id::Run;
+use scheduler::id::Task;
+use scheduler::job::Accepted;
+use scheduler::leader::Action;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::leader::Member;
+use scheduler::message::End;
+use scheduler::message::Failure;
+use scheduler::message::Observation;
+use scheduler::message::Order;
+use scheduler::message::Report;
+use scheduler::message::Running;
+use scheduler::message::Termination;
+use scheduler::progress::Outcome;
+use scheduler::progress::Progress;
+use scheduler::progress::Stage;
+use scheduler::spec;
+
+const KNOWN_RED: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../KNOWN-RED.txt");
+/// The leader begins hours after its VM.
+const BEGUN: Ms = Ms(40_000_000);
+const EPOCH: Epoch = Epoch(17);
+/// The version of a job's row that an earlier leader has read.
+const OLD_ROW: u64 = 5;
+/// The version of a job's row that was written after this leader took over.
+const NEW_ROW: u64 = 30;
+/// The run of an earlier leader.
+const OLD_RUN: Run = Run(9);
+
+/// The only task of the first occurrence.
+const TASK: Task = {
+    let step = id::Step {
+        job: Job(1),
+        occurrence: 0,
+        step: 0,
+    };
+    Task { step, index: 0 }
+};
+
+/// Returns a job of one task.
+fn accepted(row: u64) -> Event {
+    let accepted = Accepted {
+        queue: name("queue"),
+        spec: spec::Job {
+            payload: Arc::from(""),
+            steps: vec![spec::Step {
+                count: 1,
+                estimate: Ms(500),
+                ..spec::Step::default()
+            }],
+            schedule: None,
+        },
+        at: Ms(1),
+    };
+    Event::Accepted(Job(1), row, accepted, None)
+}
+
+/// Returns a job with three occurrences, of which the first is finished.
+fn repeated() -> Event {
+    let Event::Accepted(job, row, mut accepted, _) = accepted(OLD_ROW) else {
+        unreachable!("the helper returns an accepted job");
+    };
+    accepted.spec.schedule = Some(spec::Schedule {
+        first: Ms(BEGUN.0 - 1_000),
+        interval: Ms(60_000),
+        count: 3,
+    });
+    let progress = Progress {
+        has_started: true,
+        ended: None,
+        finished_occurrences: 1,
+        steps: BTreeMap::new(),
+    };
+    Event::Accepted(job, row, accepted, Some(progress))
+}
+
+fn registered(worker: &str) -> Event {
+    Event::RegistrationChanged(name(worker), Some(registration("d1")))
+}
+
+fn joined(agent: &str) -> Event {
+    Event::Joined(name(agent), name("d1"))
+}
+
+/// Returns the event that the store lists both workers.
+fn fleet() -> Event {
+    let member = |worker| Member {
+        worker: name(worker),
+        address: Arc::from("10.0.0.1:1"),
+        domain: name("d1"),
+    };
+    Event::Fleet(vec![member("silent"), member("sound")])
+}
+
+fn end(termination: Termination) -> End {
+    End {
+        number: 1,
+        task: TASK,
+        run: OLD_RUN,
+        termination,
+        checkpoint: None,
+    }
+}
+
+/// Returns the report of `e1` on a worker.
+fn polled(worker: &str, running: &[Task], ended: Vec<End>) -> Event {
+    let running = running.iter().map(|&task| Running {
+        task,
+        run: OLD_RUN,
+        checkpoint: None,
+        percent: 0,
+        measurement: 0,
+    });
+    let observation = Observation {
+        worker: name(worker),
+        incarnation: INCARNATION,
+        polled_at: Ms(1),
+        running: Some(running.collect()),
+        ended,
+    };
+    Event::Received(name("e1"), Report::Polled(observation))
+}
+
+fn new_leader() -> Leader {
+    let mut leader = Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN);
+    let events = vec![
+        Event::Config(Arc::new(config())),
+        joined("e1"),
+        registered("silent"),
+        registered("sound"),
+    ];
+    apply(&mut leader, Ms(0), events);
+    leader
+}
+
+/// Passes events and a tick to the leader this long after its begin, and returns its actions.
+fn apply(leader: &mut Leader, after: Ms, events: Vec<Event>) -> Vec<Action> {
+    let now = BEGUN + after;
+    let confirmed = [Event::LeadConfirmed(now)];
+    let all = confirmed.into_iter().chain(events);
+    let all = all.chain([Event::Tick(now)]);
+    let mut actions: Vec<Action> = all.flat_map(|event| leader.handle(now, event)).collect();
+    actions.extend(leader.schedule(now));
+    if actions
+        .iter()
+        .any(|action| matches!(action, Action::Commit(_)))
+    {
+        actions.extend(leader.handle(now, Event::Committed));
+    }
+    actions
+}
+
+fn starts(actions: &[Action]) -> Vec<Task> {
+    let starts = actions.iter().filter_map(|action| match action {
+        Action::Send(_, Order::Start(start)) => Some(start.task),
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// The worker answers its agent again at the moment when it is assigned to another one, and then no
+/// more.
+fn assert_an_unhandled_answer_keeps_the_lease() {
+    let mut leader = new_leader();
+    let rows = vec![fleet(), accepted(OLD_ROW), Event::Recovered];
+    apply(&mut leader, Ms(10), rows);
+    let known = vec![
+        polled("silent", &[TASK], Vec::new()),
+        polled("sound", &[], Vec::new()),
+    ];
+    apply(&mut leader, Ms(20), known);
+    let failure = Failure {
+        worker: name("silent"),
+        renewal_age: Ms(5_900),
+        is_closed: false,
+    };
+    let failed = Event::Received(name("e1"), Report::PollFailed(failure));
+    apply(&mut leader, Ms(20_000), vec![failed]);
+    let late = vec![joined("e2"), polled("silent", &[TASK], Vec::new())];
+    let mut actions = apply(&mut leader, Ms(20_100), late);
+    actions.extend(apply(&mut leader, Ms(20_700), Vec::new()));
+    actions.extend(apply(&mut leader, Ms(25_000), Vec::new()));
+    assert_eq!(starts(&actions), []);
+}
+
+#[test]
+fn a_renewal_after_a_failed_poll_counts_after_a_change_of_the_agent() {
+    known_red::run(
+        KNOWN_RED,
+        "a_renewal_after_a_failed_poll_counts_after_a_change_of_the_agent",
+        assert_an_unhandled_answer_keeps_the_lease,
+    );
+}
+
+/// The worker leaves while it still has a run of a job whose row has not been read.
+#[test]
+fn a_worker_with_a_run_of_an_unknown_job_stays_in_the_fleet_when_it_is_unlisted() {
+    let mut leader = new_leader();
+    apply(&mut leader, Ms(10), vec![fleet(), Event::Recovered]);
+    let known = vec![
+        polled("silent", &[], Vec::new()),
+        polled("sound", &[TASK], Vec::new()),
+    ];
+    apply(&mut leader, Ms(20), known);
+    let unlisted = Event::RegistrationChanged(name("sound"), None);
+    let actions = apply(&mut leader, Ms(100), vec![unlisted]);
+    let fleets = actions.iter().filter_map(|action| match action {
+        Action::Commit(commit) => commit.fleet.as_ref(),
+        _ => None,
+    });
+    for fleet in fleets {
+        let mut members = fleet.iter();
+        assert!(members.any(|member| member.worker == name("sound")));
+    }
+}
+
+/// The row arrives after the lease of the worker has lapsed.
+fn assert_the_task_of_an_unknown_run_starts_again() {
+    let mut leader = new_leader();
+    apply(&mut leader, Ms(10), vec![fleet(), Event::Recovered]);
+    let known = vec![
+        polled("silent", &[], Vec::new()),
+        polled("sound", &[TASK], Vec::new()),
+    ];
+    apply(&mut leader, Ms(20), known);
+    let unlisted = Event::RegistrationChanged(name("sound"), None);
+    apply(&mut leader, Ms(100), vec![unlisted]);
+    let mut all = Vec::new();
+    for second in 1..60 {
+        let failure = Failure {
+            worker: name("sound"),
+            renewal_age: Ms(second * 1_000),
+            is_closed: false,
+        };
+        let mut events = vec![
+            polled("silent", &[], Vec::new()),
+            Event::Received(name("e1"), Report::PollFailed(failure)),
+        ];
+        if second == 20 {
+            events.push(accepted(NEW_ROW));
+        }
+        let actions = apply(&mut leader, Ms(second * 1_000), events);
+        all.extend(starts(&actions));
+    }
+    assert_eq!(all.first(), Some(&TASK));
+}
+
+#[test]
+fn a_task_whose_worker_left_before_its_job_was_read_starts_again() {
+    known_red::run(
+        KNOWN_RED,
+        "a_task_whose_worker_left_before_its_job_was_read_starts_again",
+        assert_the_task_of_an_unknown_run_starts_again,
+    );
+}
+
+/// The feed of jobs is interrupted for longer than the end of an unknown job is kept.
+fn assert_an_acknowledged_end_of_an_unknown_job_counts() {
+    let mut leader = new_leader();
+    apply(&mut leader, Ms(10), vec![fleet(), Event::Recovered]);
+    let ended = || {
+        vec![
+            polled("silent", &[], Vec::new()),
+            polled("sound", &[], vec![end(Termination::Done)]),
+        ]
+    };
+    let mut actions = apply(&mut leader, Ms(20), ended());
+    actions.extend(apply(&mut leader, Ms(10_100), ended()));
+    let is_acknowledged = actions.iter().any(|action| {
+        matches!(action, Action::Send(_, Order::Watch(watch)) if watch.acknowledged == Some((INCARNATION, 1)))
+    });
+    let actions = apply(&mut leader, Ms(11_000), vec![accepted(NEW_ROW)]);
+    assert!(
+        !is_acknowledged || starts(&actions).is_empty(),
+        "{actions:?}"
+    );
+}
+
+#[test]
+fn a_task_does_not_start_after_its_end_was_acknowledged_before_its_job_was_read() {
+    known_red::run(
+        KNOWN_RED,
+        "a_task_does_not_start_after_its_end_was_acknowledged_before_its_job_was_read",
+        assert_an_acknowledged_end_of_an_unknown_job_counts,
+    );
+}
+
+/// A second run failed after its task was completed. The leader before wrote that the occurrence
+/// is finished, and died before the worker learned that the end is acknowledged.
+fn assert_a_failure_in_a_finished_occurrence_is_irrelevant() {
+    let mut strict = config();
+    strict.queues[0].max_attempts = 1;
+    let mut leader = new_leader();
+    let rows = vec![
+        Event::Config(Arc::new(strict)),
+        fleet(),
+        repeated(),
+        Event::Recovered,
+    ];
+    apply(&mut leader, Ms(10), rows);
+    let failed = vec![polled("sound", &[], vec![end(Termination::Failed)])];
+    apply(&mut leader, Ms(20), failed);
+    apply(&mut leader, Ms(100), Vec::new());
+    apply(&mut leader, Ms(200), Vec::new());
+    assert_ne!(leader.stage(Job(1)), Some(Stage::Ended(Outcome::Failed)));
+}
+
+#[test]
+fn a_failed_run_of_a_finished_occurrence_does_not_fail_the_job() {
+    known_red::run(
+        KNOWN_RED,
+        "a_failed_run_of_a_finished_occurrence_does_not_fail_the_job",
+        assert_a_failure_in_a_finished_occurrence_is_irrelevant,
+    );
+}
+
+#[test]
+fn a_run_of_a_finished_occurrence_is_stopped_at_once() {
+    let mut leader = new_leader();
+    apply(
+        &mut leader,
+        Ms(10),
+        vec![fleet(), repeated(), Event::Recovered],
+    );
+    let listed = vec![polled("sound", &[TASK], Vec::new())];
+    let actions = apply(&mut leader, Ms(20), listed);
+    let is_stop = |action: &Action| matches!(action, Action::Send(_, Order::Stop(placement)) if placement.run == OLD_RUN);
+    assert!(actions.iter().any(is_stop), "{actions:?}");
+}
+
+/// A cut that refuses connections keeps the worker from its agent; the store has dropped its
+/// registration meanwhile.
+fn assert_a_refused_connection_does_not_end_a_lease() {
+    let mut leader = new_leader();
+    apply(
+        &mut leader,
+        Ms(10),
+        vec![fleet(), accepted(OLD_ROW), Event::Recovered],
+    );
+    let known = vec![
+        polled("silent", &[TASK], Vec::new()),
+        polled("sound", &[], Vec::new()),
+    ];
+    apply(&mut leader, Ms(20), known);
+    let draining = Registration {
+        is_draining: true,
+        ..registration("d1")
+    };
+    let failure = Failure {
+        worker: name("silent"),
+        renewal_age: Ms(900),
+        is_closed: true,
+    };
+    let events = vec![
+        Event::RegistrationChanged(name("silent"), Some(draining)),
+        Event::RegistrationChanged(name("silent"), None),
+        Event::Received(name("e1"), Report::PollFailed(failure)),
+    ];
+    let mut actions = apply(&mut leader, Ms(1_000), events);
+    actions.extend(apply(&mut leader, Ms(2_000), Vec::new()));
+    assert_eq!(starts(&actions), []);
+}
+
+#[test]
+fn a_run_on_a_draining_worker_that_refuses_connections_keeps_its_lease() {
+    known_red::run(
+        KNOWN_RED,
+        "a_run_on_a_draining_worker_that_refuses_connections_keeps_its_lease",
+        assert_a_refused_connection_does_not_end_a_lease,
+    );
+}
+
+/// The same as in the test above, but the answer is handled before the worker changes its agent.
+#[test]
+fn a_renewal_that_is_reported_before_a_change_of_the_agent_counts() {
+    let mut leader = new_leader();
+    let rows = vec![fleet(), accepted(OLD_ROW), Event::Recovered];
+    apply(&mut leader, Ms(10), rows);
+    let known = vec![
+        polled("silent", &[TASK], Vec::new()),
+        polled("sound", &[], Vec::new()),
+    ];
+    apply(&mut leader, Ms(20), known);
+    let failure = Failure {
+        worker: name("silent"),
+        renewal_age: Ms(5_900),
+        is_closed: false,
+    };
+    let failed = Event::Received(name("e1"), Report::PollFailed(failure));
+    apply(&mut leader, Ms(20_000), vec![failed]);
+    let answered = vec![polled("silent", &[TASK], Vec::new()), joined("e2")];
+    let mut actions = apply(&mut leader, Ms(20_100), answered);
+    actions.extend(apply(&mut leader, Ms(20_700), Vec::new()));
+    actions.extend(apply(&mut leader, Ms(25_000), Vec::new()));
+    assert_eq!(starts(&actions), []);
+}
+
+/// The reports wait until the rows are read. The first one tells that a worker has exited, the
+/// second one lists the run of a worker that the store does not list at the moment.
+fn assert_all_deferred_reports_count_before_a_lease_expires() {
+    let mut leader = new_leader();
+    let draining = Registration {
+        is_draining: true,
+        ..registration("d1")
+    };
+    let failure = Failure {
+        worker: name("leaving"),
+        renewal_age: Ms(900),
+        is_closed: true,
+    };
+    let events = vec![
+        Event::RegistrationChanged(name("leaving"), Some(draining)),
+        Event::RegistrationChanged(name("leaving"), None),
+        Event::Received(name("e1"), Report::PollFailed(failure)),
+    ];
+    apply(&mut leader, Ms(8_900), events);
+    let events = vec![
+        polled("silent", &[TASK], Vec::new()),
+        polled("sound", &[], Vec::new()),
+        Event::RegistrationChanged(name("silent"), None),
+    ];
+    apply(&mut leader, Ms(9_000), events);
+    let rows = vec![fleet(), accepted(OLD_ROW), Event::Recovered];
+    let mut actions = apply(&mut leader, Ms(10_000), rows);
+    actions.extend(apply(&mut leader, Ms(12_000), Vec::new()));
+    assert_eq!(starts(&actions), []);
+}
+
+#[test]
+fn no_lease_lapses_while_the_deferred_reports_are_handled() {
+    known_red::run(
+        KNOWN_RED,
+        "no_lease_lapses_while_the_deferred_reports_are_handled",
+        assert_all_deferred_reports_count_before_a_lease_expires,
+    );
+}
