Let no lease expire while the deferred reports are handled

What callers could see: two runs of one task after a change of the leader whose rows take longer to read than 9.5 s.

Cause: leases wait for the rows since, but a report that a draining worker refuses connections let all leases expire at once, in the middle of the deferred reports. A worker that had left the list lost its place before the report that it runs was handled.

Evidence: no_lease_lapses_while_the_deferred_reports_are_handled failed before.

Change: such a report only sets the time of the expiry, and the next tick, at most 50 ms later, lets it expire.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -413,7 +413,7 @@
             if let Some(worker) = self.workers.get_mut(name) {
                 worker.lease_expiry = Some(now);
             }
-            return self.expire_leases(now);
+            return;
         }
         if is_new {
             self.log(format!(
