Let a change of the agent delay an expiry that is already expected

What callers could see: two runs of one task. A worker is silent, answers its agent, which renews its lease, and moves to another agent before that answer is handled, which is then ignored. If the new agent gets no answer, the lease counted as expired at the time that was set before.

Cause: a change of the agent raised the earliest expiry of later failures, not an expiry that was set already.

Evidence: a_renewal_after_a_failed_poll_counts_after_a_change_of_the_agent failed before; the same events in the other order passed.

Change: both are raised.

--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -219,6 +219,7 @@
         if let Some(worker) = self.workers.get_mut(name) {
             if current.is_some() {
                 worker.min_lease_expiry = worker.min_lease_expiry.max(min_expiry);
+                worker.lease_expiry = worker.lease_expiry.map(|at| at.max(min_expiry));
             }
             worker.agent = Some(best);
         }
