Forget the unknown runs of a worker whose leases have expired

What callers could see: a task that never starts again (LOST). A worker runs a task of a job that the leader has not read, is lost, and the row arrives later: the run was booked on a worker that no longer exists, and nothing released it.

Evidence: a_task_whose_worker_left_before_its_job_was_read_starts_again failed before.

Change: when the leases of a worker have expired, none of its runs is left to be booked.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -455,6 +455,8 @@
             worker.is_unresponsive = true;
             worker.lease_expiry = None;
             worker.has_lapsed = true;
+            self.unknown_runs
+                .retain(|placement, _| placement.worker != name);
             self.log(line);
             self.tally.lapses += 1;
             if self
