Count no failed run of an occurrence that is finished

What callers could see: a job shown as failed although all tasks of that occurrence are done (LOST), if a second run of one failed and the leader died before the worker had its acknowledgement.

Cause: a finished occurrence has no task states, so the task did not count as done.

Evidence: a_failed_run_of_a_finished_occurrence_does_not_fail_the_job failed before.

Change: tasks of finished occurrences are done.

--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -152,6 +152,7 @@
             task.failed_on = Some(name.clone());
             task.is_done
         });
+        let is_done = is_done || id.step.occurrence < job.progress.finished_occurrences;
         let mut failures = 0;
         if !is_lasting {
             if !is_done && !job.has_ended() {
