List the rerun of a job whose progress cannot be read as known failure

a_job_whose_progress_cannot_be_read_does_not_run_again overwrites the progress of a completed job with bytes that are no progress and lets another entry lead: all nine tasks start again, "done before: true". Cause: feeds.rs counts such a row as absent.

--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -92,6 +92,31 @@
     fleet.assert_no_violations();
 }
 
+#[test]
+fn a_job_whose_progress_cannot_be_read_does_not_run_again() {
+    known_red::run(
+        concat!(env!("CARGO_MANIFEST_DIR"), "/KNOWN-RED.txt"),
+        "a_job_whose_progress_cannot_be_read_does_not_run_again",
+        replace_a_leader_after_its_progress_was_damaged,
+    );
+}
+
+/// Starts a second leader after the progress of a completed job was overwritten.
+fn replace_a_leader_after_its_progress_was_damaged() {
+    let fleet = Fleet::start(2);
+    let mut entries = start(&fleet, &["a"]);
+    let job = "00000000000000f6";
+    fleet.submit(entries[0].customer, job, JOB);
+    fleet.wait_for_completion(entries[0].customer, job, 15_000);
+    entries[0].signal("-KILL");
+    entries[0].wait();
+    fleet.store.put("progress", job, "x");
+    let next = start(&fleet, &["b"]);
+    thread::sleep(Duration::from_millis(4_000));
+    drop(next);
+    fleet.assert_no_violations();
+}
+
 #[test]
 fn a_leader_keeps_its_own_agent_while_the_store_refuses_writes() {
     let fleet = Fleet::start(2);
