Test what counts as the crash of a worker under a task

The crash is durable before the task starts again; a worker that answers again, one that was draining, a start at a worker that was down already and a run that was listed for a while are no crashes; rows keep what earlier builds read.

--- /dev/null
+++ b/crates/scheduler/tests/suspects.rs
@@ -0,0 +1,245 @@
+//! Tests of what a leader takes for the crash of a worker under a task.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::BOUNDS;
+use common::INCARNATION;
+use common::config;
+use common::name;
+use common::registration;
+use decision::clock::Ms;
+use scheduler::fleet::Registration;
+use scheduler::id::Epoch;
+use scheduler::id::Job;
+use scheduler::id::Run;
+use scheduler::id::Step;
+use scheduler::id::Task;
+use scheduler::job::Accepted;
+use scheduler::leader::Action;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::message::Failure;
+use scheduler::message::Observation;
+use scheduler::message::Order;
+use scheduler::message::Outcome;
+use scheduler::message::Report;
+use scheduler::message::Running;
+use scheduler::message::Start;
+use scheduler::progress::Progress;
+use scheduler::spec;
+
+const BEGUN: Ms = Ms(40_000_000);
+/// After the leases of a worker that was silent from the start have expired.
+const LAPSED: Ms = Ms(10_600);
+const TASK: Task = Task {
+    step: Step {
+        job: Job(1),
+        occurrence: 0,
+        step: 0,
+    },
+    index: 0,
+};
+
+fn received(report: Report) -> Event {
+    Event::Received(name("e1"), report)
+}
+
+fn polled(worker: &str, running: Vec<Running>) -> Event {
+    received(Report::Polled(Observation {
+        worker: name(worker),
+        incarnation: INCARNATION,
+        polled_at: BEGUN,
+        running: Some(running),
+        ended: Vec::new(),
+    }))
+}
+
+fn failed(worker: &str, renewal_age: Ms, is_closed: bool) -> Event {
+    received(Report::PollFailed(Failure {
+        worker: name(worker),
+        renewal_age,
+        is_closed,
+    }))
+}
+
+fn accepted() -> Event {
+    let step = spec::Step {
+        count: 1,
+        estimate: Ms(500),
+        ..spec::Step::default()
+    };
+    let spec = spec::Job {
+        payload: Arc::from(""),
+        steps: vec![step],
+        schedule: None,
+    };
+    let accepted = Accepted {
+        queue: name("queue"),
+        spec,
+        at: Ms(1),
+    };
+    Event::Accepted(Job(1), 30, accepted, None)
+}
+
+/// A leader with the agent `e1` and a job of one task, whose commits are confirmed on request.
+struct Fixture {
+    leader: Leader,
+    /// The progress of the job in the last commit.
+    progress: Progress,
+}
+
+impl Fixture {
+    /// Returns a fixture in which the task has been ordered to start at 20 ms, and the order.
+    fn begin() -> (Self, Start) {
+        let mut fixture = Self {
+            leader: Leader::new(name("e0"), Epoch(17), BOUNDS, BEGUN),
+            progress: Progress::default(),
+        };
+        let registered =
+            |worker: &str| Event::RegistrationChanged(name(worker), Some(registration("d1")));
+        let begin = vec![
+            Event::Config(Arc::new(config())),
+            Event::Joined(name("e1"), name("d1")),
+            Event::Recovered,
+            registered("w1"),
+            registered("w2"),
+        ];
+        fixture.apply(Ms(10), begin);
+        let known = vec![
+            Event::Committed,
+            polled("w1", Vec::new()),
+            polled("w2", Vec::new()),
+            accepted(),
+        ];
+        let starts = fixture.apply(Ms(20), known);
+        let [start] = &starts[..] else {
+            panic!("{starts:?}");
+        };
+        (fixture, start.clone())
+    }
+
+    fn apply(&mut self, after: Ms, events: Vec<Event>) -> Vec<Start> {
+        let now = BEGUN + after;
+        let mut actions = self.leader.handle(now, Event::LeadConfirmed(now));
+        for event in events.into_iter().chain([Event::Tick(now)]) {
+            actions.extend(self.leader.handle(now, event));
+        }
+        actions.extend(self.leader.schedule(now));
+        let mut starts = Vec::new();
+        for action in actions {
+            match action {
+                Action::Send(_, Order::Start(start)) => starts.push(start),
+                Action::Commit(commit) => {
+                    let found = commit.progress.into_iter().find(|(id, _)| *id == Job(1));
+                    self.progress = found.map_or(self.progress.clone(), |(_, progress)| progress);
+                }
+                _ => {}
+            }
+        }
+        starts
+    }
+
+    /// Lets the worker of a start be silent from 30 ms on until its leases have expired.
+    fn lose(&mut self, start: &Start, outcome: Outcome, is_closed: bool) -> Vec<Start> {
+        let answer = received(Report::Started(start.placement(), outcome));
+        self.apply(Ms(25), vec![answer]);
+        self.apply(Ms(30), vec![failed(&start.worker, Ms(10), is_closed)]);
+        let removed = Event::RegistrationChanged(start.worker.clone(), None);
+        self.apply(Ms(2_700), vec![Event::Committed, removed]);
+        self.apply(Ms(2_750), vec![Event::Committed]);
+        self.apply(LAPSED, vec![Event::Committed])
+    }
+}
+
+#[test]
+fn a_crash_is_durable_before_its_task_starts_again() {
+    let (mut fixture, start) = Fixture::begin();
+    assert_eq!(fixture.lose(&start, Outcome::Done, true), []);
+    assert_eq!(fixture.apply(LAPSED + Ms(50), Vec::new()), []);
+    assert_eq!(fixture.progress.crashes(TASK), 1);
+    let starts = fixture.apply(LAPSED + Ms(100), vec![Event::Committed]);
+    assert_eq!(starts.len(), 1);
+}
+
+#[test]
+fn a_worker_that_answers_again_has_not_crashed() {
+    let (mut fixture, start) = Fixture::begin();
+    fixture.lose(&start, Outcome::Done, false);
+    fixture.apply(LAPSED + Ms(50), Vec::new());
+    assert_eq!(fixture.progress.crashes(TASK), 1);
+    let back = Event::RegistrationChanged(start.worker.clone(), Some(registration("d1")));
+    fixture.apply(LAPSED + Ms(60), vec![Event::Committed, back]);
+    let answer = polled(&start.worker, Vec::new());
+    fixture.apply(LAPSED + Ms(70), vec![answer]);
+    fixture.apply(LAPSED + Ms(120), vec![Event::Committed]);
+    fixture.apply(LAPSED + Ms(170), vec![Event::Committed]);
+    assert_eq!(fixture.progress.crashes(TASK), 0);
+}
+
+#[test]
+fn a_start_at_a_worker_that_was_down_already_is_no_crash() {
+    let (mut fixture, start) = Fixture::begin();
+    let starts = fixture.lose(&start, Outcome::Unknown, false);
+    assert_eq!(starts.len(), 1);
+    fixture.apply(LAPSED + Ms(50), vec![Event::Committed]);
+    assert_eq!(fixture.progress.crashes(TASK), 0);
+}
+
+#[test]
+fn a_run_that_its_worker_listed_for_a_while_is_not_suspected() {
+    let (mut fixture, start) = Fixture::begin();
+    let answer = received(Report::Started(start.placement(), Outcome::Done));
+    fixture.apply(Ms(25), vec![answer]);
+    let row = Running {
+        task: TASK,
+        run: start.run,
+        checkpoint: None,
+        percent: 40,
+        measurement: 0,
+    };
+    fixture.apply(Ms(820), vec![polled(&start.worker, vec![row])]);
+    fixture.apply(Ms(900), vec![failed(&start.worker, Ms(10), true)]);
+    let starts = fixture.apply(LAPSED, vec![Event::Committed]);
+    assert_eq!(starts.len(), 1);
+    fixture.apply(LAPSED + Ms(50), vec![Event::Committed]);
+    assert_eq!(fixture.progress.crashes(TASK), 0);
+}
+
+#[test]
+fn a_draining_worker_that_leaves_has_not_crashed() {
+    let (mut fixture, start) = Fixture::begin();
+    let answer = received(Report::Started(start.placement(), Outcome::Done));
+    let draining = Registration {
+        is_draining: true,
+        ..registration("d1")
+    };
+    let draining = Event::RegistrationChanged(start.worker.clone(), Some(draining));
+    fixture.apply(Ms(30), vec![answer, draining]);
+    let gone = vec![
+        Event::Committed,
+        Event::RegistrationChanged(start.worker.clone(), None),
+        failed(&start.worker, Ms(10), true),
+    ];
+    fixture.apply(Ms(100), gone);
+    fixture.apply(Ms(150), vec![Event::Committed]);
+    fixture.apply(Ms(200), vec![Event::Committed]);
+    assert_eq!(fixture.progress.crashes(TASK), 0);
+}
+
+#[test]
+fn crashes_in_a_row_leave_what_earlier_builds_read_as_it_is() {
+    let mut progress = Progress::default();
+    assert!(progress.record_crash(TASK, Run(5)));
+    assert!(!progress.record_crash(TASK, Run(5)));
+    // Earlier builds look up steps of the job only, and keep all others.
+    assert_eq!(progress.steps.get(&(0, 0)), None);
+    assert!(
+        progress
+            .steps
+            .keys()
+            .all(|&(_, step)| usize::from(step) >= spec::MAX_STEPS)
+    );
+    assert_eq!(progress.crashes(TASK), 1);
+}
