Give a task up at its third crash also while workers crash for other causes

The limit was four then, to spare innocent tasks. The tests that workers crash for other causes pass as before.

--- a/crates/scheduler/src/leader/crashes.rs
+++ b/crates/scheduler/src/leader/crashes.rs
@@ -26,11 +26,6 @@
 const MIN_CRASHES: usize = 2;
 /// The number of crashes under a task after which it is given up.
 const MAX_CRASHES: usize = 3;
-/// The number of crashes under a task after which it is given up while workers also crash for other
-/// causes. The platform allows one start more.
-const MAX_CRASHES_AMONG_OTHERS: usize = 4;
-/// The crashes on which no run had just begun, within [`CAUSE_MEMORY`], that show another cause.
-const MIN_UNEXPLAINED_CRASHES: usize = 2;
 /// The time for which a crash counts as recent.
 const CAUSE_MEMORY: Ms = Ms(10_000);
 /// The time for which a worker that answers again shows that it had not crashed.
@@ -197,18 +192,13 @@
         evidence: Evidence,
     ) -> usize {
         let jobs: BTreeSet<id::Job> = suspects.iter().map(|(task, _)| task.step.job).collect();
-        let is_other = |crash: &&Crash| {
+        let is_other = |crash: &Crash| {
             let mut tasks = crash.suspects.iter().map(|(task, _)| task);
             !tasks.any(|task| jobs.contains(&task.step.job))
         };
-        let recent = self.crashes.values();
-        let recent = recent.filter(|crash| now.since(crash.at) < CAUSE_MEMORY);
-        let others: Vec<&Crash> = recent.filter(is_other).collect();
-        let unexplained = others.iter().filter(|crash| crash.suspects.is_empty());
-        if unexplained.count() >= MIN_UNEXPLAINED_CRASHES {
-            return MAX_CRASHES_AMONG_OTHERS;
-        }
-        let is_alone = others.is_empty() && !self.are_others_silent(name);
+        let mut recent = self.crashes.values();
+        let has_others = recent.any(|crash| now.since(crash.at) < CAUSE_MEMORY && is_other(crash));
+        let is_alone = !has_others && !self.are_others_silent(name);
         if jobs.len() == 1 && is_alone && !evidence.is_weak() {
             MIN_CRASHES
         } else {
