Sum large requests and capacities without overflow

What callers would see: with a capacity or requests near 2^32 thousandths of a core, sums wrapped around: a build with overflow checks ends, one without places tasks by a wrong figure. Customers choose what a task requests, and another writer may leave a capacity.

Cause: the processors of filling and serving runs were added and multiplied in 32 bits. In addition, "Start nothing on a worker whose runs exceed its shrunk capacity" compared a sum that saturates with the capacity, so that a fifth task of 10^9 fitted into 2^32 - 1.

Evidence: sums_of_large_requests_and_capacities_do_not_overflow failed before ("attempt to multiply with overflow", then 5 starts instead of 4).

Change: these sums saturate or are made in 64 bits, and a need is compared with what is left, after the bookings are compared with the capacity.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -181,11 +181,12 @@
         match claim.class {
             Class::Plain => {}
             Class::Filling => {
-                self.filling_millicores += claim.millicores;
-                *self.filling_by_image.entry(claim.image).or_default() += claim.millicores;
+                self.filling_millicores = self.filling_millicores.saturating_add(claim.millicores);
+                let load = self.filling_by_image.entry(claim.image).or_default();
+                *load = load.saturating_add(claim.millicores);
             }
             Class::Serving(limit) => {
-                self.serving_millicores += claim.millicores;
+                self.serving_millicores = self.serving_millicores.saturating_add(claim.millicores);
                 if limit.is_some() {
                     self.serving_groups.entry(claim.image).or_default().count += 1;
                 }
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -21,7 +21,7 @@
 
 /// The part of its booked processors that a long-running task is expected to use, in percent.
 /// Filling tasks may use the rest.
-const SERVING_USE_PERCENT: u32 = 50;
+const SERVING_USE_PERCENT: i64 = 50;
 
 /// The penalty of a worker for each of its consecutive failed runs.
 const FAILURE_PENALTY: i64 = 400;
@@ -118,7 +118,8 @@
 /// Returns whether a task keeps the worker within its capacity. A capacity that has shrunk may be
 /// exceeded in a dimension that the task does not need.
 fn fits_beside(size: Size, registration: &Registration, worker: &Worker) -> bool {
-    worker.booked.plus(size).fits(registration.size)
+    let capacity = registration.size;
+    worker.booked.fits(capacity) && size.fits(capacity.minus(worker.booked))
 }
 
 /// Returns the score of a worker for a task, or `None` if the task does not fit. Higher is better.
@@ -225,13 +226,13 @@
 /// Returns the processor time that the runs on a worker are expected to leave unused, in
 /// millicores.
 fn idle_millicores(registration: &Registration, worker: &Worker) -> i64 {
-    let serving = worker.serving_millicores * SERVING_USE_PERCENT / 100;
+    let serving = i64::from(worker.serving_millicores) * SERVING_USE_PERCENT / 100;
     let others = worker
         .booked
         .millicores
         .saturating_sub(worker.serving_millicores);
     i64::from(registration.size.millicores)
-        - i64::from(serving)
+        - serving
         - i64::from(others)
         - i64::from(worker.filling_millicores)
 }
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -12,6 +12,7 @@
 use decision::clock::Ms;
 use decision::resource::Size;
 use scheduler::fleet::Registration;
+use scheduler::id;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
 use scheduler::id::Run;
@@ -297,6 +298,33 @@
     assert_eq!(bench.submit(filling(8, size(1_000, 100, 0))), 2);
 }
 
+#[test]
+fn sums_of_large_requests_and_capacities_do_not_overflow() {
+    let largest = size(u32::MAX, u32::MAX, u32::MAX);
+    let mut bench = Bench::new(largest);
+    assert_eq!(bench.submit(lasting(5, size(1_000_000_000, 1, 0))), 4);
+    assert_eq!(bench.submit(filling(1, size(2_000_000_000, 1, 0))), 1);
+    bench.register(Some(FULL));
+    assert_eq!(bench.submit(filling(1, size(1, 1, 0))), 0);
+    // Runs that an earlier leader started are booked whatever they need.
+    let mut bench = Bench::new(FULL);
+    assert_eq!(bench.submit(filling(3, size(2_000_000_000, 1, 0))), 0);
+    for index in 0..3 {
+        let step = id::Step {
+            job: Job(1),
+            occurrence: 0,
+            step: 0,
+        };
+        bench
+            .running
+            .insert(Task { step, index }, Run(9 + u64::from(index)));
+    }
+    bench.poll();
+    assert_eq!(bench.submit(filling(1, size(1, 1, 0))), 0);
+    bench.end(Job(1), 3);
+    assert_eq!(bench.started(Job(2)), 1);
+}
+
 #[test]
 fn each_change_of_a_capacity_is_logged_once() {
     let mut bench = Bench::new(FULL);
