Split the ledger of the placement by concern

Sending a command, what its end means, reported ends, acknowledgements and stores stood in one another's files: an acknowledgement was scheduled in report.rs and sent from command.rs, and a store was marked in ledger.rs, ordered in report.rs and confirmed in command.rs.

What moved: the types of workers and pieces, bookings and the output of a step to ledger/{worker,piece,booking,output}.rs; reported ends to ended.rs; attempts that belong to no booked task to extra.rs; ends of commands to answer.rs; stores to store.rs; acknowledgements to acknowledge.rs.

What was joined: taking the extra attempts of a worker, and sending the stop of one, stood twice each. The free function `history` is now task::Any::into_history.

Behaviour is the same: no statement changed otherwise, no path that other crates see moved. Checked: clippy on decision with all targets; the tests place, policy and parts of decision pass as before.

--- a/crates/decision/src/place.rs
+++ b/crates/decision/src/place.rs
@@ -3,10 +3,14 @@
 //! The ledger records which tasks are booked on which workers, and the board decides which waiting
 //! task starts where and which running task is throttled or evicted.
 
+mod acknowledge;
+mod answer;
 mod board;
 mod choose;
 mod command;
+mod ended;
 mod events;
+mod extra;
 mod index;
 pub(crate) mod ledger;
 mod monitor;
@@ -14,6 +18,7 @@
 mod queue;
 mod report;
 mod reserve;
+mod store;
 mod view;
 
 use std::sync::Arc;
--- a/crates/decision/src/place/choose.rs
+++ b/crates/decision/src/place/choose.rs
@@ -1,8 +1,8 @@
 //! The choice of the task to place next, and of the worker to place it on.
 
 use super::board::Board;
-use super::ledger::Key;
-use super::ledger::Worker;
+use super::ledger::piece::Key;
+use super::ledger::worker::Worker;
 use super::queue::Shape;
 use super::view::View;
 use crate::clock::Ms;
--- a/crates/decision/src/place/events.rs
+++ b/crates/decision/src/place/events.rs
@@ -4,10 +4,10 @@
 
 use super::Event;
 use super::Summary;
-use super::ledger::Key;
 use super::ledger::Ledger;
-use super::ledger::Piece;
 use super::ledger::Signal;
+use super::ledger::piece::Key;
+use super::ledger::piece::Piece;
 use crate::clock::Ms;
 use crate::config::Checked;
 use crate::name::Name;
--- a/crates/decision/src/place/monitor.rs
+++ b/crates/decision/src/place/monitor.rs
@@ -2,7 +2,7 @@
 
 use super::Order;
 use super::board::Board;
-use super::ledger::Key;
+use super::ledger::piece::Key;
 use crate::clock::Ms;
 use crate::interference::Presence;
 use crate::name::Name;
--- a/crates/decision/src/place/outcome.rs
+++ b/crates/decision/src/place/outcome.rs
@@ -1,7 +1,7 @@
 //! The consequences of completed and failed attempts for estimates, tasks and workers.
 
 use super::board::Board;
-use super::ledger::Key;
+use super::ledger::piece::Key;
 use crate::clock::Ms;
 use crate::estimate::Estimate;
 use crate::operator::Job;
--- a/crates/decision/src/place/queue.rs
+++ b/crates/decision/src/place/queue.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
-use super::ledger::Key;
+use super::ledger::piece::Key;
 use crate::clock::Ms;
 use crate::name::Name;
 use crate::resource::Size;
--- a/crates/decision/src/place/reserve.rs
+++ b/crates/decision/src/place/reserve.rs
@@ -5,7 +5,8 @@
 
 use super::Order;
 use super::board::Board;
-use super::ledger::Key;
+use super::ledger::piece::Key;
+use super::ledger::piece::Piece;
 use crate::clock::Ms;
 use crate::resource::Size;
 
@@ -63,9 +64,7 @@
         let pieces: BTreeSet<u32> = tasks.map(|(key, _)| key.piece).collect();
         let movable = pieces.into_iter().filter(|&index| {
             let piece = self.ledger.pieces[index as usize].as_ref();
-            let idle = |piece: &super::ledger::Piece| {
-                piece.tasks.iter().all(|task| task.booking().is_none())
-            };
+            let idle = |piece: &Piece| piece.tasks.iter().all(|task| task.booking().is_none());
             piece.is_some_and(idle) && self.ledger.startable(index)
         });
         for index in movable.take(MAX_OFFERS).collect::<Vec<_>>() {
--- a/crates/decision/src/place/view.rs
+++ b/crates/decision/src/place/view.rs
@@ -1,6 +1,6 @@
 //! The state that the placement policy keeps for each worker and each job.
 
-use super::ledger::Key;
+use super::ledger::piece::Key;
 use crate::clock::Ms;
 use crate::name::Name;
 use crate::protect::Guard;
--- a/crates/decision/src/task.rs
+++ b/crates/decision/src/task.rs
@@ -408,6 +408,19 @@
         }
     }
 
+    /// Converts the task into its history, unless the task has ended.
+    #[must_use]
+    pub fn into_history(self) -> Option<History> {
+        match self {
+            Self::Pending(task) => Some(task.history),
+            Self::Resuming(task) => Some(task.history),
+            Self::Starting(task) => Some(task.history),
+            Self::Running(task) => Some(task.history),
+            Self::Evicting(task) => Some(task.history),
+            Self::Done | Self::Cancelled | Self::Failed => None,
+        }
+    }
+
     /// Returns the booking while an attempt is starting, running or being stopped.
     #[must_use]
     pub const fn booking(&self) -> Option<Booking> {
