Keep the lease of a task and its clock bound in one place

What was unclear: group::LEASE and group::CLOCK_BOUND repeated task::LEASE and task::CLOCK_BOUND, and a comment had to say that they are equal. Tasks, workers and groups must agree on both.

The two constants of group are gone; nothing outside decision used them. The values are the same.

--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -7,16 +7,12 @@
 use crate::control::Id;
 use crate::name::Name;
 use crate::request::Snapshot;
+use crate::task::LEASE_EXPIRY;
 use crate::vm::Vm;
 use crate::worker::Epoch;
 
 /// The interval between renewals of the leases on a worker.
 pub const RENEW_INTERVAL: Ms = Ms(2_000);
-/// The remaining lease time of tasks after a renewal; equal to [`crate::task::LEASE`].
-pub const LEASE: Ms = Ms(20_000);
-/// Upper bound of the time by which clock drift can extend a lease; equal to
-/// [`crate::task::CLOCK_BOUND`].
-pub const CLOCK_BOUND: Ms = Ms(2_000);
 /// Upper bound of the time by which the lists of two entries differ.
 pub const MAX_LIST_LAG: Ms = Ms(30_000);
 /// The delay before another attempt to adopt or renew a worker.
@@ -140,7 +136,7 @@
 /// Whether every lease that was renewed at `renewed_at` for the last time has expired.
 #[must_use]
 pub fn leases_expired(now: Ms, renewed_at: Ms) -> bool {
-    now.since(renewed_at) > LEASE + CLOCK_BOUND
+    now.since(renewed_at) > LEASE_EXPIRY
 }
 
 /// The latest time at which a VM that left this entry's list at `missing_since` may have been
