Split the routing table from its entries and updates

What was unclear: route.rs mixed the choice of a target, which other modules ask for, with the rank of one target and the upkeep of the indexes, in 445 lines.

What moved: one target with its rank to route/entry.rs; new lists of targets and the upkeep of the indexes to route/update.rs. The choice stays in route.rs under its public paths. No statement changed.

--- a/crates/decision/src/route.rs
+++ b/crates/decision/src/route.rs
@@ -1,22 +1,20 @@
 //! The routing table: the owned targets with their slots, and the choice among them.
 
+mod entry;
+mod update;
+
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::HashSet;
 
+use self::entry::Entry;
+use self::entry::Rank;
 use crate::classify::Class;
 use crate::clock::Ms;
 use crate::health::Change;
-use crate::health::Health;
 use crate::name::Name;
 use crate::request::Snapshot;
-use crate::request::Target;
 use crate::worker::Epoch;
 
-/// The extra cost of a target in another failure domain, in percent of one request in progress.
-const CROSS_DOMAIN_PERCENT: u64 = 25;
-/// The share of a target's slots that long requests may hold, in eighths.
-const MAX_LONG_EIGHTHS: u32 = 3;
 /// The share of all slots of the entry that long requests may hold, in percent.
 const MAX_LONG_PERCENT: u32 = 40;
 
@@ -52,76 +50,6 @@
     pub probe: bool,
 }
 
-/// Orders targets by load per slot times slowdown, then by last use, the least recently used first.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Rank {
-    cost: u64,
-    /// The table's count of acquisitions when the target was last chosen.
-    last_used: u64,
-    id: Id,
-}
-
-#[derive(Debug)]
-struct Entry {
-    target: Target,
-    owned: bool,
-    same_domain: bool,
-    /// Slots in use by this entry's requests.
-    busy: u32,
-    /// The number of these slots that long requests use.
-    long: u32,
-    last_used: u64,
-    health: Health,
-    rank: Option<Rank>,
-    probe_at: Option<Ms>,
-    /// This target's part of the table's total capacity.
-    capacity: u32,
-    /// This target's part of the table's free slots.
-    free: u32,
-}
-
-impl Entry {
-    fn capacity(&self) -> u32 {
-        if !self.owned || self.target.leaving {
-            return 0;
-        }
-        self.health.limit(self.target.slots)
-    }
-
-    /// Free slots within the limit that the target's health sets, at most its unoccupied slots.
-    fn free(&self) -> u32 {
-        let limit = self.capacity().saturating_sub(self.busy);
-        limit.min(self.vacant())
-    }
-
-    /// Slots that are unoccupied, counting the requests of this entry and of former owners.
-    fn vacant(&self) -> u32 {
-        self.target
-            .slots
-            .saturating_sub(self.busy.saturating_add(self.target.busy))
-    }
-
-    fn long_limit(&self) -> u32 {
-        (self.target.slots * MAX_LONG_EIGHTHS / 8).max(1)
-    }
-
-    fn rank(&self, id: Id) -> Rank {
-        let slots = u64::from(self.target.slots.max(1));
-        let slowdown = u64::from(self.target.slowdown.clamp(1, 10_000));
-        let load = (u64::from(self.busy) + u64::from(self.target.busy) + 1) * 100
-            + if self.same_domain {
-                0
-            } else {
-                CROSS_DOMAIN_PERCENT
-            };
-        Rank {
-            cost: load * slowdown * 8 / slots,
-            last_used: self.last_used,
-            id,
-        }
-    }
-}
-
 /// The owned targets, indexed for the choice among them.
 #[derive(Debug)]
 pub struct Table {
@@ -164,33 +92,6 @@
         }
     }
 
-    /// Replaces the list of owned targets. Slots in use by requests of former owners count as busy
-    /// until the worker reports otherwise, because such a request may outlast any timeout. Returns
-    /// the targets that were marked as leaving since the last update.
-    pub fn update(&mut self, targets: Vec<Target>) -> Vec<Name> {
-        let mut leaving = Vec::new();
-        let present: HashSet<Name> = targets.iter().map(|target| target.vm.clone()).collect();
-        let mut removed: Vec<Id> = self
-            .ids
-            .iter()
-            .filter(|(vm, _)| !present.contains(*vm))
-            .map(|(_, id)| *id)
-            .collect();
-        // Freed ids are reused in this order. It is sorted so that equal seeds give equal choices.
-        removed.sort_unstable();
-        for id in removed {
-            self.entry(id).owned = false;
-            self.refresh(id);
-        }
-        for target in targets {
-            if target.leaving && self.begins_to_leave(&target) {
-                leaving.push(target.vm.clone());
-            }
-            self.insert_or_update(target);
-        }
-        leaving
-    }
-
     /// Returns the best target with a free slot, or a quarantined target whose probe is due.
     #[must_use]
     pub fn choose(&self, now: Ms, criteria: &Criteria<'_>) -> Option<Choice> {
@@ -343,60 +244,6 @@
             .map(|(_, id)| id)
     }
 
-    fn begins_to_leave(&self, target: &Target) -> bool {
-        self.ids
-            .get(&target.vm)
-            .is_some_and(|id| !self.entries[id.0 as usize].target.leaving)
-    }
-
-    fn insert_or_update(&mut self, target: Target) {
-        let Some(id) = self.ids.get(&target.vm).copied() else {
-            self.insert(target);
-            return;
-        };
-        let same_domain = target.domain == self.domain;
-        let entry = self.entry(id);
-        let new_epoch = entry.target.epoch != target.epoch;
-        entry.owned = true;
-        entry.same_domain = same_domain;
-        entry.target = target;
-        if new_epoch {
-            // Failures under the former epoch may only have meant that the epoch had ended.
-            entry.health = Health::default();
-        }
-        self.refresh(id);
-    }
-
-    fn insert(&mut self, target: Target) {
-        let vm = target.vm.clone();
-        let entry = Entry {
-            same_domain: target.domain == self.domain,
-            target,
-            owned: true,
-            busy: 0,
-            long: 0,
-            last_used: self.acquisitions,
-            health: Health::default(),
-            rank: None,
-            probe_at: None,
-            capacity: 0,
-            free: 0,
-        };
-        let id = match self.unused_ids.pop() {
-            Some(id) => {
-                *self.entry(id) = entry;
-                id
-            }
-            None => {
-                let index = u32::try_from(self.entries.len());
-                self.entries.push(entry);
-                Id(index.expect("fewer than 2^32 targets are owned"))
-            }
-        };
-        self.ids.insert(vm, id);
-        self.refresh(id);
-    }
-
     fn count_long(&mut self, id: Id, long: bool) {
         if long {
             self.entry(id).long += 1;
@@ -407,39 +254,4 @@
     fn entry(&mut self, id: Id) -> &mut Entry {
         &mut self.entries[id.0 as usize]
     }
-
-    /// Updates the indexes and totals after a change of the target's state.
-    fn refresh(&mut self, id: Id) {
-        let entry = &mut self.entries[id.0 as usize];
-        if let Some(rank) = entry.rank.take() {
-            self.available.remove(&rank);
-            self.available_long.remove(&rank);
-        }
-        if let Some(at) = entry.probe_at.take() {
-            self.probes.remove(&(at, id));
-        }
-        self.capacity = self.capacity - entry.capacity + entry.capacity();
-        self.free = self.free - entry.free + entry.free();
-        self.usable -= usize::from(entry.capacity > 0);
-        entry.capacity = entry.capacity();
-        self.usable += usize::from(entry.capacity > 0);
-        entry.free = entry.free();
-        if entry.free > 0 {
-            let rank = entry.rank(id);
-            entry.rank = Some(rank);
-            self.available.insert(rank);
-            if entry.long < entry.long_limit() {
-                self.available_long.insert(rank);
-            }
-        }
-        if entry.owned && !entry.target.leaving {
-            entry.probe_at = entry.health.probe_at();
-            self.probes.extend(entry.probe_at.map(|at| (at, id)));
-        }
-        let unused = !entry.owned && entry.busy == 0;
-        if unused && self.ids.get(&entry.target.vm) == Some(&id) {
-            self.ids.remove(&entry.target.vm);
-            self.unused_ids.push(id);
-        }
-    }
 }
