Split the ownership of groups by plan, commits and holding

What was unclear: control/ownership.rs held the plan, the reading of group rows, the commits that acquire and release, and what an entry does when it begins or stops to command a group, in 418 lines.

What moved: the commits to control/acquire.rs; beginning, unfreezing, losing and caretaking to control/hold.rs. No statement changed.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -1,6 +1,7 @@
 //! The control path: membership, ownership of groups, placement of tasks, protection of services
 //! and configuration.
 
+mod acquire;
 mod adopt;
 mod call;
 mod drain;
@@ -8,6 +9,7 @@
 mod exchange;
 mod flush;
 mod handover;
+mod hold;
 mod leftover;
 mod machine;
 mod ownership;
