Split the demo's steps from its start

What was unclear: demo.rs held, in 421 lines, the course of the demo, each operator call of it, and the configuration and settings that it generates.

What moved: operator calls and the stop of an entry to demo/step.rs; the generated names, configuration and settings to demo/setup.rs. No statement changed.

Checked: clippy with all targets; the tests cli and settings pass; the list of names that leave the process is unchanged.

--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,7 +1,9 @@
 //! A demo of three entries with stand-ins for everything else, in one process on loopback.
 
 pub mod fleet;
+mod setup;
 pub mod shop;
+mod step;
 pub mod summary;
 mod watch;
 
@@ -11,26 +13,17 @@
 use std::time::Duration;
 
 use decision::clock::Ms;
-use decision::config::Document;
-use decision::config::Limits;
-use decision::config::Service;
-use decision::config::Team;
-use decision::config::Version;
 use decision::name::Name;
-use decision::operator::Action;
-use decision::operator::Call;
-use decision::operator::Job;
-use decision::operator::Reply;
-use decision::resource::Size;
 use history::Fact;
 use history::Life;
 use link::Spawner;
 use link::pool;
 use link::pool::Pool;
-use operator::client::Client;
 use quick_error::quick_error;
 
 use self::fleet::Fleet;
+use self::setup::name;
+use self::setup::settings;
 use self::shop::Endpoint;
 use self::shop::Shop;
 use self::summary::Summary;
@@ -38,16 +31,16 @@
 use crate::daemon;
 use crate::daemon::Daemon;
 use crate::settings;
-use crate::settings::Settings;
 
 const ENTRY_COUNT: usize = 3;
 const CALLER_COUNT: u64 = 12;
-const TASK_COUNT: u32 = 48;
-const CALL_TIMEOUT: Duration = Duration::from_millis(12_000);
+
 /// The time that entries have to become ready, and for which an operator call is repeated.
 const READY_TIMEOUT: Ms = Ms(10_000);
+
 /// The time that batch work has to end after the last request.
 const BATCH_TIMEOUT: Ms = Ms(60_000);
+
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 quick_error! {
@@ -203,121 +196,6 @@
         }
     }
 
-    fn configure(&mut self, expected: u64, queue: u32) -> Result<(), Error> {
-        let action = Action::Reconfigure {
-            expected: Version(expected),
-            document: document(queue),
-            dry_run: false,
-        };
-        match self.call(action)? {
-            Reply::Configured { .. } => Ok(()),
-            other => Err(Error::Step(format!("reconfigure: {other:?}"))),
-        }
-    }
-
-    fn submit(&mut self) -> Result<(), Error> {
-        let size = Size {
-            millicores: 2_000,
-            memory_mb: 4_000,
-            accelerators: 0,
-        };
-        let job = Job {
-            name: name(&format!("renders-{}", self.options.seed)),
-            team: name("shop"),
-            kind: name("render"),
-            tasks: TASK_COUNT,
-            size,
-            run_time: Ms(1_000),
-            urgent: false,
-        };
-        self.expect_accepted(Action::Submit(job))
-    }
-
-    fn drain(&mut self) -> Result<(), Error> {
-        let vm = self
-            .fleet
-            .first_worker()
-            .ok_or_else(|| Error::Step("there is no worker".into()))?;
-        self.expect_accepted(Action::Drain { vm, leave: true })
-    }
-
-    fn expect_accepted(&mut self, action: Action) -> Result<(), Error> {
-        match self.call(action.clone())? {
-            Reply::Accepted => Ok(()),
-            other => Err(Error::Step(format!("{action:?}: {other:?}"))),
-        }
-    }
-
-    /// Sends a call to the first live entry and repeats it with the same id while its outcome is
-    /// unknown or the entry is unavailable.
-    fn call(&mut self, action: Action) -> Result<Reply, Error> {
-        self.calls += 1;
-        let call = Call {
-            id: name(&format!("call-{}", self.calls)),
-            action,
-        };
-        self.record(Fact::Called { call: call.clone() });
-        let until = self.now() + READY_TIMEOUT;
-        loop {
-            let reply = self.send(&call)?;
-            let is_retryable = matches!(
-                reply,
-                Reply::Unknown | Reply::Refused(decision::operator::Refusal::Unavailable)
-            );
-            if !is_retryable || self.now() > until {
-                self.record(Fact::Replied {
-                    call: call.id,
-                    reply: reply.clone(),
-                });
-                return Ok(reply);
-            }
-            thread::sleep(POLL_INTERVAL);
-        }
-    }
-
-    fn send(&self, call: &Call) -> Result<Reply, Error> {
-        let (_, daemon) = self
-            .live_entries()
-            .next()
-            .ok_or_else(|| Error::Step("no entry is live".into()))?;
-        let address = daemon.operator();
-        let sent = async {
-            let mut client = Client::connect(&self.spawner, address, CALL_TIMEOUT).await?;
-            client.call(call).await
-        };
-        Ok(smol::block_on(sent)?)
-    }
-
-    /// Stops an entry as the platform does: removes it from the load balancer first, then stops it
-    /// gracefully.
-    fn stop_entry(&mut self, index: usize) -> Result<(), Error> {
-        let entry = self.entries[index].name.clone();
-        let Some(daemon) = self.entries[index].daemon.take() else {
-            return Ok(());
-        };
-        let mut endpoints = self
-            .shop
-            .endpoints
-            .lock()
-            .expect("no holder of this lock panics");
-        endpoints.retain(|endpoint| endpoint.entry != entry);
-        drop(endpoints);
-        self.record(Fact::Entry {
-            entry: entry.clone(),
-            life: Life::Stopping,
-        });
-        let is_graceful = daemon.stop(true);
-        self.record(Fact::Entry {
-            entry: entry.clone(),
-            life: Life::Exited,
-        });
-        if is_graceful {
-            Ok(())
-        } else {
-            Err(Error::Step(format!("{entry} did not stop in time")))
-        }
-    }
-
     fn finish(mut self) -> Result<Summary, Error> {
         for caller in self.callers.drain(..) {
             smol::block_on(caller);
@@ -370,52 +248,3 @@
         condition(self)
     }
 }
-
-fn name(raw: &str) -> Name {
-    Name::try_from(raw).expect("the demo's names are valid")
-}
-
-fn document(queue: u32) -> Document {
-    let service = Service {
-        name: name("shop"),
-        reserved: fleet::RESERVED,
-        queue,
-        deadline: Ms(2_000),
-        attempt: Ms(1_000),
-    };
-    let quota = Size {
-        millicores: 1_000_000,
-        memory_mb: 4_000_000,
-        accelerators: 0,
-    };
-    let team = Team {
-        name: name("shop"),
-        quota,
-        weight: 1,
-    };
-    Document {
-        services: vec![service],
-        teams: vec![team],
-        limits: Limits::default(),
-    }
-}
-
-fn settings(
-    name: &Name,
-    number: usize,
-    seeds: &[String],
-    fleet: &Fleet,
-) -> Result<Settings, Error> {
-    let platform = fleet.address();
-    let seeds = match seeds {
-        [] => String::new(),
-        seeds => format!("seeds={}\n", seeds.join(",")),
-    };
-    let text = format!(
-        "[entry]\nname={name}\nfailure_domain=domain-{number}\n{seeds}\
-         [listen]\ncaller=127.0.0.1:0\noperator=127.0.0.1:0\npeer=127.0.0.1:0\n\
-         [platform]\ntable={platform}\nobjects={platform}\nvms={platform}\n\
-         [limits]\nthreads=2\n[times]\nvms_ms=200\n"
-    );
-    Ok(Settings::parse("demo", &text)?)
-}
