Let the commands no longer import the command line that runs them

What was unclear: cli.rs imported cmd to find the command, and each module of cmd imported cli for the error, the parsed form and the shared parsers: neither could be read without the other.

What moved: the error and the parsers of single arguments to arguments.rs, which knows no command; the parsed form to cmd/mod.rs and the options of operator commands to cmd/common.rs. cli imports cmd, cmd imports arguments. cli::Error and cli::Parsed keep their public paths; texts, options and exit codes are the same.

--- a/src/cmd/cancel.rs
+++ b/src/cmd/cancel.rs
@@ -7,10 +7,10 @@
 
 use super::Connection;
 use super::Error;
+use super::Parsed;
 use super::Run;
-use crate::cli;
-use crate::cli::Common;
-use crate::cli::Parsed;
+use super::common::Common;
+use crate::arguments;
 
 /// The help text of this command.
 pub const HELP: &str = "\
@@ -32,17 +32,17 @@
 }
 
 /// Parses the arguments after the command name.
-pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, arguments::Error> {
     let mut common = Common::default();
     let mut job = None;
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Short('h') | Arg::Long("help") => return Ok(Parsed::Help(HELP)),
-            Arg::Value(raw) if job.is_none() => job = Some(cli::name("JOB", raw)?),
+            Arg::Value(raw) if job.is_none() => job = Some(arguments::name("JOB", raw)?),
             Arg::Long(option) => {
                 let option = option.to_owned();
                 if !common.parse_option(&option, parser)? {
-                    return Err(cli::Error::Usage(format!("no option --{option}")));
+                    return Err(arguments::Error::Usage(format!("no option --{option}")));
                 }
             }
             other => return Err(other.unexpected().into()),
@@ -50,7 +50,7 @@
     }
     Ok(Parsed::Run(Box::new(Cancel {
         connection: common.finish()?,
-        job: cli::required("JOB", job)?,
+        job: arguments::required("JOB", job)?,
     })))
 }
 
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -5,10 +5,10 @@
 use lexopt::Parser;
 
 use super::Error;
+use super::Parsed;
 use super::Run;
 use super::print;
-use crate::cli;
-use crate::cli::Parsed;
+use crate::arguments;
 use crate::serve::options::Options;
 use crate::settings;
 use crate::settings::Settings;
@@ -36,8 +36,8 @@
 }
 
 /// Parses the arguments after the command name.
-pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
-    Ok(match cli::settings_file(parser)? {
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, arguments::Error> {
+    Ok(match arguments::settings_file(parser)? {
         Some(file) => Parsed::Run(Box::new(Check { file })),
         None => Parsed::Help(HELP),
     })
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -5,11 +5,11 @@
 use lexopt::Parser;
 
 use super::Error;
+use super::Parsed;
 use super::Run;
 use super::failed;
 use super::print;
-use crate::cli;
-use crate::cli::Parsed;
+use crate::arguments;
 use crate::demo;
 use crate::demo::Options;
 
@@ -36,19 +36,19 @@
 }
 
 /// Parses the arguments after the command name.
-pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, arguments::Error> {
     let (mut seconds, mut seed, mut json) = (10, 1, false);
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Short('h') | Arg::Long("help") => return Ok(Parsed::Help(HELP)),
-            Arg::Long("seconds") => seconds = cli::value(parser, "seconds")?,
-            Arg::Long("seed") => seed = cli::value(parser, "seed")?,
+            Arg::Long("seconds") => seconds = arguments::value(parser, "seconds")?,
+            Arg::Long("seed") => seed = arguments::value(parser, "seed")?,
             Arg::Long("json") => json = true,
             other => return Err(other.unexpected().into()),
         }
     }
     if !(2..=600).contains(&seconds) {
-        return Err(cli::Error::Usage(format!(
+        return Err(arguments::Error::Usage(format!(
             "--seconds {seconds}: must be from 2 to 600"
         )));
     }
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -7,10 +7,10 @@
 
 use super::Connection;
 use super::Error;
+use super::Parsed;
 use super::Run;
-use crate::cli;
-use crate::cli::Common;
-use crate::cli::Parsed;
+use super::common::Common;
+use crate::arguments;
 
 /// The help text of this command.
 pub const HELP: &str = "\
@@ -35,19 +35,19 @@
 }
 
 /// Parses the arguments after the command name.
-pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, arguments::Error> {
     let mut common = Common::default();
     let mut vm = None;
     let mut leave = true;
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Short('h') | Arg::Long("help") => return Ok(Parsed::Help(HELP)),
-            Arg::Value(raw) if vm.is_none() => vm = Some(cli::name("VM", raw)?),
+            Arg::Value(raw) if vm.is_none() => vm = Some(arguments::name("VM", raw)?),
             Arg::Long("return") => leave = false,
             Arg::Long(option) => {
                 let option = option.to_owned();
                 if !common.parse_option(&option, parser)? {
-                    return Err(cli::Error::Usage(format!("no option --{option}")));
+                    return Err(arguments::Error::Usage(format!("no option --{option}")));
                 }
             }
             other => return Err(other.unexpected().into()),
@@ -55,7 +55,7 @@
     }
     Ok(Parsed::Run(Box::new(Drain {
         connection: common.finish()?,
-        vm: cli::required("VM", vm)?,
+        vm: arguments::required("VM", vm)?,
         leave,
     })))
 }
--- a/src/cmd/entry.rs
+++ b/src/cmd/entry.rs
@@ -8,10 +8,10 @@
 use lexopt::Parser;
 
 use super::Error;
+use super::Parsed;
 use super::Run;
 use super::failed;
-use crate::cli;
-use crate::cli::Parsed;
+use crate::arguments;
 use crate::daemon::Daemon;
 use crate::logs;
 use crate::settings::Settings;
@@ -35,8 +35,8 @@
 }
 
 /// Parses the arguments after the command name.
-pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
-    Ok(match cli::settings_file(parser)? {
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, arguments::Error> {
+    Ok(match arguments::settings_file(parser)? {
         Some(file) => Parsed::Run(Box::new(Entry { file })),
         None => Parsed::Help(HELP),
     })
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cancel;
 pub mod check;
+mod common;
 pub mod demo;
 pub mod drain;
 pub mod entry;
@@ -11,6 +12,7 @@
 pub mod submit;
 pub mod timeline;
 
+use std::fmt;
 use std::io;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -28,7 +30,7 @@
 use operator::client::Client;
 use quick_error::quick_error;
 
-use crate::cli;
+use crate::arguments;
 use crate::settings;
 
 /// The time limit of an operator call. An entry answers within 10 s.
@@ -39,7 +41,7 @@
     #[derive(Debug)]
     pub enum Error {
         /// The command line does not have a documented form.
-        Usage(error: cli::Error) {
+        Usage(error: arguments::Error) {
             from()
             display("{}", error)
         }
@@ -77,6 +79,23 @@
     fn run(&self) -> Result<(), Error>;
 }
 
+/// A parsed command line.
+pub enum Parsed {
+    /// A request for help, with the text to print.
+    Help(&'static str),
+    /// A command to run.
+    Run(Box<dyn Run>),
+}
+
+impl fmt::Debug for Parsed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Help(text) => f.debug_tuple("Help").field(text).finish(),
+            Self::Run(_) => f.debug_tuple("Run").finish_non_exhaustive(),
+        }
+    }
+}
+
 /// Writes text to standard output.
 ///
 /// # Errors
--- a/src/cmd/reconfigure.rs
+++ b/src/cmd/reconfigure.rs
@@ -12,11 +12,11 @@
 
 use super::Connection;
 use super::Error;
+use super::Parsed;
 use super::Run;
+use super::common::Common;
 use super::failed;
-use crate::cli;
-use crate::cli::Common;
-use crate::cli::Parsed;
+use crate::arguments;
 
 /// The help text of this command.
 pub const HELP: &str = "\
@@ -43,7 +43,7 @@
 }
 
 /// Parses the arguments after the command name.
-pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, arguments::Error> {
     let mut common = Common::default();
     let mut expected = None;
     let mut file = None;
@@ -51,13 +51,13 @@
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Short('h') | Arg::Long("help") => return Ok(Parsed::Help(HELP)),
-            Arg::Long("expected") => expected = Some(cli::value(parser, "expected")?),
+            Arg::Long("expected") => expected = Some(arguments::value(parser, "expected")?),
             Arg::Long("file") => file = Some(PathBuf::from(parser.value()?)),
             Arg::Long("dry-run") => dry_run = true,
             Arg::Long(option) => {
                 let option = option.to_owned();
                 if !common.parse_option(&option, parser)? {
-                    return Err(cli::Error::Usage(format!("no option --{option}")));
+                    return Err(arguments::Error::Usage(format!("no option --{option}")));
                 }
             }
             other => return Err(other.unexpected().into()),
@@ -65,8 +65,8 @@
     }
     Ok(Parsed::Run(Box::new(Reconfigure {
         connection: common.finish()?,
-        expected: Version(cli::required("--expected N", expected)?),
-        file: cli::required("--file FILE", file)?,
+        expected: Version(arguments::required("--expected N", expected)?),
+        file: arguments::required("--file FILE", file)?,
         dry_run,
     })))
 }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -6,10 +6,10 @@
 use lexopt::Parser;
 
 use super::Error;
+use super::Parsed;
 use super::Run;
 use super::failed;
-use crate::cli;
-use crate::cli::Parsed;
+use crate::arguments;
 use crate::serve;
 use crate::serve::options::Options;
 
@@ -35,9 +35,9 @@
 }
 
 /// Parses the arguments after the command name.
-pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, arguments::Error> {
     let default_file = env::var_os(SETTINGS_VARIABLE).map(PathBuf::from);
-    let file = match cli::settings_file_or(parser, default_file)? {
+    let file = match arguments::settings_file_or(parser, default_file)? {
         Some(file) => file,
         None => return Ok(Parsed::Help(HELP)),
     };
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -8,11 +8,11 @@
 
 use super::Connection;
 use super::Error;
+use super::Parsed;
 use super::Run;
+use super::common::Common;
 use super::print;
-use crate::cli;
-use crate::cli::Common;
-use crate::cli::Parsed;
+use crate::arguments;
 use crate::logs;
 
 /// The help text of this command.
@@ -38,19 +38,19 @@
 }
 
 /// Parses the arguments after the command name.
-pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, arguments::Error> {
     let mut common = Common::default();
     let mut job = None;
     let mut watch = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Short('h') | Arg::Long("help") => return Ok(Parsed::Help(HELP)),
-            Arg::Long("job") => job = Some(cli::name("--job", parser.value()?)?),
+            Arg::Long("job") => job = Some(arguments::name("--job", parser.value()?)?),
             Arg::Long("watch") => watch = true,
             Arg::Long(option) => {
                 let option = option.to_owned();
                 if !common.parse_option(&option, parser)? {
-                    return Err(cli::Error::Usage(format!("no option --{option}")));
+                    return Err(arguments::Error::Usage(format!("no option --{option}")));
                 }
             }
             other => return Err(other.unexpected().into()),
--- a/src/cmd/submit.rs
+++ b/src/cmd/submit.rs
@@ -10,10 +10,10 @@
 
 use super::Connection;
 use super::Error;
+use super::Parsed;
 use super::Run;
-use crate::cli;
-use crate::cli::Common;
-use crate::cli::Parsed;
+use super::common::Common;
+use crate::arguments;
 
 /// The help text of this command.
 pub const HELP: &str = "\
@@ -75,30 +75,34 @@
 }
 
 impl Options {
-    fn parse_option(&mut self, option: &str, parser: &mut Parser) -> Result<bool, cli::Error> {
+    fn parse_option(
+        &mut self,
+        option: &str,
+        parser: &mut Parser,
+    ) -> Result<bool, arguments::Error> {
         match option {
-            "job" => self.job = Some(cli::name("--job", parser.value()?)?),
-            "team" => self.team = Some(cli::name("--team", parser.value()?)?),
-            "kind" => self.kind = Some(cli::name("--kind", parser.value()?)?),
-            "tasks" => self.tasks = Some(cli::value(parser, option)?),
-            "millicores" => self.size.millicores = cli::value(parser, option)?,
-            "memory-mb" => self.size.memory_mb = cli::value(parser, option)?,
-            "accelerators" => self.size.accelerators = cli::value(parser, option)?,
-            "run-time-ms" => self.run_time = Ms(cli::value(parser, option)?),
+            "job" => self.job = Some(arguments::name("--job", parser.value()?)?),
+            "team" => self.team = Some(arguments::name("--team", parser.value()?)?),
+            "kind" => self.kind = Some(arguments::name("--kind", parser.value()?)?),
+            "tasks" => self.tasks = Some(arguments::value(parser, option)?),
+            "millicores" => self.size.millicores = arguments::value(parser, option)?,
+            "memory-mb" => self.size.memory_mb = arguments::value(parser, option)?,
+            "accelerators" => self.size.accelerators = arguments::value(parser, option)?,
+            "run-time-ms" => self.run_time = Ms(arguments::value(parser, option)?),
             "urgent" => self.urgent = true,
             other => return self.common.parse_option(other, parser),
         }
         Ok(true)
     }
 
-    fn finish(self) -> Result<Submit, cli::Error> {
+    fn finish(self) -> Result<Submit, arguments::Error> {
         Ok(Submit {
             connection: self.common.finish()?,
             job: Job {
-                name: cli::required("--job NAME", self.job)?,
-                team: cli::required("--team NAME", self.team)?,
-                kind: cli::required("--kind NAME", self.kind)?,
-                tasks: cli::required("--tasks N", self.tasks)?,
+                name: arguments::required("--job NAME", self.job)?,
+                team: arguments::required("--team NAME", self.team)?,
+                kind: arguments::required("--kind NAME", self.kind)?,
+                tasks: arguments::required("--tasks N", self.tasks)?,
                 size: self.size,
                 run_time: self.run_time,
                 urgent: self.urgent,
@@ -108,7 +112,7 @@
 }
 
 /// Parses the arguments after the command name.
-pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, arguments::Error> {
     let mut options = Options::default();
     while let Some(argument) = parser.next()? {
         match argument {
@@ -116,7 +120,7 @@
             Arg::Long(option) => {
                 let option = option.to_owned();
                 if !options.parse_option(&option, parser)? {
-                    return Err(cli::Error::Usage(format!("no option --{option}")));
+                    return Err(arguments::Error::Usage(format!("no option --{option}")));
                 }
             }
             other => return Err(other.unexpected().into()),
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -8,11 +8,11 @@
 
 use super::Connection;
 use super::Error;
+use super::Parsed;
 use super::Run;
+use super::common::Common;
 use super::print;
-use crate::cli;
-use crate::cli::Common;
-use crate::cli::Parsed;
+use crate::arguments;
 use crate::logs;
 
 /// The help text of this command.
@@ -39,21 +39,23 @@
 }
 
 /// Parses the arguments after the command name.
-pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, cli::Error> {
+pub(crate) fn parse(parser: &mut Parser) -> Result<Parsed, arguments::Error> {
     let mut common = Common::default();
     let mut filter = Filter::default();
     let mut local = false;
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Short('h') | Arg::Long("help") => return Ok(Parsed::Help(HELP)),
-            Arg::Long("subject") => filter.subject = Some(cli::value(parser, "subject")?),
-            Arg::Long("vm") => filter.vm = Some(cli::name("--vm", parser.value()?)?),
-            Arg::Long("kind") => filter.kind = Some(kind(&cli::value::<String>(parser, "kind")?)?),
+            Arg::Long("subject") => filter.subject = Some(arguments::value(parser, "subject")?),
+            Arg::Long("vm") => filter.vm = Some(arguments::name("--vm", parser.value()?)?),
+            Arg::Long("kind") => {
+                filter.kind = Some(kind(&arguments::value::<String>(parser, "kind")?)?)
+            }
             Arg::Long("local") => local = true,
             Arg::Long(option) => {
                 let option = option.to_owned();
                 if !common.parse_option(&option, parser)? {
-                    return Err(cli::Error::Usage(format!("no option --{option}")));
+                    return Err(arguments::Error::Usage(format!("no option --{option}")));
                 }
             }
             other => return Err(other.unexpected().into()),
@@ -81,6 +83,6 @@
     }
 }
 
-fn kind(raw: &str) -> Result<Kind, cli::Error> {
-    Kind::try_from(raw).map_err(|error| cli::Error::Usage(format!("--kind {raw:?}: {error}")))
+fn kind(raw: &str) -> Result<Kind, arguments::Error> {
+    Kind::try_from(raw).map_err(|error| arguments::Error::Usage(format!("--kind {raw:?}: {error}")))
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! The samphiretrail daemon and its command line.
 
+mod arguments;
 pub mod cli;
 pub mod cmd;
 pub mod daemon;
