Keep the time limit of a stop beside the handover that it limits

What was unclear: control/machine.rs imported the type of a handover from handover.rs, and handover.rs imported the time limit of a stop from machine.rs, which does not use it.

What moved: STOP_TIMEOUT to handover.rs, its only user.

--- a/crates/decision/src/control/handover.rs
+++ b/crates/decision/src/control/handover.rs
@@ -5,7 +5,6 @@
 use super::Action;
 use super::Id;
 use super::Machine;
-use super::machine::STOP_TIMEOUT;
 use super::store::Purpose;
 use crate::clock::Ms;
 use crate::commit::Transaction;
@@ -31,6 +30,8 @@
 /// The receiver must have written the group's row within this time. Afterwards the row is read, and
 /// a group that still names this entry is released or acquired again.
 const ROW_WRITE_TIMEOUT: Ms = Ms(5_000);
+/// How long a stopping entry tries to hand its groups over before it stops anyway.
+const STOP_TIMEOUT: Ms = Ms(8_000);
 
 /// Groups that were handed over to a peer, which has not confirmed them yet.
 #[derive(Clone, Debug)]
--- a/crates/decision/src/control/machine.rs
+++ b/crates/decision/src/control/machine.rs
@@ -39,8 +39,6 @@
 /// A longer gap since the last tick counts as a pause of the process, after which what the entry
 /// knew before must be confirmed again.
 pub const MAX_TICK_GAP: Ms = Ms(3_000);
-/// How long a stopping entry tries to hand its groups over before it stops anyway.
-pub const STOP_TIMEOUT: Ms = Ms(8_000);
 
 /// The time at which each periodic task is due next.
 #[derive(Clone, Copy, Debug, Default)]
