Name ended attempts that no owner acknowledges for what they are

What was unclear: `Leftover` and `check_leftovers` did not say what is left over, and leftover.rs and store.rs imported each other.

What moved: the type is now Unacknowledged and stands in store.rs beside Scan, like the state of other unfinished reads, so that store.rs no longer imports the module of its user. leftover.rs is unacknowledged.rs; group's field next_leftover_check, which only decision uses, is next_unacknowledged_check.

Names that leave the process are the same: in the list of them only the debug name of the renamed variant differs, and no format string prints it.

--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -10,7 +10,6 @@
 mod flush;
 mod handover;
 mod hold;
-mod leftover;
 mod machine;
 mod ownership;
 mod scan;
@@ -19,6 +18,7 @@
 mod stranded;
 mod submit;
 mod surplus;
+mod unacknowledged;
 
 use std::sync::Arc;
 
--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -2,7 +2,7 @@
 //!
 //! The control path sends `Adopt` and `Renew`, and passes every report to the board as
 //! `place::Event::Adopted`. The board decides on all other commands, except the acknowledgement of
-//! leftover attempts.
+//! unacknowledged attempts.
 
 use super::Action;
 use super::Id;
@@ -182,7 +182,7 @@
                 "the worker accepted the epoch",
             );
         }
-        self.check_leftovers(sent, &report);
+        self.check_unacknowledged(sent, &report);
         self.report_to_board(vm, sent.epoch, report);
     }
 
--- a/crates/decision/src/control/store.rs
+++ b/crates/decision/src/control/store.rs
@@ -5,7 +5,6 @@
 use super::Action;
 use super::Id;
 use super::Machine;
-use super::leftover::Leftover;
 use crate::clock::Ms;
 use crate::commit::Resolution;
 use crate::commit::Transaction;
@@ -21,6 +20,7 @@
 use crate::table::Version;
 use crate::timeline::Kind;
 use crate::worker::Epoch;
+use crate::worker::State;
 
 /// The maximum number of rows in one page of a scan.
 pub(super) const PAGE_ROWS: u32 = 500;
@@ -72,7 +72,7 @@
     /// The first work row of a group without workers, whose own row has this version.
     WorkerlessWork(Name, Version),
     /// What is stored of ended attempts whose piece no owner holds.
-    Leftover(Leftover),
+    Unacknowledged(Unacknowledged),
     /// The index row of a job, to move one of its pieces to a group.
     Move { piece: Name, to: Name },
 }
@@ -86,6 +86,18 @@
     pub(super) rows: Vec<Row>,
 }
 
+/// Ended attempts on one worker whose stored outcome is being read.
+#[derive(Clone, Debug)]
+pub(super) struct Unacknowledged {
+    pub(super) vm: Name,
+    pub(super) group: Name,
+    pub(super) epoch: Epoch,
+    pub(super) tasks: Vec<(Name, u32, State)>,
+    /// The piece of each task and the group that it is assigned to; empty until the index rows were
+    /// read.
+    pub(super) pieces: Vec<Option<(Name, Name)>>,
+}
+
 impl<B> Machine<B>
 where
     B: Step<Event = place::Event, Action = place::Order> + place::Read,
@@ -202,7 +214,7 @@
             Reading::WorkerlessWork(group, version) => {
                 self.acquire_if_work_left(group, version, &rows)
             }
-            Reading::Leftover(leftover) => self.handle_leftover_rows(leftover, &rows),
+            Reading::Unacknowledged(ended) => self.handle_unacknowledged_rows(ended, &rows),
             Reading::Move { piece, to } => self.handle_move_index(&piece, &to, &rows),
         }
     }
@@ -224,7 +236,7 @@
             Reading::Call(call) => self.handle_call_rows(call, None),
             Reading::Members
             | Reading::Drains(_)
-            | Reading::Leftover(_)
+            | Reading::Unacknowledged(_)
             | Reading::Stranded
             | Reading::WorkerlessWork(..)
             | Reading::Move { .. } => {}
--- a/crates/decision/src/control/leftover.rs
+++ b/crates/decision/src/control/unacknowledged.rs
@@ -8,6 +8,7 @@
 use super::Machine;
 use super::adopt::InFlight;
 use super::store::Reading;
+use super::store::Unacknowledged;
 use crate::clock::Ms;
 use crate::group::Authority;
 use crate::job;
@@ -21,31 +22,18 @@
 use crate::step::Step;
 use crate::table::Operation;
 use crate::table::Row;
-use crate::worker::Epoch;
 use crate::worker::Report;
 use crate::worker::State;
 use crate::worker::Verb;
 
-/// The interval between checks of one worker for leftovers.
+/// The interval between checks of one worker for unacknowledged attempts.
 const CHECK_INTERVAL: Ms = Ms(10_000);
-/// The maximum number of leftovers that one check handles.
+/// The maximum number of attempts that one check handles.
 const MAX_TASKS: usize = 64;
 /// An ended piece stays on the board for this long, because acknowledgements may have to be
 /// repeated.
 const ENDED_RETENTION: Ms = Ms(60_000);
 
-/// Ended attempts on one worker whose stored outcome is being read.
-#[derive(Clone, Debug)]
-pub(super) struct Leftover {
-    vm: Name,
-    group: Name,
-    epoch: Epoch,
-    tasks: Vec<(Name, u32, State)>,
-    /// The piece of each task and the group that it is assigned to; empty until the index rows were
-    /// read.
-    pieces: Vec<Option<(Name, Name)>>,
-}
-
 /// Splits the name of a task, `job#index`.
 fn split_task(task: &str) -> Option<(&str, u32)> {
     let (job, index) = task.rsplit_once('#')?;
@@ -57,7 +45,7 @@
     B: Step<Event = place::Event, Action = place::Order> + place::Read,
 {
     /// Reads what is stored of ended attempts in a report that belong to no piece held here.
-    pub(super) fn check_leftovers(&mut self, sent: &InFlight, report: &Report) {
+    pub(super) fn check_unacknowledged(&mut self, sent: &InFlight, report: &Report) {
         let Some(held) = self.held.get_mut(&sent.group) else {
             return;
         };
@@ -66,10 +54,10 @@
         let Some(adoption) = held.workers.get_mut(&sent.vm) else {
             return;
         };
-        if !is_ready || self.now < adoption.next_leftover_check {
+        if !is_ready || self.now < adoption.next_unacknowledged_check {
             return;
         }
-        adoption.next_leftover_check = self.now + CHECK_INTERVAL;
+        adoption.next_unacknowledged_check = self.now + CHECK_INTERVAL;
         let ended = report
             .tasks
             .iter()
@@ -84,14 +72,14 @@
         let mut keys = Vec::from_iter(jobs.map(|(job, _)| job::index_key(job)));
         keys.sort_unstable();
         keys.dedup();
-        let leftover = Leftover {
+        let ended = Unacknowledged {
             vm: sent.vm.clone(),
             group: sent.group.clone(),
             epoch: sent.epoch,
             tasks,
             pieces: Vec::new(),
         };
-        self.start_read(Reading::Leftover(leftover), Operation::Read(keys));
+        self.start_read(Reading::Unacknowledged(ended), Operation::Read(keys));
     }
 
     fn holds_task(&self, task: &str) -> bool {
@@ -105,39 +93,39 @@
         pieces.any(|(_, stored)| *stored.job == *job && stored.tasks.contains(&index))
     }
 
-    pub(super) fn handle_leftover_rows(&mut self, mut leftover: Leftover, rows: &[Row]) {
-        if !leftover.pieces.is_empty() {
-            self.acknowledge_leftover(&leftover, rows);
+    pub(super) fn handle_unacknowledged_rows(&mut self, mut ended: Unacknowledged, rows: &[Row]) {
+        if !ended.pieces.is_empty() {
+            self.acknowledge_ended(&ended, rows);
             return;
         }
         let mut keys = Vec::new();
-        for (task, ..) in &leftover.tasks {
+        for (task, ..) in &ended.tasks {
             let piece = locate_piece(task, rows);
             if let Some((piece, group)) = &piece {
                 keys.push(job::ended_key(piece));
                 keys.push(job::piece_key(group, piece));
             }
-            leftover.pieces.push(piece);
+            ended.pieces.push(piece);
         }
         keys.sort_unstable();
         keys.dedup();
         if !keys.is_empty() {
-            self.start_read(Reading::Leftover(leftover), Operation::Read(keys));
+            self.start_read(Reading::Unacknowledged(ended), Operation::Read(keys));
         }
     }
 
-    fn acknowledge_leftover(&mut self, leftover: &Leftover, rows: &[Row]) {
-        let held = self.held.get(&leftover.group);
-        if held.is_none_or(|held| held.epoch != leftover.epoch) {
+    fn acknowledge_ended(&mut self, ended: &Unacknowledged, rows: &[Row]) {
+        let held = self.held.get(&ended.group);
+        if held.is_none_or(|held| held.epoch != ended.epoch) {
             return;
         }
         let mut tasks = Vec::new();
-        for ((task, attempt, state), piece) in leftover.tasks.iter().zip(&leftover.pieces) {
+        for ((task, attempt, state), piece) in ended.tasks.iter().zip(&ended.pieces) {
             let Some((piece, group)) = piece else {
                 continue;
             };
             let record = stored_outcome(task, piece, group, rows);
-            let elsewhere = *group != leftover.group && *state != State::Completed;
+            let elsewhere = *group != ended.group && *state != State::Completed;
             let is_final = match record {
                 Some(Record::Open { .. }) => elsewhere,
                 Some(_) => true,
@@ -149,9 +137,9 @@
         }
         if !tasks.is_empty() {
             let id = self.next_id();
-            let (group, vm) = (leftover.group.clone(), leftover.vm.clone());
+            let (group, vm) = (ended.group.clone(), ended.vm.clone());
             let verb = Verb::Acknowledge { tasks };
-            self.send_command(id, group, vm, leftover.epoch, verb, None);
+            self.send_command(id, group, vm, ended.epoch, verb, None);
         }
     }
 
--- a/crates/decision/src/group.rs
+++ b/crates/decision/src/group.rs
@@ -83,7 +83,7 @@
     /// When to send the next `Adopt` or `Renew`.
     pub next_send: Ms,
     /// When to check the worker's report again for ended attempts that nobody acknowledges.
-    pub next_leftover_check: Ms,
+    pub next_unacknowledged_check: Ms,
     /// Whether the worker was leaving or drained when it was last listed.
     pub leaving: bool,
     /// Since when the worker is missing from the platform's list and is not renewed by any owner;
@@ -108,7 +108,7 @@
             snapshot: None,
             in_flight: None,
             next_send: Ms::ZERO,
-            next_leftover_check: Ms::ZERO,
+            next_unacknowledged_check: Ms::ZERO,
             leaving: false,
             missing_since: None,
             blocks_unfreeze,
