--- a/crates/decision/src/control.rs
+++ b/crates/decision/src/control.rs
@@ -1,6 +1,7 @@
 //! The control path: membership, ownership of groups, placement of tasks, protection of services
 //! and configuration.
 
+mod acquire;
 mod adopt;
 mod call;
 mod drain;
@@ -8,7 +9,7 @@
 mod exchange;
 mod flush;
 mod handover;
-mod leftover;
+mod hold;
 mod machine;
 mod ownership;
 mod scan;
@@ -17,6 +18,7 @@
 mod stranded;
 mod submit;
 mod surplus;
+mod unacknowledged;
 
 use std::sync::Arc;
 
--- a/crates/decision/src/control/adopt.rs
+++ b/crates/decision/src/control/adopt.rs
@@ -2,7 +2,7 @@
 //!
 //! The control path sends `Adopt` and `Renew`, and passes every report to the board as
 //! `place::Event::Adopted`. The board decides on all other commands, except the acknowledgement of
-//! leftover attempts.
+//! unacknowledged attempts.
 
 use super::Action;
 use super::Id;
@@ -13,13 +13,13 @@
 use crate::group::Adoption;
 use crate::group::Authority;
 use crate::group::COMMAND_TIMEOUT;
-use crate::group::LEASE;
 use crate::group::MAX_LIST_LAG;
 use crate::group::RENEW_INTERVAL;
 use crate::name::Name;
 use crate::place;
 use crate::request;
 use crate::step::Step;
+use crate::task::LEASE;
 use crate::timeline::Kind;
 use crate::vm::State;
 use crate::vm::Vm;
@@ -182,7 +182,7 @@
                 "the worker accepted the epoch",
             );
         }
-        self.check_leftovers(sent, &report);
+        self.check_unacknowledged(sent, &report);
         self.report_to_board(vm, sent.epoch, report);
     }
 
