Let all members of a gang start beside one that is suspected

What callers would see: a gang that never starts again after a worker has crashed under some of its members, where members have to share a worker.

Cause: while a suspect is tried, no other task was placed on its worker, not even one of the same gang. The gang did not fit, gave its places back, and the next attempt went the same way.

Evidence: a_gang_of_suspects_and_others_starts_where_its_members_share_workers failed before: no start in 9 s with the first of two members suspected.

Change: tasks of the same job may start beside it. A job is given up as a whole, so it does not matter which of them crashes the worker.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -243,7 +243,7 @@
         }
     }
 
-    /// Returns the job whose tasks are on trial on the worker; no others start there.
+    /// Returns the job whose tasks are on trial on the worker; tasks of others do not start there.
     #[must_use]
     pub fn trial_job(&self, now: Ms) -> Option<id::Job> {
         let (job, until) = self.trial?;
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -158,7 +158,7 @@
         return None;
     }
     let trial = worker.trial_job(now);
-    if trial.is_some_and(|job| !request.is_suspect || job != request.step.job) {
+    if trial.is_some_and(|job| job != request.step.job) {
         return None;
     }
     if !fits_beside(request.claim.size, registration, worker) {
--- a/crates/scheduler/tests/suspects.rs
+++ b/crates/scheduler/tests/suspects.rs
@@ -10,6 +10,7 @@
 use common::name;
 use common::registration;
 use decision::clock::Ms;
+use decision::resource::Size;
 use scheduler::fleet::Registration;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
@@ -243,3 +244,78 @@
     );
     assert_eq!(progress.crashes(TASK), 1);
 }
+
+/// Returns a job of one step of which workers crashed under these tasks. Two of its tasks fit on a
+/// worker.
+fn suspected(count: u32, is_gang: bool, suspects: &[u32]) -> Event {
+    let step = spec::Step {
+        count,
+        estimate: Ms(500),
+        is_gang,
+        need: Size {
+            millicores: 3_000,
+            memory_mb: 100,
+            accelerators: 0,
+        },
+        ..spec::Step::default()
+    };
+    let accepted = Accepted {
+        queue: name("queue"),
+        spec: spec::Job {
+            payload: Arc::from(""),
+            steps: vec![step],
+            schedule: None,
+        },
+        at: Ms(1),
+    };
+    let mut progress = Progress::default();
+    for &index in suspects {
+        progress.record_crash(Task { index, ..TASK }, Run(5));
+    }
+    Event::Accepted(Job(1), 1, accepted, Some(progress))
+}
+
+/// Returns a leader that takes over a job, and the starts until the first ones within 9 s.
+fn take_over(workers: &[&str], job: Event) -> (Fixture, Vec<Start>) {
+    let mut fixture = Fixture {
+        leader: Leader::new(name("e0"), Epoch(17), BOUNDS, BEGUN),
+        progress: Progress::default(),
+    };
+    let registered =
+        |worker: &&str| Event::RegistrationChanged(name(worker), Some(registration("d1")));
+    let mut begin = vec![
+        Event::Config(Arc::new(config())),
+        Event::Joined(name("e1"), name("d1")),
+        Event::Recovered,
+    ];
+    begin.extend(workers.iter().map(registered));
+    fixture.apply(Ms(10), begin);
+    let all_polled = || workers.iter().map(|worker| polled(worker, Vec::new()));
+    let mut known = vec![Event::Committed];
+    known.extend(all_polled());
+    known.push(job);
+    let mut starts = fixture.apply(Ms(20), known);
+    for after in (60..9_000).step_by(60) {
+        if !starts.is_empty() {
+            break;
+        }
+        let events = [Event::Committed].into_iter().chain(all_polled());
+        starts = fixture.apply(Ms(after), events.collect());
+    }
+    (fixture, starts)
+}
+
+#[test]
+fn a_gang_of_suspects_and_others_starts_where_its_members_share_workers() {
+    let cases: [(&[&str], u32, &[u32]); 5] = [
+        (&["w1"], 2, &[]),
+        (&["w1"], 2, &[0]),
+        (&["w1"], 2, &[1]),
+        (&["w1", "w2"], 4, &[0]),
+        (&["w1", "w2"], 4, &[0, 3]),
+    ];
+    for (workers, count, suspects) in cases {
+        let (_, starts) = take_over(workers, suspected(count, true, suspects));
+        assert_eq!(starts.len(), count as usize, "{workers:?} {suspects:?}");
+    }
+}
