Count no crash of a worker that was draining, however it is replaced

What callers would see: a job given up although its worker had only left as announced.

Cause: that a draining worker does not crash was checked at the lapse of its leases only, and the flag was gone once its next life was registered. An answer of that life or of another worker at its address counted as a crash.

Evidence: a_worker_that_drained_and_came_back_has_not_crashed and a_worker_that_drained_and_was_replaced_has_not_crashed failed before: one crash counted.

Change: the leader remembers which incarnation was draining, and counts no crash of it on any path.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -116,6 +116,8 @@
     pub registration: Option<Registration>,
     /// The last registration said that the worker was draining.
     pub was_draining: bool,
+    /// The last incarnation that was registered as draining, which leaves without a crash.
+    pub drained: Option<Ms>,
     /// The entry whose agent polls the worker; absent while no agent is connected.
     pub agent: Option<Name>,
     /// The incarnation that was observed last; absent until the worker has answered.
--- a/crates/scheduler/src/leader/crashes.rs
+++ b/crates/scheduler/src/leader/crashes.rs
@@ -80,7 +80,7 @@
         let Some(worker) = self.workers.get(name) else {
             return;
         };
-        let Some(incarnation) = worker.incarnation.filter(|_| !worker.was_draining) else {
+        let Some(incarnation) = worker.incarnation else {
             return;
         };
         let evidence = match &worker.registration {
@@ -105,7 +105,8 @@
         if self.crashes.contains_key(&key) {
             return;
         }
-        let Some(worker) = self.workers.get(name) else {
+        let worker = self.workers.get(name);
+        let Some(worker) = worker.filter(|worker| worker.drained != Some(incarnation)) else {
             return;
         };
         let last_answer = worker.last_answer;
--- a/crates/scheduler/tests/suspects.rs
+++ b/crates/scheduler/tests/suspects.rs
@@ -319,3 +319,50 @@
         assert_eq!(starts.len(), count as usize, "{workers:?} {suspects:?}");
     }
 }
+
+#[test]
+fn a_worker_that_drained_and_came_back_has_not_crashed() {
+    let (mut fixture, start) = Fixture::begin();
+    let worker = || start.worker.clone();
+    let answer = received(Report::Started(start.placement(), Outcome::Done));
+    let draining = Registration {
+        is_draining: true,
+        ..registration("d1")
+    };
+    let drains = Event::RegistrationChanged(worker(), Some(draining));
+    fixture.apply(Ms(30), vec![answer, drains]);
+    let leaves = Event::RegistrationChanged(worker(), None);
+    fixture.apply(Ms(300), vec![Event::Committed, leaves]);
+    let back = Registration {
+        incarnation: INCARNATION + Ms(1),
+        ..registration("d1")
+    };
+    let returns = Event::RegistrationChanged(worker(), Some(back));
+    fixture.apply(Ms(900), vec![Event::Committed, returns]);
+    let answers = received(Report::Polled(Observation {
+        worker: worker(),
+        incarnation: INCARNATION + Ms(1),
+        polled_at: BEGUN + Ms(1_000),
+        running: Some(Vec::new()),
+        ended: Vec::new(),
+    }));
+    fixture.apply(Ms(1_000), vec![Event::Committed, answers]);
+    fixture.apply(Ms(1_100), vec![Event::Committed]);
+    assert_eq!(fixture.progress.crashes(TASK), 0);
+}
+
+#[test]
+fn a_worker_that_drained_and_was_replaced_has_not_crashed() {
+    let (mut fixture, start) = Fixture::begin();
+    let answer = received(Report::Started(start.placement(), Outcome::Done));
+    let draining = Registration {
+        is_draining: true,
+        ..registration("d1")
+    };
+    let drains = Event::RegistrationChanged(start.worker.clone(), Some(draining));
+    fixture.apply(Ms(30), vec![answer, drains]);
+    let replaced = Report::Stopped(start.placement(), Outcome::Reborn, BEGUN + Ms(290));
+    fixture.apply(Ms(300), vec![Event::Committed, received(replaced)]);
+    fixture.apply(Ms(400), vec![Event::Committed]);
+    assert_eq!(fixture.progress.crashes(TASK), 0);
+}
