Let an assumed crash not make up for weak evidence of another

What callers would see: a job given up, and shown as failed, after one crash, a change of the leader and one worker that was merely cut off.

Cause: a new leader assumes one more start of a suspect, and a worker that is unlisted when its leases expire counts as crashed although it may have been cut off. Both together reached the limit of three.

Evidence: a_job_is_not_given_up_after_one_crash_and_one_cut failed before: the job had ended as failed.

Change: where the last evidence is weak, only observed crashes count.

--- a/crates/scheduler/src/leader/crashes.rs
+++ b/crates/scheduler/src/leader/crashes.rs
@@ -130,7 +130,7 @@
         self.tally.crashes += 1;
         let limit = self.crash_limit(now, name, &suspects, evidence);
         for (task, run) in suspects {
-            self.suspect(now, name, task, run, limit);
+            self.suspect(now, name, task, run, limit, evidence);
         }
     }
 
@@ -217,7 +217,15 @@
     }
 
     /// Counts a crash against a run, and gives its job up if this brings the task to the limit.
-    fn suspect(&mut self, now: Ms, name: &Name, task: Task, run: Run, limit: usize) {
+    fn suspect(
+        &mut self,
+        now: Ms,
+        name: &Name,
+        task: Task,
+        run: Run,
+        limit: usize,
+        evidence: Evidence,
+    ) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else {
             return;
         };
@@ -229,7 +237,13 @@
         self.log(format!(
             "kind=task-suspected task={task} run={run} worker={name} crashes={crashes} limit={limit}"
         ));
-        if crashes >= limit && observed >= MIN_CRASHES {
+        // A crash that was merely assumed does not make up for weak evidence of another.
+        let counted = if evidence.is_weak() {
+            observed
+        } else {
+            crashes
+        };
+        if counted >= limit && observed >= MIN_CRASHES {
             self.tally.crashing_jobs += 1;
             self.fail_job(now, task.step.job, "crashes-workers");
         }
--- a/crates/scheduler/tests/suspects.rs
+++ b/crates/scheduler/tests/suspects.rs
@@ -366,3 +366,24 @@
     fixture.apply(Ms(400), vec![Event::Committed]);
     assert_eq!(fixture.progress.crashes(TASK), 0);
 }
+
+// The crash that a new leader assumes is no evidence, and a cut is weak evidence.
+#[test]
+fn a_job_is_not_given_up_after_one_crash_and_one_cut() {
+    let (mut fixture, starts) = take_over(&["w1", "w2", "w3"], suspected(1, false, &[0]));
+    let [start] = &starts[..] else {
+        panic!("{starts:?}");
+    };
+    let answer = received(Report::Started(start.placement(), Outcome::Done));
+    fixture.apply(Ms(9_005), vec![Event::Committed, answer]);
+    let silent = ["w1", "w2", "w3"].map(|worker| failed(worker, Ms(10), false));
+    fixture.apply(Ms(9_010), silent.into());
+    let removed = Event::RegistrationChanged(start.worker.clone(), None);
+    fixture.apply(Ms(11_700), vec![Event::Committed, removed]);
+    let lapsed = Ms(9_010) + LAPSED;
+    for delay in [0, 50, 100] {
+        fixture.apply(lapsed + Ms(delay), vec![Event::Committed]);
+    }
+    assert_eq!(fixture.progress.ended, None);
+    assert_eq!(fixture.progress.crashes(TASK), 3);
+}
