Split the leader's polls and its pass over waiting steps by concern

What decides when leases have expired is lapses.rs now, what compares listed and booked runs runs.rs, and the bookkeeping of one pass over the waiting steps pass.rs. Functions moved as they were; the tests of the package pass as before.

--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -4,7 +4,7 @@
 use decision::name::Name;
 
 use super::Leader;
-use super::polls::UNKNOWN_JOB_TIMEOUT;
+use super::runs::UNKNOWN_JOB_TIMEOUT;
 use crate::fleet::Pending;
 use crate::id;
 use crate::id::Run;
--- /dev/null
+++ b/crates/scheduler/src/leader/lapses.rs
@@ -0,0 +1,141 @@
+//! Decides when the leases of workers that do not answer have expired.
+
+use decision::clock::Ms;
+use decision::name::Name;
+
+use super::LEADER_CONTACT_TIMEOUT;
+use super::Leader;
+use crate::id::Run;
+use crate::id::Task;
+use crate::message::Failure;
+use crate::message::Hello;
+
+impl Leader {
+    /// Records the renewals of an agent for an earlier leader. Its list of runs is not used, because
+    /// other agents, which may be lost, can have started runs on the same workers.
+    pub(super) fn record_earlier_renewals(&mut self, now: Ms, hello: &Hello) {
+        let lease = LEADER_CONTACT_TIMEOUT + self.lease_expiry_delay();
+        for (name, renewal_age, _) in &hello.known {
+            let unheard = self.workers.get_mut(name);
+            if let Some(worker) = unheard.filter(|worker| !worker.is_known) {
+                worker.delay_lease_expiry(Ms(now.0.saturating_sub(renewal_age.0)) + lease);
+            }
+        }
+    }
+
+    pub(super) fn handle_poll_failure(&mut self, now: Ms, entry: &Name, failure: &Failure) {
+        let (name, renewal_age) = (&failure.worker, failure.renewal_age);
+        let lease = self.lease_expiry_delay();
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        if worker.agent.as_ref() != Some(entry) {
+            return;
+        }
+        let lease_expiry = Ms(now.0.saturating_sub(renewal_age.0)) + lease;
+        let is_new = !worker.is_unresponsive;
+        worker.is_unresponsive = true;
+        if failure.is_closed {
+            worker.refused_since.get_or_insert(now);
+        }
+        if worker.has_lapsed && worker.incarnation.is_none() && !worker.is_unreached {
+            worker.is_unreached = true;
+            self.is_fleet_synced = false;
+        }
+        let has_left = worker.was_draining && worker.registration.is_none() && failure.is_closed;
+        if !worker.has_lapsed || !worker.runs.is_empty() {
+            worker.expect_lease_expiry(lease_expiry);
+        }
+        if has_left {
+            // A worker that was draining, is no longer registered and refuses connections has
+            // exited.
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.lease_expiry = Some(now);
+            }
+            return;
+        }
+        if is_new {
+            self.log(format!(
+                "kind=worker-silent worker={name} agent={entry} renewed_ago_ms={}",
+                renewal_age.0
+            ));
+        }
+    }
+
+    /// Releases the runs on workers that did not answer until all their leases expired. If another
+    /// entry may have taken the lead before, its agents may have renewed them. Until the rows of
+    /// earlier leaders are read, reports are deferred, and they may tell of renewals too.
+    pub(super) fn expire_leases(&mut self, now: Ms) {
+        if !self.is_recovered {
+            return;
+        }
+        let has_expired = |at: Ms| at <= now && at < self.certain_until;
+        let expired: Vec<Name> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.lease_expiry.is_some_and(has_expired))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in expired {
+            self.record_crash_at_lapse(now, &name);
+            self.release_lost_runs(now, &name, None, "lease-expired");
+            let Some(worker) = self.workers.get_mut(&name) else {
+                continue;
+            };
+            let line = format!(
+                "kind=worker-lapsed worker={name} agent={} known={} past_bound_ms={} \
+                 past_floor_ms={}",
+                worker.agent.as_deref().unwrap_or("none"),
+                worker.is_known,
+                now.since(worker.lease_expiry.unwrap_or(now)).0,
+                now.since(worker.min_lease_expiry).0
+            );
+            worker.is_known = true;
+            worker.is_unresponsive = true;
+            worker.lease_expiry = None;
+            worker.has_lapsed = true;
+            self.unknown_runs
+                .retain(|placement, _| placement.worker != name);
+            self.log(line);
+            self.tally.lapses += 1;
+            if self
+                .workers
+                .get(&name)
+                .is_some_and(|worker| worker.registration.is_none())
+            {
+                self.unwatch(&name);
+                self.workers.remove(&name);
+                self.is_fleet_synced = false;
+            }
+        }
+    }
+
+    /// Releases the runs on a worker, except those of the incarnation `kept`. A start that no
+    /// incarnation has listed may reach or have reached that one, so it is voided there first.
+    pub(super) fn release_lost_runs(
+        &mut self,
+        now: Ms,
+        name: &Name,
+        kept: Option<Ms>,
+        reason: &'static str,
+    ) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let runs: Vec<(Task, Run)> = worker.runs.iter().copied().collect();
+        for (task, run) in runs {
+            let attempt = self.run_mut(task, run);
+            if attempt.as_ref().map(|attempt| attempt.incarnation) == kept {
+                continue;
+            }
+            match (attempt, kept) {
+                (Some(attempt), Some(kept)) if attempt.may_outlive_incarnation() => {
+                    attempt.incarnation = kept;
+                    attempt.stop_sent = None;
+                    self.stop_run(now, task, run, reason);
+                }
+                _ => self.release(now, task, run, reason),
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -10,8 +10,8 @@
 use super::Leader;
 use super::Rank;
 use super::crashes;
+use super::pass::Pass;
 use crate::fleet::Claim;
-use crate::fleet::Class;
 use crate::id;
 use crate::id::Run;
 use crate::id::Task;
@@ -23,10 +23,6 @@
 use crate::task::Attempt;
 use crate::task::Phase;
 
-/// The most steps without room that one pass tries in each class before it skips the other steps of
-/// that class. The limit is per class so that long-running tasks that wait for room do not hold up
-/// filling ones.
-const MAX_UNPLACED_STEPS: usize = 24;
 /// The least time between two passes while some steps find no room. Each poll and each end wakes
 /// the leader, and a pass over a full fleet costs far more than handling them.
 const CROWDED_INTERVAL: Ms = Ms(25);
@@ -35,87 +31,6 @@
 /// The most starts in one pass, so that a pass does not delay the other work of the leader.
 const MAX_STARTS: usize = 200;
 
-/// The results of one pass over the waiting steps.
-#[derive(Default)]
-struct Pass {
-    starts: usize,
-    has_unheard_workers: bool,
-    /// Some steps found no room.
-    is_crowded: bool,
-    unplaced: Vec<Unplaced>,
-    /// The number of plain, filling and serving steps that were tried and found no room.
-    tried: [usize; 3],
-}
-
-/// The requirements of a step that found no room because of its size alone.
-struct Unplaced {
-    service: Name,
-    claim: Claim,
-    kept_slack: f64,
-}
-
-impl Pass {
-    /// Returns whether a step may find room, given the steps that found none before it.
-    fn should_try(&mut self, request: &Request<'_>) -> bool {
-        let is_covered = self
-            .unplaced
-            .iter()
-            .any(|unplaced| unplaced.covers(request));
-        let is_worth_trying =
-            !is_covered && self.tried[class_index(request.claim)] < MAX_UNPLACED_STEPS;
-        self.is_crowded |= !is_worth_trying;
-        is_worth_trying
-    }
-
-    /// Records a step that could not be placed; `has_room` is set if some worker has the free
-    /// capacity that it needs, `has_suspects` if some of its tasks start only apart from others.
-    fn record_unplaced(&mut self, request: &Request<'_>, has_room: bool, has_suspects: bool) {
-        self.is_crowded = true;
-        self.tried[class_index(request.claim)] += 1;
-        let spec = request.spec;
-        let is_constrained = has_suspects
-            || spec.is_gang
-            || spec.label.is_some()
-            || spec.per_worker.is_some()
-            || request.tickets.is_some();
-        if !has_room || !is_constrained {
-            self.unplaced.push(Unplaced {
-                service: request.service.clone(),
-                claim: *request.claim,
-                kept_slack: request.kept_slack,
-            });
-        }
-    }
-}
-
-impl Unplaced {
-    /// Returns whether the request needs at least as much as this step, so that it finds no room
-    /// either.
-    fn covers(&self, request: &Request<'_>) -> bool {
-        let claim = request.claim;
-        let is_alike = match self.claim.class {
-            Class::Filling => {
-                claim.image == self.claim.image && request.kept_slack >= self.kept_slack
-            }
-            Class::Plain | Class::Serving(_) => true,
-        };
-        is_alike
-            && class_index(claim) == class_index(&self.claim)
-            && *request.service == self.service
-            && self.claim.size.fits(claim.size)
-            && claim.millicores >= self.claim.millicores
-    }
-}
-
-/// Returns the index of the claim's class in [`Pass::tried`].
-const fn class_index(claim: &Claim) -> usize {
-    match claim.class {
-        Class::Plain => 0,
-        Class::Filling => 1,
-        Class::Serving(_) => 2,
-    }
-}
-
 impl Leader {
     pub(super) fn start_tasks(&mut self, now: Ms) {
         let is_too_early = self.is_crowded && now.since(self.last_pass) < CROWDED_INTERVAL;
@@ -125,10 +40,7 @@
         self.last_pass = now;
         self.passes += 1;
         let waiting = self.by_urgency(now);
-        let mut pass = Pass {
-            has_unheard_workers: self.has_unheard_workers(),
-            ..Pass::default()
-        };
+        let mut pass = Pass::new(self.has_unheard_workers());
         for (_, step) in waiting {
             self.start_step(now, step, &mut pass);
             if pass.starts >= MAX_STARTS {
