Count a crash whose refused connection is reported within 1.1 s of the start

What callers would see: a task that crashes workers without an end (BUDGET), if the agent or the leader is slow.

Cause: an unanswered start counted only if the worker was seen to refuse connections within 0.3 s after it, by the leader's clock.

Evidence: a_crash_under_an_unanswered_start_counts_if_the_refusal_is_reported_ later failed before: no crash counted for a report 0.88 s after the start.

Change: the bound is the time for which a suspect is tried alone. A start at a worker that was seen to refuse connections before still does not count.

--- a/crates/scheduler/src/leader/crashes.rs
+++ b/crates/scheduler/src/leader/crashes.rs
@@ -174,7 +174,7 @@
                     attempt.is_listed || matches!(attempt.phase, Phase::Running | Phase::Stopping);
                 // An unanswered start may have reached a worker that was down already.
                 let is_likely = refused_since.is_some_and(|at| {
-                    at >= attempt.started_at && at.since(attempt.started_at) < MIN_SURVIVAL
+                    at >= attempt.started_at && at.since(attempt.started_at) < TRIAL_DURATION
                 });
                 attempt.incarnation == incarnation
                     && last_answer.since(attempt.started_at) < MIN_SURVIVAL
--- a/crates/scheduler/tests/suspects.rs
+++ b/crates/scheduler/tests/suspects.rs
@@ -188,6 +188,21 @@
     assert_eq!(fixture.progress.crashes(TASK), 0);
 }
 
+// The agent or the leader may be slow.
+#[test]
+fn a_crash_under_an_unanswered_start_counts_if_the_refusal_is_reported_later() {
+    let (mut fixture, start) = Fixture::begin();
+    let answer = received(Report::Started(start.placement(), Outcome::Unknown));
+    fixture.apply(Ms(200), vec![answer]);
+    fixture.apply(Ms(900), vec![failed(&start.worker, Ms(10), true)]);
+    let removed = Event::RegistrationChanged(start.worker.clone(), None);
+    fixture.apply(Ms(2_700), vec![Event::Committed, removed]);
+    for delay in [0, 50, 100] {
+        fixture.apply(LAPSED + Ms(delay), vec![Event::Committed]);
+    }
+    assert_eq!(fixture.progress.crashes(TASK), 1);
+}
+
 #[test]
 fn a_run_that_its_worker_listed_for_a_while_is_not_suspected() {
     let (mut fixture, start) = Fixture::begin();
