--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -22,7 +22,6 @@
 use scheduler::id::Run;
 use scheduler::id::Step;
 use scheduler::id::Task;
-use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::LEADER_CONTACT_TIMEOUT;
@@ -56,19 +55,11 @@
 
 /// Returns a job of one task.
 fn accepted(job: u64, row: u64) -> Event {
-    let accepted = Accepted {
-        queue: name("queue"),
-        spec: spec::Job {
-            payload: Arc::from(""),
-            steps: vec![spec::Step {
-                count: 1,
-                estimate: Ms(500),
-                ..spec::Step::default()
-            }],
-            schedule: None,
-        },
-        at: Ms(1),
-    };
+    let accepted = common::accepted_job(vec![spec::Step {
+        count: 1,
+        estimate: Ms(500),
+        ..spec::Step::default()
+    }]);
     Event::Accepted(Job(job), row, accepted, None)
 }
 
--- a/crates/scheduler/tests/capacity.rs
+++ b/crates/scheduler/tests/capacity.rs
@@ -17,7 +17,6 @@
 use scheduler::id::Job;
 use scheduler::id::Run;
 use scheduler::id::Task;
-use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
@@ -138,15 +137,7 @@
     fn submit(&mut self, step: spec::Step) -> usize {
         self.jobs += 1;
         let id = Job(self.jobs);
-        let accepted = Accepted {
-            queue: name("queue"),
-            spec: spec::Job {
-                payload: Arc::from(""),
-                steps: vec![step],
-                schedule: None,
-            },
-            at: Ms(1),
-        };
+        let accepted = common::accepted_job(vec![step]);
         self.apply_event(Event::Accepted(id, 20 + id.0, accepted, None));
         self.started(id)
     }
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -8,7 +8,9 @@
 use scheduler::config::Config;
 use scheduler::config::Queue;
 use scheduler::fleet::Registration;
+use scheduler::job::Accepted;
 use scheduler::leader::Bounds;
+use scheduler::spec;
 
 /// The time limits of the platform.
 pub const BOUNDS: Bounds = Bounds {
@@ -60,3 +62,16 @@
         is_draining: false,
     }
 }
+
+/// Returns an accepted job of these steps that runs once.
+pub fn accepted_job(steps: Vec<spec::Step>) -> Accepted {
+    Accepted {
+        queue: name("queue"),
+        spec: spec::Job {
+            payload: Arc::from(""),
+            steps,
+            schedule: None,
+        },
+        at: Ms(1),
+    }
+}
--- a/crates/scheduler/tests/occurrences.rs
+++ b/crates/scheduler/tests/occurrences.rs
@@ -15,7 +15,6 @@
 use scheduler::id::Job;
 use scheduler::id::Run;
 use scheduler::id::Task;
-use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
@@ -49,23 +48,16 @@
 
 /// Returns a job with three occurrences of two tasks.
 fn scheduled() -> Event {
-    let accepted = Accepted {
-        queue: name("queue"),
-        spec: spec::Job {
-            payload: Arc::from(""),
-            steps: vec![spec::Step {
-                count: 2,
-                estimate: Ms(500),
-                ..spec::Step::default()
-            }],
-            schedule: Some(spec::Schedule {
-                first: DUE,
-                interval: Ms(60_000),
-                count: 3,
-            }),
-        },
-        at: Ms(1),
-    };
+    let mut accepted = common::accepted_job(vec![spec::Step {
+        count: 2,
+        estimate: Ms(500),
+        ..spec::Step::default()
+    }]);
+    accepted.spec.schedule = Some(spec::Schedule {
+        first: DUE,
+        interval: Ms(60_000),
+        count: 3,
+    });
     Event::Accepted(Job(1), 5, accepted, None)
 }
 
--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -29,19 +29,11 @@
 const NEXT_INCARNATION: Ms = Ms(78);
 
 fn accepted() -> Accepted {
-    Accepted {
-        queue: name("queue"),
-        spec: spec::Job {
-            payload: Arc::from(""),
-            steps: vec![spec::Step {
-                count: 1,
-                estimate: Ms(500),
-                ..spec::Step::default()
-            }],
-            schedule: None,
-        },
-        at: Ms(1),
-    }
+    common::accepted_job(vec![spec::Step {
+        count: 1,
+        estimate: Ms(500),
+        ..spec::Step::default()
+    }])
 }
 
 fn observation(polled_at: Ms) -> Report {
--- a/crates/scheduler/tests/serving.rs
+++ b/crates/scheduler/tests/serving.rs
@@ -15,7 +15,6 @@
 use scheduler::fleet::Registration;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
-use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
@@ -98,15 +97,7 @@
     }
 
     fn submit(&mut self, job: Job, step: spec::Step) {
-        let accepted = Accepted {
-            queue: name("queue"),
-            spec: spec::Job {
-                payload: Arc::from(""),
-                steps: vec![step],
-                schedule: None,
-            },
-            at: Ms(1),
-        };
+        let accepted = common::accepted_job(vec![step]);
         let row = 20 + job.0;
         self.apply_events(vec![Event::Accepted(job, row, accepted, None)]);
     }
--- a/crates/scheduler/tests/stored.rs
+++ b/crates/scheduler/tests/stored.rs
@@ -12,7 +12,6 @@
 use decision::clock::Ms;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
-use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
@@ -137,19 +136,10 @@
     bench.register("odd");
     bench.run_for(12_000);
     assert_eq!(bench.stored_names(), [""; 0]);
-    let spec = spec::Job {
-        payload: Arc::from(""),
-        steps: vec![spec::Step {
-            count: 1,
-            ..spec::Step::default()
-        }],
-        schedule: None,
-    };
-    let accepted = Accepted {
-        queue: name("queue"),
-        spec,
-        at: Ms(1),
-    };
+    let accepted = common::accepted_job(vec![spec::Step {
+        count: 1,
+        ..spec::Step::default()
+    }]);
     bench.apply_event(Event::Accepted(Job(1), 20, accepted, None));
     assert_eq!(bench.starts, 0);
     bench.answer("odd");
--- a/crates/scheduler/tests/suspects.rs
+++ b/crates/scheduler/tests/suspects.rs
@@ -17,7 +17,6 @@
 use scheduler::id::Run;
 use scheduler::id::Step;
 use scheduler::id::Task;
-use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
@@ -71,17 +70,7 @@
         estimate: Ms(500),
         ..spec::Step::default()
     };
-    let spec = spec::Job {
-        payload: Arc::from(""),
-        steps: vec![step],
-        schedule: None,
-    };
-    let accepted = Accepted {
-        queue: name("queue"),
-        spec,
-        at: Ms(1),
-    };
-    Event::Accepted(Job(1), 30, accepted, None)
+    Event::Accepted(Job(1), 30, common::accepted_job(vec![step]), None)
 }
 
 /// A leader with the agent `e1` and a job of one task, whose commits are confirmed on request.
@@ -274,15 +263,7 @@
         },
         ..spec::Step::default()
     };
-    let accepted = Accepted {
-        queue: name("queue"),
-        spec: spec::Job {
-            payload: Arc::from(""),
-            steps: vec![step],
-            schedule: None,
-        },
-        at: Ms(1),
-    };
+    let accepted = common::accepted_job(vec![step]);
     let mut progress = Progress::default();
     for &index in suspects {
         progress.record_crash(Task { index, ..TASK }, Run(5));
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -17,7 +17,6 @@
 use scheduler::id::Job;
 use scheduler::id::Run;
 use scheduler::id::Task;
-use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
@@ -67,15 +66,7 @@
         after: step.checked_sub(1).into_iter().collect(),
         ..spec::Step::default()
     });
-    let accepted = Accepted {
-        queue: name("queue"),
-        spec: spec::Job {
-            payload: Arc::from(""),
-            steps: steps.collect(),
-            schedule: None,
-        },
-        at: Ms(1),
-    };
+    let accepted = common::accepted_job(steps.collect());
     Event::Accepted(Job(job), row, accepted, None)
 }
 
--- a/crates/scheduler/tests/tally.rs
+++ b/crates/scheduler/tests/tally.rs
@@ -15,7 +15,6 @@
 use scheduler::id::Run;
 use scheduler::id::Step;
 use scheduler::id::Task;
-use scheduler::job::Accepted;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
 use scheduler::message::Failure;
@@ -38,21 +37,12 @@
 /// earlier leader may have started.
 fn leader(is_speculative: bool) -> Leader {
     let mut leader = Leader::new(name("e0"), Epoch(17), BOUNDS, NOW);
-    let spec = spec::Job {
-        payload: Arc::from(""),
-        steps: vec![spec::Step {
-            count: 1,
-            estimate: Ms(500),
-            is_speculative,
-            ..spec::Step::default()
-        }],
-        schedule: None,
-    };
-    let accepted = Accepted {
-        queue: name("queue"),
-        spec,
-        at: Ms(1),
-    };
+    let accepted = common::accepted_job(vec![spec::Step {
+        count: 1,
+        estimate: Ms(500),
+        is_speculative,
+        ..spec::Step::default()
+    }]);
     for event in [
         Event::Config(Arc::new(config())),
         Event::Accepted(Job(1), 20, accepted, None),
--- a/crates/scheduler/tests/unread.rs
+++ b/crates/scheduler/tests/unread.rs
@@ -19,7 +19,6 @@
 use scheduler::id::Job;
 use scheduler::id::Run;
 use scheduler::id::Task;
-use scheduler::job::Accepted;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
@@ -59,19 +58,11 @@
 
 /// Returns a job of one task.
 fn accepted(row: u64) -> Event {
-    let accepted = Accepted {
-        queue: name("queue"),
-        spec: spec::Job {
-            payload: Arc::from(""),
-            steps: vec![spec::Step {
-                count: 1,
-                estimate: Ms(500),
-                ..spec::Step::default()
-            }],
-            schedule: None,
-        },
-        at: Ms(1),
-    };
+    let accepted = common::accepted_job(vec![spec::Step {
+        count: 1,
+        estimate: Ms(500),
+        ..spec::Step::default()
+    }]);
     Event::Accepted(Job(1), row, accepted, None)
 }
 
