Make the leader's work on a takeover and on a start grow slowly with the fleet

Change: agents are kept by load in each failure domain, in a module of their own, and a new one gets workers only as far as that evens out the loads; in the first half second after a takeover of a large fleet no agent gets more than 16 workers; the fleet is compared only after a change of what is stored; a step scores the fleet once and keeps the workers in a heap; a step without room is tried on workers that have freed resources or answered since, and on all of them each 250 ms; queues are found by name; a search for a worker to move to is not repeated for 200 ms for the same image.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -137,6 +137,9 @@
     pub refused_since: Option<Ms>,
     /// The time when the last answer to a poll arrived.
     pub last_answer: Ms,
+    /// The time when the worker may last have become able to take a task that it could not take
+    /// before, other than by the passing of time.
+    pub improved_at: Ms,
     /// The time when a run was last booked.
     pub last_start: Ms,
     /// Only tasks of this job that may crash the worker start there before this time.
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -2,6 +2,7 @@
 //! durable.
 
 mod advice;
+mod agents;
 mod assign;
 mod commit;
 mod crashes;
@@ -20,6 +21,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use decision::clock::Ms;
@@ -29,6 +31,7 @@
 
 pub use self::tally::Tally;
 use crate::config::Config;
+use crate::config::Queue;
 use crate::election::CERTAINTY;
 use crate::fleet::Registration;
 use crate::fleet::Worker;
@@ -36,6 +39,7 @@
 use crate::id::Epoch;
 use crate::id::Run;
 use crate::id::Task;
+use crate::interference::Image;
 use crate::interference::Model;
 use crate::interference::Summary;
 use crate::job;
@@ -144,13 +148,6 @@
     Log(String),
 }
 
-#[derive(Clone, Debug)]
-struct Agent {
-    domain: Name,
-    /// The number of workers that are assigned to the agent.
-    watched: usize,
-}
-
 /// The interval of the log lines that report the load.
 const LOAD_INTERVAL: Ms = Ms(1_000);
 
@@ -171,6 +168,8 @@
     /// The time of day at the last tick, in ms since 1970.
     unix: Ms,
     config: Arc<Config>,
+    /// The position of each queue in the configuration.
+    queues: HashMap<Name, usize>,
     is_recovered: bool,
     /// Reports that arrived before the rows of earlier leaders were read, with the entry of the
     /// agent.
@@ -178,14 +177,16 @@
     /// Runs whose jobs this leader does not know, with the time when each was first observed.
     unknown_runs: BTreeMap<Placement, Ms>,
     workers: BTreeMap<Name, Worker>,
-    /// The workers that the store lists.
-    fleet: BTreeSet<Member>,
+    /// The workers that the store lists, by name.
+    fleet: BTreeMap<Name, Member>,
     jobs: BTreeMap<id::Job, job::Job>,
     /// Jobs whose row or progress cannot be read.
     unreadable: BTreeSet<id::Job>,
     /// Cancellations that arrived before the rows of their jobs.
     cancelled: BTreeSet<id::Job>,
-    agents: BTreeMap<Name, Agent>,
+    agents: agents::Agents,
+    /// The time when the last agent connected.
+    last_join: Ms,
     /// The number of runs that this leader has started.
     run_count: u64,
     /// The steps with tasks to start, in the order of their ranks.
@@ -218,6 +219,10 @@
     is_fleet_uncertain: bool,
     /// The workers have not changed since they were last compared with the stored ones.
     is_fleet_synced: bool,
+    /// The steps that found no room, each with its last try.
+    tried: BTreeMap<id::Step, schedule::Try>,
+    /// The filling images that had no better worker to move to, with the time of the search.
+    immovable: BTreeMap<Image, Ms>,
     /// The time of the last pass over the waiting steps, and the number of passes so far.
     last_pass: Ms,
     passes: u64,
@@ -252,15 +257,17 @@
             started_at: now,
             unix: Ms::ZERO,
             config: Arc::default(),
+            queues: HashMap::new(),
             is_recovered: false,
             deferred_reports: Vec::new(),
             unknown_runs: BTreeMap::new(),
             workers: BTreeMap::new(),
-            fleet: BTreeSet::new(),
+            fleet: BTreeMap::new(),
             jobs: BTreeMap::new(),
             unreadable: BTreeSet::new(),
             cancelled: BTreeSet::new(),
-            agents: BTreeMap::new(),
+            agents: agents::Agents::default(),
+            last_join: now,
             run_count: 0,
             waiting: BTreeSet::new(),
             ranks: BTreeMap::new(),
@@ -278,6 +285,8 @@
             stored_workers: BTreeSet::new(),
             is_fleet_uncertain: false,
             is_fleet_synced: false,
+            tried: BTreeMap::new(),
+            immovable: BTreeMap::new(),
             last_pass: Ms::ZERO,
             passes: 0,
             is_crowded: false,
@@ -313,7 +322,7 @@
             Event::Fleet(members) => self.restore_fleet(now, members),
             Event::InterferenceLoaded(summary) => self.model.merge(&summary),
             Event::Recovered => self.finish_recovery(now),
-            Event::Config(config) => self.config = config,
+            Event::Config(config) => self.configure(config),
             Event::RegistrationChanged(name, registration) => {
                 self.update_registration(now, name, registration)
             }
@@ -390,6 +399,21 @@
             .count()
     }
 
+    fn configure(&mut self, config: Arc<Config>) {
+        // The first of several queues with the same name counts.
+        let queues = config.queues.iter().enumerate().rev();
+        self.queues = queues
+            .map(|(position, queue)| (queue.name.clone(), position))
+            .collect();
+        self.config = config;
+    }
+
+    /// Returns the queue with this name in the configuration in force.
+    fn queue(&self, name: &Name) -> Option<&Queue> {
+        let position = *self.queues.get(name)?;
+        self.config.queues.get(position)
+    }
+
     fn finish_recovery(&mut self, now: Ms) {
         self.is_recovered = true;
         self.log(format!(
@@ -414,6 +438,7 @@
         for id in due {
             self.begin_due(id);
         }
+        self.assign_unwatched(now);
         self.retry_stops(now);
         self.expire_leases(now);
         self.remove_expired_jobs(now);
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -1,13 +1,11 @@
 //! Assigns each worker to the agent that polls it and renews its lease.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use decision::clock::Ms;
 use decision::name::Name;
 use decision::resource::Size;
 
-use super::Agent;
 use super::LEADER_CONTACT_TIMEOUT;
 use super::Leader;
 use super::Member;
@@ -22,9 +20,18 @@
 /// The most by which the clock of a worker may run slow, in percent.
 const CLOCK_SLOW_PERCENT: u64 = 2;
 
-/// The number of workers that is added to the load of the leader's own agent, because its process
-/// also does the work of the leader.
-const LEADER_EXTRA_WORKERS: usize = 6;
+/// The number of workers from which on agents get their workers in small portions after a
+/// takeover.
+const LARGE_FLEET_WORKERS: usize = 64;
+/// The most workers that one agent of a large fleet gets while others may still connect. Without
+/// this limit the first agents would begin to poll the whole fleet and hand most of it on.
+const MAX_EARLY_WORKERS: usize = 16;
+/// The time after the last connection of an agent in which others are expected.
+const JOIN_INTERVAL: Ms = Ms(200);
+/// The time after a takeover in which agents are expected in any case.
+const MIN_JOIN_TIME: Ms = Ms(500);
+/// The time after a takeover from which on no further agents are expected.
+const MAX_JOIN_TIME: Ms = Ms(1_000);
 
 impl Leader {
     /// Returns the time after the last renewal at which all leases of a worker have expired.
@@ -43,7 +50,7 @@
             worker.delay_lease_expiry(lease_expiry);
             self.stored_workers.insert(member.worker.clone());
             let name = member.worker.clone();
-            self.fleet.insert(member);
+            self.fleet.insert(name.clone(), member);
             self.assign(now, &name);
         }
     }
@@ -60,13 +67,20 @@
         name: Name,
         registration: Option<Registration>,
     ) {
-        self.is_fleet_synced = false;
         let lease_expiry = self.initial_lease_expiry();
         let is_new = !self.workers.contains_key(&name);
         if is_new && registration.is_none() {
             return;
         }
         let worker = self.workers.entry(name.clone()).or_default();
+        worker.improved_at = now;
+        let place = |registration: &Option<Registration>| {
+            registration
+                .as_ref()
+                .map(|it| (Arc::clone(&it.address), it.domain.clone()))
+        };
+        let is_stored_alike = place(&worker.registration) == place(&registration);
+        self.is_fleet_synced &= is_stored_alike && !is_new;
         if is_new {
             worker.delay_lease_expiry(lease_expiry);
         }
@@ -115,116 +129,128 @@
     }
 
     pub(super) fn add_agent(&mut self, now: Ms, entry: Name, domain: Name) {
+        self.remove_agent(now, &entry);
         self.log(format!("kind=agent-joined agent={entry} domain={domain}"));
-        self.agents.insert(entry, Agent { domain, watched: 0 });
-        self.count_watched();
-        let names: Vec<Name> = self.workers.keys().cloned().collect();
-        for name in names {
-            self.assign(now, &name);
+        self.last_join = now;
+        let is_own = entry == self.entry;
+        let is_first = self.agents.insert(entry, domain.clone(), is_own);
+        if is_first {
+            self.recall_workers(now, &domain);
+        }
+        self.assign_unwatched(now);
+        for domain in self.agents.domains() {
+            while let Some((worker, agent)) = self.agents.next_move(&domain) {
+                self.reassign(now, &worker, agent);
+            }
         }
     }
 
-    pub(super) fn remove_agent(&mut self, now: Ms, entry: &Name) {
-        if self.agents.remove(entry).is_none() {
+    /// Assigns the workers in a failure domain that agents of other domains poll to its own agents.
+    fn recall_workers(&mut self, now: Ms, domain: &Name) {
+        let away = self.workers.iter().filter(|(name, worker)| {
+            worker.agent.is_some() && self.domain_of(name, worker).as_ref() == Some(domain)
+        });
+        let away: Vec<Name> = away.map(|(name, _)| name.clone()).collect();
+        for name in away {
+            self.reassign_if_better(now, &name);
+        }
+    }
+
+    /// Assigns the workers without an agent, as far as agents may get more of them now.
+    pub(super) fn assign_unwatched(&mut self, now: Ms) {
+        if self.agents.is_empty() {
             return;
         }
+        let unwatched = self.workers.iter();
+        let unwatched = unwatched.filter(|(_, worker)| worker.agent.is_none());
+        let unwatched: Vec<Name> = unwatched.map(|(name, _)| name.clone()).collect();
+        for name in unwatched {
+            self.reassign_if_better(now, &name);
+        }
+    }
+
+    pub(super) fn remove_agent(&mut self, now: Ms, entry: &Name) {
+        let Some(orphans) = self.agents.remove(entry) else {
+            return;
+        };
         self.log(format!("kind=agent-left agent={entry}"));
         let lease_expiry = now + LEADER_CONTACT_TIMEOUT + self.lease_expiry_delay();
-        let mut orphans = Vec::new();
-        for (name, worker) in &mut self.workers {
-            if worker.agent.as_ref() == Some(entry) {
+        for name in &orphans {
+            if let Some(worker) = self.workers.get_mut(name) {
                 worker.agent = None;
                 worker.delay_lease_expiry(lease_expiry);
-                orphans.push(name.clone());
             }
         }
         for name in orphans {
             self.mark_starts_unsure(now, &name);
-            self.assign(now, &name);
-        }
-    }
-
-    fn count_watched(&mut self) {
-        let mut counts: BTreeMap<&Name, usize> = BTreeMap::new();
-        for agent in self
-            .workers
-            .values()
-            .filter_map(|worker| worker.agent.as_ref())
-        {
-            *counts.entry(agent).or_default() += 1;
-        }
-        for (name, agent) in &mut self.agents {
-            agent.watched = counts.get(name).copied().unwrap_or(0);
+            self.reassign_if_better(now, &name);
         }
     }
 
     fn domain_of(&self, name: &Name, worker: &Worker) -> Option<Name> {
-        let listed = worker
-            .registration
-            .as_ref()
-            .map(|registration| &registration.domain);
-        let stored = self.fleet.iter().find(|member| member.worker == *name);
-        listed.or(stored.map(|member| &member.domain)).cloned()
+        let listed = worker.registration.as_ref();
+        let listed = listed.map(|registration| &registration.domain);
+        let stored = || self.fleet.get(name).map(|member| &member.domain);
+        listed.or_else(stored).cloned()
     }
 
     fn address_of(&self, name: &Name, worker: &Worker) -> Option<Arc<str>> {
-        let listed = worker
-            .registration
-            .as_ref()
-            .map(|registration| &registration.address);
-        let stored = self.fleet.iter().find(|member| member.worker == *name);
-        listed.or(stored.map(|member| &member.address)).cloned()
+        let listed = worker.registration.as_ref();
+        let listed = listed.map(|registration| &registration.address);
+        let stored = || self.fleet.get(name).map(|member| &member.address);
+        listed.or_else(stored).cloned()
     }
 
-    /// Assigns a worker to the best agent and notifies the agents of a change. Agents in the
-    /// failure domain of the worker come first, then those with the fewest workers.
+    /// Assigns a worker to the best agent, and notifies its agent of its address.
     pub(super) fn assign(&mut self, now: Ms, name: &Name) {
+        if !self.reassign_if_better(now, name) {
+            self.send_watch(name);
+        }
+    }
+
+    /// Assigns a worker to another agent if that one is in the failure domain of the worker and the
+    /// present one is not, or if it has clearly fewer workers. Returns whether it did.
+    fn reassign_if_better(&mut self, now: Ms, name: &Name) -> bool {
         let Some(worker) = self.workers.get(name) else {
-            return;
+            return false;
         };
         let domain = self.domain_of(name, worker);
-        let load = |entry: &Name, agent: &Agent| {
-            let extra_workers = if *entry == self.entry {
-                LEADER_EXTRA_WORKERS
-            } else {
-                0
-            };
-            let is_remote = domain.as_ref() != Some(&agent.domain);
-            (is_remote, agent.watched + extra_workers)
+        let Some(best) = self.agents.best(domain.as_ref()) else {
+            return false;
         };
-        let best = self
-            .agents
-            .iter()
-            .min_by_key(|(entry, agent)| load(entry, agent));
-        let Some((best, best_agent)) = best else {
-            return;
+        let is_remote = |entry: &Name| self.agents.domain(entry) != domain.as_ref();
+        let is_better = match &worker.agent {
+            Some(current) if is_remote(current) != is_remote(best) => is_remote(current),
+            Some(current) => self.agents.load(current) > self.agents.load(best) + 1,
+            None => !self.expects_agents(now) || self.agents.load(best) < MAX_EARLY_WORKERS,
         };
-        let current = worker.agent.clone();
-        if let Some((current_name, current_agent)) = current
-            .as_ref()
-            .and_then(|name| self.agents.get_key_value(name))
-        {
-            let (is_remote, current_load) = load(current_name, current_agent);
-            let (is_best_remote, best_load) = load(best, best_agent);
-            let is_better = is_remote && !is_best_remote
-                || is_remote == is_best_remote && current_load > best_load + 1;
-            if !is_better || *current_name == *best {
-                return self.send_watch(name);
-            }
-        }
-        let best = best.clone();
-        self.unwatch(name);
-        if let Some(agent) = self.agents.get_mut(&best) {
-            agent.watched += 1;
+        if is_better {
+            let best = best.clone();
+            self.reassign(now, name, best);
         }
+        is_better
+    }
+
+    /// Returns whether many agents are likely to connect soon, because this leader has just begun.
+    fn expects_agents(&self, now: Ms) -> bool {
+        let age = now.since(self.started_at);
+        let is_joining = now.since(self.last_join) < JOIN_INTERVAL && age < MAX_JOIN_TIME;
+        self.workers.len() > LARGE_FLEET_WORKERS && (age < MIN_JOIN_TIME || is_joining)
+    }
+
+    /// Assigns a worker to this agent and notifies both.
+    fn reassign(&mut self, now: Ms, name: &Name, agent: Name) {
+        let had_agent = self.unwatch(name);
+        self.agents.watch(&agent, name);
         // If the connection to the former agent is lost, it does not learn of the change.
         let min_expiry = now + LEADER_CONTACT_TIMEOUT + self.lease_expiry_delay();
         if let Some(worker) = self.workers.get_mut(name) {
-            if current.is_some() {
+            if had_agent {
                 worker.min_lease_expiry = worker.min_lease_expiry.max(min_expiry);
                 worker.lease_expiry = worker.lease_expiry.map(|at| at.max(min_expiry));
             }
-            worker.agent = Some(best);
+            worker.agent = Some(agent);
+            worker.improved_at = now;
         }
         self.send_watch(name);
     }
@@ -249,17 +275,19 @@
         self.send(&agent, Order::Watch(watch));
     }
 
-    pub(super) fn unwatch(&mut self, name: &Name) {
+    /// Takes a worker from its agent, and returns whether it had one.
+    pub(super) fn unwatch(&mut self, name: &Name) -> bool {
         let Some(worker) = self.workers.get_mut(name) else {
-            return;
+            return false;
         };
         let Some(agent) = worker.agent.take() else {
-            return;
+            return false;
         };
-        if let Some(state) = self.agents.get_mut(&agent) {
-            state.watched = state.watched.saturating_sub(1);
+        if self.agents.has_worker(&agent, name) {
+            self.agents.unwatch(&agent, name);
             self.send(&agent, Order::Unwatch(name.clone()));
         }
+        true
     }
 }
 
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -1,9 +1,10 @@
 //! Writes progress to the store in group commits.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use decision::clock::Ms;
+use decision::name::Name;
 
 use super::Action;
 use super::Commit;
@@ -30,7 +31,7 @@
 pub(super) struct InFlight {
     versions: Vec<(id::Job, u64)>,
     removed: Vec<id::Job>,
-    fleet: Option<BTreeSet<Member>>,
+    fleet: Option<BTreeMap<Name, Member>>,
 }
 
 impl Leader {
@@ -74,11 +75,12 @@
         let free = MAX_JOBS_PER_COMMIT - commit.progress.len();
         let removed = self.removable.len().min(free / 3);
         commit.removed = self.removable.drain(..removed).collect();
-        commit.fleet = fleet.as_ref().map(|fleet| fleet.iter().cloned().collect());
+        commit.fleet = fleet
+            .as_ref()
+            .map(|fleet| fleet.values().cloned().collect());
         if let Some(fleet) = &fleet {
             // The store may carry out this write without confirming it.
-            self.stored_workers
-                .retain(|name| fleet.iter().any(|member| member.worker == *name));
+            self.stored_workers.retain(|name| fleet.contains_key(name));
             self.is_fleet_uncertain = true;
         }
         self.committing = Some(InFlight {
@@ -98,8 +100,8 @@
         else {
             return;
         };
-        self.is_fleet_synced = false;
         if !is_durable {
+            self.is_fleet_synced = false;
             self.commit_after = now + RETRY_DELAY;
             for (id, _) in versions {
                 self.dirty.insert(id, Ms::ZERO);
@@ -114,7 +116,14 @@
         }
         self.removed.extend(removed.into_iter().map(|id| (now, id)));
         if let Some(fleet) = fleet {
-            self.stored_workers = fleet.iter().map(|member| member.worker.clone()).collect();
+            for name in fleet.keys() {
+                if self.stored_workers.insert(name.clone())
+                    && let Some(worker) = self.workers.get_mut(name)
+                {
+                    worker.improved_at = now;
+                }
+            }
+            self.stored_workers.retain(|name| fleet.contains_key(name));
             self.fleet = fleet;
             self.is_fleet_uncertain = false;
         }
@@ -132,21 +141,21 @@
     }
 
     /// Returns the workers on which tasks may run, if they may differ from the stored ones.
-    fn changed_fleet(&self) -> Option<BTreeSet<Member>> {
+    fn changed_fleet(&self) -> Option<BTreeMap<Name, Member>> {
         let reached = self.workers.iter();
         let reached = reached.filter(|(_, worker)| !worker.is_unreached);
         let wanted = reached.filter_map(|(name, worker)| {
-            let known = self.fleet.iter().find(|member| member.worker == *name);
-            match &worker.registration {
-                Some(registration) => Some(Member {
+            let member = match &worker.registration {
+                Some(registration) => Member {
                     worker: name.clone(),
                     address: Arc::clone(&registration.address),
                     domain: registration.domain.clone(),
-                }),
-                None => known.cloned(),
-            }
+                },
+                None => self.fleet.get(name)?.clone(),
+            };
+            Some((name.clone(), member))
         });
-        let wanted: BTreeSet<Member> = wanted.collect();
+        let wanted: BTreeMap<Name, Member> = wanted.collect();
         (self.is_fleet_uncertain || wanted != self.fleet).then_some(wanted)
     }
 
--- a/crates/scheduler/src/leader/drain.rs
+++ b/crates/scheduler/src/leader/drain.rs
@@ -68,7 +68,7 @@
     /// Returns the best worker for a task now, or `None` if it fits nowhere.
     pub(super) fn find_worker(&self, now: Ms, claim: &Claim, id: Task) -> Option<Name> {
         let job = self.jobs.get(&id.step.job)?;
-        let queue = self.config.queue(&job.queue)?;
+        let queue = self.queue(&job.queue)?;
         let request = Request {
             service: &queue.service,
             spec: job.step_spec(id.step.step)?,
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -178,7 +178,7 @@
 
     fn max_attempts(&self, id: id::Job) -> usize {
         let queue = self.jobs.get(&id).map(|job| &job.queue);
-        let queue = queue.and_then(|name| self.config.queue(name));
+        let queue = queue.and_then(|name| self.queue(name));
         queue.map_or(usize::MAX, |queue| queue.max_attempts.max(1) as usize)
     }
 
@@ -235,6 +235,7 @@
         let (is_startable, is_done) = (task.is_startable(), task.is_done);
         if let Some(worker) = self.workers.get_mut(&attempt.worker) {
             worker.free(&claim, id, run);
+            worker.improved_at = now;
         }
         if reason != "done" {
             self.log(format!(
--- a/crates/scheduler/src/leader/jobs.rs
+++ b/crates/scheduler/src/leader/jobs.rs
@@ -131,7 +131,7 @@
         let job = self.jobs.get(&step.job)?;
         let remaining = *job.remaining.get(usize::from(step.step))?;
         let longest_chain = job.remaining.iter().copied().max().unwrap_or_default();
-        let queue = self.config.queue(&job.queue);
+        let queue = self.queue(&job.queue);
         let (priority, stretch, latency_allowance) = match queue {
             Some(queue) => (queue.priority, queue.stretch, queue.latency_allowance),
             None => (u32::MAX, 1.0, Ms::ZERO),
@@ -154,6 +154,7 @@
         if let Some(rank) = self.ranks.remove(&step) {
             self.waiting.remove(&(rank, step));
         }
+        self.tried.remove(&step);
     }
 
     pub(super) fn cancel_job(&mut self, now: Ms, id: id::Job) {
--- a/crates/scheduler/src/leader/pass.rs
+++ b/crates/scheduler/src/leader/pass.rs
@@ -16,6 +16,8 @@
 pub(super) struct Pass {
     pub(super) starts: usize,
     pub(super) has_unheard_workers: bool,
+    /// Slow workers are not eligible.
+    pub(super) avoids_slow: bool,
     /// Some steps found no room.
     pub(super) is_crowded: bool,
     unplaced: Vec<Unplaced>,
@@ -31,9 +33,10 @@
 }
 
 impl Pass {
-    pub(super) fn new(has_unheard_workers: bool) -> Self {
+    pub(super) fn new(has_unheard_workers: bool, avoids_slow: bool) -> Self {
         Self {
             has_unheard_workers,
+            avoids_slow,
             ..Self::default()
         }
     }
@@ -50,23 +53,12 @@
         is_worth_trying
     }
 
-    /// Records a step that could not be placed; `has_room` is set if some worker has the free
-    /// capacity that it needs, `has_suspects` if some of its tasks start only apart from others.
-    pub(super) fn record_unplaced(
-        &mut self,
-        request: &Request<'_>,
-        has_room: bool,
-        has_suspects: bool,
-    ) {
+    /// Records a step that could not be placed; `is_special` is set if the cause is a constraint that
+    /// other steps do not have.
+    pub(super) fn record_unplaced(&mut self, request: &Request<'_>, is_special: bool) {
         self.is_crowded = true;
         self.tried[class_index(request.claim)] += 1;
-        let spec = request.spec;
-        let is_constrained = has_suspects
-            || spec.is_gang
-            || spec.label.is_some()
-            || spec.per_worker.is_some()
-            || request.tickets.is_some();
-        if !has_room || !is_constrained {
+        if !is_special {
             self.unplaced.push(Unplaced {
                 service: request.service.clone(),
                 claim: *request.claim,
@@ -95,6 +87,17 @@
     }
 }
 
+/// Returns whether a step needs more than free capacity; `has_suspects` is set if some of its tasks
+/// start only apart from others.
+pub(super) fn is_constrained(request: &Request<'_>, has_suspects: bool) -> bool {
+    let spec = request.spec;
+    has_suspects
+        || spec.is_gang
+        || spec.label.is_some()
+        || spec.per_worker.is_some()
+        || request.tickets.is_some()
+}
+
 /// Returns the index of the claim's class in [`Pass::tried`].
 const fn class_index(claim: &Claim) -> usize {
     match claim.class {
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -58,6 +58,7 @@
         {
             return;
         }
+        worker.improved_at = now;
         worker.is_unresponsive = false;
         worker.lease_expiry = None;
         worker.has_lapsed = false;
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
 use std::sync::Arc;
 
 use decision::clock::Ms;
@@ -10,6 +11,7 @@
 use super::Leader;
 use super::Rank;
 use super::crashes;
+use super::pass;
 use super::pass::Pass;
 use crate::fleet::Claim;
 use crate::id;
@@ -31,6 +33,30 @@
 /// The most starts in one pass, so that a pass does not delay the other work of the leader.
 const MAX_STARTS: usize = 200;
 
+/// The interval at which a step that found no room is tried on the whole fleet again. In between
+/// only those workers are tried that have freed resources or have answered a poll since.
+const FULL_TRY_INTERVAL: Ms = Ms(250);
+
+/// The last try of a step that found no room.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Try {
+    at: Ms,
+    /// The time of the last try on all workers, and the conditions under which it failed.
+    full_at: Ms,
+    kept_slack: f64,
+    avoids_slow: bool,
+}
+
+impl Try {
+    /// Returns whether a worker that has not improved since this try has no room for the request
+    /// either.
+    fn covers(&self, now: Ms, request: &Request<'_>) -> bool {
+        now.since(self.full_at) < FULL_TRY_INTERVAL
+            && request.kept_slack >= self.kept_slack
+            && request.avoids_slow == self.avoids_slow
+    }
+}
+
 impl Leader {
     pub(super) fn start_tasks(&mut self, now: Ms) {
         let is_too_early = self.is_crowded && now.since(self.last_pass) < CROWDED_INTERVAL;
@@ -40,7 +66,8 @@
         self.last_pass = now;
         self.passes += 1;
         let waiting = self.by_urgency(now);
-        let mut pass = Pass::new(self.has_unheard_workers());
+        let avoids_slow = placement::can_avoid_slow(self.workers.values(), now);
+        let mut pass = Pass::new(self.has_unheard_workers(), avoids_slow);
         for (_, step) in waiting {
             self.start_step(now, step, &mut pass);
             if pass.starts >= MAX_STARTS {
@@ -116,7 +143,7 @@
         if is_held && indices.is_empty() {
             return;
         }
-        let Some(queue) = self.config.queue(&queue) else {
+        let Some(queue) = self.queue(&queue) else {
             return;
         };
         let (service, needs_ticket) = (queue.service.clone(), queue.needs_ticket);
@@ -130,23 +157,32 @@
             failed_on: None,
             is_suspect: false,
             rack: None,
-            avoids_slow: placement::can_avoid_slow(self.workers.values(), now),
+            avoids_slow: pass.avoids_slow,
             kept_slack: self.kept_slack(now, step),
         };
         if !pass.should_try(&request) {
             return;
         }
+        let has_suspects = self.has_suspects(step, &indices);
+        let is_independent = !(spec.is_gang || spec.is_same_rack || needs_ticket || has_suspects);
+        let improved_since = self
+            .tried
+            .get(&step)
+            .filter(|last| is_independent && last.covers(now, &request))
+            .map(|last| last.at);
         let chosen = if spec.is_gang || spec.is_same_rack {
             self.choose_together(now, &request, &indices)
         } else {
-            self.choose_each(now, &request, &indices)
+            self.choose_each(now, &request, &indices, improved_since)
         };
         let is_whole = chosen.len() == indices.len();
         if !is_whole {
-            let has_suspects = self.has_suspects(step, &indices);
+            let is_constrained = pass::is_constrained(&request, has_suspects);
             let mut workers = self.workers.values();
-            let has_room = workers.any(|worker| placement::has_room(&request, worker, now));
-            pass.record_unplaced(&request, has_room, has_suspects);
+            let has_room =
+                is_constrained && workers.any(|worker| placement::has_room(&request, worker, now));
+            pass.record_unplaced(&request, is_constrained && has_room);
+            self.record_try(now, &request, improved_since.is_none());
         }
         if is_whole && !is_held {
             self.dequeue(step);
@@ -195,13 +231,31 @@
         names.cloned().collect()
     }
 
-    /// Books the best worker for each task, until one fits nowhere.
+    /// Records that a step found no room among all workers, or among those that have improved since
+    /// its last try.
+    fn record_try(&mut self, now: Ms, request: &Request<'_>, is_full: bool) {
+        let last = self.tried.entry(request.step).or_default();
+        last.at = now;
+        if is_full {
+            *last = Try {
+                at: now,
+                full_at: now,
+                kept_slack: request.kept_slack,
+                avoids_slow: request.avoids_slow,
+            };
+        }
+    }
+
+    /// Books the best worker for each task, until one fits nowhere. Only workers that have improved
+    /// since the given time are examined, if there is one.
     fn choose_each(
         &mut self,
         now: Ms,
         request: &Request<'_>,
         indices: &[u32],
+        improved_since: Option<Ms>,
     ) -> Vec<(Task, Run, Name)> {
+        let mut candidates = self.find_candidates(now, request, improved_since);
         let mut chosen = Vec::new();
         for &index in indices {
             let task = Task {
@@ -209,7 +263,7 @@
                 index,
             };
             let run = self.next_run();
-            let Some(worker) = self.book_best(now, request, task, run, None) else {
+            let Some(worker) = self.book_best(now, request, task, run, &mut candidates) else {
                 // The run number was not used.
                 self.run_count -= 1;
                 if self.is_suspect(task) {
@@ -239,6 +293,11 @@
         for rack in racks {
             self.unbook(request.claim, &best);
             best.clear();
+            let request = Request {
+                rack: rack.as_ref(),
+                ..*request
+            };
+            let mut candidates = self.find_candidates(now, &request, None);
             for &index in indices {
                 let task = Task {
                     step: request.step,
@@ -249,7 +308,7 @@
                 } else {
                     self.next_run()
                 };
-                let found = self.book_best(now, request, task, run, rack.as_ref());
+                let found = self.book_best(now, &request, task, run, &mut candidates);
                 let Some(worker) = found else {
                     break;
                 };
@@ -305,13 +364,32 @@
         Run::new(self.epoch, self.run_count)
     }
 
+    /// Returns the workers that a task fits on by their scores.
+    fn find_candidates(
+        &self,
+        now: Ms,
+        request: &Request<'_>,
+        improved_since: Option<Ms>,
+    ) -> BinaryHeap<(i64, Name)> {
+        let workers = self.workers.iter();
+        let workers = workers
+            .filter(|(_, worker)| improved_since.is_none_or(|since| worker.improved_at >= since));
+        let scored = workers.filter_map(|(name, worker)| {
+            let score = placement::score(request, &self.model, name, worker, now)?;
+            Some((score, name.clone()))
+        });
+        scored.collect()
+    }
+
+    /// Books the best worker for a task, from the candidates for the tasks of its step. A task that
+    /// has failed or may crash workers prefers others than its step.
     fn book_best(
         &mut self,
         now: Ms,
         request: &Request<'_>,
         task: Task,
         run: Run,
-        rack: Option<&Name>,
+        candidates: &mut BinaryHeap<(i64, Name)>,
     ) -> Option<Name> {
         let failed_on = self
             .jobs
@@ -319,23 +397,48 @@
             .and_then(|job| job.task(task))
             .and_then(|state| state.failed_on.clone());
         let is_suspect = self.is_suspect(task);
-        let request = Request {
-            failed_on: failed_on.as_ref(),
-            is_suspect,
-            rack,
-            ..*request
-        };
-        let is_usable = |name: &Name| self.is_stored(name);
-        let name = placement::choose(&request, &self.model, self.workers.iter(), is_usable, now)?;
+        let name = if failed_on.is_some() || is_suspect {
+            let own = Request {
+                failed_on: failed_on.as_ref(),
+                is_suspect,
+                ..*request
+            };
+            let is_usable = |name: &Name| self.is_stored(name);
+            placement::choose(&own, &self.model, self.workers.iter(), is_usable, now)
+        } else {
+            self.take_candidate(now, request, candidates)
+        }?;
         let worker = self.workers.get_mut(&name)?;
         worker.book(request.claim, task, run);
         worker.last_start = now;
         if is_suspect {
             worker.trial = Some((task.step.job, now + crashes::TRIAL_DURATION));
         }
+        if let Some(score) = placement::score(request, &self.model, &name, worker, now) {
+            candidates.push((score, name.clone()));
+        }
         Some(name)
     }
 
+    /// Removes the best candidate and returns it. The scores of those on which other tasks were
+    /// booked meanwhile are updated.
+    fn take_candidate(
+        &self,
+        now: Ms,
+        request: &Request<'_>,
+        candidates: &mut BinaryHeap<(i64, Name)>,
+    ) -> Option<Name> {
+        loop {
+            let (score, name) = candidates.pop()?;
+            let worker = self.workers.get(&name)?;
+            match placement::score(request, &self.model, &name, worker, now) {
+                Some(current) if current != score => candidates.push((current, name)),
+                Some(_) if self.is_stored(&name) => return Some(name),
+                Some(_) | None => {}
+            }
+        }
+    }
+
     fn unbook(&mut self, claim: &Claim, chosen: &[(Task, Run, Name)]) {
         for (task, run, name) in chosen {
             if let Some(worker) = self.workers.get_mut(name) {
--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -22,6 +22,9 @@
 const MAX_MOVE_SHARE_PERCENT: u8 = 30;
 /// The most runs that are moved after one poll.
 const MAX_MOVES: usize = 2;
+/// The time after a search without a result in which no run of the same image is tried to be moved,
+/// because a search looks at the whole fleet.
+const MOVE_SEARCH_INTERVAL: Ms = Ms(200);
 /// The residual of the slack below which the worker itself counts as slow, if all its serving tasks
 /// have it.
 const SLOW_RESIDUAL: f64 = -1.3;
@@ -140,15 +143,21 @@
         let slowed: Vec<(Task, Run)> = slowed.map(|filling| (filling.task, filling.run)).collect();
         let mut moved = 0;
         for (task, run) in slowed {
+            if moved >= MAX_MOVES {
+                return;
+            }
             let Some(claim) = self.movable_claim(task, run) else {
                 continue;
             };
-            let Some(target) = self.find_worker(now, &claim, task) else {
-                continue;
-            };
-            if target == *name || moved >= MAX_MOVES {
+            let searched = self.immovable.get(&claim.image);
+            if searched.is_some_and(|&at| now.since(at) < MOVE_SEARCH_INTERVAL) {
                 continue;
             }
+            let target = self.find_worker(now, &claim, task);
+            let Some(target) = target.filter(|target| target != name) else {
+                self.immovable.insert(claim.image, now);
+                continue;
+            };
             moved += 1;
             self.log(format!(
                 "kind=move task={task} run={run} from={name} to={target}"
