Show counts of waiting jobs only while they are complete

Cause: counts carried no age. A leader that the store turns away learns of no further jobs and sends old counts for as long as its agents follow it; they were kept after that until the next leader had read all rows.

Change: counts are as old as the leader's last confirmed write, keep ageing over a change of the leader, and are refused with 503 `no-counts` once they are older than 4 s, within the 5 s that the users' page allows. One type holds them. A heartbeat names only the queues in which jobs wait: with 1,400 queues it was sent 147 times each 400 ms with all of them. Builds of before read it in the same way, as a missing queue already meant zero.

The test of the counts is replaced by a table that checks what it checked and the age; before, there was no age to check.

--- a/crates/scheduler/src/leader/report.rs
+++ b/crates/scheduler/src/leader/report.rs
@@ -24,17 +24,14 @@
 }
 
 impl Leader {
-    /// Returns the number of accepted jobs without a started task, by queue. There are no counts
-    /// until all accepted jobs were read: that this leader knows of no job does not mean that none
-    /// waits.
+    /// Returns the number of accepted jobs without a started task, by queue, without the queues in
+    /// which none waits. There are no counts until all accepted jobs were read: that this leader
+    /// knows of no job does not mean that none waits.
     pub(super) fn count_waiting(&self) -> Vec<(Name, u32)> {
         if !self.is_recovered {
             return Vec::new();
         }
         let mut counts: BTreeMap<&Name, u32> = BTreeMap::new();
-        for queue in &self.config.queues {
-            counts.insert(&queue.name, 0);
-        }
         let waiting = self
             .jobs
             .values()
@@ -42,6 +39,11 @@
         for job in waiting {
             *counts.entry(&job.queue).or_default() += 1;
         }
+        if counts.is_empty() {
+            // One count shows that the others are known to be zero.
+            let queue = self.config.queues.first();
+            counts.extend(queue.map(|queue| (&queue.name, 0)));
+        }
         let counts = counts.into_iter();
         counts.map(|(name, count)| (name.clone(), count)).collect()
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod agent;
 pub mod config;
+pub mod counts;
 pub mod election;
 pub mod fleet;
 pub mod id;
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -107,31 +107,12 @@
     /// The version of the leader's configuration.
     pub config: u64,
     /// The number of accepted jobs without a started task, by queue; empty until the leader has read
-    /// the jobs.
+    /// the jobs. Queues that are missing from a list that is not empty have none.
     pub waiting: Vec<(Name, u32)>,
     /// The queues that accept no more work for now, each with the time after which to retry.
     pub full: Vec<(Name, Ms)>,
 }
 
-impl Heartbeat {
-    /// Takes the counts of the heartbeat before if this one has none.
-    #[must_use]
-    pub fn after(mut self, earlier: Self) -> Self {
-        if self.waiting.is_empty() {
-            self.waiting = earlier.waiting;
-        }
-        self
-    }
-
-    /// Returns the number of waiting jobs of a queue, or `None` until a leader has read the jobs.
-    #[must_use]
-    pub fn waiting_in(&self, queue: &str) -> Option<u32> {
-        let found = self.waiting.iter().find(|(name, _)| **name == *queue);
-        let count = found.map_or(0, |(_, count)| *count);
-        (!self.waiting.is_empty()).then_some(count)
-    }
-}
-
 /// The state of a run as its worker reports it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Running {
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -12,6 +12,7 @@
 use common::registration;
 use decision::clock::Ms;
 use scheduler::agent::Lease;
+use scheduler::counts::Counts;
 use scheduler::id;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
@@ -473,7 +474,8 @@
     assert_eq!(takeover.leader.stage(Job(1)), ended);
 }
 
-/// A leader that has read no jobs yet does not know that none wait.
+/// A leader that has read no jobs yet does not know that none wait, and one that the store does not
+/// serve does not learn of new ones.
 #[test]
 fn the_counts_of_waiting_jobs_outlast_a_change_of_the_leader() {
     let mut leader = Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN);
@@ -486,12 +488,50 @@
         waiting: vec![(name("queue"), 7)],
         ..Heartbeat::default()
     };
+    let unserved = Heartbeat {
+        store_age: Ms(3_000),
+        ..earlier.clone()
+    };
+    let none = Heartbeat::default;
+    // Two heartbeats, the second 1 s after the first, and the age of the second.
     let cases = [
-        (unread.clone().after(Heartbeat::default()), None),
-        (unread.after(earlier.clone()), Some(7)),
-        (read.after(earlier), Some(1)),
+        (none(), unread.clone(), Ms::ZERO, None),
+        (earlier.clone(), unread.clone(), Ms::ZERO, Some(7)),
+        (earlier.clone(), unread.clone(), Ms(3_000), Some(7)),
+        (earlier.clone(), unread.clone(), Ms(3_001), None),
+        (earlier, read, Ms(4_000), Some(1)),
+        (none(), unserved.clone(), Ms(1_000), Some(7)),
+        (none(), unserved, Ms(1_001), None),
     ];
-    for (heartbeat, count) in cases {
-        assert_eq!(heartbeat.waiting_in("queue"), count, "{heartbeat:?}");
+    for (first, second, age, count) in cases {
+        let mut counts = Counts::default();
+        counts.update(BEGUN, &first);
+        counts.update(BEGUN + Ms(1_000), &second);
+        let now = BEGUN + Ms(1_000) + age;
+        assert_eq!(
+            counts.waiting_in(now, "queue"),
+            count,
+            "{first:?} {second:?}"
+        );
     }
 }
+
+/// The queues of an operator with many customers fill the heartbeats to all agents otherwise.
+#[test]
+fn heartbeats_count_only_the_queues_in_which_jobs_wait() {
+    let mut config = config();
+    let mut queue = config.queues[0].clone();
+    queue.name = name("idle");
+    config.queues.push(queue);
+    let mut leader = Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN);
+    leader.handle(BEGUN, Event::Config(Arc::new(config)));
+    leader.handle(BEGUN, Event::Recovered);
+    let mut counts = Counts::default();
+    counts.update(BEGUN, &leader.heartbeat(Ms::ZERO));
+    assert_eq!(counts.waiting_in(BEGUN, "queue"), Some(0));
+    leader.handle(BEGUN, accepted(1, OLD_ROW, 1));
+    let heartbeat = leader.heartbeat(Ms::ZERO);
+    assert_eq!(heartbeat.waiting, [(name("queue"), 1)]);
+    counts.update(BEGUN, &heartbeat);
+    assert_eq!(counts.waiting_in(BEGUN, "idle"), Some(0));
+}
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -8,6 +8,7 @@
 use decision::name::Name;
 use futures_channel::oneshot;
 use scheduler::agent::Inventory;
+use scheduler::counts::Counts;
 use scheduler::id::Epoch;
 use scheduler::id::Job;
 use scheduler::message::Heartbeat;
@@ -49,6 +50,8 @@
     inventory: Inventory,
     /// The newest heartbeat of the leader.
     heartbeat: Heartbeat,
+    /// The newest counts of waiting jobs.
+    counts: Counts,
 }
 
 /// The leader's reply to a query of this agent.
@@ -143,6 +146,11 @@
         is_valid.then(|| state.heartbeat.clone())
     }
 
+    /// Returns the number of waiting jobs of a queue, or `None` if the last counts are too old.
+    pub(super) fn waiting_in(&self, queue: &str) -> Option<u32> {
+        lock(&self.state).counts.waiting_in(clock::now(), queue)
+    }
+
     /// Queries the leader for the stage of a job. The outer `None` means that there was no reply,
     /// the inner `None` that the leader does not know the job.
     pub(super) async fn query_stage(&self, job: Job) -> Option<Option<Stage>> {
@@ -202,7 +210,8 @@
                 let leader_version = heartbeat.config;
                 session.record_contact();
                 let mut state = lock(&self.state);
-                state.heartbeat = heartbeat.after(std::mem::take(&mut state.heartbeat));
+                state.counts.update(clock::now(), &heartbeat);
+                state.heartbeat = heartbeat;
                 drop(state);
                 if let Some(raw) = shared.newer_config(leader_version) {
                     session.report(Report::Config(raw));
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -93,10 +93,10 @@
 }
 
 fn answer_count(shared: &Shared, queue: &Queue) -> Answer {
-    let Some(heartbeat) = shared.agent.heartbeat() else {
+    if shared.agent.heartbeat().is_none() {
         return refuse(shared, "no-leader", &queue.name);
-    };
-    match heartbeat.waiting_in(&queue.name) {
+    }
+    match shared.agent.waiting_in(&queue.name) {
         Some(count) => json(front::encode_waiting(count)),
         None => refuse(shared, "no-counts", &queue.name),
     }
