Replace a frozen leader whose address still takes connections

Cause, as listed: following such a leader takes 1.75 s a turn, longer than the 1.2 s between two reads after which the heartbeat counts as unchanged anew.

Change: an entry that reads a stale heartbeat goes on reading it until it changes or has been unchanged for long enough, and does not follow the leader meanwhile. After an outage of the store this delays an entry without a session until the leader's next heartbeat, 300 ms.

--- a/crates/scheduler/src/election.rs
+++ b/crates/scheduler/src/election.rs
@@ -99,6 +99,19 @@
         || is_stale && view.unchanged >= UNCHANGED_TIMEOUT
 }
 
+/// Returns whether this entry should go on reading the leader's rows instead of following the
+/// leader, because the heartbeat is stale and may stay unchanged. An attempt to follow a leader that
+/// is frozen takes longer than [`MAX_READ_GAP`].
+#[must_use]
+pub fn should_observe(view: &View) -> bool {
+    let is_led = view
+        .record
+        .as_ref()
+        .is_some_and(|(_, record)| record.entry.is_some());
+    let is_stale = view.heartbeat_age.is_some_and(|age| age >= STALE_AFTER);
+    is_led && is_stale && view.unchanged < UNCHANGED_TIMEOUT
+}
+
 /// Observes the heartbeat of the leader over several reads of the store.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Observer {
--- a/crates/scheduler/tests/election.rs
+++ b/crates/scheduler/tests/election.rs
@@ -104,6 +104,37 @@
     assert!(!election::should_campaign(&view, &name("a"), 9));
 }
 
+/// An attempt to follow a frozen leader takes longer than the gap between two reads after which the
+/// time without a change counts anew, so such a leader was never replaced.
+#[test]
+fn an_entry_watches_a_stale_heartbeat_instead_of_following_a_frozen_leader() {
+    let led = || Some(record(Some("b"), 1));
+    let cases = [
+        ("alive", view(led(), 500, false), 0, false),
+        ("just stale", view(led(), 2_000, false), 0, true),
+        (
+            "stale for long enough",
+            view(led(), 3_000, false),
+            900,
+            false,
+        ),
+        ("no leader", view(None, 3_000, false), 0, false),
+        (
+            "resigned",
+            view(Some(record(None, 1)), 3_000, false),
+            0,
+            false,
+        ),
+    ];
+    for (case, view, unchanged, expected) in cases {
+        let view = View {
+            unchanged: Ms(unchanged),
+            ..view
+        };
+        assert_eq!(election::should_observe(&view), expected, "{case}");
+    }
+}
+
 #[test]
 fn entries_with_more_processor_time_campaign_first() {
     let delays = [0.5, 0.1, 0.05].map(election::candidacy_delay);
--- a/src/serve/election.rs
+++ b/src/serve/election.rs
@@ -77,6 +77,7 @@
             continue;
         }
         has_deferred = false;
+        let is_watching = election::should_observe(&observed.view);
         if should_campaign && !shared.is_stopping() {
             try_acquire(&shared, &observed).await;
             refusals = 0;
@@ -90,6 +91,10 @@
             sleep(election::CHECK_INTERVAL).await;
             continue;
         };
+        if is_watching {
+            sleep(election::CHECK_INTERVAL).await;
+            continue;
+        }
         if shared.agent.is_refused(epoch) {
             // A later leader exists, and the next read may show its record.
             sleep(election::CHECK_INTERVAL).await;
