Bound the leader's queues and rounds, so that its own work cannot silence it

Cause: the driver's loop did not give way to the executor while its queue held inputs, so nothing it decided reached a socket; every channel was unbounded; a heartbeat with all counts went to all agents whenever one joined, and the whole configuration to each that joined.

Change: - a round handles at most 256 inputs or 10 ms of them, then decides and sends, and pauses for 1 ms while inputs are left, in which sockets are served; - two bounded queues: results of the leader's own calls come first, reports of agents and rows of the store wait at the reader (back-pressure on the connection, and on the feed); - an agent that has not taken 128 batches of orders is disconnected, so that its starts count as unsure at once; an agent drops reports while 1,024 wait, and later polls say the same again; frames are bounded on both sides; - how a leadership ends is a flag that the driver reads each round, not an input; a new configuration is noticed in the same way, and sent to agents in portions of 256 KB a tick, since those that reach the store read it there; - the rows of progress are found by key at a takeover, not by a scan for each. A line `driver-load` each second and the metrics `round_ms` and `inputs_queued` show the load.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -8,6 +8,7 @@
 mod feeds;
 mod frame;
 mod front;
+mod inbox;
 mod instruments;
 mod lead;
 mod leadership;
@@ -161,6 +162,10 @@
 
     /// Puts a configuration in force if it can be decoded and is newer than the current one.
     fn apply_config(&self, raw: &[u8]) {
+        let current = lock(&self.config).clone();
+        if current.is_some_and(|(_, current)| *current == *raw) {
+            return;
+        }
         let config = match adapter::config::decode(raw) {
             Ok(config) => Arc::new(config),
             Err(error) => {
@@ -178,14 +183,15 @@
             }
             *current = Some((Arc::clone(&config), Arc::from(raw)));
         }
+        // The driver compares the versions each time it is woken up.
+        if let Some(leadership) = self.leadership() {
+            leadership.wake();
+        }
         log::info!(
             "kind=config-in-force version={} queues={}",
             config.version,
             config.queues.len()
         );
-        if let Some(leadership) = self.leadership() {
-            leadership.configure(config, Arc::from(raw));
-        }
     }
 
     /// Records that the heartbeat row was read with this version, and returns for how long it has
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -1,9 +1,9 @@
 //! The loop that passes inputs to [`Leader`] and carries out its actions.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::mem;
 use std::sync::Arc;
-use std::time::Duration;
 
 use adapter::store::Error;
 use adapter::store::Transaction;
@@ -15,16 +15,16 @@
 use scheduler::leader::Commit;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
+use scheduler::message::Heartbeat;
 use scheduler::message::Order;
 use scheduler::message::Report;
 use scheduler::message::Request;
-use smol::Timer;
-use smol::channel::Receiver;
 use smol::channel::Sender;
-use smol::future::FutureExt;
+use smol::channel::TrySendError;
 
 use super::Shared;
 use super::clock;
+use super::inbox::Inbox;
 use super::leadership::Input;
 use super::leadership::Leadership;
 use super::leadership::REPLACED;
@@ -32,6 +32,7 @@
 use super::persist;
 use super::resign::End;
 use super::rows;
+use super::sleep;
 
 /// The interval at which the leader gets [`Event::Tick`].
 const TICK_INTERVAL: Ms = Ms(50);
@@ -41,13 +42,37 @@
 /// The reason given when the driver loop paused for [`SUSPENSION_THRESHOLD`] or longer.
 const SUSPENDED: &str = "suspended";
 /// The most inputs that are handled before the leader schedules tasks.
-const MAX_BATCH_EVENTS: usize = 256;
+const MAX_BATCH_INPUTS: usize = 256;
+/// The time after which the leader schedules tasks although more inputs are queued.
+const MAX_BATCH_TIME: Ms = Ms(10);
+/// The number of inputs between two readings of the clock.
+const INPUTS_PER_CLOCK_READING: usize = 8;
+/// The pause after each round that leaves inputs in the queue. In it the other tasks of this process
+/// read and write their connections; merely yielding would not let the sockets be polled.
+const BUSY_PAUSE: Ms = Ms(1);
+/// The interval of the log lines that report the load of the driver.
+const LOAD_INTERVAL: Ms = Ms(1_000);
+/// The bytes of configuration that are sent to agents with each tick, unless a single one is larger.
+/// Agents that reach the store read it there, so this need not be fast.
+const MAX_CONFIG_BYTES_PER_TICK: usize = 256 << 10;
+
+/// The rounds of the driver since the last log line.
+#[derive(Debug, Default)]
+struct Load {
+    rounds: u64,
+    inputs: u64,
+    /// The longest time that a round took.
+    longest: Ms,
+    /// The most inputs that were left in the queues after a round.
+    queued: usize,
+    logged: Ms,
+}
 
 /// The loop that owns the leader and the connections of its agents.
 pub(super) struct Driver {
     shared: Arc<Shared>,
     leadership: Arc<Leadership>,
-    queue: Receiver<Input>,
+    inbox: Inbox,
     leader: Leader,
     /// The current connection of each agent: its number and where orders go.
     agents: BTreeMap<Name, (u64, Sender<Vec<Order>>)>,
@@ -55,16 +80,17 @@
     outgoing: BTreeMap<Name, Vec<Order>>,
     /// When the newest confirmed write that the leader knows of was sent.
     confirmed_sent_at: Ms,
-    /// How the driver has to end; `None` while it leads.
-    end: Option<End>,
+    /// The version of the configuration that the leader has.
+    config_version: u64,
+    /// The agents that were not sent that configuration yet.
+    config_due: VecDeque<Name>,
+    /// The counts of waiting jobs in the last heartbeat.
+    waiting: Vec<(Name, u32)>,
+    load: Load,
 }
 
 impl Driver {
-    pub(super) fn new(
-        shared: &Arc<Shared>,
-        leadership: &Arc<Leadership>,
-        queue: Receiver<Input>,
-    ) -> Self {
+    pub(super) fn new(shared: &Arc<Shared>, leadership: &Arc<Leadership>, inbox: Inbox) -> Self {
         let options = &shared.options;
         let bounds = Bounds {
             lease: options.lease,
@@ -75,61 +101,130 @@
             leader: Leader::new(options.name.clone(), leadership.epoch, bounds, clock::now()),
             shared: Arc::clone(shared),
             leadership: Arc::clone(leadership),
-            queue,
+            inbox,
             agents: BTreeMap::new(),
             outgoing: BTreeMap::new(),
             confirmed_sent_at: Ms::ZERO,
-            end: None,
+            config_version: 0,
+            config_due: VecDeque::new(),
+            waiting: Vec::new(),
+            load: Load::default(),
         }
     }
 
     /// Runs the loop until the leadership has to end, and returns how it ends.
     pub(super) async fn run(&mut self) -> End {
-        if let Some(config) = self.shared.config() {
-            self.handle_event(Event::Config(config));
-        }
         let mut last_active = clock::now();
         let mut tick_due = last_active;
-        let mut heartbeat_due = clock::now();
+        let mut heartbeat_due = last_active;
         loop {
-            if let Some(end) = self.end {
+            if let Some(end) = self.leadership.ended() {
                 return end;
             }
-            let queue = self.queue.clone();
-            let next = async { queue.recv().await.ok() };
-            let pause = Duration::from_millis(tick_due.since(clock::now()).0);
-            let timer = async {
-                Timer::after(pause).await;
-                None
-            };
-            let input = next.or(timer).await;
-            if clock::now().since(last_active) >= SUSPENSION_THRESHOLD {
+            let input = self.inbox.next(tick_due.since(clock::now())).await;
+            let begun = clock::now();
+            if begun.since(last_active) >= SUSPENSION_THRESHOLD {
                 return End::Unconfirmed(SUSPENDED);
             }
-            last_active = clock::now();
-            if let Some(input) = input {
-                self.handle_input(input);
-            }
-            for _ in 1..MAX_BATCH_EVENTS {
-                let Ok(input) = self.queue.try_recv() else {
-                    break;
-                };
-                self.handle_input(input);
-            }
+            last_active = begun;
+            self.apply_config();
+            self.handle_batch(begun, input);
             let now = clock::now();
-            if now >= tick_due {
-                tick_due = now + TICK_INTERVAL;
-                self.handle_event(Event::Tick(clock::unix()));
-            }
             if now >= heartbeat_due {
                 heartbeat_due = now + peers::HEARTBEAT_INTERVAL;
                 self.send_heartbeats();
             }
+            if now >= tick_due {
+                tick_due = now + TICK_INTERVAL;
+                self.handle_event(Event::Tick(clock::unix()));
+                self.send_config();
+            }
             self.confirm_lead();
             let actions = self.leader.schedule(now);
             self.shared.instruments.record_tally(self.leader.tally());
             self.perform(actions);
             self.flush();
+            self.record_round(begun);
+            if self.inbox.len() > 0 {
+                sleep(BUSY_PAUSE).await;
+            }
+        }
+    }
+
+    /// Handles an input and those queued behind it, as far as one round may.
+    fn handle_batch(&mut self, begun: Ms, first: Option<Input>) {
+        let mut next = first;
+        for count in 1..=MAX_BATCH_INPUTS {
+            let Some(input) = next else {
+                return;
+            };
+            self.handle_input(input);
+            self.load.inputs += 1;
+            let reads_clock = count.is_multiple_of(INPUTS_PER_CLOCK_READING);
+            if reads_clock && clock::now().since(begun) >= MAX_BATCH_TIME {
+                return;
+            }
+            next = self.inbox.try_next();
+        }
+        if let Some(input) = next {
+            self.handle_input(input);
+        }
+    }
+
+    /// Records the length of a round, and logs the load from time to time.
+    fn record_round(&mut self, begun: Ms) {
+        let now = clock::now();
+        let time = now.since(begun);
+        let queued = self.inbox.len();
+        self.shared.instruments.record_round(time, queued);
+        let load = &mut self.load;
+        load.rounds += 1;
+        load.longest = load.longest.max(time);
+        load.queued = load.queued.max(queued);
+        if now.since(load.logged) < LOAD_INTERVAL {
+            return;
+        }
+        log::info!(
+            "kind=driver-load epoch={} rounds={} inputs={} longest_round_ms={} queued={}",
+            self.leadership.epoch,
+            load.rounds,
+            load.inputs,
+            load.longest.0,
+            load.queued
+        );
+        *load = Load {
+            logged: now,
+            ..Load::default()
+        };
+    }
+
+    /// Passes a newer configuration to the leader, and to its agents little by little.
+    fn apply_config(&mut self) {
+        let Some(config) = self.shared.config() else {
+            return;
+        };
+        if config.version <= self.config_version {
+            return;
+        }
+        self.config_version = config.version;
+        self.config_due = self.agents.keys().cloned().collect();
+        self.handle_event(Event::Config(config));
+    }
+
+    /// Sends the configuration to some of the agents that were not sent it yet.
+    fn send_config(&mut self) {
+        let Some(raw) = self.shared.newer_config(0) else {
+            return;
+        };
+        let most = (MAX_CONFIG_BYTES_PER_TICK / raw.len().max(1)).max(1);
+        for _ in 0..most {
+            let Some(agent) = self.config_due.pop_front() else {
+                return;
+            };
+            if self.agents.contains_key(&agent) {
+                let orders = self.outgoing.entry(agent).or_default();
+                orders.push(Order::Config(Arc::clone(&raw)));
+            }
         }
     }
 
@@ -149,13 +244,6 @@
             }
             Input::Event(Event::Received(_, Report::Config(raw))) => self.shared.apply_config(&raw),
             Input::Event(event) => self.handle_event(event),
-            Input::Config(config, raw) => {
-                self.handle_event(Event::Config(config));
-                for agent in self.agents.keys() {
-                    let orders = self.outgoing.entry(agent.clone()).or_default();
-                    orders.push(Order::Config(Arc::clone(&raw)));
-                }
-            }
             Input::Stored(entry, number, storage) => {
                 let orders = self.outgoing.entry(entry).or_default();
                 orders.push(Order::Stored(number, storage));
@@ -167,13 +255,10 @@
                     self.handle_event(Event::Left(entry.clone()));
                 }
                 self.agents.insert(entry.clone(), (connection, out));
-                if let Some(raw) = self.shared.newer_config(0) {
-                    let orders = self.outgoing.entry(entry.clone()).or_default();
-                    orders.push(Order::Config(raw));
-                }
+                self.config_due.push_back(entry.clone());
                 self.handle_event(Event::Received(entry.clone(), Report::Hello(hello)));
-                self.handle_event(Event::Joined(entry, domain));
-                self.send_heartbeats();
+                self.handle_event(Event::Joined(entry.clone(), domain));
+                self.greet(entry);
             }
             Input::Left(entry, connection) => {
                 let is_current = self
@@ -181,12 +266,9 @@
                     .get(&entry)
                     .is_some_and(|(current, _)| *current == connection);
                 if is_current {
-                    self.agents.remove(&entry);
-                    self.outgoing.remove(&entry);
-                    self.handle_event(Event::Left(entry));
+                    self.disconnect(entry);
                 }
             }
-            Input::Ended(end) => self.end = Some(end),
         }
     }
 
@@ -211,7 +293,7 @@
                 Action::Send(agent, order) => self.outgoing.entry(agent).or_default().push(order),
                 Action::Commit(commit) => self.commit(&commit),
                 Action::Advise(step, workers) => self.advise(step, workers),
-                Action::Resign(reason) => self.end = Some(End::Unconfirmed(reason)),
+                Action::Resign(reason) => self.leadership.end(End::Unconfirmed(reason)),
                 Action::Log(line) => log::info!("epoch={} {line}", self.leadership.epoch),
             }
         }
@@ -219,32 +301,65 @@
 
     fn send_heartbeats(&mut self) {
         let heartbeat = self.leader.heartbeat(self.leadership.store_age());
+        self.waiting.clone_from(&heartbeat.waiting);
         for agent in self.agents.keys() {
             let orders = self.outgoing.entry(agent.clone()).or_default();
             orders.push(Order::Beat(heartbeat.clone()));
         }
     }
 
-    /// Sends each agent the orders that have been collected for it.
+    /// Sends an agent that has just connected a heartbeat, with the counts of the last one.
+    fn greet(&mut self, entry: Name) {
+        let heartbeat = Heartbeat {
+            store_age: self.leadership.store_age(),
+            config: self.config_version,
+            waiting: self.waiting.clone(),
+            full: Vec::new(),
+        };
+        let orders = self.outgoing.entry(entry).or_default();
+        orders.push(Order::Beat(heartbeat));
+    }
+
+    /// Sends each agent the orders that have been collected for it. An agent that has not taken
+    /// [`peers::MAX_QUEUED_BATCHES`] earlier ones is disconnected, so that it finds out that orders
+    /// are missing.
     fn flush(&mut self) {
         for (agent, orders) in mem::take(&mut self.outgoing) {
-            if let Some((_, out)) = self.agents.get(&agent) {
-                // Sending fails once the connection has ended; [`Input::Left`] follows.
-                drop(out.try_send(orders));
+            let Some((_, out)) = self.agents.get(&agent) else {
+                continue;
+            };
+            match out.try_send(orders) {
+                Ok(()) => {}
+                // The connection has ended; [`Input::Left`] follows.
+                Err(TrySendError::Closed(_)) => {}
+                Err(TrySendError::Full(_)) => {
+                    log::warn!(
+                        "kind=agent-dropped agent={agent} cause=orders-not-taken batches={}",
+                        peers::MAX_QUEUED_BATCHES
+                    );
+                    self.disconnect(agent);
+                }
             }
         }
     }
 
+    /// Forgets an agent, whose connection closes with the queue of its orders.
+    fn disconnect(&mut self, entry: Name) {
+        self.agents.remove(&entry);
+        self.outgoing.remove(&entry);
+        self.handle_event(Event::Left(entry));
+    }
+
     /// Requests tickets for a step from the advice service.
     fn advise(&self, step: Step, workers: Vec<Name>) {
         let shared = Arc::clone(&self.shared);
         let leadership = Arc::clone(&self.leadership);
-        let call = async move {
+        let request = async move {
             let Some(client) = &shared.advice else {
                 log::error!("kind=advice-missing step={step} cause=no-address");
-                return leadership.send_event(Event::AdviceFailed(step));
+                return Event::AdviceFailed(step);
             };
-            let event = match client.request(step, &workers).await {
+            match client.request(step, &workers).await {
                 Ok(advice) => Event::AdviceReceived(step, advice.tickets, advice.validity),
                 Err(error) => {
                     log::warn!(
@@ -253,8 +368,10 @@
                     );
                     Event::AdviceFailed(step)
                 }
-            };
-            leadership.send_event(event);
+            }
+        };
+        let call = async move {
+            leadership.send_result(Input::Event(request.await)).await;
         };
         self.shared.spawner.spawn(call).detach();
     }
@@ -265,7 +382,9 @@
         let leadership = Arc::clone(&self.leadership);
         let write = async move {
             let storage = persist::write_for_agent(&shared, &request).await;
-            leadership.send(Input::Stored(entry, number, storage));
+            leadership
+                .send_result(Input::Stored(entry, number, storage))
+                .await;
         };
         self.shared.spawner.spawn(write).detach();
     }
@@ -276,15 +395,15 @@
         let shared = Arc::clone(&self.shared);
         let leadership = Arc::clone(&self.leadership);
         let write = async move {
-            let input = match leadership.write(&shared, transaction).await {
-                Ok(()) => Input::Event(Event::Committed),
-                Err(Error::Conflict(_)) => Input::Ended(End::Confirmed(REPLACED)),
+            let event = match leadership.write(&shared, transaction).await {
+                Ok(()) => Event::Committed,
+                Err(Error::Conflict(_)) => return leadership.end(End::Confirmed(REPLACED)),
                 Err(error) => {
                     log::warn!("kind=commit-unconfirmed cause={:?}", error.to_string());
-                    Input::Event(Event::CommitUnconfirmed)
+                    Event::CommitUnconfirmed
                 }
             };
-            leadership.send(input);
+            leadership.send_result(Input::Event(event)).await;
         };
         self.shared.spawner.spawn(write).detach();
     }
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -1,6 +1,7 @@
 //! Follows tables of the store and passes their changes on.
 
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use adapter::config;
@@ -15,9 +16,9 @@
 use scheduler::leader::Event;
 use scheduler::leader::Member;
 use scheduler::progress::Progress;
-use smol::channel::Sender;
 
 use super::Shared;
+use super::inbox::Outlet;
 use super::leadership::Input;
 use super::logging::quote;
 use super::rows;
@@ -186,12 +187,12 @@
 }
 
 /// Follows the registrations of workers and passes each change to the leader.
-pub(super) async fn follow_workers(shared: Arc<Shared>, inputs: Sender<Input>) {
+pub(super) async fn follow_workers(shared: Arc<Shared>, inputs: Outlet) {
     let mut follower = Follower::new(&shared, directory::TABLE);
     let mut known_names: BTreeSet<Name> = BTreeSet::new();
-    let send = |name: Name, registration| {
+    let send = async |name: Name, registration| {
         let event = Event::RegistrationChanged(name, registration);
-        inputs.try_send(Input::Event(event)).is_ok()
+        inputs.send(Input::Event(event)).await.is_ok()
     };
     loop {
         let mut rows = follower.read_all().await;
@@ -199,7 +200,7 @@
         let names = names.filter_map(Result::ok);
         let stored: BTreeSet<Name> = names.collect();
         for removed in known_names.difference(&stored) {
-            if !send(removed.clone(), None) {
+            if !send(removed.clone(), None).await {
                 return;
             }
         }
@@ -224,7 +225,7 @@
                 if registration.is_some() {
                     known_names.insert(name.clone());
                 }
-                if !send(name, registration) {
+                if !send(name, registration).await {
                     return;
                 }
             }
@@ -252,15 +253,23 @@
 
 /// Passes the jobs, progress and fleet that earlier leaders stored to the leader, then follows
 /// accepted and cancelled jobs.
-pub(super) async fn follow_jobs(shared: Arc<Shared>, inputs: Sender<Input>) {
-    let send = |event| inputs.try_send(Input::Event(event)).is_ok();
+pub(super) async fn follow_jobs(shared: Arc<Shared>, inputs: Outlet) {
+    let send = async |event| inputs.send(Input::Event(event)).await.is_ok();
     let mut follower = Follower::new(&shared, rows::JOBS);
     let mut jobs = follower.read_all().await;
-    let mut progress = Follower::new(&shared, rows::PROGRESS).read_all().await;
+    let progress = Follower::new(&shared, rows::PROGRESS).read_all().await;
+    let mut progress: HashMap<String, Row> = progress
+        .into_iter()
+        .map(|row| (row.key.clone(), row))
+        .collect();
     let fleet = Follower::new(&shared, rows::FLEET).read_all().await;
     for row in fleet {
         match rows::decode(&row) {
-            Ok(members) => drop(send(Event::Fleet(reachable(members)))),
+            Ok(members) => {
+                if !send(Event::Fleet(reachable(members))).await {
+                    return;
+                }
+            }
             Err(error) => log::error!("kind=row-ignored table=fleet cause={:?}", error.to_string()),
         }
     }
@@ -268,14 +277,19 @@
     loop {
         jobs.sort_by_key(|row| row.version);
         for row in jobs {
-            if !row.is_removed && !send_job(&row, &mut progress, &send) {
+            if row.is_removed {
+                continue;
+            }
+            if let Some(event) = job_event(&row, &mut progress)
+                && !send(event).await
+            {
                 return;
             }
         }
         if is_first {
             is_first = false;
             progress.clear();
-            if !send(Event::Recovered) {
+            if !send(Event::Recovered).await {
                 return;
             }
         }
@@ -295,7 +309,8 @@
         .collect()
 }
 
-fn send_job(row: &Row, progress: &mut Vec<Row>, send: &impl Fn(Event) -> bool) -> bool {
+/// Returns what a row of the table of jobs tells the leader; `None` if nothing.
+fn job_event(row: &Row, progress: &mut HashMap<String, Row>) -> Option<Event> {
     let ignored = |table: &str, error: &rows::Error| {
         log::error!(
             "kind=row-ignored table={table} key={:?} cause={:?}",
@@ -309,31 +324,31 @@
             let stored = remove_progress(progress, job);
             match (accepted, stored) {
                 (Ok(accepted), Ok(stored)) => {
-                    send(Event::Accepted(job, row.version, accepted, stored))
+                    Some(Event::Accepted(job, row.version, accepted, stored))
                 }
                 (Err(error), _) => {
                     ignored(rows::JOBS, &error);
-                    send(Event::Unreadable(job))
+                    Some(Event::Unreadable(job))
                 }
                 (_, Err(error)) => {
                     ignored(rows::PROGRESS, &error);
-                    send(Event::Unreadable(job))
+                    Some(Event::Unreadable(job))
                 }
             }
         }
-        Ok(Kind::Cancelled(job)) => send(Event::Cancelled(job)),
+        Ok(Kind::Cancelled(job)) => Some(Event::Cancelled(job)),
         Err(error) => {
             ignored(rows::JOBS, &error);
-            true
+            None
         }
     }
 }
 
 /// Returns the stored progress of a job, and removes it from the list.
-fn remove_progress(progress: &mut Vec<Row>, job: id::Job) -> Result<Option<Progress>, rows::Error> {
-    let key = job.to_string();
-    let Some(index) = progress.iter().position(|row| row.key == key) else {
-        return Ok(None);
-    };
-    rows::decode(&progress.swap_remove(index)).map(Some)
+fn remove_progress(
+    progress: &mut HashMap<String, Row>,
+    job: id::Job,
+) -> Result<Option<Progress>, rows::Error> {
+    let row = progress.remove(&job.to_string());
+    row.map(|row| rows::decode(&row)).transpose()
 }
--- a/src/serve/instruments.rs
+++ b/src/serve/instruments.rs
@@ -46,6 +46,8 @@
     tally: Mutex<Tally>,
     writes: Histogram<f64>,
     polls: Histogram<f64>,
+    rounds: Histogram<f64>,
+    inputs: Gauge<u64>,
 }
 
 impl Instruments {
@@ -79,6 +81,11 @@
             tally: Mutex::default(),
             writes: histogram("write_ms", "Time to make a customer's write durable"),
             polls: histogram("look_ms", "Time of looks at workers beyond their wait"),
+            rounds: histogram("round_ms", "Time of the rounds of the leader's loop"),
+            inputs: meter
+                .u64_gauge("inputs_queued")
+                .with_description("Inputs that wait for the leader's loop")
+                .build(),
             export,
         };
         // An instrument without a value is not exported.
@@ -87,6 +94,7 @@
         instruments.crashing_jobs.add(0, &[]);
         instruments.second_runs.add(0, &[]);
         instruments.unheard.record(0, &[]);
+        instruments.inputs.record(0, &[]);
         Ok(instruments)
     }
 
@@ -141,6 +149,12 @@
         self.polls.record(milliseconds(time), &[]);
     }
 
+    /// Records the time of one round of the leader's loop, and the inputs that it left in the queue.
+    pub(super) fn record_round(&self, time: Ms, queued: usize) {
+        self.rounds.record(milliseconds(time), &[]);
+        self.inputs.record(queued as u64, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub(super) fn export_text(&self) -> String {
         self.export.text()
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -10,7 +10,9 @@
 use super::Shared;
 use super::driver::Driver;
 use super::feeds;
+use super::inbox;
 use super::leadership;
+use super::leadership::Input;
 use super::leadership::Leadership;
 use super::lock;
 use super::own_agent;
@@ -20,7 +22,7 @@
 
 /// Leads in this epoch until the leadership ends.
 pub(super) async fn run(shared: &Arc<Shared>, epoch: Epoch, store_time: Ms) {
-    let (inputs, queue) = smol::channel::unbounded();
+    let (inputs, inbox) = inbox::new();
     let leadership = Arc::new(Leadership::new(epoch, store_time, inputs.clone()));
     log::info!("kind=lead-begun epoch={epoch}");
     shared.instruments.record_lead();
@@ -45,7 +47,7 @@
             Arc::clone(&leadership),
         ))),
     ];
-    let mut driver = Driver::new(shared, &leadership, queue);
+    let mut driver = Driver::new(shared, &leadership, inbox);
     let end = driver.run().await;
     drop(tasks);
     *lock(&shared.leadership) = None;
@@ -70,7 +72,10 @@
         }
     };
     match rows::decode(&row) {
-        Ok(summary) => leadership.send_event(Event::InterferenceLoaded(summary)),
+        Ok(summary) => {
+            let event = Event::InterferenceLoaded(summary);
+            leadership.send_result(Input::Event(event)).await;
+        }
         Err(error) => log::warn!("kind=recall-failed cause={:?}", error.to_string()),
     }
 }
--- a/src/serve/leadership.rs
+++ b/src/serve/leadership.rs
@@ -2,6 +2,7 @@
 //! store.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -10,7 +11,6 @@
 use adapter::store::Transaction;
 use decision::clock::Ms;
 use decision::name::Name;
-use scheduler::config::Config;
 use scheduler::election;
 use scheduler::id::Epoch;
 use scheduler::leader::Event;
@@ -21,6 +21,9 @@
 
 use super::Shared;
 use super::clock;
+use super::inbox::Closed;
+use super::inbox::Outlet;
+use super::lock;
 use super::resign::End;
 use super::rows;
 use super::sleep;
@@ -40,20 +43,18 @@
     Joined(Hello, u64, Sender<Vec<Order>>),
     /// The connection with this number to an agent ended.
     Left(Name, u64),
-    /// A newer configuration, decoded and as the operator wrote it.
-    Config(Arc<Config>, Arc<[u8]>),
     /// The result of the write that an agent requested under this number.
     Stored(Name, u64, Storage),
-    /// This entry has to stop leading.
-    Ended(End),
 }
 
 /// The leadership of this entry in one epoch, shared by the tasks that send inputs or write rows.
 #[derive(Debug)]
 pub(super) struct Leadership {
     pub(super) epoch: Epoch,
-    /// The queue of the driver loop.
-    pub(super) inputs: Sender<Input>,
+    /// The queues of the driver loop.
+    inputs: Outlet,
+    /// How this entry has to stop leading; `None` while it leads.
+    end: Mutex<Option<End>>,
     /// The number of the next connection of an agent.
     connections: AtomicU64,
     /// When the store last confirmed a write of this leader, on this VM's clock in ms.
@@ -70,10 +71,11 @@
 
 impl Leadership {
     /// Begins a leadership whose inputs go to `inputs`. `store_time` is the store's clock now.
-    pub(super) fn new(epoch: Epoch, store_time: Ms, inputs: Sender<Input>) -> Self {
+    pub(super) fn new(epoch: Epoch, store_time: Ms, inputs: Outlet) -> Self {
         Self {
             epoch,
             inputs,
+            end: Mutex::new(None),
             connections: AtomicU64::new(0),
             confirmed_at: AtomicU64::new(clock::now().0),
             confirmed_store_time: AtomicU64::new(store_time.0),
@@ -82,26 +84,38 @@
         }
     }
 
-    /// Queues an input for the driver loop.
-    pub(super) fn send(&self, input: Input) {
-        // Sending fails once the driver has ended. The next leader obtains the same information
-        // from the store and the agents.
-        drop(self.inputs.try_send(input));
+    /// Queues the result of a call of the leader for the driver loop.
+    pub(super) async fn send_result(&self, input: Input) {
+        // It is not needed once the driver has ended.
+        let _: Result<(), Closed> = self.inputs.send_result(input).await;
     }
 
-    pub(super) fn send_event(&self, event: Event) {
-        self.send(Input::Event(event));
+    /// Queues an input from an agent for the driver loop, and waits while too many are queued.
+    pub(super) async fn send(&self, input: Input) -> Result<(), Closed> {
+        self.inputs.send(input).await
     }
 
-    /// Passes a new configuration to the leader, which sends it to all agents.
-    pub(super) fn configure(&self, config: Arc<Config>, raw: Arc<[u8]>) {
-        self.send(Input::Config(config, raw));
+    /// Ends the leadership; the first end counts.
+    pub(super) fn end(&self, end: End) {
+        lock(&self.end).get_or_insert(end);
+        self.wake();
+    }
+
+    /// Returns how this entry has to stop leading, or `None` while it leads.
+    pub(super) fn ended(&self) -> Option<End> {
+        *lock(&self.end)
+    }
+
+    /// Wakes the driver loop up.
+    pub(super) fn wake(&self) {
+        self.inputs.wake();
     }
 
     /// Registers a connection of an agent and returns its number.
-    pub(super) fn join(&self, hello: Hello, out: Sender<Vec<Order>>) -> u64 {
+    pub(super) async fn join(&self, hello: Hello, out: Sender<Vec<Order>>) -> u64 {
         let connection = self.connections.fetch_add(1, Ordering::SeqCst);
-        self.send(Input::Joined(hello, connection, out));
+        // The connection is closed once the driver has ended.
+        let _: Result<(), Closed> = self.send(Input::Joined(hello, connection, out)).await;
         connection
     }
 
@@ -201,7 +215,7 @@
         match leadership.write(&shared, Transaction::default()).await {
             Ok(()) => {}
             Err(Error::Conflict(_)) => {
-                leadership.send(Input::Ended(End::Confirmed(REPLACED)));
+                leadership.end(End::Confirmed(REPLACED));
             }
             Err(error) => log::warn!("kind=beat-unconfirmed cause={:?}", error.to_string()),
         }
--- a/src/serve/own_agent.rs
+++ b/src/serve/own_agent.rs
@@ -23,15 +23,18 @@
 pub(super) async fn run(shared: Arc<Shared>, leadership: Arc<Leadership>) {
     let entry = shared.options.name.clone();
     loop {
-        let (reports, received) = smol::channel::unbounded();
-        let (out, orders) = smol::channel::unbounded();
+        let (reports, received) = smol::channel::bounded(peers::MAX_QUEUED_REPORTS);
+        let (out, orders) = smol::channel::bounded(peers::MAX_QUEUED_BATCHES);
         let mut connection = None;
         let relay = async {
             while let Ok(report) = received.recv().await {
                 if let Report::Hello(hello) = report {
-                    connection = Some(leadership.join(hello, out.clone()));
-                } else {
-                    leadership.send_event(Event::Received(entry.clone(), report));
+                    connection = Some(leadership.join(hello, out.clone()).await);
+                    continue;
+                }
+                let input = Input::Event(Event::Received(entry.clone(), report));
+                if leadership.send(input).await.is_err() {
+                    return;
                 }
             }
         };
@@ -42,10 +45,13 @@
         relay.or(running).await;
         log::warn!("kind=own-agent-lost epoch={}", leadership.epoch);
         if session.is_fenced() {
-            return leadership.send(Input::Ended(End::Unconfirmed(FENCED)));
+            return leadership.end(End::Unconfirmed(FENCED));
         }
         if let Some(connection) = connection {
-            leadership.send(Input::Left(entry.clone(), connection));
+            let left = Input::Left(entry.clone(), connection);
+            if leadership.send(left).await.is_err() {
+                return;
+            }
         }
         sleep(election::CHECK_INTERVAL).await;
     }
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -27,7 +27,9 @@
 use super::Shared;
 use super::clock;
 use super::frame;
+use super::inbox::Closed;
 use super::leadership::Input;
+use super::leadership::Leadership;
 use super::rows;
 use super::session::Session;
 use super::sleep;
@@ -42,6 +44,19 @@
 /// the store.
 const MAX_STORE_AGE: Ms = Ms(1_800);
 
+/// The most reports that wait for the leader to read them. Further ones are dropped: what they say
+/// is found out again by later polls.
+pub(super) const MAX_QUEUED_REPORTS: usize = 1_024;
+/// The most batches of orders that wait for an agent to read them.
+pub(super) const MAX_QUEUED_BATCHES: usize = 128;
+/// The most received frames that wait to be carried out.
+const MAX_QUEUED_FRAMES: usize = 64;
+/// The most reports in one frame. The longest, of a worker that lists all ends that it may, takes
+/// some 50 KB.
+const MAX_FRAME_REPORTS: usize = 64;
+/// The most orders in one frame. The longest, with the payload of a job, takes some 4 KB.
+const MAX_FRAME_ORDERS: usize = 512;
+
 /// Why this entry stopped following a leader.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Ending {
@@ -85,8 +100,8 @@
         }
     };
     drop(stream.set_nodelay(true));
-    let (reports, outgoing) = smol::channel::unbounded();
-    let (incoming, orders) = smol::channel::unbounded();
+    let (reports, outgoing) = smol::channel::bounded(MAX_QUEUED_REPORTS);
+    let (incoming, orders) = smol::channel::bounded(MAX_QUEUED_FRAMES);
     let forwarding = forward_frames(stream, outgoing, incoming);
     let session = Session::begin(epoch, reports);
     let running = run_session(shared, &session, orders);
@@ -129,7 +144,8 @@
     let write = async {
         while let Ok(first) = outgoing.recv().await {
             let mut reports = vec![first];
-            reports.extend(std::iter::from_fn(|| outgoing.try_recv().ok()));
+            let others = std::iter::from_fn(|| outgoing.try_recv().ok());
+            reports.extend(others.take(MAX_FRAME_REPORTS - 1));
             if let Err(error) = frame::write(&mut writer, &reports).await {
                 return error;
             }
@@ -184,7 +200,9 @@
         let now = clock::now();
         if now >= heartbeat_due {
             heartbeat_due = now + HEARTBEAT_INTERVAL;
-            if !session.report(Report::Beat) {
+            // A leader that has not read the reports before does not need this one.
+            session.report(Report::Beat);
+            if !session.is_open() {
                 return true;
             }
         }
@@ -275,18 +293,22 @@
     else {
         return;
     };
-    let (out, orders) = smol::channel::unbounded();
+    let (out, orders) = smol::channel::bounded(MAX_QUEUED_BATCHES);
     let entry = hello.entry.clone();
-    let connection = leadership.join(hello, out);
-    let read = read_reports(&mut reader, &leadership.inputs, &entry);
+    let connection = leadership.join(hello, out).await;
+    let read = read_reports(&mut reader, &leadership, &entry);
     let write = async {
         while let Ok(first) = orders.recv().await {
             let mut batch: Vec<Order> = first;
-            while let Ok(more) = orders.try_recv() {
+            while batch.len() < MAX_FRAME_ORDERS
+                && let Ok(more) = orders.try_recv()
+            {
                 batch.extend(more);
             }
-            if let Err(error) = frame::write(&mut writer, &batch).await {
-                return error;
+            for part in batch.chunks(MAX_FRAME_ORDERS) {
+                if let Err(error) = frame::write(&mut writer, part).await {
+                    return error;
+                }
             }
         }
         Error::Peer("this entry stopped leading".into())
@@ -296,10 +318,12 @@
         "kind=agent-lost agent={entry} cause={:?}",
         error.to_string()
     );
-    leadership.send(Input::Left(entry, connection));
+    // The input is not needed once the driver has ended.
+    let _: Result<(), Closed> = leadership.send(Input::Left(entry, connection)).await;
 }
 
-async fn read_reports(reader: &mut TcpStream, inputs: &Sender<Input>, entry: &Name) -> Error {
+/// Passes the reports of an agent on, and reads no further ones while too many are queued.
+async fn read_reports(reader: &mut TcpStream, leadership: &Leadership, entry: &Name) -> Error {
     loop {
         let reports = match read_with_timeout(reader).await {
             Ok(reports) => reports,
@@ -307,7 +331,7 @@
         };
         for report in reports {
             let event = Event::Received(entry.clone(), report);
-            if inputs.send(Input::Event(event)).await.is_err() {
+            if leadership.send(Input::Event(event)).await.is_err() {
                 return Error::Peer("this entry stopped leading".into());
             }
         }
--- a/src/serve/resign.rs
+++ b/src/serve/resign.rs
@@ -9,7 +9,6 @@
 use scheduler::id::Epoch;
 
 use super::Shared;
-use super::leadership::Input;
 use super::rows;
 use super::sleep;
 
@@ -34,7 +33,7 @@
 /// entry takes the lead at once when it reads that.
 pub(super) fn resign(shared: &Shared) {
     if let Some(leadership) = shared.leadership() {
-        leadership.send(Input::Ended(End::Unconfirmed("resigned")));
+        leadership.end(End::Unconfirmed("resigned"));
     }
 }
 
--- a/src/serve/session.rs
+++ b/src/serve/session.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use decision::clock::Ms;
 use scheduler::id::Epoch;
@@ -9,6 +11,7 @@
 use scheduler::session;
 use smol::channel::Receiver;
 use smol::channel::Sender;
+use smol::channel::TrySendError;
 
 use super::clock;
 use super::lock;
@@ -19,6 +22,8 @@
     epoch: Epoch,
     rules: Mutex<session::Session>,
     reports: Sender<Report>,
+    /// The number of reports that found the queue full.
+    dropped: AtomicU64,
     /// Signals that a worker refused a call of this session for its fencing token.
     refusal: (Sender<()>, Receiver<()>),
 }
@@ -30,6 +35,7 @@
             epoch,
             rules: Mutex::new(session::Session::new(epoch, clock::now())),
             reports,
+            dropped: AtomicU64::new(0),
             refusal: smol::channel::bounded(1),
         })
     }
@@ -41,15 +47,32 @@
     /// Sends a report to the leader, or drops it if the session is not open. Returns whether it was
     /// sent.
     pub(super) fn report(&self, report: Report) -> bool {
-        // A report that cannot be sent is not needed: the next session reports everything again.
-        self.is_open() && self.reports.try_send(report).is_ok()
+        if !self.is_open() {
+            // The next session reports everything again.
+            return false;
+        }
+        match self.reports.try_send(report) {
+            Ok(()) => true,
+            Err(TrySendError::Closed(_)) => false,
+            Err(TrySendError::Full(_)) => {
+                if self.dropped.fetch_add(1, Ordering::SeqCst) == 0 {
+                    log::warn!("kind=report-dropped epoch={} cause=queue-full", self.epoch);
+                }
+                false
+            }
+        }
     }
 
     pub(super) fn record_contact(&self) {
         lock(&self.rules).record_contact(clock::now());
     }
 
+    /// Records that the connection to the leader was lost.
     pub(super) fn lose(&self) {
+        let dropped = self.dropped.load(Ordering::SeqCst);
+        if dropped > 0 {
+            log::warn!("kind=reports-dropped epoch={} count={dropped}", self.epoch);
+        }
         lock(&self.rules).lose();
     }
 
