Leave more slack while filling work is slowed, and time for pacing

Besides, the oldest steps that could just meet their objective if never slowed came first, and missed it.

Reports that arrive before a new leader has read the rows are kept once for each worker, so that their number is bounded too.

Tests replay both loads, and drive the real loop of the leader with 1,100 workers, 147 agents and more reports than it can handle.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -32,6 +32,7 @@
 pub use self::tally::Tally;
 use crate::config::Config;
 use crate::config::Queue;
+use crate::congestion::Congestion;
 use crate::election::CERTAINTY;
 use crate::fleet::Registration;
 use crate::fleet::Worker;
@@ -242,6 +243,7 @@
     model: Model,
     /// The time when the interference coefficients were last written.
     summary_written: Ms,
+    congestion: Congestion,
     tally: Tally,
     actions: Vec<Action>,
 }
@@ -298,6 +300,7 @@
             advice: advice::Cache::default(),
             model: Model::default(),
             summary_written: now,
+            congestion: Congestion::default(),
             tally: Tally::default(),
             actions: Vec::new(),
         }
@@ -362,6 +365,12 @@
         self.jobs.get(&id).map(|job| job.visible_stage)
     }
 
+    /// Returns the number of reports that wait until the rows of earlier leaders are read.
+    #[must_use]
+    pub const fn deferred_reports(&self) -> usize {
+        self.deferred_reports.len()
+    }
+
     /// Returns the number of passes over the waiting steps so far.
     #[must_use]
     pub const fn passes(&self) -> u64 {
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -25,8 +25,7 @@
             Report::QueryStage(..) | Report::Beat | Report::Config(_) | Report::Store(..)
         );
         if needs_jobs && !self.is_recovered {
-            self.deferred_reports.push((entry.clone(), report));
-            return;
+            return self.defer(entry, report);
         }
         match report {
             Report::Hello(hello) => self.record_earlier_renewals(now, &hello),
@@ -47,6 +46,22 @@
         }
     }
 
+    /// Keeps a report until the rows of earlier leaders are read. Of the answers of an incarnation of
+    /// a worker to the same agent, the last one with its runs tells all that those before it do.
+    fn defer(&mut self, entry: &Name, report: Report) {
+        let is_repeated = |(by, earlier): &(Name, Report)| match (earlier, &report) {
+            (Report::Polled(earlier), Report::Polled(later)) => {
+                by == entry
+                    && earlier.worker == later.worker
+                    && earlier.incarnation == later.incarnation
+                    && later.running.is_some()
+            }
+            _ => false,
+        };
+        self.deferred_reports.retain(|kept| !is_repeated(kept));
+        self.deferred_reports.push((entry.clone(), report));
+    }
+
     fn apply_observation(&mut self, now: Ms, entry: &Name, observation: Observation) {
         let Some(worker) = self.workers.get_mut(&observation.worker) else {
             return;
--- a/crates/scheduler/src/leader/report.rs
+++ b/crates/scheduler/src/leader/report.rs
@@ -78,14 +78,15 @@
         self.log(format!(
             "kind=load workers={workers} silent={unresponsive} capacity={capacity} booked={booked} \
              serving={serving} filling={filling} runs={runs} waiting_steps={waiting} \
-             passes={} unsettled={unsettled} unheard={} agents={} certain={}",
+             passes={} unsettled={unsettled} unheard={} agents={} certain={} congestion={:.2}",
             self.passes,
             self.workers
                 .values()
                 .filter(|worker| !worker.is_known)
                 .count(),
             self.agents.len(),
-            now < self.certain_until
+            now < self.certain_until,
+            self.congestion.level(now)
         ));
         if now.since(self.model_logged) >= MODEL_INTERVAL {
             self.model_logged = now;
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -30,6 +30,8 @@
 const CROWDED_INTERVAL: Ms = Ms(25);
 /// A step whose latest start is nearer than this no longer waits for a better worker.
 const MIN_SPARE_TIME: Ms = Ms(1_000);
+/// The time that pacing is expected to add to the rest of a filling job, in percent of the estimate.
+const EXPECTED_DELAY_PERCENT: u64 = 30;
 /// The most starts in one pass, so that a pass does not delay the other work of the leader.
 const MAX_STARTS: usize = 200;
 
@@ -119,10 +121,26 @@
     /// instead of all jobs being late.
     fn by_urgency(&self, now: Ms) -> Vec<(Rank, id::Step)> {
         let mut waiting: Vec<(Rank, id::Step)> = self.waiting.iter().copied().collect();
-        waiting.sort_by_key(|(rank, _)| (rank.priority, rank.latest_start < now));
+        waiting.sort_by_cached_key(|&(rank, step)| (rank.priority, self.is_late(now, rank, step)));
         waiting
     }
 
+    /// Returns whether a step that starts now is likely to miss the objective of its job. Filling
+    /// tasks are slowed down now and then, so the rest of their job takes longer than estimated.
+    fn is_late(&self, now: Ms, rank: Rank, step: id::Step) -> bool {
+        let index = usize::from(step.step);
+        let job = self.jobs.get(&step.job);
+        let remaining = job.and_then(|job| job.remaining.get(index));
+        let is_filling = job
+            .and_then(|job| job.step_spec(step.step))
+            .is_some_and(|spec| spec.is_filling);
+        let delay = match remaining {
+            Some(remaining) if is_filling => remaining.0 * EXPECTED_DELAY_PERCENT / 100,
+            _ => 0,
+        };
+        rank.latest_start < now + Ms(delay)
+    }
+
     /// Starts as many tasks of a step as fit, or none of a gang that does not fit as a whole.
     fn start_step(&mut self, now: Ms, step: id::Step, pass: &mut Pass) {
         let Some(job) = self.jobs.get_mut(&step.job) else {
@@ -201,10 +219,11 @@
 
     /// Returns the slack that a filling step must leave to serving tasks.
     pub(super) fn kept_slack(&self, now: Ms, step: id::Step) -> f64 {
-        match self.urgency(now, step) {
+        let slack = match self.urgency(now, step) {
             Urgency::Critical => placement::MIN_SLACK,
             Urgency::Early | Urgency::Late => placement::AMPLE_SLACK,
-        }
+        };
+        slack + self.congestion.extra_slack(now)
     }
 
     /// Returns how much a delay of the step costs.
--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -84,6 +84,8 @@
             self.set_paces(name, &filling, |_| 100, 0.0);
             return;
         }
+        let mean = mean_share(&filling);
+        self.congestion.record(now, mean, self.workers.len());
         let slacks = serving.iter().map(|serving| serving.slack);
         let tail_ratio = 1.0 / slacks.fold(f64::MAX, f64::min);
         let pacer = self.pacers.entry(name.clone()).or_default();
@@ -318,6 +320,19 @@
     }
 }
 
+/// Returns the mean share, in percent, at which filling runs were ordered to work.
+fn mean_share(filling: &[Filling]) -> f64 {
+    let shares = filling
+        .iter()
+        .map(|run| f64::from(run.share.unwrap_or(100)));
+    #[expect(
+        clippy::cast_precision_loss,
+        reason = "numbers of runs are exact in an f64"
+    )]
+    let count = filling.len().max(1) as f64;
+    shares.sum::<f64>() / count
+}
+
 /// Returns the loads of the filling runs, summed by image.
 fn loads_by_image(filling: &[Filling]) -> Vec<(Image, f64)> {
     let mut loads: Vec<(Image, f64)> = Vec::new();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod agent;
 pub mod config;
+pub mod congestion;
 pub mod counts;
 pub mod election;
 pub mod fleet;
--- a/crates/scheduler/tests/scale.rs
+++ b/crates/scheduler/tests/scale.rs
@@ -374,3 +374,43 @@
     let workers: Vec<&Name> = starts.iter().map(|start| &start.worker).collect();
     assert_eq!(workers, [&worker(2)]);
 }
+
+/// Load: more filling work than the fleet completes. A job that was started at the last moment for
+/// its objective, and is slowed, misses it, and so does the one that waits behind it.
+#[test]
+fn filling_work_that_leaves_no_time_for_pacing_comes_after_work_that_does() {
+    // The objective is 6,250 ms after acceptance, so 1,050 ms remain for waiting and pacing.
+    for (waited, first) in [(1_000, 1), (1_100, 2)] {
+        let mut fixture = Fixture::with_workers(1);
+        let filling = spec::Step {
+            need: size(100, 64_000),
+            estimate: Ms(4_000),
+            is_filling: true,
+            ..plain(1, 0)
+        };
+        let begun = Ms(20_000);
+        fixture.now = begun;
+        fixture.accept(1, filling.clone());
+        fixture.now = begun + Ms(waited);
+        fixture.accept(2, filling);
+        let starts = fixture.schedule(begun + Ms(waited));
+        let jobs: Vec<Job> = starts.iter().map(|start| start.task.step.job).collect();
+        assert_eq!(jobs, [Job(first)], "after {waited} ms");
+    }
+}
+
+/// Many agents that connect at once report all their workers before the rows are read.
+#[test]
+fn reports_before_the_recovery_are_kept_once_for_each_worker() {
+    let mut fixture = Fixture::begin();
+    fixture.join(0);
+    fixture.register(0);
+    fixture.tick(BEGUN + Ms(1_000));
+    for _ in 0..100 {
+        fixture.observe(&worker(0), Vec::new());
+    }
+    assert_eq!(fixture.leader.deferred_reports(), 1);
+    fixture.handle(Event::Recovered);
+    assert_eq!(fixture.leader.deferred_reports(), 0);
+    assert!(!fixture.leader.has_unheard_workers());
+}
--- a/crates/scheduler/tests/serving.rs
+++ b/crates/scheduler/tests/serving.rs
@@ -291,3 +291,37 @@
     assert_eq!(fleet.workers_of(Job(200)).len(), 8, "filling");
     assert_eq!(fleet.workers_of(Job(201)).len(), 8, "long-running");
 }
+
+/// Load: a burst of filling work on a fleet of serving tasks. Runs that were placed where the slack
+/// just sufficed are slowed a moment later and hold their places for longer, so ever less filling
+/// work is completed.
+#[test]
+fn filling_work_waits_for_more_slack_while_running_filling_work_is_slowed() {
+    let filling = |count| spec::Step {
+        count,
+        need: size(2_000),
+        estimate: Ms(2_000),
+        per_worker: Some(1),
+        image: Some(Arc::from("preview")),
+        is_filling: true,
+        ..spec::Step::default()
+    };
+    for is_slowed in [false, true] {
+        let mut fleet = Fleet::new(4);
+        fleet.poll(&[]);
+        fleet.submit(Job(2), filling(3));
+        let used = fleet.workers_of(Job(2));
+        assert_eq!(used.len(), 3);
+        let slow = if is_slowed { &used[..] } else { &[] };
+        for _ in 0..4 {
+            fleet.poll(slow);
+        }
+        fleet.submit(Job(3), filling(1));
+        let started = fleet.workers_of(Job(3)).len();
+        assert_eq!(started, usize::from(!is_slowed), "slowed: {is_slowed}");
+        for _ in 0..12 {
+            fleet.poll(&[]);
+        }
+        assert_eq!(fleet.workers_of(Job(3)).len(), 1, "slowed: {is_slowed}");
+    }
+}
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -434,3 +434,6 @@
         removed: removed.collect(),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/serve/driver/tests.rs
@@ -0,0 +1,358 @@
+//! Drives the loop with the real queues, a store on loopback, and more reports than it can handle.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use decision::resource::Size;
+use http::Response;
+use http_body_util::Full;
+use link::server::Limits;
+use link::server::Server;
+use scheduler::config::Config;
+use scheduler::config::Queue;
+use scheduler::fleet::Registration;
+use scheduler::id::Epoch;
+use scheduler::id::Job;
+use scheduler::id::Run;
+use scheduler::id::Task;
+use scheduler::job::Accepted;
+use scheduler::message::Hello;
+use scheduler::message::Observation;
+use scheduler::message::Running;
+use scheduler::session::SILENCE_TIMEOUT;
+use scheduler::spec;
+use smol::LocalExecutor;
+use smol::channel::Receiver;
+use smol::net::TcpListener;
+
+use super::*;
+use crate::serve::inbox;
+use crate::serve::inbox::Outlet;
+use crate::serve::leadership;
+use crate::serve::lock;
+use crate::serve::options::Options;
+
+const WORKERS: usize = 1_100;
+const AGENTS: usize = 147;
+const JOBS: u64 = 20;
+const TASKS_PER_JOB: u32 = 40;
+const INCARNATION: Ms = Ms(77);
+/// The time for which more reports come than the loop can handle.
+const OVERLOAD_TIME: Ms = Ms(2_500);
+/// The time after the overload in which the queues have to be empty and all tasks started.
+const RECOVERY_TIME: Ms = Ms(1_500);
+
+fn name(raw: &str) -> Name {
+    Name::try_from(raw).expect("test names are valid")
+}
+
+fn worker(index: usize) -> Name {
+    name(&format!("w{index}"))
+}
+
+fn agent(index: usize) -> Name {
+    name(&format!("e{index}"))
+}
+
+fn options(store: SocketAddr) -> Options {
+    let unused: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    Options {
+        name: agent(0),
+        failure_domain: name("d"),
+        processor_share: 1.0,
+        log: log::LevelFilter::Off,
+        customer: unused,
+        ready: unused,
+        peer: unused,
+        metrics: None,
+        store,
+        advice: None,
+        lease: Ms(10_000),
+        retention: Ms(120_000),
+        harm: Ms(5_000),
+        stop: Ms(6_000),
+    }
+}
+
+fn config() -> Config {
+    let queue = Queue {
+        name: name("queue"),
+        host: Arc::from("host"),
+        prefix: Arc::from("/q/"),
+        service: name("service"),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 2.0,
+        latency_allowance: Ms(1_000),
+        needs_ticket: false,
+    };
+    Config {
+        version: 1,
+        queues: vec![queue],
+        services: Vec::new(),
+        max_body_bytes: 1_000,
+    }
+}
+
+fn registration(index: usize) -> Event {
+    let registration = Registration {
+        service: name("service"),
+        address: Arc::from(format!("10.0.{}.{}:80", index / 250, index % 250)),
+        domain: name("d"),
+        size: Size {
+            millicores: 32_000,
+            memory_mb: 125_000,
+            accelerators: 0,
+        },
+        labels: vec![name("rack")],
+        incarnation: INCARNATION,
+        is_draining: false,
+    };
+    Event::RegistrationChanged(worker(index), Some(registration))
+}
+
+fn accepted(job: u64) -> Event {
+    let step = spec::Step {
+        count: TASKS_PER_JOB,
+        need: Size {
+            millicores: 3_000,
+            memory_mb: 1_000,
+            accelerators: 0,
+        },
+        estimate: Ms(2_000),
+        ..spec::Step::default()
+    };
+    let accepted = Accepted {
+        queue: name("queue"),
+        spec: spec::Job {
+            payload: Arc::from("payload"),
+            steps: vec![step],
+            schedule: None,
+        },
+        at: Ms(1),
+    };
+    Event::Accepted(Job(job), 1_000 + job, accepted, None)
+}
+
+/// Returns the answer to a poll of a worker with runs of a job that no row tells of.
+fn polled(index: usize, by: &Name, runs: u64) -> Input {
+    let running = (1..=runs).map(|run| Running {
+        task: Task::default(),
+        run: Run(run),
+        checkpoint: None,
+        percent: 0,
+        measurement: 0,
+    });
+    let observation = Observation {
+        worker: worker(index),
+        incarnation: INCARNATION,
+        polled_at: clock::now(),
+        running: Some(running.collect()),
+        ended: Vec::new(),
+    };
+    Input::Event(Event::Received(by.clone(), Report::Polled(observation)))
+}
+
+/// What the agents have received.
+#[derive(Default)]
+struct Received {
+    /// The longest time between two heartbeats for one agent.
+    longest_silence: Cell<Ms>,
+    starts: Cell<u32>,
+}
+
+/// Takes the orders of one agent. Each worker that it has to watch answers a poll.
+async fn follow(orders: Receiver<Vec<Order>>, me: Name, inputs: Outlet, received: Rc<Received>) {
+    let mut last = clock::now();
+    while let Ok(batch) = orders.recv().await {
+        for order in batch {
+            match order {
+                Order::Beat(_) => {
+                    let silence = clock::now().since(last);
+                    last = clock::now();
+                    received
+                        .longest_silence
+                        .set(received.longest_silence.get().max(silence));
+                }
+                Order::Watch(watch) => {
+                    let index = watch.worker[1..].parse().expect("the number of a worker");
+                    if inputs.send(polled(index, &me, 0)).await.is_err() {
+                        return;
+                    }
+                }
+                Order::Start(_) => received.starts.set(received.starts.get() + 1),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Sends reports as fast as the queue takes them.
+async fn flood(inputs: Outlet, begun: Ms) {
+    // The agent does not poll these workers any more, so its reports have no effect but their cost.
+    let stranger = name("stranger");
+    let mut index = 0;
+    while clock::now().since(begun) < OVERLOAD_TIME {
+        index = (index + 1) % WORKERS;
+        if inputs.send(polled(index, &stranger, 40)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn serve_store(shared: &Arc<Shared>, listener: TcpListener) -> Server {
+    let versions = Arc::new(std::sync::atomic::AtomicU64::new(10));
+    let handler = move |_| {
+        let version = versions.fetch_add(1, std::sync::atomic::Ordering::SeqCst);
+        let body = format!(
+            "{{\"rows\":[],\"ver\":{version},\"nowMs\":{}}}",
+            clock::now().0
+        );
+        async move { Response::new(Full::new(Bytes::from(body))) }
+    };
+    Server::start(&shared.spawner, listener, Limits::default(), handler).expect("a server")
+}
+
+/// The loop never gave way while its queue held inputs: no heartbeat and no order left the process,
+/// all agents went away, and the next leader was given the same load.
+#[test]
+fn a_leader_with_more_reports_than_it_can_handle_is_not_silent_and_recovers() {
+    let local = LocalExecutor::new();
+    smol::block_on(local.run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let shared = Arc::new(Shared::new(options(address)).expect("no port is needed"));
+        *lock(&shared.config) = Some((Arc::new(config()), Arc::from(&b"{}"[..])));
+        let executor = Arc::clone(&shared.spawner);
+        let network = local.spawn(async move { executor.run(std::future::pending::<()>()).await });
+        let server = serve_store(&shared, listener).await;
+        let (inputs, inbox) = inbox::new();
+        let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs.clone()));
+        let mut driver = Driver::new(&shared, &leadership, inbox);
+        let running = local.spawn(async move { driver.run().await });
+        let heartbeats = leadership::write_heartbeats(Arc::clone(&shared), Arc::clone(&leadership));
+        let heartbeats = shared.spawner.spawn(heartbeats);
+
+        let received = Rc::new(Received::default());
+        let mut tasks = Vec::new();
+        for index in 0..AGENTS {
+            let (out, orders) = smol::channel::bounded(peers::MAX_QUEUED_BATCHES);
+            let hello = Hello {
+                entry: agent(index),
+                domain: name("d"),
+                epoch: Epoch(7),
+                known: Vec::new(),
+            };
+            leadership.join(hello, out).await;
+            let received = Rc::clone(&received);
+            tasks.push(local.spawn(follow(orders, agent(index), inputs.clone(), received)));
+        }
+        for index in 0..WORKERS {
+            let sent = inputs.send(Input::Event(registration(index))).await;
+            sent.expect("the driver runs");
+        }
+        let recovered = inputs.send(Input::Event(Event::Recovered)).await;
+        recovered.expect("the driver runs");
+        // The first write lists the fleet, after which tasks may start.
+        sleep(Ms(1_500)).await;
+        received.longest_silence.set(Ms::ZERO);
+
+        let begun = clock::now();
+        let floods: Vec<_> = (0..3)
+            .map(|_| local.spawn(flood(inputs.clone(), begun)))
+            .collect();
+        for job in 0..JOBS {
+            let sent = inputs.send(Input::Event(accepted(job))).await;
+            sent.expect("the driver runs");
+            sleep(Ms(50)).await;
+        }
+        for task in floods {
+            task.await;
+        }
+        let overloaded = clock::now();
+        while received.starts.get() < u32::try_from(JOBS).expect("few jobs") * TASKS_PER_JOB
+            && clock::now().since(overloaded) < RECOVERY_TIME
+        {
+            sleep(Ms(20)).await;
+        }
+        let silence = received.longest_silence.get();
+        assert!(silence < SILENCE_TIMEOUT, "silent for {silence}");
+        assert_eq!(
+            received.starts.get(),
+            u32::try_from(JOBS).expect("few jobs") * TASKS_PER_JOB
+        );
+
+        leadership.end(End::Confirmed("test over"));
+        assert_eq!(running.await, End::Confirmed("test over"));
+        drop((tasks, network, heartbeats, server));
+    }));
+}
+
+/// The queues hold a bounded number of inputs, and results of the leader's own calls come first.
+#[test]
+fn a_full_queue_of_reports_holds_back_their_readers_but_not_results() {
+    smol::block_on(async {
+        let (inputs, inbox) = inbox::new();
+        let stranger = name("stranger");
+        let mut queued = 0;
+        while smol::future::poll_once(inputs.send(polled(0, &stranger, 0)))
+            .await
+            .is_some()
+        {
+            queued += 1;
+            assert!(queued <= 100_000, "the queue has no bound");
+        }
+        let result = Input::Event(Event::Committed);
+        let sent = smol::future::poll_once(inputs.send_result(result)).await;
+        assert!(matches!(sent, Some(Ok(()))));
+        assert!(matches!(
+            inbox.try_next(),
+            Some(Input::Event(Event::Committed))
+        ));
+        assert_eq!(inbox.len(), queued);
+    });
+}
+
+#[test]
+fn the_end_of_a_leadership_reaches_the_loop_past_full_queues() {
+    let unused = "127.0.0.1:9".parse().expect("an address");
+    let shared = Arc::new(Shared::new(options(unused)).expect("no port is needed"));
+    let (inputs, inbox) = inbox::new();
+    let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs));
+    leadership.end(End::Unconfirmed("first"));
+    leadership.end(End::Confirmed("second"));
+    let mut driver = Driver::new(&shared, &leadership, inbox);
+    let end = smol::block_on(driver.run());
+    assert_eq!(end, End::Unconfirmed("first"));
+}
+
+/// An agent that reads nothing is disconnected, so that its starts count as unsure.
+#[test]
+fn an_agent_that_takes_no_orders_is_disconnected() {
+    let unused = "127.0.0.1:9".parse().expect("an address");
+    let shared = Arc::new(Shared::new(options(unused)).expect("no port is needed"));
+    let (inputs, inbox) = inbox::new();
+    let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs));
+    let mut driver = Driver::new(&shared, &leadership, inbox);
+    let (out, orders) = smol::channel::bounded(peers::MAX_QUEUED_BATCHES);
+    let hello = Hello {
+        entry: agent(1),
+        domain: name("d"),
+        epoch: Epoch(7),
+        known: Vec::new(),
+    };
+    driver.handle_input(Input::Joined(hello, 1, out));
+    let mut taken = HashMap::new();
+    for round in 0..=peers::MAX_QUEUED_BATCHES {
+        driver.send_heartbeats();
+        driver.flush();
+        taken.insert(round, driver.agents.len());
+    }
+    assert_eq!(taken[&(peers::MAX_QUEUED_BATCHES - 1)], 1);
+    assert_eq!(taken[&peers::MAX_QUEUED_BATCHES], 0);
+    assert_eq!(orders.len(), peers::MAX_QUEUED_BATCHES);
+    assert!(orders.is_closed());
+}
