Keep takeovers and starts cheap in fleets of thousands of workers

Each agent that connected looked for workers without an agent in the whole fleet, and each step scored the whole fleet. Such workers are now kept by name; a step ends its search after 1,024 workers with room (or four times its tasks, if that is more), and the next one goes on from there. Steps that prefer a rack still look at all workers.

What is left grows with the fleet in each pass: the scans for unheard and for slow workers.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -186,6 +186,8 @@
     /// Cancellations that arrived before the rows of their jobs.
     cancelled: BTreeSet<id::Job>,
     agents: agents::Agents,
+    /// The workers that no agent polls.
+    unwatched: BTreeSet<Name>,
     /// The time when the last agent connected.
     last_join: Ms,
     /// The number of runs that this leader has started.
@@ -222,6 +224,8 @@
     is_fleet_synced: bool,
     /// The steps that found no room, each with its last try.
     tried: BTreeMap<id::Step, schedule::Try>,
+    /// The worker from which the next search for workers with room begins; absent for the first.
+    next_candidate: Option<Name>,
     /// The filling images that had no better worker to move to, with the time of the search.
     immovable: BTreeMap<Image, Ms>,
     /// The time of the last pass over the waiting steps, and the number of passes so far.
@@ -269,6 +273,7 @@
             unreadable: BTreeSet::new(),
             cancelled: BTreeSet::new(),
             agents: agents::Agents::default(),
+            unwatched: BTreeSet::new(),
             last_join: now,
             run_count: 0,
             waiting: BTreeSet::new(),
@@ -288,6 +293,7 @@
             is_fleet_uncertain: false,
             is_fleet_synced: false,
             tried: BTreeMap::new(),
+            next_candidate: None,
             immovable: BTreeMap::new(),
             last_pass: Ms::ZERO,
             passes: 0,
--- a/crates/scheduler/src/leader/agents.rs
+++ b/crates/scheduler/src/leader/agents.rs
@@ -36,10 +36,6 @@
         self.all.len()
     }
 
-    pub(super) fn is_empty(&self) -> bool {
-        self.all.is_empty()
-    }
-
     /// Adds an agent that is not connected yet, without workers. Returns whether it is the first of
     /// its failure domain.
     pub(super) fn insert(&mut self, entry: Name, domain: Name, is_own: bool) -> bool {
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -1,5 +1,6 @@
 //! Assigns each worker to the agent that polls it and renews its lease.
 
+use std::ops::Bound;
 use std::sync::Arc;
 
 use decision::clock::Ms;
@@ -48,6 +49,9 @@
             let worker = self.workers.entry(member.worker.clone()).or_default();
             worker.is_inherited = true;
             worker.delay_lease_expiry(lease_expiry);
+            if worker.agent.is_none() {
+                self.unwatched.insert(member.worker.clone());
+            }
             self.stored_workers.insert(member.worker.clone());
             let name = member.worker.clone();
             self.fleet.insert(name.clone(), member);
@@ -83,6 +87,7 @@
         self.is_fleet_synced &= is_stored_alike && !is_new;
         if is_new {
             worker.delay_lease_expiry(lease_expiry);
+            self.unwatched.insert(name.clone());
         }
         let change = match (&worker.registration, &registration) {
             (None, Some(_)) => Some("listed"),
@@ -121,8 +126,7 @@
             ));
         }
         if is_unused {
-            self.unwatch(&name);
-            self.workers.remove(&name);
+            self.remove_worker(&name);
         } else if has_moved {
             self.assign(now, &name);
         }
@@ -158,14 +162,13 @@
 
     /// Assigns the workers without an agent, as far as agents may get more of them now.
     pub(super) fn assign_unwatched(&mut self, now: Ms) {
-        if self.agents.is_empty() {
-            return;
-        }
-        let unwatched = self.workers.iter();
-        let unwatched = unwatched.filter(|(_, worker)| worker.agent.is_none());
-        let unwatched: Vec<Name> = unwatched.map(|(name, _)| name.clone()).collect();
-        for name in unwatched {
-            self.reassign_if_better(now, &name);
+        let mut next = self.unwatched.first().cloned();
+        while let Some(name) = next {
+            if !self.reassign_if_better(now, &name) && !self.may_watch_more(now) {
+                return;
+            }
+            let later = (Bound::Excluded(name), Bound::Unbounded);
+            next = self.unwatched.range(later).next().cloned();
         }
     }
 
@@ -179,6 +182,7 @@
             if let Some(worker) = self.workers.get_mut(name) {
                 worker.agent = None;
                 worker.delay_lease_expiry(lease_expiry);
+                self.unwatched.insert(name.clone());
             }
         }
         for name in orphans {
@@ -231,6 +235,13 @@
         is_better
     }
 
+    /// Returns whether some agent may get another worker now.
+    fn may_watch_more(&self, now: Ms) -> bool {
+        let idlest = self.agents.best(None);
+        let has_few = |entry| self.agents.load(entry) < MAX_EARLY_WORKERS;
+        idlest.is_some_and(|entry| !self.expects_agents(now) || has_few(entry))
+    }
+
     /// Returns whether many agents are likely to connect soon, because this leader has just begun.
     fn expects_agents(&self, now: Ms) -> bool {
         let age = now.since(self.started_at);
@@ -242,6 +253,7 @@
     fn reassign(&mut self, now: Ms, name: &Name, agent: Name) {
         let had_agent = self.unwatch(name);
         self.agents.watch(&agent, name);
+        self.unwatched.remove(name);
         // If the connection to the former agent is lost, it does not learn of the change.
         let min_expiry = now + LEADER_CONTACT_TIMEOUT + self.lease_expiry_delay();
         if let Some(worker) = self.workers.get_mut(name) {
@@ -283,12 +295,20 @@
         let Some(agent) = worker.agent.take() else {
             return false;
         };
+        self.unwatched.insert(name.clone());
         if self.agents.has_worker(&agent, name) {
             self.agents.unwatch(&agent, name);
             self.send(&agent, Order::Unwatch(name.clone()));
         }
         true
     }
+
+    /// Forgets a worker on which nothing runs.
+    pub(super) fn remove_worker(&mut self, name: &Name) {
+        self.unwatch(name);
+        self.unwatched.remove(name);
+        self.workers.remove(name);
+    }
 }
 
 /// Returns a size as millicores, memory in MB and accelerators.
--- a/crates/scheduler/src/leader/lapses.rs
+++ b/crates/scheduler/src/leader/lapses.rs
@@ -103,8 +103,7 @@
                 .get(&name)
                 .is_some_and(|worker| worker.registration.is_none())
             {
-                self.unwatch(&name);
-                self.workers.remove(&name);
+                self.remove_worker(&name);
                 self.is_fleet_synced = false;
             }
         }
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
+use std::ops::Bound;
 use std::sync::Arc;
 
 use decision::clock::Ms;
@@ -30,6 +31,11 @@
 const CROWDED_INTERVAL: Ms = Ms(25);
 /// A step whose latest start is nearer than this no longer waits for a better worker.
 const MIN_SPARE_TIME: Ms = Ms(1_000);
+/// The number of workers with room from which on a search for the best ones may end.
+const MIN_CANDIDATES: usize = 1_024;
+/// The number of workers with room for each task of a step from which on a search may end. Some may
+/// turn out not to be in the stored fleet.
+const CANDIDATES_PER_TASK: usize = 4;
 /// The time that pacing is expected to add to the rest of a filling job, in percent of the estimate.
 const EXPECTED_DELAY_PERCENT: u64 = 30;
 /// The most starts in one pass, so that a pass does not delay the other work of the leader.
@@ -383,21 +389,38 @@
         Run::new(self.epoch, self.run_count)
     }
 
-    /// Returns the workers that a task fits on by their scores.
+    /// Returns workers that a task fits on, by their scores. In a very large fleet the search ends
+    /// once there are many more than the step has tasks, and the next one goes on from there.
     fn find_candidates(
-        &self,
+        &mut self,
         now: Ms,
         request: &Request<'_>,
         improved_since: Option<Ms>,
     ) -> BinaryHeap<(i64, Name)> {
-        let workers = self.workers.iter();
-        let workers = workers
+        let prefers_rack = request.rack.or(request.spec.rack.as_ref()).is_some();
+        let count = request.spec.count as usize;
+        let limit = if prefers_rack {
+            usize::MAX
+        } else {
+            MIN_CANDIDATES.max(count * CANDIDATES_PER_TASK)
+        };
+        let from = self.next_candidate.clone();
+        let from = from.as_deref().unwrap_or_default();
+        let later = (Bound::Included(from), Bound::Unbounded);
+        let earlier = (Bound::Unbounded, Bound::Excluded(from));
+        let later = self.workers.range::<str, _>(later);
+        let all = later.chain(self.workers.range::<str, _>(earlier));
+        let open = all
             .filter(|(_, worker)| improved_since.is_none_or(|since| worker.improved_at >= since));
-        let scored = workers.filter_map(|(name, worker)| {
+        let scored = open.filter_map(|(name, worker)| {
             let score = placement::score(request, &self.model, name, worker, now)?;
             Some((score, name.clone()))
         });
-        scored.collect()
+        let found: Vec<(i64, Name)> = scored.take(limit).collect();
+        if found.len() == limit {
+            self.next_candidate = found.last().map(|(_, name)| name.clone());
+        }
+        BinaryHeap::from(found)
     }
 
     /// Books the best worker for a task, from the candidates for the tasks of its step. A task that
--- a/crates/scheduler/tests/scale.rs
+++ b/crates/scheduler/tests/scale.rs
@@ -341,6 +341,26 @@
     assert_eq!(chosen, expected);
 }
 
+/// A search of a very large fleet ends early, and the next one begins where it ended.
+#[test]
+fn steps_are_spread_over_a_fleet_that_is_not_searched_as_a_whole() {
+    const WORKERS: usize = 4_000;
+    let mut fixture = Fixture::with_workers(WORKERS);
+    let mut used = BTreeSet::new();
+    for job in 1..=8 {
+        fixture.accept(job, plain(250, 5_000));
+        let starts = fixture.schedule(Ms(13_000 + job * 30));
+        assert_eq!(starts.len(), 250, "job {job}");
+        used.extend(starts.into_iter().map(|start| start.worker));
+    }
+    assert_eq!(used.len(), 2_000);
+    // What is left of the fleet is found as well.
+    fixture.accept(9, plain(2_000, 5_000));
+    let starts = fixture.schedule(Ms(14_000));
+    used.extend(starts.into_iter().map(|start| start.worker));
+    assert_eq!(used.len(), WORKERS);
+}
+
 /// A step without room is tried again on the workers that have changed, not on the whole fleet.
 #[test]
 fn a_step_without_room_starts_as_soon_as_a_run_ends_anywhere() {
