--- a/crates/scheduler/benches/leader.rs
+++ b/crates/scheduler/benches/leader.rs
@@ -173,12 +173,12 @@
             self.handle(event);
         }
         for index in 0..(self.workers / WORKERS_PER_AGENT).max(6) {
-            self.now = self.now + Ms(1);
+            self.now += Ms(1);
             let entry = name(&format!("entry-{index:05}"));
             self.handle(Event::Joined(entry, domain(index)));
         }
         self.handle(Event::Recovered);
-        self.now = self.now + Ms(2_000);
+        self.now += Ms(2_000);
         self.handle(Event::Tick(Ms(1)));
     }
 
@@ -207,7 +207,7 @@
 
     /// Lets time pass, with a confirmed lead.
     fn advance(&mut self) {
-        self.now = self.now + PASS_INTERVAL;
+        self.now += PASS_INTERVAL;
         self.handle(Event::LeadConfirmed(self.now));
     }
 
@@ -364,7 +364,7 @@
         let mut all = world.answer_starts();
         let begun = Instant::now();
         world.end(&all);
-        world.now = world.now + Ms(50);
+        world.now += Ms(50);
         world.schedule();
         ending += begun.elapsed();
         tasks += all.len();
--- a/src/serve/inbox.rs
+++ b/src/serve/inbox.rs
@@ -5,6 +5,7 @@
 
 use decision::clock::Ms;
 use smol::channel::Receiver;
+use smol::channel::SendError;
 use smol::channel::Sender;
 use smol::future::FutureExt;
 
@@ -36,6 +37,12 @@
 #[derive(Debug)]
 pub(super) struct Closed;
 
+impl From<SendError<Input>> for Closed {
+    fn from(_: SendError<Input>) -> Self {
+        Self
+    }
+}
+
 /// Creates the queues of one leadership.
 pub(super) fn new() -> (Outlet, Inbox) {
     let (results, results_end) = smol::channel::bounded(MAX_RESULTS);
@@ -57,13 +64,13 @@
 impl Outlet {
     /// Queues the result of a call of the leader.
     pub(super) async fn send_result(&self, input: Input) -> Result<(), Closed> {
-        self.results.send(input).await.map_err(|_| Closed)
+        Ok(self.results.send(input).await?)
     }
 
     /// Queues a report of an agent or a row of the store. Inputs that are sent one after the other
     /// are handled in the same order.
     pub(super) async fn send(&self, input: Input) -> Result<(), Closed> {
-        self.reports.send(input).await.map_err(|_| Closed)
+        Ok(self.reports.send(input).await?)
     }
 
     /// Wakes the driver up.
