Give rows of the store a queue of their own before the reports

Change: rows have a bounded queue that is read before the reports.

The new test fails on the commit before by its type: there is no such queue.

--- a/src/serve/driver/tests.rs
+++ b/src/serve/driver/tests.rs
@@ -251,10 +251,10 @@
             tasks.push(local.spawn(follow(orders, agent(index), inputs.clone(), received)));
         }
         for index in 0..WORKERS {
-            let sent = inputs.send(Input::Event(registration(index))).await;
+            let sent = inputs.send_row(registration(index)).await;
             sent.expect("the driver runs");
         }
-        let recovered = inputs.send(Input::Event(Event::Recovered)).await;
+        let recovered = inputs.send_row(Event::Recovered).await;
         recovered.expect("the driver runs");
         // The first write lists the fleet, after which tasks may start.
         sleep(Ms(1_500)).await;
@@ -265,7 +265,7 @@
             .map(|_| local.spawn(flood(inputs.clone(), begun)))
             .collect();
         for job in 0..JOBS {
-            let sent = inputs.send(Input::Event(accepted(job))).await;
+            let sent = inputs.send_row(accepted(job)).await;
             sent.expect("the driver runs");
             sleep(Ms(50)).await;
         }
@@ -291,6 +291,33 @@
     }));
 }
 
+/// Among hundreds of agents that wait for room in one queue, a feed passed on some 50 rows a second,
+/// so that a new leader read the jobs for 4 s and started a task whose cancellation it did not know.
+#[test]
+fn rows_of_the_store_do_not_wait_behind_reports() {
+    smol::block_on(async {
+        let (inputs, inbox) = inbox::new();
+        let stranger = name("stranger");
+        while smol::future::poll_once(inputs.send(polled(0, &stranger, 0)))
+            .await
+            .is_some()
+        {}
+        for job in 0..100 {
+            let sent = smol::future::poll_once(inputs.send_row(Event::Cancelled(Job(job)))).await;
+            assert!(matches!(sent, Some(Ok(()))), "row {job}");
+        }
+        for job in 0..100 {
+            let next = inbox.try_next();
+            let is_row = matches!(next, Some(Input::Event(Event::Cancelled(id))) if id == Job(job));
+            assert!(is_row, "row {job}: {next:?}");
+        }
+        assert!(matches!(
+            inbox.try_next(),
+            Some(Input::Event(Event::Received(..)))
+        ));
+    });
+}
+
 /// The queues hold a bounded number of inputs, and results of the leader's own calls come first.
 #[test]
 fn a_full_queue_of_reports_holds_back_their_readers_but_not_results() {
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -19,7 +19,6 @@
 
 use super::Shared;
 use super::inbox::Outlet;
-use super::leadership::Input;
 use super::logging::quote;
 use super::rows;
 use super::rows::Kind;
@@ -192,7 +191,7 @@
     let mut known_names: BTreeSet<Name> = BTreeSet::new();
     let send = async |name: Name, registration| {
         let event = Event::RegistrationChanged(name, registration);
-        inputs.send(Input::Event(event)).await.is_ok()
+        inputs.send_row(event).await.is_ok()
     };
     loop {
         let mut rows = follower.read_all().await;
@@ -254,7 +253,7 @@
 /// Passes the jobs, progress and fleet that earlier leaders stored to the leader, then follows
 /// accepted and cancelled jobs.
 pub(super) async fn follow_jobs(shared: Arc<Shared>, inputs: Outlet) {
-    let send = async |event| inputs.send(Input::Event(event)).await.is_ok();
+    let send = async |event| inputs.send_row(event).await.is_ok();
     let mut follower = Follower::new(&shared, rows::JOBS);
     let mut jobs = follower.read_all().await;
     let progress = Follower::new(&shared, rows::PROGRESS).read_all().await;
--- a/src/serve/inbox.rs
+++ b/src/serve/inbox.rs
@@ -1,9 +1,12 @@
 //! The bounded queues of inputs of the driver loop.
 //!
 //! Reports of agents and rows of the store come at any rate, so whoever reads them waits while their
-//! queue is full. Results of the leader's own calls are few, and come before them.
+//! queue is full. Rows have a queue of their own that comes before the reports: among hundreds of
+//! agents that wait, a feed would get so small a share that a new leader reads the jobs for seconds
+//! and learns of cancellations late. Results of the leader's own calls are few and come first.
 
 use decision::clock::Ms;
+use scheduler::leader::Event;
 use smol::channel::Receiver;
 use smol::channel::SendError;
 use smol::channel::Sender;
@@ -14,13 +17,16 @@
 
 /// The most results of calls that are queued. There is at most one for each call in progress.
 const MAX_RESULTS: usize = 256;
-/// The most reports and rows that are queued.
+/// The most rows of the store that are queued.
+const MAX_ROWS: usize = 1_024;
+/// The most reports of agents that are queued.
 const MAX_REPORTS: usize = 1_024;
 
 /// The ends of the queues that take inputs.
 #[derive(Clone, Debug)]
 pub(super) struct Outlet {
     results: Sender<Input>,
+    rows: Sender<Input>,
     reports: Sender<Input>,
     wake: Sender<()>,
 }
@@ -29,6 +35,7 @@
 #[derive(Debug)]
 pub(super) struct Inbox {
     results: Receiver<Input>,
+    rows: Receiver<Input>,
     reports: Receiver<Input>,
     wake: Receiver<()>,
 }
@@ -46,15 +53,18 @@
 /// Creates the queues of one leadership.
 pub(super) fn new() -> (Outlet, Inbox) {
     let (results, results_end) = smol::channel::bounded(MAX_RESULTS);
+    let (rows, rows_end) = smol::channel::bounded(MAX_ROWS);
     let (reports, reports_end) = smol::channel::bounded(MAX_REPORTS);
     let (wake, wake_end) = smol::channel::bounded(1);
     let outlet = Outlet {
         results,
+        rows,
         reports,
         wake,
     };
     let inbox = Inbox {
         results: results_end,
+        rows: rows_end,
         reports: reports_end,
         wake: wake_end,
     };
@@ -67,8 +77,14 @@
         Ok(self.results.send(input).await?)
     }
 
-    /// Queues a report of an agent or a row of the store. Inputs that are sent one after the other
-    /// are handled in the same order.
+    /// Queues a row of the store. Rows that are sent one after the other are handled in the same
+    /// order.
+    pub(super) async fn send_row(&self, event: Event) -> Result<(), Closed> {
+        Ok(self.rows.send(Input::Event(event)).await?)
+    }
+
+    /// Queues a report of an agent. Reports that are sent one after the other are handled in the
+    /// same order.
     pub(super) async fn send(&self, input: Input) -> Result<(), Closed> {
         Ok(self.reports.send(input).await?)
     }
@@ -85,6 +101,7 @@
     /// was woken up.
     pub(super) async fn next(&self, timeout: Ms) -> Option<Input> {
         let result = async { self.results.recv().await.ok() };
+        let row = async { self.rows.recv().await.ok() };
         let report = async { self.reports.recv().await.ok() };
         let woken = async {
             // The driver holds an outlet, so receiving cannot fail.
@@ -95,17 +112,18 @@
             sleep(timeout).await;
             None
         };
-        result.or(woken).or(report).or(timer).await
+        result.or(woken).or(row).or(report).or(timer).await
     }
 
     /// Returns the next input if one is queued.
     pub(super) fn try_next(&self) -> Option<Input> {
-        let result = self.results.try_recv();
-        result.or_else(|_| self.reports.try_recv()).ok()
+        let first = self.results.try_recv();
+        let first = first.or_else(|_| self.rows.try_recv());
+        first.or_else(|_| self.reports.try_recv()).ok()
     }
 
     /// Returns the number of queued inputs.
     pub(super) fn len(&self) -> usize {
-        self.results.len() + self.reports.len()
+        self.results.len() + self.rows.len() + self.reports.len()
     }
 }
