--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -253,7 +253,7 @@
         self.token = 0
         self.lease = 0.0
         self.running, self.ends, self.floor = {}, [], {}
-        self.number = 0
+        self.number = self.acked = 0
         self.is_up = True
         await self.server.start(port)
         self.register()
@@ -298,9 +298,10 @@
         self.running.pop(run.task, None)
         self.number += 1
         self.floor[run.task] = max(self.floor.get(run.task, 0), run.run)
-        self.ends.append([self.number, run.task, run.run, how, run.checkpoint])
-        self.world.record.write(f"{self.name}: {run.task} run {run.run} ends {how}"
-                                + (f", saved {run.checkpoint}" if run.checkpoint else ""))
+        self.ends.append([self.number, run.task, run.run, how, run.checkpoint,
+                          self.world.record.now()])
+        saved = f", saved {run.checkpoint}" if run.checkpoint else ""
+        self.world.note(self.name, run.task, f"run {run.run} ends {how}{saved}", f"ends {how}")
         self.world.ended(self, run, how)
 
     def advance(self, now):
@@ -337,13 +338,13 @@
             return self.refuse("fence")
         self.token = token
         now = time.monotonic()
-        self.advance(now)
         if path == "/hold":
             end = now + min(body.get("waitMs", 0), 2000) / 1000
             if "deadlineMs" in body:
                 self.extend(now, body["deadlineMs"])
             upto = body.get("ackedUpto", 0)
             self.ends = [e for e in self.ends if e[0] > upto]
+            self.acked = max(self.acked, upto)
             while not self.ends and time.monotonic() < end and self.is_up:
                 await asyncio.sleep(0.01)
             if not self.is_up:
@@ -351,7 +352,7 @@
             running = [[r.task, r.run, r.checkpoint, self.world.percent(r), 0]
                        for r in self.running.values()]
             return 200, {"clockMs": self.clock(), "born": self.born, "running": running,
-                         "ended": self.ends[:500]}
+                         "ended": [end[:5] for end in self.ends[:500]]}
         task, run = body["task"], body["runId"]
         if path == "/run-start":
             return self.start_run(now, task, run, body)
@@ -378,8 +379,8 @@
         saved = body.get("checkpoint", "")
         started = Run(task, run, saved, self.world.behaviour(task, run), now)
         self.running[task] = started
-        self.world.record.write(f"{self.name}: starts {task} run {run}"
-                                + (f" from {saved}" if saved else ""))
+        origin = f" from {saved}" if saved else ""
+        self.world.note(self.name, task, f"run {run} starts{origin}", "starts")
         self.world.started(self, started)
         return 200, {"clockMs": self.clock()}
 
@@ -446,6 +447,7 @@
         self.workers, self.entries = [], []
         self.starts = []
         self.breaks = []
+        self.counts = {}
 
     # What tasks do; a case replaces these.
     def behaviour(self, task, run):
@@ -463,6 +465,21 @@
     def ended(self, worker, run, how):
         pass
 
+    # Jobs of which the record holds the number of starts and ends in each second only.
+    wide = ()
+
+    def note(self, worker, task, text, kind):
+        if task.startswith(self.wide) and self.wide:
+            key = (worker, task.split(".")[0], kind)
+            self.counts[key] = self.counts.get(key, 0) + 1
+        else:
+            self.record.write(f"{worker}: {task} {text}")
+
+    def flush_counts(self):
+        for (worker, job, kind), count in sorted(self.counts.items()):
+            self.record.write(f"{worker}: {count} tasks of {job}: {kind}")
+        self.counts.clear()
+
     async def begin(self, entries, workers, capacity, labels=("a", "r1")):
         await self.store.start()
         self.store.put("op", "config", {"version": 1, "routes": [self.QUEUE],
@@ -488,12 +505,15 @@
         return True
 
     async def _tick(self):
-        beat = time.monotonic()
+        beat = flushed = time.monotonic()
         while True:
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(0.01)
             now = time.monotonic()
             for worker in self.workers:
                 worker.advance(now)
+            if now - flushed >= 1.0:
+                flushed = now
+                self.flush_counts()
             if now - beat >= HEARTBEAT_MS / 1000:
                 beat = now
                 for worker in self.workers:
