--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
-"""The write of a job gets no answer and is done late; the client cancels the job meanwhile and is
-told that it does not exist. Then it runs."""
+"""One wide job whose tasks all fail. Its progress outgrows a row of the store, and from then on
+nothing of any job is written: ends are not taken note of, and new workers get no work."""
 
 import asyncio
 import os
@@ -8,59 +8,69 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import fleet
 
-JOB = "00000000000000b2"
-OTHER = "00000000000000b1"
-# The store carries out the unanswered write this long after it came (1 to 6 s).
-LATE_S = 5.0
-CANCEL_S = 3.0
-CONTACT_S = 3.0
+POISON = "00000000000000e1"
+OTHER = "00000000000000e2"
+NEW = "00000000000000e3"
+TASKS = 6000
+ACK_TIMEOUT_S = 4.0
+FINISH_S = 14.0
+# The store has been in use for a while.
+STORE_VERSION = 100_000
 
 
 class World(fleet.World):
-    calm_since = 0.0
+    fails = True
+    wide = (POISON,)
 
     def behaviour(self, task, run):
-        return lambda this, now: "done" if now - this.begun >= 4.0 else None
+        if not task.startswith(POISON):
+            return lambda this, now: "done" if now - this.begun >= 1.0 else None
+        how = "failed" if self.fails else "done"
+        return lambda this, now: how if now - this.begun >= 6.0 else None
 
 
 async def case(world, has_trouble):
-    await world.begin(entries=3, workers=4, capacity={"cpu": 8000, "memMb": 64000, "gpu": 0})
-    entry, other = world.entries[0], world.entries[1]
-    step = {"count": 2, "cpu": 1000, "memMb": 100, "estimateMs": 4000}
-    spec = {"taskSpec": "x", "steps": [step, {**step, "after": [0]}]}
+    world.fails = has_trouble
+    world.store.version = STORE_VERSION
+    await world.begin(entries=3, workers=4, capacity={"cpu": 32000, "memMb": 128000, "gpu": 0})
+    entry = world.entries[0]
 
-    async def accepted():
-        return (await world.request(entry, "POST", OTHER, spec))[0] == 200
+    async def submit(job, count, cpu, **more):
+        spec = {"taskSpec": "x", "steps": [
+            {"count": count, "cpu": cpu, "memMb": 1, "estimateMs": 3000, **more}]}
 
-    await world.wait("a first job is accepted", 15, accepted)
-    await world.wait("it runs", 15, lambda: len(world.starts) >= 2)
-    await asyncio.sleep(5.0)
+        async def accepted():
+            return (await world.request(entry, "POST", job, spec))[0] == 200
+        await world.wait("the job is accepted", 15, accepted)
 
-    def lose(body):
-        if any(row["key"] == "j" + JOB for row in body.get("puts", [])):
-            world.store.fault = None
-            world.record.write(f"store: the write of the job gets no answer, and is done in {LATE_S} s")
-            world.calm_since = world.record.now() + LATE_S
-            return LATE_S
-        return None
-
-    if has_trouble:
-        world.store.fault = lose
-    status, _ = await world.request(entry, "POST", JOB, spec)
-    if has_trouble and status not in (0, 502, 504):
-        raise fleet.CannotRun(f"the job's submission is answered {status}")
-    # The client does not ask again; it cancels.
-    async def cancelled():
-        return (await world.request(other, "DELETE", JOB))[0] in (200, 410)
-    await world.wait("the cancel is acknowledged", 5, cancelled)
-    acknowledged = world.record.now()
+    await submit(POISON, TASKS, 4)
+    await world.wait("all its tasks run", 40, lambda: len(world.starts) >= TASKS)
+    # A calm stretch, in which every task ends for the first time.
     await asyncio.sleep(16.0)
-    await world.request(entry, "GET", JOB)
-    late = [start for start in world.starts if start[2].startswith(JOB)
-            and start[0] > max(acknowledged + CANCEL_S, world.calm_since + CONTACT_S)]
-    for at, worker, task, run, _ in late:
-        world.breaks.append(f"UNASKED: {task} run {run} starts on {worker} at {at:.3f} s, "
-                            f"{at - acknowledged:.3f} s after the cancel was acknowledged")
+    await submit(OTHER, 4, 1000)
+    await world.add_worker("i-new", {"cpu": 32000, "memMb": 128000, "gpu": 0}, ["b", "r2"])
+    world.record.write("i-new: is added, empty, the only one of kind b")
+    await submit(NEW, 2, 1000, requirements="b")
+    world.record.write("the traffic ends")
+    await asyncio.sleep(FINISH_S)
+    for job in (OTHER, NEW):
+        await world.request(entry, "GET", job)
+    begun = {start[2].split(".")[0] for start in world.starts}
+    if NEW not in begun:
+        await asyncio.sleep(4.0)
+        if not any(start[2].startswith(NEW) for start in world.starts):
+            world.breaks.append(
+                f"LOST: {NEW} has had nothing running for {FINISH_S + 4.0} s; the worker that it "
+                f"asks for is empty and is ready, with capacity for it 16 times over")
+    listed = sum(worker.number for worker in world.workers)
+    late = [end for worker in world.workers for end in worker.ends
+            if world.record.now() - end[5] > ACK_TIMEOUT_S]
+    world.record.write(f"{listed} runs have ended; {len(late)} ends are listed for over "
+                       f"{ACK_TIMEOUT_S} s and not taken note of; rows refused: "
+                       f"{world.store.refused_rows}")
+    if len(late) * 5 > listed:
+        world.breaks.append(f"Acks: {len(late)} of {listed} ends are not taken note of after "
+                            f"{ACK_TIMEOUT_S} s")
 
 
 fleet.main(os.path.dirname(os.path.abspath(__file__)), World, case)
