--- a/review/2/case.py
+++ b/review/2/case.py
@@ -26,7 +26,7 @@
         if not task.startswith(POISON):
             return lambda this, now: "done" if now - this.begun >= 1.0 else None
         how = "failed" if self.fails else "done"
-        return lambda this, now: how if now - this.begun >= 6.0 else None
+        return lambda this, now: how if now - this.begun >= 12.0 else None
 
 
 async def case(world, has_trouble):
@@ -46,7 +46,7 @@
     await submit(POISON, TASKS, 4)
     await world.wait("all its tasks run", 40, lambda: len(world.starts) >= TASKS)
     # A calm stretch, in which every task ends for the first time.
-    await asyncio.sleep(16.0)
+    await asyncio.sleep(14.0)
     await submit(OTHER, 4, 1000)
     await world.add_worker("i-new", {"cpu": 32000, "memMb": 128000, "gpu": 0}, ["b", "r2"])
     world.record.write("i-new: is added, empty, the only one of kind b")
