--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,76 +1,56 @@
-"""One wide job whose tasks all fail. Its progress outgrows a row of the store, and from then on
-nothing of any job is written: ends are not taken note of, and new workers get no work."""
+"""A timed job whose first run lies a week back. Each leader spends all its time on passes over the
+waiting steps and never gives way to its other tasks: one entry after the other answers nobody."""
 
 import asyncio
 import os
 import sys
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
 import fleet
 
-POISON = "00000000000000e1"
-OTHER = "00000000000000e2"
-NEW = "00000000000000e3"
-TASKS = 6000
-ACK_TIMEOUT_S = 4.0
+FIRST = "0000000000000a01"
+TIMED = "0000000000000a02"
+MINUTE_MS = 60_000
+WEEK_MINUTES = 7 * 24 * 60
+STEPS = 20
 FINISH_S = 14.0
-# The store has been in use for a while.
-STORE_VERSION = 100_000
 
 
 class World(fleet.World):
-    fails = True
-    wide = (POISON,)
-
-    def behaviour(self, task, run):
-        if not task.startswith(POISON):
-            return lambda this, now: "done" if now - this.begun >= 1.0 else None
-        how = "failed" if self.fails else "done"
-        return lambda this, now: how if now - this.begun >= 12.0 else None
+    wide = (TIMED,)
 
 
 async def case(world, has_trouble):
-    world.fails = has_trouble
-    world.store.version = STORE_VERSION
-    await world.begin(entries=3, workers=4, capacity={"cpu": 32000, "memMb": 128000, "gpu": 0})
+    await world.begin(entries=3, workers=4, capacity={"cpu": 8000, "memMb": 64000, "gpu": 0})
     entry = world.entries[0]
+    step = {"count": 1, "cpu": 1000, "memMb": 100, "estimateMs": 1000}
 
-    async def submit(job, count, cpu, **more):
-        spec = {"taskSpec": "x", "steps": [
-            {"count": count, "cpu": cpu, "memMb": 1, "estimateMs": 3000, **more}]}
-
+    async def submit(job, spec):
         async def accepted():
             return (await world.request(entry, "POST", job, spec))[0] == 200
         await world.wait("the job is accepted", 15, accepted)
 
-    await submit(POISON, TASKS, 4)
-    await world.wait("all its tasks run", 40, lambda: len(world.starts) >= TASKS)
-    # A calm stretch, in which every task ends for the first time.
-    await asyncio.sleep(14.0)
-    await submit(OTHER, 4, 1000)
-    await world.add_worker("i-new", {"cpu": 32000, "memMb": 128000, "gpu": 0}, ["b", "r2"])
-    world.record.write("i-new: is added, empty, the only one of kind b")
-    await submit(NEW, 2, 1000, requirements="b")
+    await submit(FIRST, {"taskSpec": "x", "steps": [step]})
+    # Each minute; the first run is a week ago, or a minute ago without the trouble.
+    ago = WEEK_MINUTES if has_trouble else 1
+    first_run = int(time.time() * 1000) - ago * MINUTE_MS
+    await submit(TIMED, {"taskSpec": "x", "steps": [step] * STEPS, "firstRunMs": first_run,
+                         "intervalMs": MINUTE_MS, "repeatCount": WEEK_MINUTES})
     world.record.write("the traffic ends")
     await asyncio.sleep(FINISH_S)
-    for job in (OTHER, NEW):
-        await world.request(entry, "GET", job)
-    begun = {start[2].split(".")[0] for start in world.starts}
-    if NEW not in begun:
-        await asyncio.sleep(4.0)
-        if not any(start[2].startswith(NEW) for start in world.starts):
-            world.breaks.append(
-                f"LOST: {NEW} has had nothing running for {FINISH_S + 4.0} s; the worker that it "
-                f"asks for is empty and is ready, with capacity for it 16 times over")
-    listed = sum(worker.number for worker in world.workers)
-    late = [end for worker in world.workers for end in worker.ends
-            if world.record.now() - end[5] > ACK_TIMEOUT_S]
-    world.record.write(f"{listed} runs have ended; {len(late)} ends are listed for over "
-                       f"{ACK_TIMEOUT_S} s and not taken note of; rows refused: "
-                       f"{world.store.refused_rows}")
-    if len(late) * 5 > listed:
-        world.breaks.append(f"Acks: {len(late)} of {listed} ends are not taken note of after "
-                            f"{ACK_TIMEOUT_S} s")
+    answers = [await world.request(each, "GET", FIRST) for each in world.entries]
+    await asyncio.sleep(10.0)
+    answers += [await world.request(each, "GET", FIRST) for each in world.entries]
+    for each in world.entries:
+        with open(f"/proc/{each.child.pid}/status") as status:
+            memory = next(line for line in status if line.startswith("VmRSS"))
+        world.record.write(f"{each.name}: is up, {' '.join(memory.split())}")
+    if not any(status for status, _ in answers):
+        world.breaks.append(f"LOST: {FIRST} is accepted, and {FINISH_S} s and {FINISH_S + 10} s after "
+                            f"the end of the traffic none of the entries answers when it is asked for")
+    started = len([start for start in world.starts if start[2].startswith(TIMED)])
+    world.record.write(f"tasks of {TIMED} started: {started}")
 
 
 fleet.main(os.path.dirname(os.path.abspath(__file__)), World, case)
