Begin only some of the occurrences that are due at once

Cause, first part: all occurrences that are due began in one tick, 10,080 of 20 steps in the case. 201,600 steps waited, and each round of the leader passed over them. Their progress would also not fit in a row of the store (65,536 bytes) once a later occurrence ends before the oldest one.

Evidence: few_of_many_due_occurrences_begin_at_once_and_all_are_completed_in_the_end failed on the code before with "20 steps of 1 tasks, 10080 times: 201600 steps are open".

Change: an occurrence begins while those from the oldest one in progress on have room for it: at most 20,000 tasks, and progress of 32 KB by the widths of their steps. The oldest completed ones are now removed whenever another one is completed, not only when that is the oldest: a run that was left would have kept the job from beginning further ones.

Measured: the same test, also for 64 steps, 20,000 tasks and 100,000 occurrences; a leader completes 300 occurrences of 20 steps, each task once.

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -19,6 +19,14 @@
 use crate::spec;
 use crate::task::Task;
 
+/// The most bytes of progress of the open occurrences of a job. The store bounds the size of a row,
+/// which also holds failed runs.
+const MAX_OPEN_BYTES: usize = 32 << 10;
+/// The most bytes of the key and the lengths of a step in the row of the progress.
+const STEP_BYTES: usize = 24;
+/// The most bytes of 64 completed tasks in that row.
+const WORD_BYTES: usize = 9;
+
 /// A job as an entry accepted and stored it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Accepted {
@@ -91,6 +99,8 @@
     pub occurrences: BTreeMap<u32, Vec<Step>>,
     /// The next occurrence to become due, counted from 0.
     pub next_occurrence: u32,
+    /// The most occurrences from the oldest one in progress on that begin.
+    max_open: u32,
 }
 
 impl Job {
@@ -107,6 +117,7 @@
         let steps = accepted.spec.steps.iter();
         let claims = steps.map(|step| Claim::new(step, model)).collect();
         let progress = progress.unwrap_or_default();
+        let max_open = max_open_occurrences(&accepted.spec);
         Self {
             id,
             queue: accepted.queue,
@@ -122,6 +133,7 @@
             committed: 0,
             crashes_version: 0,
             occurrences: BTreeMap::new(),
+            max_open,
         }
     }
 
@@ -144,12 +156,13 @@
         }
     }
 
-    /// Begins the occurrences that are due and returns their numbers.
+    /// Begins the occurrences that are due, as far as the open ones leave room, and returns their
+    /// numbers. Any number can be due at once; the others begin when older ones are completed.
     pub fn begin_due_occurrences(&mut self, unix: Ms) -> Vec<u32> {
         let mut begun = Vec::new();
         while self.next_occurrence < self.spec.occurrences() {
             let occurrence = self.next_occurrence;
-            if self.spec.due(occurrence).is_some_and(|due| due > unix) {
+            if self.spec.due(occurrence).is_some_and(|due| due > unix) || !self.has_room() {
                 break;
             }
             self.next_occurrence += 1;
@@ -159,6 +172,21 @@
         begun
     }
 
+    /// Returns whether another occurrence may begin.
+    fn has_room(&mut self) -> bool {
+        if self.open_occurrences() >= self.max_open {
+            // Runs may have been left when the last task was completed, and may have ended since.
+            self.remove_finished_occurrences();
+        }
+        self.open_occurrences() < self.max_open
+    }
+
+    /// Returns the number of occurrences from the oldest one in progress to the last one begun.
+    const fn open_occurrences(&self) -> u32 {
+        self.next_occurrence
+            .saturating_sub(self.progress.finished_occurrences)
+    }
+
     /// Records that an earlier leader has begun an occurrence, whose runs and ends count although it
     /// may not be due yet by the clock of this leader. Returns whether this is new.
     pub fn discover(&mut self, occurrence: u32) -> bool {
@@ -326,8 +354,7 @@
         if !is_done {
             return;
         }
-        let is_oldest = occurrence == self.progress.finished_occurrences;
-        if is_oldest && self.spec.occurrences() > 1 {
+        if self.spec.occurrences() > 1 {
             self.remove_finished_occurrences();
         }
         let mut unbegun = self.next_occurrence..self.spec.occurrences();
@@ -369,6 +396,26 @@
     }
 }
 
+/// Returns how many occurrences of a job may be open: as many as have at most [`spec::MAX_TASKS`]
+/// tasks and [`MAX_OPEN_BYTES`] of progress, and at least one.
+fn max_open_occurrences(spec: &spec::Job) -> u32 {
+    let tasks: usize = spec.steps.iter().map(|step| step.count as usize).sum();
+    let bytes: usize = spec.steps.iter().map(progress_bytes).sum();
+    let by_tasks = spec::MAX_TASKS as usize / tasks.max(1);
+    let by_bytes = MAX_OPEN_BYTES / bytes.max(1);
+    u32::try_from(by_tasks.min(by_bytes)).map_or(u32::MAX, |most| most.max(1))
+}
+
+/// Returns the most bytes that the completed tasks of a step take in the row of the progress.
+/// Long-running tasks are never completed.
+const fn progress_bytes(step: &spec::Step) -> usize {
+    if step.is_lasting {
+        return 0;
+    }
+    let words = step.count.div_ceil(u64::BITS) as usize;
+    STEP_BYTES + words * WORD_BYTES
+}
+
 /// Returns the number of a step by its index; [`spec::MAX_STEPS`] bounds it.
 #[must_use]
 pub fn step_number(index: usize) -> u16 {
--- /dev/null
+++ b/crates/scheduler/tests/backlog.rs
@@ -0,0 +1,187 @@
+//! Tests of large amounts of work that is due at once.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use common::BOUNDS;
+use common::INCARNATION;
+use common::accepted_job;
+use common::config;
+use common::name;
+use common::registration;
+use decision::clock::Ms;
+use scheduler::id;
+use scheduler::id::Epoch;
+use scheduler::id::Task;
+use scheduler::interference::Model;
+use scheduler::job::Accepted;
+use scheduler::job::Job;
+use scheduler::leader::Action;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::message::End;
+use scheduler::message::Observation;
+use scheduler::message::Order;
+use scheduler::message::Report;
+use scheduler::message::Start;
+use scheduler::message::Termination;
+use scheduler::progress::Outcome;
+use scheduler::progress::Stage;
+use scheduler::spec;
+
+/// The time of day.
+const TODAY: Ms = Ms(1_700_000_000_000);
+const MINUTE: Ms = Ms(60_000);
+/// The most bytes of a row whose base64 form fits in 65,536.
+const ROW_BYTES: usize = 49_152;
+
+/// Returns a job of equal steps whose occurrences have all been due for a while.
+fn overdue(steps: usize, width: u32, occurrences: u32) -> Accepted {
+    let step = spec::Step {
+        count: width,
+        estimate: Ms(500),
+        ..spec::Step::default()
+    };
+    let mut accepted = accepted_job(vec![step; steps]);
+    accepted.spec.schedule = Some(spec::Schedule {
+        first: Ms(TODAY.0 - MINUTE.0 * u64::from(occurrences)),
+        interval: MINUTE,
+        count: occurrences,
+    });
+    accepted
+}
+
+/// Returns the tasks of an occurrence.
+fn tasks(job: &Job, occurrence: u32) -> Vec<Task> {
+    let steps = (0..).zip(&job.spec.steps);
+    let tasks = steps.flat_map(|(step, spec)| {
+        let step = id::Step {
+            job: job.id,
+            occurrence,
+            step,
+        };
+        (0..spec.count).map(move |index| Task { step, index })
+    });
+    tasks.collect()
+}
+
+/// All occurrences that were due began at once: 201,600 steps waited, and each pass over them took
+/// longer than the interval between two ticks.
+#[test]
+fn few_of_many_due_occurrences_begin_at_once_and_all_are_completed_in_the_end() {
+    let table = [
+        (20, 1, 10_080),
+        (1, 1, 100_000),
+        (1, 20_000, 40),
+        (64, 312, 100),
+        (64, 1, 100_000),
+    ];
+    for (steps, width, occurrences) in table {
+        let case = format!("{steps} steps of {width} tasks, {occurrences} times");
+        let accepted = overdue(steps, width, occurrences);
+        let mut model = Model::default();
+        let id = id::Job(1);
+        let mut job = Job::new(id, 5, accepted, None, &mut model, Ms::ZERO);
+        let mut completed = 0;
+        // The oldest occurrence takes longer than the others.
+        let mut oldest = None;
+        while !job.has_ended() {
+            let begun = job.begin_due_occurrences(TODAY);
+            let open: usize = job.occurrences.values().map(Vec::len).sum();
+            assert!(open <= 2_048, "{case}: {open} steps are open");
+            let size = rmp_serde::to_vec(&job.progress).expect("it can be encoded");
+            assert!(size.len() <= ROW_BYTES, "{case}: {} bytes", size.len());
+            let has_begun = !begun.is_empty();
+            for occurrence in begun {
+                completed += 1;
+                if oldest.is_none() {
+                    oldest = Some(occurrence);
+                    continue;
+                }
+                complete(&mut job, occurrence);
+            }
+            if let Some(occurrence) = oldest.take_if(|_| !has_begun || completed == occurrences) {
+                complete(&mut job, occurrence);
+            }
+        }
+        assert_eq!(completed, occurrences, "{case}");
+    }
+}
+
+fn complete(job: &mut Job, occurrence: u32) {
+    for task in tasks(job, occurrence) {
+        job.complete(task);
+    }
+    job.close_occurrence(occurrence, TODAY);
+}
+
+/// Passes events and a tick to the leader, and returns the tasks that it starts.
+fn apply(leader: &mut Leader, now: Ms, events: Vec<Event>) -> Vec<Start> {
+    let confirmed = [Event::LeadConfirmed(now)];
+    let all = confirmed.into_iter().chain(events);
+    let all = all.chain([Event::Tick(TODAY)]);
+    let mut actions: Vec<Action> = all.flat_map(|event| leader.handle(now, event)).collect();
+    actions.extend(leader.schedule(now));
+    let is_commit = |action: &Action| matches!(action, Action::Commit(_));
+    if actions.iter().any(is_commit) {
+        actions.extend(leader.handle(now, Event::Committed));
+    }
+    let starts = actions.into_iter().filter_map(|action| match action {
+        Action::Send(_, Order::Start(start)) => Some(start),
+        _ => None,
+    });
+    starts.collect()
+}
+
+/// Returns the report that these runs have ended, numbered from `first`.
+fn ended(first: u64, runs: Vec<Start>) -> Event {
+    let ended = (first..).zip(runs).map(|(number, start)| End {
+        number,
+        task: start.task,
+        run: start.run,
+        termination: Termination::Done,
+        checkpoint: None,
+    });
+    let observation = Observation {
+        worker: name("w"),
+        incarnation: INCARNATION,
+        polled_at: Ms(1),
+        running: Some(Vec::new()),
+        ended: ended.collect(),
+    };
+    Event::Received(name("e"), Report::Polled(observation))
+}
+
+/// The same with a leader: each task of a backlog runs once, and the job is shown as completed.
+#[test]
+fn a_leader_completes_a_backlog_of_occurrences_that_do_not_all_begin_at_once() {
+    const OCCURRENCES: u32 = 300;
+    const STEPS: usize = 20;
+    let mut leader = Leader::new(name("e"), Epoch(7), BOUNDS, Ms(20_000));
+    let joined = vec![
+        Event::Config(Arc::new(config())),
+        Event::Recovered,
+        Event::Joined(name("e"), name("d")),
+        Event::RegistrationChanged(name("w"), Some(registration("d"))),
+        ended(1, Vec::new()),
+    ];
+    apply(&mut leader, Ms(20_000), joined);
+    let job = Event::Accepted(id::Job(1), 30, overdue(STEPS, 1, OCCURRENCES), None);
+    let mut runs = apply(&mut leader, Ms(20_050), vec![job]);
+    let mut seen = BTreeSet::new();
+    let mut number = 1;
+    for round in 0..1_000 {
+        let count = runs.len() as u64;
+        for run in &runs {
+            assert!(seen.insert(run.task), "{} starts again", run.task);
+        }
+        let now = Ms(20_100 + round * 50);
+        runs = apply(&mut leader, now, vec![ended(number, runs)]);
+        number += count;
+    }
+    assert_eq!(seen.len(), OCCURRENCES as usize * STEPS);
+    let completed = Stage::Ended(Outcome::Completed);
+    assert_eq!(leader.stage(id::Job(1)), Some(completed));
+}
