Let the loop of the leader give way after each round that outlasts a tick

Cause, second part: Driver::run paused only while inputs were queued. A round that took longer than the 50 ms between two ticks left a wait of 0 ms, which is ready at once; no socket was read, so no input ever came and nothing ended it.

Evidence: a_leader_with_a_large_backlog_gives_way_to_the_other_tasks_of_its_process (the real loop, 204,800 waiting steps) failed on the loop before: another task of the process got 5 turns until the watchdog ended it after 10 s. It passes with the change, in 2.4 s.

Change: a round after which inputs are queued or the next tick is due is followed by a pause of a tenth of its time, at least 1 ms, so that the other tasks keep a share of the processor whatever makes rounds long.

--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -47,9 +47,13 @@
 const MAX_BATCH_TIME: Ms = Ms(10);
 /// The number of inputs between two readings of the clock.
 const INPUTS_PER_CLOCK_READING: usize = 8;
-/// The pause after each round that leaves inputs in the queue. In it the other tasks of this process
-/// read and write their connections; merely yielding would not let the sockets be polled.
-const BUSY_PAUSE: Ms = Ms(1);
+/// The shortest pause after a round that leaves inputs in the queue or that lasted until the next
+/// tick. In it the other tasks of this process read and write their connections; merely yielding
+/// would not let the sockets be polled.
+const MIN_BUSY_PAUSE: Ms = Ms(1);
+/// The part of the time of a round that its pause takes, so that the other tasks keep a share of the
+/// processor however long rounds take.
+const BUSY_PAUSE_DIVISOR: u64 = 10;
 /// The interval of the log lines that report the load of the driver.
 const LOAD_INTERVAL: Ms = Ms(1_000);
 /// The bytes of configuration that are sent to agents with each tick, unless a single one is larger.
@@ -145,8 +149,9 @@
             self.perform(actions);
             self.flush();
             self.record_round(begun);
-            if self.inbox.len() > 0 {
-                sleep(BUSY_PAUSE).await;
+            let now = clock::now();
+            if self.inbox.len() > 0 || now >= tick_due {
+                sleep(busy_pause(now.since(begun))).await;
             }
         }
     }
@@ -409,6 +414,11 @@
     }
 }
 
+/// Returns the pause after a round that took this long while more work is due.
+fn busy_pause(round: Ms) -> Ms {
+    Ms(round.0 / BUSY_PAUSE_DIVISOR).max(MIN_BUSY_PAUSE)
+}
+
 /// Returns the rows that a commit writes and removes, without the rows that it expects.
 fn transaction(commit: &Commit) -> Transaction {
     let progress = commit.progress.iter();
--- a/src/serve/driver/tests.rs
+++ b/src/serve/driver/tests.rs
@@ -318,6 +318,61 @@
     });
 }
 
+/// Each pass over a large backlog took longer than the interval between two ticks. No timer was left
+/// to wait for, so the loop never gave way while no input was queued, and no input ever came.
+#[test]
+fn a_leader_with_a_large_backlog_gives_way_to_the_other_tasks_of_its_process() {
+    const BACKLOG_JOBS: u64 = 3_200;
+    const STEPS: usize = 64;
+    const TEST_TIME: Ms = Ms(10_000);
+    let local = LocalExecutor::new();
+    smol::block_on(local.run(async {
+        let unused = "127.0.0.1:9".parse().expect("an address");
+        let shared = Arc::new(Shared::new(options(unused)).expect("no port is needed"));
+        *lock(&shared.config) = Some((Arc::new(config()), Arc::from(&b"{}"[..])));
+        let (inputs, inbox) = inbox::new();
+        let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs.clone()));
+        let mut driver = Driver::new(&shared, &leadership, inbox);
+        // Nothing else ends a loop that does not give way.
+        let ended = Arc::clone(&leadership);
+        let begun = clock::now();
+        let (test_end, over) = std::sync::mpsc::channel();
+        let watchdog = std::thread::spawn(move || {
+            // An error means that the test is over before.
+            let _: Result<(), _> = over.recv_timeout(std::time::Duration::from_millis(TEST_TIME.0));
+            ended.end(End::Confirmed("test over"));
+        });
+        let running = local.spawn(async move { driver.run().await });
+        let sent = inputs.send_row(Event::Recovered).await;
+        sent.expect("the driver runs");
+        for job in 0..BACKLOG_JOBS {
+            let Event::Accepted(id, _, mut job, progress) = accepted(job) else {
+                unreachable!("the helper returns an accepted job");
+            };
+            let step = job.spec.steps[0].clone();
+            job.spec.steps = vec![spec::Step { count: 1, ..step }; STEPS];
+            // An earlier leader has read these rows, so the tasks need no confirmed lead.
+            let sent = inputs.send_row(Event::Accepted(id, 1, job, progress)).await;
+            sent.expect("the driver runs");
+        }
+        // The queue is empty by now, and only ticks are left.
+        sleep(Ms(500)).await;
+        let mut longest = Ms::ZERO;
+        let mut turns = 0;
+        while clock::now().since(begun) < Ms(TEST_TIME.0 - 1_000) && turns < 50 {
+            let before = clock::now();
+            sleep(Ms(1)).await;
+            longest = longest.max(clock::now().since(before));
+            turns += 1;
+        }
+        assert!(turns >= 50, "{turns} turns");
+        assert!(longest < SILENCE_TIMEOUT, "no turn for {longest}");
+        drop::<std::sync::mpsc::Sender<()>>(test_end);
+        assert_eq!(running.await, End::Confirmed("test over"));
+        watchdog.join().expect("the watchdog does not panic");
+    }));
+}
+
 /// The queues hold a bounded number of inputs, and results of the leader's own calls come first.
 #[test]
 fn a_full_queue_of_reports_holds_back_their_readers_but_not_results() {
