Bound a pass over waiting steps, and try in turn those that it skips

Beside it, on a related path: after 24 steps without room a pass tried no more of their class, and each pass began with the same ones, so a step that fits waited for ever behind those that no worker can run.

Change: leader/waiting.rs selects at most 2,048 steps by urgency, in the same order as before, without examining all. What was skipped is tried in turn, up to four steps of a class in a pass, each pass going on where the last one ended. Steps that need as much as one without room are skipped before anything is copied.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -20,6 +20,7 @@
 mod schedule;
 mod serving;
 mod tally;
+mod waiting;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -152,6 +153,8 @@
     passes: u64,
     /// Some steps found no room in the last pass.
     is_crowded: bool,
+    /// The last step that was tried in turn; absent if the next turn begins with the first one.
+    last_in_turn: Option<(Rank, id::Step)>,
     /// Jobs with unwritten progress, with the time when the write is due.
     dirty: BTreeMap<id::Job, Ms>,
     /// Jobs with occurrences that have not begun.
@@ -217,6 +220,7 @@
             last_pass: Ms::ZERO,
             passes: 0,
             is_crowded: false,
+            last_in_turn: None,
             dirty: BTreeMap::new(),
             scheduled: BTreeSet::new(),
             ended: BTreeSet::new(),
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -7,7 +7,6 @@
 use decision::name::Name;
 
 use super::Leader;
-use super::Rank;
 use super::pass;
 use super::pass::Pass;
 use crate::id;
@@ -26,8 +25,6 @@
 const CROWDED_INTERVAL: Ms = Ms(25);
 /// A step whose latest start is nearer than this no longer waits for a better worker.
 const MIN_SPARE_TIME: Ms = Ms(1_000);
-/// The time that pacing is expected to add to the rest of a filling job, in percent of the estimate.
-const EXPECTED_DELAY_PERCENT: u64 = 30;
 /// The most starts in one pass, so that a pass does not delay the other work of the leader.
 const MAX_STARTS: usize = 200;
 
@@ -66,15 +63,36 @@
         let waiting = self.by_urgency(now);
         let avoids_slow = placement::can_avoid_slow(self.workers.values(), now);
         let mut pass = Pass::new(self.has_unheard_workers(), avoids_slow);
+        let is_cut = waiting.len() < self.waiting.len();
         for (_, step) in waiting {
             self.start_step(now, step, &mut pass);
-            if pass.starts >= MAX_STARTS {
+            if pass.starts >= MAX_STARTS || pass.is_exhausted() {
                 break;
             }
         }
+        if pass.starts < MAX_STARTS && (is_cut || pass.has_skipped) {
+            self.try_in_turn(now, &mut pass);
+        }
         self.is_crowded = pass.is_crowded;
     }
 
+    /// Tries some of the steps that the pass has skipped, a few in each pass.
+    fn try_in_turn(&mut self, now: Ms, pass: &mut Pass) {
+        pass.is_crowded = true;
+        pass.allow_more();
+        for (rank, step) in self.next_in_turn() {
+            self.start_step(now, step, pass);
+            if pass.has_skipped {
+                // The next turn begins with this step.
+                return;
+            }
+            self.last_in_turn = Some((rank, step));
+            if pass.starts >= MAX_STARTS {
+                return;
+            }
+        }
+    }
+
     /// Returns the tasks of a step to start, and whether others are held back because another leader
     /// may start them too: an earlier one on a worker that has not answered, or a later one. Rows of
     /// jobs that are newer than a leader's own row were unknown to earlier leaders, which start such
@@ -112,43 +130,26 @@
         (tasks, is_held)
     }
 
-    /// Returns the waiting steps in order of urgency. Within a priority, steps that can still meet
-    /// the objective come before those that cannot, so that new jobs after a burst are on time
-    /// instead of all jobs being late.
-    fn by_urgency(&self, now: Ms) -> Vec<(Rank, id::Step)> {
-        let mut waiting: Vec<(Rank, id::Step)> = self.waiting.iter().copied().collect();
-        waiting.sort_by_cached_key(|&(rank, step)| (rank.priority, self.is_late(now, rank, step)));
-        waiting
-    }
-
-    /// Returns whether a step that starts now is likely to miss the objective of its job. Filling
-    /// tasks are slowed down now and then, so the rest of their job takes longer than estimated.
-    fn is_late(&self, now: Ms, rank: Rank, step: id::Step) -> bool {
-        let index = usize::from(step.step);
-        let job = self.jobs.get(&step.job);
-        let remaining = job.and_then(|job| job.remaining.get(index));
-        let is_filling = job
-            .and_then(|job| job.step_spec(step.step))
-            .is_some_and(|spec| spec.is_filling);
-        let delay = match remaining {
-            Some(remaining) if is_filling => remaining.0 * EXPECTED_DELAY_PERCENT / 100,
-            _ => 0,
-        };
-        rank.latest_start < now + Ms(delay)
-    }
-
     /// Starts as many tasks of a step as fit, or none of a gang that does not fit as a whole.
     fn start_step(&mut self, now: Ms, step: id::Step, pass: &mut Pass) {
-        let Some(job) = self.jobs.get_mut(&step.job) else {
+        let Some(job) = self.jobs.get(&step.job) else {
             return self.dequeue(step);
         };
-        let Some(spec) = job.step_spec(step.step).cloned() else {
+        let job_spec = Arc::clone(&job.spec);
+        let Some(spec) = job_spec.steps.get(usize::from(step.step)) else {
             return self.dequeue(step);
         };
         let Some(claim) = job.claim(step.step) else {
             return;
         };
-        let queue = job.queue.clone();
+        let Some(queue) = self.queue(&job.queue) else {
+            return;
+        };
+        let (service, needs_ticket) = (queue.service.clone(), queue.needs_ticket);
+        let kept_slack = self.kept_slack(now, step);
+        if !pass.should_try(step, &service, &claim, kept_slack) {
+            return;
+        }
         if !pass.has_unheard_workers {
             self.assume_crashes(step);
         }
@@ -157,14 +158,10 @@
         if is_held && indices.is_empty() {
             return;
         }
-        let Some(queue) = self.queue(&queue) else {
-            return;
-        };
-        let (service, needs_ticket) = (queue.service.clone(), queue.needs_ticket);
         let tickets = needs_ticket.then(|| self.workers_with_ticket(step, now));
         let request = Request {
             service: &service,
-            spec: &spec,
+            spec,
             claim: &claim,
             step,
             tickets: tickets.as_ref(),
@@ -172,11 +169,8 @@
             is_suspect: false,
             rack: None,
             avoids_slow: pass.avoids_slow,
-            kept_slack: self.kept_slack(now, step),
+            kept_slack,
         };
-        if !pass.should_try(&request) {
-            return;
-        }
         let has_suspects = self.has_suspects(step, &indices);
         let is_independent = !(spec.is_gang || spec.is_same_rack || needs_ticket || has_suspects);
         let improved_since = self
--- a/crates/scheduler/tests/scale.rs
+++ b/crates/scheduler/tests/scale.rs
@@ -434,3 +434,51 @@
     assert_eq!(fixture.leader.deferred_reports(), 0);
     assert!(!fixture.leader.has_unheard_workers());
 }
+
+/// Steps that fit on no worker came before one that does. After 24 of them a pass tried no more, and
+/// each pass tried the same ones.
+#[test]
+fn a_small_step_starts_although_many_that_never_find_room_come_before_it() {
+    for hopeless in [23, 30, 100, 400] {
+        let mut fixture = Fixture::with_workers(4);
+        fixture.now = Ms(13_000);
+        for job in 0..hopeless {
+            // Each needs less of the processors and more memory than the one before.
+            let need = u32::try_from(job).expect("few jobs");
+            let step = spec::Step {
+                need: size(30_000 - need, 70_000 + need),
+                ..plain(1, 0)
+            };
+            fixture.accept(1 + job, step);
+        }
+        fixture.now = Ms(13_010);
+        fixture.accept(1_000, plain(1, 1_000));
+        let mut passes = 0;
+        while fixture.schedule(Ms(13_030 + passes * 30)).is_empty() {
+            passes += 1;
+            let most = 1 + hopeless / 3;
+            assert!(passes <= most, "{hopeless} steps, {passes} passes");
+        }
+    }
+}
+
+/// A pass considers the most urgent of very many steps, in the same order as of few.
+#[test]
+fn the_most_urgent_of_very_many_steps_start_first() {
+    for waiting in [2_000, 2_100] {
+        let mut fixture = Fixture::with_workers(1);
+        // The objective of a job is 250 ms. Those of the first half miss it, the others do not.
+        for job in 0..waiting {
+            fixture.now = Ms(13_000 + if job < waiting / 2 { 0 } else { 400 });
+            fixture.accept(1 + job, plain(1, 8_000));
+        }
+        let running = fixture.schedule(Ms(13_500));
+        let first = Job(1 + waiting / 2);
+        let jobs: Vec<Job> = running.iter().map(|start| start.task.step.job).collect();
+        assert_eq!(jobs, [first], "{waiting} steps");
+        fixture.end(&running[0]);
+        let next = fixture.schedule(Ms(13_530));
+        let jobs: Vec<Job> = next.iter().map(|start| start.task.step.job).collect();
+        assert_eq!(jobs, [Job(first.0 + 1)], "{waiting} steps");
+    }
+}
