--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -16,6 +16,7 @@
 mod pass;
 mod polls;
 mod report;
+mod retention;
 mod runs;
 mod schedule;
 mod serving;
@@ -159,8 +160,11 @@
     dirty: BTreeMap<id::Job, Ms>,
     /// Jobs with occurrences that have not begun.
     scheduled: BTreeSet<id::Job>,
-    /// Ended jobs by the time of their end, in ms since 1970.
-    ended: BTreeSet<(Ms, id::Job)>,
+    /// Jobs whose end is durable, by the time until which they are kept.
+    retained: BTreeSet<(Ms, id::Job)>,
+    /// Jobs that ended under earlier leaders and are not among `retained` yet, with the time of the
+    /// end in ms since 1970.
+    inherited_ends: Vec<(id::Job, Ms)>,
     /// The crashes of workers by worker and incarnation.
     crashes: BTreeMap<(Name, Ms), crashes::Crash>,
     /// The pacing of each worker that runs both serving and filling tasks.
@@ -223,7 +227,8 @@
             last_in_turn: None,
             dirty: BTreeMap::new(),
             scheduled: BTreeSet::new(),
-            ended: BTreeSet::new(),
+            retained: BTreeSet::new(),
+            inherited_ends: Vec::new(),
             crashes: BTreeMap::new(),
             pacers: BTreeMap::new(),
             advice: advice::Cache::default(),
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -112,6 +112,7 @@
         for (id, version) in versions {
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.commit(version);
+                self.retain_ended_job(now, id);
             }
         }
         self.removed.extend(removed.into_iter().map(|id| (now, id)));
@@ -177,35 +178,4 @@
             self.acknowledge(&name);
         }
     }
-
-    /// Removes the jobs whose retention time is over, and schedules the removal of their rows.
-    pub(super) fn remove_expired_jobs(&mut self, now: Ms) {
-        self.drop_forgotten_jobs(now);
-        while let Some(&(at, id)) = self.ended.first() {
-            if self.unix.since(at) <= self.bounds.retention {
-                return;
-            }
-            self.ended.pop_first();
-            let durable = self
-                .jobs
-                .get(&id)
-                .filter(|job| job.committed == job.version);
-            if let Some(row) = durable.map(|job| job.row_version) {
-                self.jobs.remove(&id);
-                self.forgotten.insert(id, row);
-                self.removable.push(id);
-            }
-        }
-    }
-
-    /// Drops the versions of rows that were removed so long ago that no read can still return them.
-    fn drop_forgotten_jobs(&mut self, now: Ms) {
-        while let Some(&(at, id)) = self.removed.first() {
-            if now.since(at) <= self.bounds.retention {
-                return;
-            }
-            self.removed.pop_first();
-            self.forgotten.remove(&id);
-        }
-    }
 }
--- a/crates/scheduler/src/leader/jobs.rs
+++ b/crates/scheduler/src/leader/jobs.rs
@@ -32,7 +32,7 @@
             job.queue, job.visible_stage
         ));
         if let Some((_, at)) = job.progress.ended {
-            self.ended.insert((at, id));
+            self.inherited_ends.push((id, at));
         }
         let has_ended = job.has_ended();
         if job.spec.schedule.is_some() && !has_ended {
@@ -178,9 +178,6 @@
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
-        if let Some((_, at)) = job.progress.ended {
-            self.ended.insert((at, id));
-        }
         let mut steps = Vec::new();
         let mut running = Vec::new();
         for (&occurrence, states) in &job.occurrences {
