--- a/crates/scheduler/src/leader/retention.rs
+++ b/crates/scheduler/src/leader/retention.rs
@@ -52,6 +52,7 @@
                 self.jobs.remove(&id);
                 self.forgotten.insert(id, row);
                 self.removable.push(id);
+                self.log(format!("kind=job-removed job={id} reason=retention-over"));
             }
         }
     }
