Let leases expire only once earlier reports of the agent are handled

Cause: expire_leases compared the noted expiry with the time of the tick, although the reports of renewals up to then waited in queues and sockets.

Change: when a noted expiry has come, the leader asks the worker's agent for an echo and lets the lease expire once the answer, which comes behind all earlier reports, is handled. The question is an order to stop a run that does not exist, which agents of every build answer at once. An agent that has dropped reports does not answer.

--- a/crates/scheduler/src/leader/agents.rs
+++ b/crates/scheduler/src/leader/agents.rs
@@ -3,11 +3,14 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use decision::clock::Ms;
 use decision::name::Name;
 
 /// The number of workers that is added to the load of the leader's own agent, because its process
 /// also does the work of the leader.
 const LEADER_EXTRA_WORKERS: usize = 6;
+/// The time after which an agent that has not answered is asked for an echo again.
+const ECHO_RETRY_DELAY: Ms = Ms(1_000);
 
 /// An agent and its workers.
 #[derive(Clone, Debug)]
@@ -16,6 +19,11 @@
     /// The load of the agent without any worker.
     extra_load: usize,
     workers: BTreeSet<Name>,
+    joined_at: Ms,
+    /// All that the agent reported before this time has been handled.
+    heard_until: Ms,
+    /// The time when the agent was last asked for an echo; absent if it was not.
+    asked_at: Option<Ms>,
 }
 
 impl Agent {
@@ -38,11 +46,14 @@
 
     /// Adds an agent that is not connected yet, without workers. Returns whether it is the first of
     /// its failure domain.
-    pub(super) fn insert(&mut self, entry: Name, domain: Name, is_own: bool) -> bool {
+    pub(super) fn insert(&mut self, now: Ms, entry: Name, domain: Name, is_own: bool) -> bool {
         let agent = Agent {
             domain: domain.clone(),
             extra_load: if is_own { LEADER_EXTRA_WORKERS } else { 0 },
             workers: BTreeSet::new(),
+            joined_at: now,
+            heard_until: Ms::ZERO,
+            asked_at: None,
         };
         let in_domain = self.by_load.entry(domain).or_default();
         let is_first = in_domain.is_empty();
@@ -79,6 +90,36 @@
         agent.is_some_and(|agent| agent.workers.contains(worker))
     }
 
+    /// Returns whether all that an agent reported before a time has been handled. An agent that is
+    /// not connected reports nothing.
+    pub(super) fn has_heard(&self, entry: &Name, until: Ms) -> bool {
+        let agent = self.all.get(entry);
+        agent.is_none_or(|agent| agent.heard_until >= until)
+    }
+
+    /// Returns whether an agent is to be asked for an echo now, and records that it was.
+    pub(super) fn ask(&mut self, now: Ms, entry: &Name) -> bool {
+        let Some(agent) = self.all.get_mut(entry) else {
+            return false;
+        };
+        let is_due = agent
+            .asked_at
+            .is_none_or(|at| agent.heard_until >= at || now.since(at) >= ECHO_RETRY_DELAY);
+        if is_due {
+            agent.asked_at = Some(now);
+        }
+        is_due
+    }
+
+    /// Records the echo that an agent was asked for at a time. One of an earlier connection tells
+    /// nothing of the reports of this one.
+    pub(super) fn record_echo(&mut self, entry: &Name, sent_at: Ms) {
+        let agent = self.all.get_mut(entry);
+        if let Some(agent) = agent.filter(|agent| sent_at >= agent.joined_at) {
+            agent.heard_until = agent.heard_until.max(sent_at);
+        }
+    }
+
     /// Adds a worker to those of an agent.
     pub(super) fn watch(&mut self, entry: &Name, worker: &Name) {
         self.update(entry, |workers| workers.insert(worker.clone()));
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -136,7 +136,7 @@
         self.log(format!("kind=agent-joined agent={entry} domain={domain}"));
         self.last_join = now;
         let is_own = entry == self.entry;
-        let is_first = self.agents.insert(entry, domain.clone(), is_own);
+        let is_first = self.agents.insert(now, entry, domain.clone(), is_own);
         if is_first {
             self.recall_workers(now, &domain);
         }
--- a/crates/scheduler/src/leader/lapses.rs
+++ b/crates/scheduler/src/leader/lapses.rs
@@ -1,5 +1,7 @@
 //! Decides when the leases of workers that do not answer have expired.
 
+use std::collections::BTreeSet;
+
 use decision::clock::Ms;
 use decision::name::Name;
 
@@ -9,6 +11,8 @@
 use crate::id::Task;
 use crate::message::Failure;
 use crate::message::Hello;
+use crate::message::Order;
+use crate::message::Placement;
 
 impl Leader {
     /// Records the renewals of an agent for an earlier leader. Its list of runs is not used, because
@@ -57,18 +61,33 @@
 
     /// Releases the runs on workers that did not answer until all their leases expired. If another
     /// entry may have taken the lead before, its agents may have renewed them. Until the rows of
-    /// earlier leaders are read, reports are deferred, and they may tell of renewals too.
+    /// earlier leaders are read, reports are deferred, and they may tell of renewals too. So may
+    /// reports that this leader has not handled yet, because it is slow or was suspended.
     pub(super) fn expire_leases(&mut self, now: Ms) {
         if !self.is_recovered {
             return;
         }
         let has_expired = |at: Ms| at <= now && at < self.certain_until;
-        let expired: Vec<Name> = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.lease_expiry.is_some_and(has_expired))
-            .map(|(name, _)| name.clone())
-            .collect();
+        let mut expired = Vec::new();
+        let mut unheard = BTreeSet::new();
+        for (name, worker) in &self.workers {
+            let Some(at) = worker.lease_expiry.filter(|&at| has_expired(at)) else {
+                continue;
+            };
+            match &worker.agent {
+                Some(agent) if !self.agents.has_heard(agent, at) => {
+                    unheard.insert(agent.clone());
+                }
+                _ => expired.push(name.clone()),
+            }
+        }
+        for agent in unheard {
+            if self.agents.ask(now, &agent) {
+                self.log(format!("kind=echo-asked agent={agent} cause=leases-over"));
+                let echo = Placement::echo(self.entry.clone(), now);
+                self.send(&agent, Order::Stop(echo));
+            }
+        }
         for name in expired {
             self.record_crash_at_lapse(now, &name);
             self.release_lost_runs(now, &name, None, "lease-expired");
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -36,9 +36,10 @@
             Report::Started(placement, outcome) => {
                 self.handle_start_outcome(now, &placement, outcome)
             }
-            Report::Stopped(placement, outcome, at) => {
-                self.handle_stop_outcome(now, entry, &placement, outcome, at)
-            }
+            Report::Stopped(placement, outcome, at) => match placement.echo_sent_at() {
+                Some(sent_at) => self.agents.record_echo(entry, sent_at),
+                None => self.handle_stop_outcome(now, entry, &placement, outcome, at),
+            },
             Report::QueryStage(number, job) => {
                 let stage = self.stage(job);
                 self.send(entry, Order::Stage(number, stage));
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -71,6 +71,30 @@
     pub run: Run,
 }
 
+/// The number of no run: those of runs begin at 1.
+const NO_RUN: Run = Run(0);
+
+impl Placement {
+    /// Returns what an order to stop names that asks an agent for an echo. An agent answers an order
+    /// to stop a run on a worker that it does not poll without a call, and after all that it has
+    /// reported before. Agents of earlier builds do so too.
+    #[must_use]
+    pub fn echo(leader: Name, sent_at: Ms) -> Self {
+        Self {
+            worker: leader,
+            incarnation: sent_at,
+            task: Task::default(),
+            run: NO_RUN,
+        }
+    }
+
+    /// Returns when the leader asked for this echo, by its own clock; `None` if this is a run.
+    #[must_use]
+    pub fn echo_sent_at(&self) -> Option<Ms> {
+        (self.run == NO_RUN).then_some(self.incarnation)
+    }
+}
+
 /// A message of the leader to an agent.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Order {
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -269,6 +269,10 @@
                 let run = watcher.stop_run(Arc::clone(shared), placement, polls_after);
                 shared.spawner.spawn(run).detach();
             }
+            // An echo would tell the leader that it has been sent all earlier reports.
+            None if placement.echo_sent_at().is_some() && !session.is_complete() => {
+                log::info!("kind=echo-withheld epoch={}", session.epoch());
+            }
             None => {
                 session.report(Report::Stopped(placement, Outcome::Unsent, clock::now()));
             }
--- a/src/serve/session.rs
+++ b/src/serve/session.rs
@@ -16,6 +16,11 @@
 use super::clock;
 use super::lock;
 
+/// The time after a dropped report until which what it said has been reported again: a worker that
+/// answers is polled and reported within the wait of a poll, its time limit and the interval of
+/// reports.
+const REPEAT_TIME: Ms = Ms(4_000);
+
 /// A session and the channel of its reports. Each watcher owns the session that it was started in,
 /// so that a result that arrives late cannot reach a later leader.
 pub(super) struct Session {
@@ -24,6 +29,8 @@
     reports: Sender<Report>,
     /// The number of reports that found the queue full.
     dropped: AtomicU64,
+    /// When the last one of them was dropped, in ms; 0 if none was.
+    dropped_at: AtomicU64,
     /// Signals that a worker refused a call of this session for its fencing token.
     refusal: (Sender<()>, Receiver<()>),
 }
@@ -36,6 +43,7 @@
             rules: Mutex::new(session::Session::new(epoch, clock::now())),
             reports,
             dropped: AtomicU64::new(0),
+            dropped_at: AtomicU64::new(0),
             refusal: smol::channel::bounded(1),
         })
     }
@@ -55,6 +63,7 @@
             Ok(()) => true,
             Err(TrySendError::Closed(_)) => false,
             Err(TrySendError::Full(_)) => {
+                self.dropped_at.store(clock::now().0, Ordering::SeqCst);
                 if self.dropped.fetch_add(1, Ordering::SeqCst) == 0 {
                     log::warn!("kind=report-dropped epoch={} cause=queue-full", self.epoch);
                 }
@@ -63,6 +72,13 @@
         }
     }
 
+    /// Returns whether the leader has been sent all that this agent knows, or would have reported by
+    /// now, except for what it may have learned just now.
+    pub(super) fn is_complete(&self) -> bool {
+        let dropped_at = Ms(self.dropped_at.load(Ordering::SeqCst));
+        dropped_at == Ms::ZERO || clock::now().since(dropped_at) >= REPEAT_TIME
+    }
+
     pub(super) fn record_contact(&self) {
         lock(&self.rules).record_contact(clock::now());
     }
@@ -115,3 +131,6 @@
         lock(&self.rules).renewal_contact()
     }
 }
+
+#[cfg(test)]
+mod tests;
