Divide values that are larger than a row, and bound a commit

Cause: the row of a job's progress grows with its failed runs and nothing bounded it; the store refuses the transaction, and the leader repeats it. A commit of 45 jobs could exceed the 1 MB of a transaction in the same way, and the fleet the size of a row.

Change: src/serve/chunks.rs divides values that exceed a row over several, written, read and removed together; rows that fit keep their form. Setting row_bytes, filled in by the platform. A commit takes no further job after 384 KB, and large progress is written less often. Coefficients that do not fit are left out with a log line.

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -13,19 +13,17 @@
 use crate::fleet::Claim;
 use crate::id;
 use crate::interference::Model;
+use crate::progress::NUMBER_BYTES;
 use crate::progress::Outcome;
 use crate::progress::Progress;
+use crate::progress::STEP_BYTES;
 use crate::progress::Stage;
 use crate::spec;
 use crate::task::Task;
 
-/// The most bytes of progress of the open occurrences of a job. The store bounds the size of a row,
-/// which also holds failed runs.
+/// The most bytes of progress of the open occurrences of a job, without its failed runs. A value that
+/// takes more than one row is slow to write.
 const MAX_OPEN_BYTES: usize = 32 << 10;
-/// The most bytes of the key and the lengths of a step in the row of the progress.
-const STEP_BYTES: usize = 24;
-/// The most bytes of 64 completed tasks in that row.
-const WORD_BYTES: usize = 9;
 
 /// A job as an entry accepted and stored it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -90,6 +88,8 @@
     pub version: u64,
     /// The newest version of the progress that is durable.
     pub committed: u64,
+    /// The bytes of the progress that was last to be written.
+    pub written_bytes: usize,
     /// The version of the progress that last changed the crashes under tasks.
     crashes_version: u64,
     /// The stage that customers are shown, which reflects only durable progress.
@@ -131,6 +131,7 @@
             progress,
             version: 0,
             committed: 0,
+            written_bytes: 0,
             crashes_version: 0,
             occurrences: BTreeMap::new(),
             max_open,
@@ -413,7 +414,7 @@
         return 0;
     }
     let words = step.count.div_ceil(u64::BITS) as usize;
-    STEP_BYTES + words * WORD_BYTES
+    STEP_BYTES + words * NUMBER_BYTES
 }
 
 /// Returns the number of a step by its index; [`spec::MAX_STEPS`] bounds it.
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -12,13 +12,22 @@
 use super::Member;
 use crate::id;
 use crate::interference::Summary;
+use crate::job;
 
 /// The most jobs in one transaction. A removed job takes three rows, and the store accepts at most
 /// 100 rows.
 const MAX_JOBS_PER_COMMIT: usize = 45;
+/// The bytes of progress after which a transaction takes no further job. The store accepts at most
+/// 1 MB, in which the values stand in base64.
+const MAX_COMMIT_BYTES: usize = 384 << 10;
 
 /// The longest delay of progress that no customer is shown, so that one write carries several ends.
 const GROUP_DELAY: Ms = Ms(40);
+/// The bytes of a job's progress for each further ms of that delay. The whole progress is written
+/// each time.
+const BYTES_PER_DELAY_MS: usize = 1 << 10;
+/// The longest such delay.
+const MAX_GROUP_DELAY: Ms = Ms(500);
 
 /// The interval at which the interference coefficients are written.
 const SUMMARY_INTERVAL: Ms = Ms(3_000);
@@ -35,9 +44,10 @@
 }
 
 impl Leader {
-    /// Returns the latest time at which progress that changes now must be written.
-    pub(super) fn group_deadline(&self) -> Ms {
-        self.clock + GROUP_DELAY
+    /// Returns the latest time at which progress of a job that changes now must be written.
+    pub(super) fn group_deadline(&self, job: &job::Job) -> Ms {
+        let for_size = (job.written_bytes / BYTES_PER_DELAY_MS) as u64;
+        self.clock + (GROUP_DELAY + Ms(for_size)).min(MAX_GROUP_DELAY)
     }
 
     pub(super) fn begin_commit(&mut self, now: Ms) {
@@ -65,9 +75,15 @@
             ..Commit::default()
         };
         let mut versions = Vec::new();
+        let mut bytes = 0;
         for (_, id) in changed {
+            if bytes >= MAX_COMMIT_BYTES {
+                break;
+            }
             self.dirty.remove(&id);
-            if let Some(job) = self.jobs.get(&id) {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.written_bytes = job.progress.bytes();
+                bytes += job.written_bytes;
                 versions.push((id, job.version));
                 commit.progress.push((id, job.progress.clone()));
             }
--- a/crates/scheduler/src/leader/jobs.rs
+++ b/crates/scheduler/src/leader/jobs.rs
@@ -216,7 +216,7 @@
             let due = if job.has_ended() {
                 Ms::ZERO
             } else {
-                self.group_deadline()
+                self.group_deadline(job)
             };
             let entry = self.dirty.entry(id).or_insert(due);
             *entry = (*entry).min(due);
--- a/crates/scheduler/src/progress.rs
+++ b/crates/scheduler/src/progress.rs
@@ -14,6 +14,15 @@
 /// by this, which no job has. Earlier builds read such rows and keep what they do not use.
 const CRASHES_OFFSET: u16 = 1 << 15;
 
+/// The most bytes in the row of all but the steps.
+const ROW_BYTES: usize = 64;
+/// The most bytes of the key and the lengths of a step in the row.
+pub const STEP_BYTES: usize = 24;
+/// The most bytes of the number and the count of runs of a task in the row.
+const TASK_BYTES: usize = 8;
+/// The most bytes of a run, or of 64 completed tasks, in the row.
+pub const NUMBER_BYTES: usize = 9;
+
 /// The ways in which a job ends.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
@@ -58,6 +67,12 @@
         is_new
     }
 
+    /// Returns the most bytes that this takes in the row.
+    fn bytes(&self) -> usize {
+        let runs: usize = self.failures.values().map(BTreeSet::len).sum();
+        STEP_BYTES + (self.done.len() + runs) * NUMBER_BYTES + self.failures.len() * TASK_BYTES
+    }
+
     /// Returns whether a task is completed.
     #[must_use]
     pub fn is_done(&self, index: u32) -> bool {
@@ -124,6 +139,12 @@
         runs.map_or(0, |runs| runs.iter().filter(|run| !run.is_unused()).count())
     }
 
+    /// Returns the most bytes that the row takes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        ROW_BYTES + self.steps.values().map(Step::bytes).sum::<usize>()
+    }
+
     /// Returns the stage that customers are shown.
     #[must_use]
     pub fn stage(&self) -> Stage {
--- a/crates/scheduler/tests/backlog.rs
+++ b/crates/scheduler/tests/backlog.rs
@@ -14,11 +14,13 @@
 use decision::clock::Ms;
 use scheduler::id;
 use scheduler::id::Epoch;
+use scheduler::id::Run;
 use scheduler::id::Task;
 use scheduler::interference::Model;
 use scheduler::job::Accepted;
 use scheduler::job::Job;
 use scheduler::leader::Action;
+use scheduler::leader::Commit;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
 use scheduler::message::End;
@@ -28,6 +30,7 @@
 use scheduler::message::Start;
 use scheduler::message::Termination;
 use scheduler::progress::Outcome;
+use scheduler::progress::Progress;
 use scheduler::progress::Stage;
 use scheduler::spec;
 
@@ -119,20 +122,33 @@
 
 /// Passes events and a tick to the leader, and returns the tasks that it starts.
 fn apply(leader: &mut Leader, now: Ms, events: Vec<Event>) -> Vec<Start> {
+    apply_with_commit(leader, now, events).0
+}
+
+/// Does the same, and also returns the commit that it makes.
+fn apply_with_commit(
+    leader: &mut Leader,
+    now: Ms,
+    events: Vec<Event>,
+) -> (Vec<Start>, Option<Commit>) {
     let confirmed = [Event::LeadConfirmed(now)];
     let all = confirmed.into_iter().chain(events);
     let all = all.chain([Event::Tick(TODAY)]);
     let mut actions: Vec<Action> = all.flat_map(|event| leader.handle(now, event)).collect();
     actions.extend(leader.schedule(now));
-    let is_commit = |action: &Action| matches!(action, Action::Commit(_));
-    if actions.iter().any(is_commit) {
+    let commits = actions.iter().filter_map(|action| match action {
+        Action::Commit(commit) => Some(commit.clone()),
+        _ => None,
+    });
+    let commit = commits.last();
+    if commit.is_some() {
         actions.extend(leader.handle(now, Event::Committed));
     }
     let starts = actions.into_iter().filter_map(|action| match action {
         Action::Send(_, Order::Start(start)) => Some(start),
         _ => None,
     });
-    starts.collect()
+    (starts.collect(), commit)
 }
 
 /// Returns the report that these runs have ended, numbered from `first`.
@@ -144,12 +160,17 @@
         termination: Termination::Done,
         checkpoint: None,
     });
+    polled(ended.collect())
+}
+
+/// Returns the report of the worker with these ends and no runs.
+fn polled(ended: Vec<End>) -> Event {
     let observation = Observation {
         worker: name("w"),
         incarnation: INCARNATION,
         polled_at: Ms(1),
         running: Some(Vec::new()),
-        ended: ended.collect(),
+        ended,
     };
     Event::Received(name("e"), Report::Polled(observation))
 }
@@ -185,3 +206,66 @@
     let completed = Stage::Ended(Outcome::Completed);
     assert_eq!(leader.stage(id::Job(1)), Some(completed));
 }
+
+/// A job with this many failed tasks.
+fn with_failures(id: u64, tasks: u32) -> Event {
+    let step = spec::Step {
+        count: tasks,
+        ..spec::Step::default()
+    };
+    let mut progress = Progress::default();
+    let failed = (0..tasks - 1).map(|index| (index, BTreeSet::from([Run((17 << 20) + 1)])));
+    progress.steps.entry((0, 0)).or_default().failures = failed.collect();
+    Event::Accepted(id::Job(id), id, accepted_job(vec![step]), Some(progress))
+}
+
+/// All jobs that had changed were written in one transaction, whatever its size, and the store
+/// refuses one of more than 1 MB each time.
+#[test]
+fn a_commit_has_no_more_progress_than_a_transaction_takes() {
+    const JOBS: u64 = 45;
+    /// The most bytes whose base64 form leaves room for the keys in 1 MB.
+    const TRANSACTION_BYTES: usize = 700_000;
+    for tasks in [10, 2_000, 20_000] {
+        let mut leader = Leader::new(name("e"), Epoch(7), BOUNDS, Ms(20_000));
+        let mut events = vec![
+            Event::Config(Arc::new(config())),
+            Event::Joined(name("e"), name("d")),
+            Event::RegistrationChanged(name("w"), Some(registration("d"))),
+        ];
+        events.extend((0..JOBS).map(|id| with_failures(id, tasks)));
+        events.push(Event::Recovered);
+        apply(&mut leader, Ms(20_000), events);
+        let failed = (0..JOBS).map(|id| End {
+            number: id + 1,
+            task: Task {
+                step: id::Step {
+                    job: id::Job(id),
+                    ..id::Step::default()
+                },
+                index: tasks - 1,
+            },
+            run: Run((17 << 20) + 2),
+            termination: Termination::Failed,
+            checkpoint: None,
+        });
+        let mut events = vec![polled(failed.collect())];
+        let mut written = BTreeSet::new();
+        for round in 0..JOBS * 20 {
+            let now = Ms(20_050 + round * 50);
+            let (_, commit) = apply_with_commit(&mut leader, now, std::mem::take(&mut events));
+            let progress = commit.map(|commit| commit.progress).unwrap_or_default();
+            let encoded = progress.iter().map(|(_, progress)| {
+                let bytes = rmp_serde::to_vec(progress)
+                    .expect("it can be encoded")
+                    .len();
+                assert!(bytes <= progress.bytes(), "{bytes}, {}", progress.bytes());
+                bytes
+            });
+            let bytes: usize = encoded.sum();
+            assert!(bytes <= TRANSACTION_BYTES, "{tasks} tasks: {bytes} bytes");
+            written.extend(progress.into_iter().map(|(job, _)| job));
+        }
+        assert_eq!(written.len() as u64, JOBS, "{tasks} tasks");
+    }
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -2,6 +2,7 @@
 //! itself while it holds the leader record in the store.
 
 mod agent;
+mod chunks;
 mod clock;
 mod driver;
 mod election;
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -23,6 +23,7 @@
 use smol::channel::TrySendError;
 
 use super::Shared;
+use super::chunks::Divided;
 use super::clock;
 use super::inbox::Inbox;
 use super::leadership::Input;
@@ -396,7 +397,8 @@
 
     /// Writes a commit to the store and queues the result as an input.
     fn commit(&self, commit: &Commit) {
-        let transaction = transaction(commit);
+        let max = rows::max_value_bytes(self.shared.options.row_bytes);
+        let transaction = transaction(commit, &mut self.leadership.divided(), max);
         let shared = Arc::clone(&self.shared);
         let leadership = Arc::clone(&self.leadership);
         let write = async move {
@@ -419,30 +421,35 @@
     Ms(round.0 / BUSY_PAUSE_DIVISOR).max(MIN_BUSY_PAUSE)
 }
 
-/// Returns the rows that a commit writes and removes, without the rows that it expects.
-fn transaction(commit: &Commit) -> Transaction {
-    let progress = commit.progress.iter();
-    let mut puts: Vec<_> = progress
-        .map(|(job, progress)| (rows::progress(*job), rows::encode(progress)))
-        .collect();
-    if let Some(interference) = &commit.interference {
-        puts.push((rows::interference(), rows::encode(interference)));
+/// Returns the rows that a commit writes and removes, without the rows that it expects. Each row has
+/// at most `max` bytes.
+fn transaction(commit: &Commit, divided: &mut Divided, max: usize) -> Transaction {
+    let mut transaction = Transaction::default();
+    for (job, progress) in &commit.progress {
+        let value = rows::encode(progress);
+        divided.put(&mut transaction, rows::progress(*job), value, max);
     }
     if let Some(fleet) = &commit.fleet {
-        puts.push((rows::members(), rows::encode(fleet)));
+        divided.put(&mut transaction, rows::members(), rows::encode(fleet), max);
+    }
+    if let Some(interference) = &commit.interference {
+        let value = rows::encode(interference);
+        if value.len() <= max {
+            transaction.puts.push((rows::interference(), value));
+        } else {
+            // Later leaders learn without it.
+            log::warn!(
+                "kind=row-too-long table=lead bytes={} max={max}",
+                value.len()
+            );
+        }
     }
-    let removed = commit.removed.iter().flat_map(|&job| {
-        [
-            rows::accepted(job),
-            rows::cancelled(job),
-            rows::progress(job),
-        ]
-    });
-    Transaction {
-        expected: Vec::new(),
-        puts,
-        removed: removed.collect(),
+    for &job in &commit.removed {
+        transaction.removed.push(rows::accepted(job));
+        transaction.removed.push(rows::cancelled(job));
+        divided.remove(&mut transaction, rows::progress(job));
     }
+    transaction
 }
 
 #[cfg(test)]
--- a/src/serve/driver/tests.rs
+++ b/src/serve/driver/tests.rs
@@ -70,6 +70,7 @@
         metrics: None,
         store,
         advice: None,
+        row_bytes: 65_536,
         lease: Ms(10_000),
         retention: Ms(120_000),
         harm: Ms(5_000),
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -19,6 +19,7 @@
 
 use super::Shared;
 use super::inbox::Outlet;
+use super::leadership::Leadership;
 use super::logging::quote;
 use super::rows;
 use super::rows::Kind;
@@ -252,16 +253,18 @@
 
 /// Passes the jobs, progress and fleet that earlier leaders stored to the leader, then follows
 /// accepted and cancelled jobs.
-pub(super) async fn follow_jobs(shared: Arc<Shared>, inputs: Outlet) {
+pub(super) async fn follow_jobs(shared: Arc<Shared>, leadership: Arc<Leadership>, inputs: Outlet) {
     let send = async |event| inputs.send_row(event).await.is_ok();
     let mut follower = Follower::new(&shared, rows::JOBS);
     let mut jobs = follower.read_all().await;
     let progress = Follower::new(&shared, rows::PROGRESS).read_all().await;
+    let progress = leadership.divided().join(rows::PROGRESS, progress);
     let mut progress: HashMap<String, Row> = progress
         .into_iter()
         .map(|row| (row.key.clone(), row))
         .collect();
     let fleet = Follower::new(&shared, rows::FLEET).read_all().await;
+    let fleet = leadership.divided().join(rows::FLEET, fleet);
     for row in fleet {
         match rows::decode(&row) {
             Ok(members) => {
--- a/src/serve/lead.rs
+++ b/src/serve/lead.rs
@@ -29,7 +29,11 @@
     *lock(&shared.leadership) = Some(Arc::clone(&leadership));
     let spawn = |task| shared.spawner.spawn(task);
     let tasks = [
-        spawn(Box::pin(feeds::follow_jobs(Arc::clone(shared), inputs.clone())) as BoxedTask),
+        spawn(Box::pin(feeds::follow_jobs(
+            Arc::clone(shared),
+            Arc::clone(&leadership),
+            inputs.clone(),
+        )) as BoxedTask),
         spawn(Box::pin(feeds::follow_workers(
             Arc::clone(shared),
             inputs.clone(),
--- a/src/serve/leadership.rs
+++ b/src/serve/leadership.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
@@ -20,6 +21,7 @@
 use smol::channel::Sender;
 
 use super::Shared;
+use super::chunks::Divided;
 use super::clock;
 use super::inbox::Closed;
 use super::inbox::Outlet;
@@ -67,6 +69,8 @@
     /// The version of the heartbeat row, or `None` while it is unknown. Each write of the leader
     /// expects this version and changes it, so a delayed write cannot overwrite a later one.
     heartbeat_version: smol::lock::Mutex<Option<u64>>,
+    /// The values that the store holds in several rows.
+    divided: Mutex<Divided>,
 }
 
 impl Leadership {
@@ -81,9 +85,15 @@
             confirmed_store_time: AtomicU64::new(store_time.0),
             confirmed_sent_at: AtomicU64::new(0),
             heartbeat_version: smol::lock::Mutex::new(None),
+            divided: Mutex::default(),
         }
     }
 
+    /// Returns what is known of the values that the store holds in several rows.
+    pub(super) fn divided(&self) -> MutexGuard<'_, Divided> {
+        lock(&self.divided)
+    }
+
     /// Queues the result of a call of the leader for the driver loop.
     pub(super) async fn send_result(&self, input: Input) {
         // It is not needed once the driver has ended.
--- a/src/serve/options.rs
+++ b/src/serve/options.rs
@@ -19,12 +19,16 @@
         &["name", "failure_domain", "processor_share", "log"],
     ),
     ("listen", &["customer", "ready", "peer", "metrics"]),
-    ("platform", &["store", "advice"]),
+    ("platform", &["store", "advice", "row_bytes"]),
     ("bounds", &["lease_ms", "retention_s", "harm_ms", "stop_s"]),
 ];
 
 /// The highest accepted processor share, in processors.
 const MAX_PROCESSOR_SHARE: f64 = 1_024.0;
+/// The limit of a row's value in bytes where the settings give none.
+const DEFAULT_ROW_BYTES: u32 = 65_536;
+/// The lowest and the highest accepted limit of a row's value, in bytes.
+const ROW_BYTES: (u32, u32) = (1_024, 1 << 30);
 /// The highest accepted value of a bound, in the unit of its key (ms or s).
 const MAX_BOUND: u32 = 3_600_000;
 
@@ -51,6 +55,8 @@
     pub store: SocketAddr,
     /// The address of the advice service; `None` where no queue needs tickets.
     pub advice: Option<SocketAddr>,
+    /// The most bytes of a row's value in the store, in base64. Defaults to 65,536.
+    pub row_bytes: u32,
     /// The length of a worker's lease after each renewal.
     pub lease: Ms,
     /// How long the results of ended jobs are kept.
@@ -65,14 +71,15 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "entry={} failure_domain={} customer={} ready={} peer={} store={} lease_ms={} \
-             retention_ms={} harm_ms={} stop_ms={}",
+            "entry={} failure_domain={} customer={} ready={} peer={} store={} row_bytes={} \
+             lease_ms={} retention_ms={} harm_ms={} stop_ms={}",
             self.name,
             self.failure_domain,
             self.customer,
             self.ready,
             self.peer,
             self.store,
+            self.row_bytes,
             self.lease.0,
             self.retention.0,
             self.harm.0,
@@ -123,6 +130,11 @@
             advice: source
                 .optional("platform", "advice", optional_address)?
                 .flatten(),
+            row_bytes: source
+                .optional("platform", "row_bytes", |raw| {
+                    settings::parse_within(raw, ROW_BYTES.0, ROW_BYTES.1)
+                })?
+                .unwrap_or(DEFAULT_ROW_BYTES),
             lease: bound("lease_ms", 1)?,
             retention: bound("retention_s", 1_000)?,
             harm: bound("harm_ms", 1)?,
--- a/src/serve/rows.rs
+++ b/src/serve/rows.rs
@@ -118,6 +118,11 @@
     }
 }
 
+/// Returns the most bytes of a value whose base64 form has at most `row_bytes`.
+pub(super) const fn max_value_bytes(row_bytes: u32) -> usize {
+    (row_bytes / 4 * 3) as usize
+}
+
 /// Encodes the value of a row as MessagePack.
 pub(super) fn encode(value: &impl Serialize) -> Vec<u8> {
     rmp_serde::to_vec(value)
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -134,7 +134,16 @@
 fn settings_of_serve_are_checked_with_their_place() {
     let options = Options::parse("f", VALID_SERVE).expect("these settings are valid");
     assert_eq!(options.retention.0, 120_000);
+    assert_eq!(options.row_bytes, 65_536);
+    let larger = VALID_SERVE.replace("[bounds]", "row_bytes = 131072\n[bounds]");
+    let options = Options::parse("f", &larger).expect("these settings are valid");
+    assert_eq!(options.row_bytes, 131_072);
     let cases = [
+        (
+            "[bounds]",
+            "row_bytes = 10\n[bounds]",
+            "f:10: row_bytes: must be a number from 1024 to 1073741824",
+        ),
         (
             "lease_ms = 6000",
             "lease_ms = 0",
