Start all members of a gang from one checkpoint

Callers saw UNASKED: after one worker of a gang was emptied, the members of one run were started from different checkpoints, although all must carry the same value.

Cause: each start took the checkpoint of its own task.

Evidence: the_members_of_a_gang_start_from_one_checkpoint fails without the change (Some("a") beside None).

Change: a gang starts from the checkpoint that any member reported last.

A clippy finding in tests/backlog.rs is mended too.

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -274,6 +274,23 @@
         self.step(id.step)?.tasks.get_mut(id.index as usize)
     }
 
+    /// Returns the checkpoint from which the next run of a task resumes. All members of a gang have
+    /// to resume from the same one, and that of any member is valid: the newest is used.
+    pub fn start_checkpoint(&mut self, id: id::Task) -> Option<Arc<str>> {
+        let is_gang = self
+            .step_spec(id.step.step)
+            .is_some_and(|spec| spec.is_gang);
+        if !is_gang {
+            return self.task(id)?.checkpoint.clone();
+        }
+        let members = self.step(id.step)?.tasks.iter();
+        let saved = members.filter(|task| task.checkpoint.is_some());
+        saved
+            .max_by_key(|task| task.checkpoint_at)?
+            .checkpoint
+            .clone()
+    }
+
     /// Completes a task and returns whether this completed its step.
     pub fn complete(&mut self, id: id::Task) -> bool {
         let is_lasting = self
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -42,10 +42,8 @@
         worker.pending.insert(end.number, Pending::Settled);
         let id = end.task;
         self.discover_occurrence(id.step);
-        if let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task(id))
-            && end.checkpoint.is_some()
-        {
-            task.checkpoint.clone_from(&end.checkpoint);
+        if let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task(id)) {
+            task.record_checkpoint(now, end.checkpoint.as_ref());
         }
         match end.termination {
             Termination::Done => self.complete_run(now, name, end),
--- a/crates/scheduler/src/leader/runs.rs
+++ b/crates/scheduler/src/leader/runs.rs
@@ -38,9 +38,7 @@
         let Some(task) = known else {
             return self.observe_unknown_run(now, observation, row.task, row.run);
         };
-        if row.checkpoint.is_some() {
-            task.checkpoint.clone_from(&row.checkpoint);
-        }
+        task.record_checkpoint(now, row.checkpoint.as_ref());
         let is_done = task.is_done;
         match task.run(row.run) {
             Some(attempt) => {
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -267,6 +267,7 @@
             return;
         };
         let payload = Arc::clone(&job.spec.payload);
+        let checkpoint = job.start_checkpoint(id);
         if let Some(step) = job.step(id.step) {
             step.startable.remove(&id.index);
         }
@@ -274,7 +275,6 @@
         let Some(task) = job.task(id) else {
             return;
         };
-        let checkpoint = task.checkpoint.clone();
         task.is_seen = true;
         task.runs.push(Attempt {
             worker: name.clone(),
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -78,6 +78,8 @@
     pub runs: Vec<Attempt>,
     /// The checkpoint from which the next run resumes.
     pub checkpoint: Option<Arc<str>>,
+    /// The time when this checkpoint was first reported.
+    pub checkpoint_at: Ms,
     /// The worker on which the task failed last; absent if it has not failed.
     pub failed_on: Option<Name>,
 }
@@ -89,6 +91,14 @@
         !self.is_done && self.runs.is_empty()
     }
 
+    /// Records the newest checkpoint that a worker reports; `None` if it reports none.
+    pub fn record_checkpoint(&mut self, now: Ms, reported: Option<&Arc<str>>) {
+        if reported.is_some() && self.checkpoint.as_ref() != reported {
+            self.checkpoint = reported.cloned();
+            self.checkpoint_at = now;
+        }
+    }
+
     /// Returns the run with this number.
     pub fn run(&mut self, run: Run) -> Option<&mut Attempt> {
         self.runs.iter_mut().find(|attempt| attempt.run == run)
--- a/crates/scheduler/tests/backlog.rs
+++ b/crates/scheduler/tests/backlog.rs
@@ -136,11 +136,11 @@
     let all = all.chain([Event::Tick(TODAY)]);
     let mut actions: Vec<Action> = all.flat_map(|event| leader.handle(now, event)).collect();
     actions.extend(leader.schedule(now));
-    let commits = actions.iter().filter_map(|action| match action {
+    let mut commits = actions.iter().filter_map(|action| match action {
         Action::Commit(commit) => Some(commit.clone()),
         _ => None,
     });
-    let commit = commits.last();
+    let commit = commits.next();
     if commit.is_some() {
         actions.extend(leader.handle(now, Event::Committed));
     }
--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -165,19 +165,17 @@
     starts.collect()
 }
 
-#[test]
-fn the_end_of_a_gang_member_is_acknowledged_only_after_the_progress_is_durable() {
+/// Begins a leader that starts the two members of a gang.
+fn begin_gang() -> (Leader, Vec<Start>) {
     let mut gang = accepted();
     gang.spec.steps[0].count = 2;
     gang.spec.steps[0].is_gang = true;
-    let agent = name("e1");
-    let received = |report| Event::Received(agent.clone(), report);
     let mut leader = Leader::new(name("e0"), Epoch(17), BOUNDS, Ms(1_000));
     let registered =
         |worker: &str| Event::RegistrationChanged(name(worker), Some(registration("d2")));
     let begin = vec![
         Event::Config(Arc::new(config())),
-        Event::Joined(agent.clone(), name("d1")),
+        Event::Joined(name("e1"), name("d1")),
         Event::Recovered,
         registered("w"),
         registered("w2"),
@@ -185,29 +183,68 @@
     apply_events(&mut leader, Ms(1_000), begin);
     let known = vec![
         Event::Committed,
-        received(observation(Ms(1_010))),
-        received(observation_of("w2", INCARNATION, Ms(1_010))),
+        Event::Received(name("e1"), observation(Ms(1_010))),
+        Event::Received(name("e1"), observation_of("w2", INCARNATION, Ms(1_010))),
         Event::Accepted(Job(1), 20, gang, None),
     ];
     let orders = apply_events(&mut leader, Ms(1_020), known);
-    let ends = starts(&orders).into_iter().zip(["w", "w2"]);
-    let ends = ends.map(|(start, worker)| {
+    (leader, starts(&orders))
+}
+
+/// Returns the reports that the runs have ended, one on each worker.
+fn gang_ended(runs: &[Start], how: Termination, checkpoints: [Option<&str>; 2]) -> Vec<Event> {
+    let saved = ["w", "w2"].into_iter().zip(checkpoints);
+    let ends = runs.iter().zip(saved).map(|(start, (worker, checkpoint))| {
         let end = End {
             number: 1,
             task: start.task,
             run: start.run,
-            termination: Termination::Done,
-            checkpoint: None,
+            termination: how,
+            checkpoint: checkpoint.map(Arc::from),
         };
-        received(Report::Polled(Observation {
+        let observation = Observation {
             worker: name(worker),
             incarnation: INCARNATION,
             polled_at: Ms(1_900),
             running: Some(Vec::new()),
             ended: vec![end],
-        }))
+        };
+        Event::Received(name("e1"), Report::Polled(observation))
     });
-    let orders = apply_events(&mut leader, Ms(1_900), ends.collect());
+    ends.collect()
+}
+
+/// After one worker of a gang was emptied, its members were started from different checkpoints.
+#[test]
+fn the_members_of_a_gang_start_from_one_checkpoint() {
+    let table = [
+        ([None, None], vec![None]),
+        ([Some("a"), None], vec![Some("a")]),
+        ([None, Some("b")], vec![Some("b")]),
+        ([Some("a"), Some("b")], vec![Some("a"), Some("b")]),
+    ];
+    for (checkpoints, allowed) in table {
+        let (mut leader, first) = begin_gang();
+        let broken = gang_ended(&first, Termination::Broken, checkpoints);
+        let mut orders = apply_events(&mut leader, Ms(1_900), broken);
+        orders.extend(apply_events(&mut leader, Ms(1_950), Vec::new()));
+        let again = starts(&orders);
+        let [one, other] = &again[..] else {
+            panic!("{checkpoints:?}: {again:?}");
+        };
+        assert_eq!(one.checkpoint, other.checkpoint, "{checkpoints:?}");
+        assert!(
+            allowed.contains(&one.checkpoint.as_deref()),
+            "{checkpoints:?}"
+        );
+    }
+}
+
+#[test]
+fn the_end_of_a_gang_member_is_acknowledged_only_after_the_progress_is_durable() {
+    let (mut leader, runs) = begin_gang();
+    let ends = gang_ended(&runs, Termination::Done, [None, None]);
+    let orders = apply_events(&mut leader, Ms(1_900), ends);
     assert_eq!(acknowledged(&orders), [0; 0], "{orders:?}");
     let orders = apply_events(&mut leader, Ms(1_910), vec![Event::Committed]);
     assert_eq!(acknowledged(&orders), [1, 1], "{orders:?}");
