Hold a commit to its size also with one very large job, and always take turns

A job of over 384 KB of progress joined a transaction that others had nearly filled, which would be refused again each time; it now goes alone. a_commit_has_no_more_progress_than_a_transaction_takes has such a mix. A pass that found no room for 24 steps of each class at once ended without trying the skipped ones in turn.

--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -17,8 +17,8 @@
 /// The most jobs in one transaction. A removed job takes three rows, and the store accepts at most
 /// 100 rows.
 const MAX_JOBS_PER_COMMIT: usize = 45;
-/// The bytes of progress after which a transaction takes no further job. The store accepts at most
-/// 1 MB, in which the values stand in base64.
+/// The most bytes of progress in one transaction, unless that of a single job takes more. The store
+/// accepts at most 1 MB, in which the values stand in base64.
 const MAX_COMMIT_BYTES: usize = 384 << 10;
 
 /// The longest delay of progress that no customer is shown, so that one write carries several ends.
@@ -77,16 +77,18 @@
         let mut versions = Vec::new();
         let mut bytes = 0;
         for (_, id) in changed {
-            if bytes >= MAX_COMMIT_BYTES {
+            let Some(job) = self.jobs.get_mut(&id) else {
+                self.dirty.remove(&id);
+                continue;
+            };
+            job.written_bytes = job.progress.bytes();
+            bytes += job.written_bytes;
+            if bytes > MAX_COMMIT_BYTES && !versions.is_empty() {
                 break;
             }
             self.dirty.remove(&id);
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.written_bytes = job.progress.bytes();
-                bytes += job.written_bytes;
-                versions.push((id, job.version));
-                commit.progress.push((id, job.progress.clone()));
-            }
+            versions.push((id, job.version));
+            commit.progress.push((id, job.progress.clone()));
         }
         let free = MAX_JOBS_PER_COMMIT - commit.progress.len();
         let removed = self.removable.len().min(free / 3);
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -63,9 +63,10 @@
         let waiting = self.by_urgency(now);
         let avoids_slow = placement::can_avoid_slow(self.workers.values(), now);
         let mut pass = Pass::new(self.has_unheard_workers(), avoids_slow);
-        let is_cut = waiting.len() < self.waiting.len();
+        let mut is_cut = waiting.len() < self.waiting.len();
         for (_, step) in waiting {
             self.start_step(now, step, &mut pass);
+            is_cut |= pass.is_exhausted();
             if pass.starts >= MAX_STARTS || pass.is_exhausted() {
                 break;
             }
--- a/crates/scheduler/tests/backlog.rs
+++ b/crates/scheduler/tests/backlog.rs
@@ -207,14 +207,15 @@
     assert_eq!(leader.stage(id::Job(1)), Some(completed));
 }
 
-/// A job with this many failed tasks.
+/// Returns a job of which all tasks but the last have failed three times.
 fn with_failures(id: u64, tasks: u32) -> Event {
     let step = spec::Step {
         count: tasks,
         ..spec::Step::default()
     };
     let mut progress = Progress::default();
-    let failed = (0..tasks - 1).map(|index| (index, BTreeSet::from([Run((17 << 20) + 1)])));
+    let failed =
+        (0..tasks - 1).map(|index| (index, (1..=3).map(|run| Run((17 << 20) + run)).collect()));
     progress.steps.entry((0, 0)).or_default().failures = failed.collect();
     Event::Accepted(id::Job(id), id, accepted_job(vec![step]), Some(progress))
 }
@@ -226,14 +227,15 @@
     const JOBS: u64 = 45;
     /// The most bytes whose base64 form leaves room for the keys in 1 MB.
     const TRANSACTION_BYTES: usize = 700_000;
-    for tasks in [10, 2_000, 20_000] {
+    for widths in [[10, 10], [2_000, 2_000], [20_000, 20_000], [7_000, 20_000]] {
         let mut leader = Leader::new(name("e"), Epoch(7), BOUNDS, Ms(20_000));
         let mut events = vec![
             Event::Config(Arc::new(config())),
             Event::Joined(name("e"), name("d")),
             Event::RegistrationChanged(name("w"), Some(registration("d"))),
         ];
-        events.extend((0..JOBS).map(|id| with_failures(id, tasks)));
+        let tasks = |id: u64| widths[usize::from(!id.is_multiple_of(2))];
+        events.extend((0..JOBS).map(|id| with_failures(id, tasks(id))));
         events.push(Event::Recovered);
         apply(&mut leader, Ms(20_000), events);
         let failed = (0..JOBS).map(|id| End {
@@ -243,15 +245,15 @@
                     job: id::Job(id),
                     ..id::Step::default()
                 },
-                index: tasks - 1,
+                index: tasks(id) - 1,
             },
-            run: Run((17 << 20) + 2),
+            run: Run((17 << 20) + 4),
             termination: Termination::Failed,
             checkpoint: None,
         });
         let mut events = vec![polled(failed.collect())];
         let mut written = BTreeSet::new();
-        for round in 0..JOBS * 20 {
+        for round in 0..JOBS * 4 {
             let now = Ms(20_050 + round * 50);
             let (_, commit) = apply_with_commit(&mut leader, now, std::mem::take(&mut events));
             let progress = commit.map(|commit| commit.progress).unwrap_or_default();
@@ -263,9 +265,12 @@
                 bytes
             });
             let bytes: usize = encoded.sum();
-            assert!(bytes <= TRANSACTION_BYTES, "{tasks} tasks: {bytes} bytes");
+            assert!(
+                bytes <= TRANSACTION_BYTES,
+                "{widths:?} tasks: {bytes} bytes"
+            );
             written.extend(progress.into_iter().map(|(job, _)| job));
         }
-        assert_eq!(written.len() as u64, JOBS, "{tasks} tasks");
+        assert_eq!(written.len() as u64, JOBS, "{widths:?} tasks");
     }
 }
