Bound the rows that a commit removes with the progress of large jobs

Found by reading the diff. a_commit_ends_no_more_large_jobs_than_a_transaction_has_entries_for failed before ("45 jobs at once").

Change: a job counts in a commit with the most bytes that its progress has taken, stored ones included. The removal of a job's rows no longer repeats those of its further ones, which its durable end has removed.

--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -88,7 +88,7 @@
     pub version: u64,
     /// The newest version of the progress that is durable.
     pub committed: u64,
-    /// The bytes of the progress that was last to be written.
+    /// The most bytes that the progress took in the store so far, or is about to take.
     pub written_bytes: usize,
     /// The version of the progress that last changed the crashes under tasks.
     crashes_version: u64,
@@ -128,10 +128,10 @@
             row_version: row,
             visible_stage: progress.stage(),
             next_occurrence: progress.finished_occurrences,
+            written_bytes: progress.bytes(),
             progress,
             version: 0,
             committed: 0,
-            written_bytes: 0,
             crashes_version: 0,
             occurrences: BTreeMap::new(),
             max_open,
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -81,7 +81,8 @@
                 self.dirty.remove(&id);
                 continue;
             };
-            job.written_bytes = job.progress.bytes();
+            // A write that has become shorter also removes rows of a longer one before.
+            job.written_bytes = job.written_bytes.max(job.progress.bytes());
             bytes += job.written_bytes;
             if bytes > MAX_COMMIT_BYTES && !versions.is_empty() {
                 break;
--- a/crates/scheduler/tests/backlog.rs
+++ b/crates/scheduler/tests/backlog.rs
@@ -274,3 +274,28 @@
         assert_eq!(written.len() as u64, JOBS, "{widths:?} tasks");
     }
 }
+
+/// The end of a job removes the rows that its progress took before, and a transaction has at most 100
+/// entries.
+#[test]
+fn a_commit_ends_no_more_large_jobs_than_a_transaction_has_entries_for() {
+    const JOBS: u64 = 45;
+    /// The jobs of this many failed runs each take some 200 KB, or five rows.
+    const TASKS: u32 = 6_000;
+    let mut leader = Leader::new(name("e"), Epoch(7), BOUNDS, Ms(20_000));
+    let mut events = vec![Event::Config(Arc::new(config()))];
+    events.extend((0..JOBS).map(|id| with_failures(id, TASKS)));
+    events.push(Event::Recovered);
+    apply(&mut leader, Ms(20_000), events);
+    let mut events: Vec<Event> = (0..JOBS).map(|id| Event::Cancelled(id::Job(id))).collect();
+    let mut written = 0;
+    for round in 0..JOBS {
+        let now = Ms(20_050 + round * 50);
+        let (_, commit) = apply_with_commit(&mut leader, now, std::mem::take(&mut events));
+        let ended = commit.map_or(0, |commit| commit.progress.len());
+        // A row each, and four to remove.
+        assert!(ended * 5 <= 90, "{ended} jobs at once");
+        written += ended;
+    }
+    assert_eq!(written as u64, JOBS);
+}
--- a/src/serve/chunks.rs
+++ b/src/serve/chunks.rs
@@ -35,13 +35,6 @@
         }
     }
 
-    /// Adds the removal of a value to a transaction.
-    pub(super) fn remove(&self, into: &mut Transaction, key: Key) {
-        let further = (1..=self.further_rows(&key)).map(|number| further_key(&key, number));
-        into.removed.extend(further);
-        into.removed.push(key);
-    }
-
     fn further_rows(&self, key: &Key) -> u16 {
         let stored = self.0.get(&(key.table, key.key.clone()));
         stored.copied().unwrap_or_default()
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -447,7 +447,8 @@
     for &job in &commit.removed {
         transaction.removed.push(rows::accepted(job));
         transaction.removed.push(rows::cancelled(job));
-        divided.remove(&mut transaction, rows::progress(job));
+        // The end of the job, which is durable, has removed all further rows.
+        transaction.removed.push(rows::progress(job));
     }
     transaction
 }
