Log each order at the agent that carries it out, and what a lapse releases

Change: kind=order-answered at the agent, one line an order; answered_ago_ms and runs in worker-lapsed. tests/serve, operation: the new test fails without the line.

--- a/crates/scheduler/src/leader/lapses.rs
+++ b/crates/scheduler/src/leader/lapses.rs
@@ -90,17 +90,20 @@
         }
         for name in expired {
             self.record_crash_at_lapse(now, &name);
+            let lost = self.workers.get(&name).map_or(0, |it| it.runs.len());
             self.release_lost_runs(now, &name, None, "lease-expired");
             let Some(worker) = self.workers.get_mut(&name) else {
                 continue;
             };
             let line = format!(
                 "kind=worker-lapsed worker={name} agent={} known={} past_bound_ms={} \
-                 past_floor_ms={}",
+                 past_floor_ms={} answered_ago_ms={} runs={}",
                 worker.agent.as_deref().unwrap_or("none"),
                 worker.is_known,
                 now.since(worker.lease_expiry.unwrap_or(now)).0,
-                now.since(worker.min_lease_expiry).0
+                now.since(worker.min_lease_expiry).0,
+                now.since(worker.last_answer).0,
+                lost
             );
             worker.is_known = true;
             worker.is_unresponsive = true;
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -125,6 +125,7 @@
         let outcome = workers
             .start(self.address, self.session.epoch(), deadline, &start)
             .await;
+        self.log_order("start", &placement, outcome, now);
         if !matches!(outcome, Outcome::Done | Outcome::Unknown) {
             lock(&self.known_runs).remove(&placement);
         }
@@ -143,10 +144,12 @@
         placement: Placement,
         polls_after: bool,
     ) {
+        let sent_at = clock::now();
         let outcome = shared
             .workers
             .stop(self.address, self.session.epoch(), &placement)
             .await;
+        self.log_order("stop", &placement, outcome, sent_at);
         self.session
             .report(Report::Stopped(placement, outcome, clock::now()));
         if polls_after && matches!(outcome, Outcome::Done | Outcome::Old) {
@@ -175,6 +178,22 @@
         }
     }
 
+    /// Logs the outcome of an order that was sent at `sent_at`, with the age of the contact with the
+    /// leader.
+    fn log_order(&self, order: &str, placement: &Placement, outcome: Outcome, sent_at: Ms) {
+        let now = clock::now();
+        log::info!(
+            "kind=order-answered order={order} task={} run={} worker={} epoch={} \
+             outcome={outcome:?} ms={} contact_ms={}",
+            placement.task,
+            placement.run,
+            placement.worker,
+            self.session.epoch(),
+            now.since(sent_at).0,
+            now.since(self.session.last_contact()).0
+        );
+    }
+
     fn poll_request(&self, deadline: Option<Ms>, wait: Ms) -> Poll {
         let acknowledged = *lock(&self.acknowledged);
         Poll {
--- a/tests/serve/operation.rs
+++ b/tests/serve/operation.rs
@@ -122,3 +122,34 @@
     let epochs = entry.logged("lead-begun", "epoch");
     assert_eq!(entry.logged("watch-begun", "epoch"), epochs);
 }
+
+/// Without these lines nothing at the agent names the tasks of a second run.
+#[test]
+fn the_log_of_the_agent_names_each_order_that_it_carried_out_and_the_age_of_its_contact() {
+    let fleet = Fleet::start(1);
+    let entries = start(&fleet, &["a"]);
+    let job = "00000000000000aa";
+    fleet.submit(entries[0].customer, job, JOB);
+    fleet.wait_for_completion(entries[0].customer, job, 10_000);
+    let started = entries[0].logged("start", "task");
+    assert!(!started.is_empty());
+    wait_until("the lines of all orders", 2_000, || {
+        entries[0].logged("order-answered", "task").len() == started.len()
+    });
+    let mut answered = entries[0].logged("order-answered", "task");
+    answered.sort_unstable();
+    let mut expected = started.clone();
+    expected.sort_unstable();
+    assert_eq!(answered, expected);
+    assert!(
+        entries[0]
+            .logged("order-answered", "outcome")
+            .iter()
+            .all(|outcome| outcome == "Done")
+    );
+    let ages = entries[0].logged("order-answered", "contact_ms");
+    assert!(
+        ages.iter()
+            .all(|age| age.parse::<u64>().is_ok_and(|age| age <= 3_000))
+    );
+}
