Bound what a leader learns through a feed whose call gets no answer

A feed call that gets no answer is given up after its wait of 2 s, the time limit of 1 s beyond it and a pause of 0.2 s. A worker's draining and a configuration have to take effect within 2 s, and both reach a leader through one feed each. (A configuration also through agents that have read a newer one.)

Weighed: a second feed in flight costs as many calls and has two orders of rows to merge. A shorter time limit beyond the wait would count a slow store as absent. A shorter wait at every entry costs calls in proportion to entries.

Change: feeds of an entry that leads wait 0.4 s, so that 1.6 s is the worst case for its three feeds: jobs, registrations, configuration. The others hear of a configuration from the leader. An idle leader makes at most 2 more calls/s a feed, 6 in all, whatever the size.

Tests: tests/serve feeds, three tests with a stand-in store that leaves one feed call without an answer: draining, configuration, job. All three failed before and pass now. The stand-in writes registrations in one place.

--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -25,9 +25,13 @@
 use super::rows::Kind;
 use super::sleep;
 
-/// The longest time that the store waits for a change in one feed call. It bounds the time until a
-/// dead connection is detected.
+/// The longest time that the store waits for a change in one feed call of an entry that does not
+/// lead. It bounds the time until a dead connection is detected.
 const FEED_WAIT: Ms = Ms(2_000);
+/// The same for an entry that leads. With the time limit of a feed beyond its wait and
+/// [`RETRY_DELAY`], a change whose feed call gets no answer is read within 1.6 s. The configuration
+/// and a worker's draining have to take effect within 2 s.
+const LEADER_FEED_WAIT: Ms = Ms(400);
 /// The pause after a failed read or feed.
 const RETRY_DELAY: Ms = Ms(200);
 /// The most rows requested in one read. The store returns at most 500.
@@ -71,12 +75,8 @@
     /// read, so the whole table has to be read again.
     async fn next_changes(&mut self) -> Option<Vec<Row>> {
         loop {
-            match self
-                .shared
-                .store
-                .feed(self.table, self.after, FEED_WAIT)
-                .await
-            {
+            let wait = feed_wait(self.shared);
+            match self.shared.store.feed(self.table, self.after, wait).await {
                 Ok(Page {
                     mut rows, version, ..
                 }) => {
@@ -128,6 +128,15 @@
     }
 }
 
+/// Returns how long the store is to wait for a change in the next feed call.
+fn feed_wait(shared: &Shared) -> Ms {
+    if shared.leadership().is_some() {
+        LEADER_FEED_WAIT
+    } else {
+        FEED_WAIT
+    }
+}
+
 /// Reads all parts of a table. Also returns the lowest of the versions at which the parts were
 /// first read, so that a feed that starts there misses no change.
 async fn read_table(shared: &Shared, table: &str) -> Result<(Vec<Row>, u64), Error> {
--- /dev/null
+++ b/tests/serve/feeds.rs
@@ -0,0 +1,60 @@
+//! Tests of how soon a leader learns of changes of the store whose feed call gets no answer.
+
+use std::thread;
+use std::time::Duration;
+
+use crate::JOB;
+use crate::fleet::Fleet;
+use crate::fleet::wait_until;
+use crate::start;
+
+/// The platform allows starts on a worker for this long after its draining was acknowledged, and
+/// the same time until a configuration is in force.
+const PROMISED_TIME: Duration = Duration::from_millis(2_000);
+
+#[test]
+fn no_task_starts_on_a_draining_worker_although_the_feed_call_gets_no_answer() {
+    let fleet = Fleet::start(1);
+    let leader = start(&fleet, &["a"]).remove(0);
+    wait_until("the worker", 5_000, || {
+        leader.read_log().contains("kind=worker-known")
+    });
+    fleet.store.lose_next_feed("servers");
+    fleet.register(0, "draining");
+    thread::sleep(PROMISED_TIME);
+    let job = "00000000000000f1";
+    fleet.submit(leader.customer, job, JOB);
+    thread::sleep(Duration::from_millis(2_000));
+    let log = leader.read_log();
+    let started = log.lines().find(|line| line.contains("kind=start "));
+    assert_eq!(started, None);
+}
+
+#[test]
+fn a_configuration_is_in_force_in_time_although_the_feed_call_gets_no_answer() {
+    let fleet = Fleet::start(1);
+    let leader = start(&fleet, &["a"]).remove(0);
+    wait_until("the leader", 5_000, || {
+        leader.read_log().contains("kind=lead-begun")
+    });
+    fleet.store.lose_next_feed("op");
+    fleet.configure(2);
+    thread::sleep(PROMISED_TIME);
+    let versions = leader.logged("config-in-force", "version");
+    assert_eq!(versions.last().map(String::as_str), Some("2"));
+}
+
+#[test]
+fn a_job_starts_soon_although_the_feed_call_gets_no_answer() {
+    let fleet = Fleet::start(1);
+    let leader = start(&fleet, &["a"]).remove(0);
+    wait_until("the worker", 5_000, || {
+        leader.read_log().contains("kind=worker-known")
+    });
+    fleet.store.lose_next_feed("jobs");
+    let job = "00000000000000f2";
+    fleet.submit(leader.customer, job, JOB);
+    thread::sleep(PROMISED_TIME);
+    let log = leader.read_log();
+    assert!(log.contains(&format!("kind=job-learned job={job}")));
+}
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -85,7 +85,6 @@
             accelerators: 0,
         };
         let worker = Worker::new(size, 0);
-        let born = worker.incarnation.0;
         let mut cluster = self.cluster();
         cluster.workers.insert(id.clone(), worker);
         drop(cluster);
@@ -95,11 +94,19 @@
             async move { cluster::respond(&shared, &name, started_at, &path, &body).await }
         });
         let proxy = Proxy::start(&self.spawner, address);
-        let row = json!({"service": "s", "address": proxy.address.to_string(), "zone": "z",
-            "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "seqNo": 1,
+        self.worker_proxies.push(proxy);
+        self.register(index, "ready");
+    }
+
+    /// Writes the registration of the worker with this number.
+    pub fn register(&self, index: usize, state: &str) {
+        let id = format!("i-{index}");
+        let address = self.worker_proxies[index].address.to_string();
+        let born = self.cluster().workers[&id].incarnation.0;
+        let row = json!({"service": "s", "address": address, "zone": "z",
+            "version": "v1", "slots": 8, "state": state, "coldLeftMs": 0, "seqNo": 1,
             "capacity": {"cpu": 2000, "memMb": 4000, "gpu": 0}, "labels": ["a", "r1"],
             "born": born});
-        self.worker_proxies.push(proxy);
         self.store.put("servers", &id, &row.to_string());
     }
 
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -4,6 +4,7 @@
 mod cancels;
 mod cluster;
 mod entry;
+mod feeds;
 mod fleet;
 #[path = "../../crates/scheduler/tests/known_red/mod.rs"]
 mod known_red;
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -16,6 +17,8 @@
 
 /// How long a delayed write is held back. It is longer than the time limit of the writer.
 const WRITE_DELAY: Duration = Duration::from_millis(2_500);
+/// The time within which a client that follows a table begins another feed call.
+const FEED_INTERVAL: Duration = Duration::from_millis(5_000);
 
 /// The table, part and key of a row.
 type RowKey = (String, String, String);
@@ -37,6 +40,8 @@
     refuses_writes: Arc<AtomicBool>,
     drops_heartbeats: Arc<AtomicBool>,
     loses_record_answer: Arc<AtomicBool>,
+    /// The table of which the next feed call gets no answer; `None` once that call has begun.
+    lost_feed: Arc<Mutex<Option<String>>>,
 }
 
 fn text(value: &Value, name: &str) -> String {
@@ -61,6 +66,7 @@
             refuses_writes: Arc::default(),
             drops_heartbeats: Arc::default(),
             loses_record_answer: Arc::default(),
+            lost_feed: Arc::default(),
         }
     }
 
@@ -85,6 +91,32 @@
         !self.loses_record_answer.load(Ordering::SeqCst)
     }
 
+    /// Sends no response to the next feed call of this table, and waits until that call has begun.
+    #[track_caller]
+    pub fn lose_next_feed(&self, table: &str) {
+        *self.lost_feed() = Some(table.into());
+        let end = Instant::now() + FEED_INTERVAL;
+        while self.lost_feed().is_some() {
+            assert!(Instant::now() < end, "no feed of {table} has begun");
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+
+    fn lost_feed(&self) -> MutexGuard<'_, Option<String>> {
+        let lost = self.lost_feed.lock();
+        lost.expect("no holder of this lock panics")
+    }
+
+    /// Returns whether this feed call gets no response.
+    fn loses_feed(&self, table: &str) -> bool {
+        let mut lost = self.lost_feed();
+        let is_lost = lost.as_deref() == Some(table);
+        if is_lost {
+            *lost = None;
+        }
+        is_lost
+    }
+
     /// Sets whether writes are refused. Reads are always served.
     pub fn refuse_writes(&self, refuses: bool) {
         self.refuses_writes.store(refuses, Ordering::SeqCst);
@@ -250,6 +282,9 @@
             }
             "/rows-feed" => {
                 let table = parameter("table");
+                if self.loses_feed(&table) {
+                    return smol::future::pending().await;
+                }
                 let after = parameter("after").parse().unwrap_or(0);
                 let wait = parameter("waitMs").parse().unwrap_or(0);
                 let end = Instant::now() + Duration::from_millis(wait);
