Let the gang tests report ends from the workers of their members

The tests say that each of two workers has one member, but both members fit on one worker, and the ends were reported by workers that did not run them. Now one worker has no room for both, and each end comes from the worker of its member.

--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -170,6 +170,8 @@
     let mut gang = accepted();
     gang.spec.steps[0].count = 2;
     gang.spec.steps[0].is_gang = true;
+    // One worker has no room for both.
+    gang.spec.steps[0].need.millicores = 5_000;
     let mut leader = Leader::new(name("e0"), Epoch(17), BOUNDS, Ms(1_000));
     let registered =
         |worker: &str| Event::RegistrationChanged(name(worker), Some(registration("d2")));
@@ -193,8 +195,8 @@
 
 /// Returns the reports that the runs have ended, one on each worker.
 fn gang_ended(runs: &[Start], how: Termination, checkpoints: [Option<&str>; 2]) -> Vec<Event> {
-    let saved = ["w", "w2"].into_iter().zip(checkpoints);
-    let ends = runs.iter().zip(saved).map(|(start, (worker, checkpoint))| {
+    assert_ne!(runs[0].worker, runs[1].worker);
+    let ends = runs.iter().zip(checkpoints).map(|(start, checkpoint)| {
         let end = End {
             number: 1,
             task: start.task,
@@ -203,7 +205,7 @@
             checkpoint: checkpoint.map(Arc::from),
         };
         let observation = Observation {
-            worker: name(worker),
+            worker: start.worker.clone(),
             incarnation: INCARNATION,
             polled_at: Ms(1_900),
             running: Some(Vec::new()),
