Release a run only for a proof that it is over

Cause of the class: release() took any reason as a text, and runs, room and startable tasks were plain collections that any code could change.

Now scheduler::over builds the proof, and only from evidence that it checks: an end that the latest life of the worker lists, a start that was refused or never sent, an answered stop with a later poll by the same agent, another worker at the address, a later life for a run that the former one had listed, and leases whose expiry was computed from the leader's own knowledge, with certainty of the lead and all reports of the agent handled. Worker::free, Step::remove_run and release() use the proof up; the runs of a task and the startable tasks of a step are private. The reasons in log lines come from the proof and read as before.

A run of an unknown job that was adopted after its worker restarted kept the incarnation before; it is now voided in the incarnation that answers, like other such runs.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -13,6 +13,8 @@
 use crate::id::Task;
 use crate::interference::Image;
 use crate::interference::Model;
+use crate::over::Lapse;
+use crate::over::Over;
 use crate::spec;
 
 /// The registration of a worker in the store.
@@ -206,9 +208,14 @@
         }
     }
 
-    /// Frees the resources of a run, if they are booked.
-    pub fn free(&mut self, claim: &Claim, task: Task, run: Run) {
-        if !self.runs.remove(&(task, run)) {
+    /// Frees the resources of a run that is over, if they are booked.
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "a proof is used up by what it permits"
+    )]
+    pub fn free(&mut self, claim: &Claim, over: Over) {
+        let task = over.task();
+        if !self.runs.remove(&(task, over.run())) {
             return;
         }
         let job = task.step.job;
@@ -280,6 +287,14 @@
         self.expect_lease_expiry(until);
     }
 
+    /// Records that all leases have expired, so that nothing runs on the worker.
+    pub fn record_lapse(&mut self, _lapse: Lapse) {
+        self.is_known = true;
+        self.is_unresponsive = true;
+        self.lease_expiry = None;
+        self.has_lapsed = true;
+    }
+
     /// Resets the state of an earlier incarnation.
     pub fn restart(&mut self, incarnation: Ms) {
         self.incarnation = Some(incarnation);
--- a/crates/scheduler/src/job.rs
+++ b/crates/scheduler/src/job.rs
@@ -13,12 +13,14 @@
 use crate::fleet::Claim;
 use crate::id;
 use crate::interference::Model;
+use crate::over::Over;
 use crate::progress::NUMBER_BYTES;
 use crate::progress::Outcome;
 use crate::progress::Progress;
 use crate::progress::STEP_BYTES;
 use crate::progress::Stage;
 use crate::spec;
+use crate::task::Attempt;
 use crate::task::Task;
 
 /// The most bytes of progress of the open occurrences of a job, without its failed runs. A value that
@@ -44,7 +46,7 @@
     /// The number of tasks that are not completed.
     pub unfinished: u32,
     /// The indices of the uncompleted tasks without a run.
-    pub startable: BTreeSet<u32>,
+    startable: BTreeSet<u32>,
     /// This leader has seen a run of a step before this one, so no earlier leader can have started
     /// tasks of this step.
     pub is_fresh: bool,
@@ -61,7 +63,32 @@
     }
 
     fn has_runs(&self) -> bool {
-        self.tasks.iter().any(|task| !task.runs.is_empty())
+        self.tasks.iter().any(|task| !task.runs().is_empty())
+    }
+
+    /// Returns the indices of the uncompleted tasks without a run.
+    #[must_use]
+    pub const fn startable(&self) -> &BTreeSet<u32> {
+        &self.startable
+    }
+
+    /// Adds a run of a task, which does not start meanwhile.
+    pub fn add_run(&mut self, index: u32, attempt: Attempt) {
+        if let Some(task) = self.tasks.get_mut(index as usize) {
+            task.add_run(attempt);
+            self.startable.remove(&index);
+        }
+    }
+
+    /// Removes a run that is over and returns it. Its task may start again if it must.
+    pub fn remove_run(&mut self, over: &Over) -> Option<Attempt> {
+        let index = over.task().index;
+        let task = self.tasks.get_mut(index as usize)?;
+        let attempt = task.remove_run(over)?;
+        if task.is_startable() {
+            self.startable.insert(index);
+        }
+        Some(attempt)
     }
 }
 
--- a/crates/scheduler/src/leader/agents.rs
+++ b/crates/scheduler/src/leader/agents.rs
@@ -90,11 +90,11 @@
         agent.is_some_and(|agent| agent.workers.contains(worker))
     }
 
-    /// Returns whether all that an agent reported before a time has been handled. An agent that is
-    /// not connected reports nothing.
-    pub(super) fn has_heard(&self, entry: &Name, until: Ms) -> bool {
+    /// Returns the time before which all that an agent reported has been handled, and `None` for an
+    /// agent that is not connected.
+    pub(super) fn heard_until(&self, entry: &Name) -> Option<Ms> {
         let agent = self.all.get(entry);
-        agent.is_none_or(|agent| agent.heard_until >= until)
+        agent.map(|agent| agent.heard_until)
     }
 
     /// Returns whether an agent is to be asked for an echo now, and records that it was.
--- a/crates/scheduler/src/leader/booking.rs
+++ b/crates/scheduler/src/leader/booking.rs
@@ -12,6 +12,7 @@
 use crate::fleet::Claim;
 use crate::id::Run;
 use crate::id::Task;
+use crate::over::Over;
 use crate::placement;
 use crate::placement::Request;
 
@@ -233,9 +234,12 @@
     }
 
     pub(super) fn unbook(&mut self, claim: &Claim, chosen: &[(Task, Run, Name)]) {
-        for (task, run, name) in chosen {
-            if let Some(worker) = self.workers.get_mut(name) {
-                worker.free(claim, *task, *run);
+        for &(task, run, ref name) in chosen {
+            let job = self.jobs.get_mut(&task.step.job);
+            let state = job.and_then(|job| job.task(task));
+            let over = state.and_then(|state| Over::never_ordered(state, task, run));
+            if let (Some(worker), Some(over)) = (self.workers.get_mut(name), over) {
+                worker.free(claim, over);
             }
         }
     }
--- a/crates/scheduler/src/leader/crashes.rs
+++ b/crates/scheduler/src/leader/crashes.rs
@@ -148,7 +148,7 @@
         let Some(state) = job.step(step) else {
             return;
         };
-        let unseen = state.startable.iter().copied();
+        let unseen = state.startable().iter().copied();
         let unseen = unseen.filter(|&index| !state.tasks[index as usize].is_seen);
         let mut tasks: Vec<Task> = unseen.map(|index| Task { step, index }).collect();
         tasks.retain(|&task| (1..MAX_CRASHES - 1).contains(&job.progress.crashes(task)));
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -11,6 +11,7 @@
 use crate::id::Task;
 use crate::message::End;
 use crate::message::Termination;
+use crate::over::Over;
 use crate::progress::Outcome;
 
 /// The number of consecutive failed runs after which a worker is quarantined.
@@ -46,19 +47,18 @@
             task.record_checkpoint(now, end.checkpoint.as_ref());
         }
         match end.termination {
-            Termination::Done => self.complete_run(now, name, end),
-            Termination::Failed => self.fail_run(now, name, end),
+            Termination::Done => self.complete_run(now, name, incarnation, end),
+            Termination::Failed => self.fail_run(now, name, incarnation, end),
             Termination::Stopped
             | Termination::Lapsed
             | Termination::Broken
             | Termination::Alone => {
-                let reason = release_reason(end.termination);
-                self.release(now, id, end.run, reason);
+                self.release_ended(now, name, incarnation, end);
             }
         }
     }
 
-    fn complete_run(&mut self, now: Ms, name: &Name, end: &End) {
+    fn complete_run(&mut self, now: Ms, name: &Name, incarnation: Ms, end: &End) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.consecutive_failures = 0;
         }
@@ -70,7 +70,7 @@
         let is_gang = spec.is_some_and(|spec| spec.is_gang);
         // An earlier leader may have learned of the end of another copy or member.
         let is_only_run = !spec.is_some_and(|spec| spec.is_gang || spec.is_speculative);
-        let runs = job.task(id).map(|task| &task.runs[..]);
+        let runs = job.task(id).map(|task| task.runs());
         if is_only_run && matches!(runs, Some([only]) if only.run == end.run) {
             job.mark_successors_fresh(id.step);
         }
@@ -93,7 +93,7 @@
             "kind=run-ended task={id} run={} worker={name} how=done n={}",
             end.run, end.number
         ));
-        self.release(now, id, end.run, "done");
+        self.release_ended(now, name, incarnation, end);
         self.stop_duplicates(now, id);
         if is_step_done {
             self.finish_step(now, id.step);
@@ -107,7 +107,7 @@
             .jobs
             .get_mut(&id.step.job)
             .and_then(|job| job.task(id))
-            .map(|task| task.runs.iter().map(|attempt| attempt.run).collect())
+            .map(|task| task.runs().iter().map(|attempt| attempt.run).collect())
             .unwrap_or_default();
         for run in duplicates {
             self.stop_run(now, id, run, "task-done");
@@ -133,7 +133,7 @@
         self.enqueue_occurrence(step.job, step.occurrence);
     }
 
-    fn fail_run(&mut self, now: Ms, name: &Name, end: &End) {
+    fn fail_run(&mut self, now: Ms, name: &Name, incarnation: Ms, end: &End) {
         let id = end.task;
         if let Some(worker) = self.workers.get_mut(name) {
             worker.consecutive_failures += 1;
@@ -171,7 +171,7 @@
         if failures >= max_attempts {
             self.fail_job(now, id.step.job, "max-attempts");
         }
-        self.release(now, id, end.run, "failed");
+        self.release_ended(now, name, incarnation, end);
     }
 
     fn max_attempts(&self, id: id::Job) -> usize {
@@ -215,8 +215,23 @@
         }
     }
 
-    /// Releases the resources of a run, and enqueues its task if it must run again.
-    pub(super) fn release(&mut self, now: Ms, id: Task, run: Run, reason: &'static str) {
+    /// Releases a run whose end its worker lists.
+    fn release_ended(&mut self, now: Ms, name: &Name, incarnation: Ms, end: &End) {
+        let job = self.jobs.get_mut(&end.task.step.job);
+        let attempt = job
+            .and_then(|job| job.task(end.task))
+            .and_then(|task| task.run(end.run));
+        let worker = self.workers.get(name);
+        if let (Some(worker), Some(attempt)) = (worker, attempt)
+            && let Some(over) = Over::ended(worker, incarnation, end, name, attempt)
+        {
+            self.release(now, over);
+        }
+    }
+
+    /// Releases the resources of a run that is over, and enqueues its task if it must run again.
+    pub(super) fn release(&mut self, now: Ms, over: Over) {
+        let (id, run, reason) = (over.task(), over.run(), over.reason());
         self.unsettled.remove(&(id, run));
         let Some(job) = self.jobs.get_mut(&id.step.job) else {
             return;
@@ -224,15 +239,16 @@
         let Some(claim) = job.claim(id.step.step) else {
             return;
         };
-        let Some(task) = job.task(id) else {
+        let Some(step) = job.step(id.step) else {
             return;
         };
-        let Some(attempt) = task.remove_run(run) else {
+        let Some(attempt) = step.remove_run(&over) else {
             return;
         };
-        let (is_startable, is_done) = (task.is_startable(), task.is_done);
+        let is_startable = step.startable().contains(&id.index);
+        let is_done = job.task(id).is_some_and(|task| task.is_done);
         if let Some(worker) = self.workers.get_mut(&attempt.worker) {
-            worker.free(&claim, id, run);
+            worker.free(&claim, over);
             worker.improved_at = now;
         }
         if reason != "done" {
@@ -243,13 +259,7 @@
                 now.since(attempt.phase_since).0
             ));
         }
-        if is_startable
-            && let Some(step) = self
-                .jobs
-                .get_mut(&id.step.job)
-                .and_then(|job| job.step(id.step))
-        {
-            step.startable.insert(id.index);
+        if is_startable {
             self.enqueue(id.step);
         }
         if is_done {
@@ -258,15 +268,3 @@
         }
     }
 }
-
-/// Returns the reason that log lines give for an end.
-const fn release_reason(termination: Termination) -> &'static str {
-    match termination {
-        Termination::Done => "done",
-        Termination::Failed => "failed",
-        Termination::Stopped => "stopped",
-        Termination::Lapsed => "lapsed",
-        Termination::Broken => "gang-broken",
-        Termination::Alone => "gang-alone",
-    }
-}
--- a/crates/scheduler/src/leader/jobs.rs
+++ b/crates/scheduler/src/leader/jobs.rs
@@ -113,7 +113,7 @@
         let is_unblocked = job.is_unblocked(step.occurrence, step.step);
         let has_tasks = job
             .step(step)
-            .is_some_and(|state| !state.startable.is_empty());
+            .is_some_and(|state| !state.startable().is_empty());
         if has_tasks && is_unblocked && !job.has_ended() && !self.ranks.contains_key(&step) {
             self.ranks.insert(step, rank);
             self.waiting.insert((rank, step));
@@ -193,7 +193,7 @@
                         step,
                         index: number,
                     };
-                    running.extend(task.runs.iter().map(|attempt| (task_id, attempt.run)));
+                    running.extend(task.runs().iter().map(|attempt| (task_id, attempt.run)));
                 }
             }
         }
--- a/crates/scheduler/src/leader/lapses.rs
+++ b/crates/scheduler/src/leader/lapses.rs
@@ -11,8 +11,13 @@
 use crate::id::Task;
 use crate::message::Failure;
 use crate::message::Hello;
+use crate::message::Observation;
 use crate::message::Order;
 use crate::message::Placement;
+use crate::over::Lapse;
+use crate::over::Over;
+use crate::over::Standing;
+use crate::over::Unproven;
 
 impl Leader {
     /// Records the renewals of an agent for an earlier leader. Its list of runs is not used, because
@@ -59,26 +64,21 @@
         }
     }
 
-    /// Releases the runs on workers that did not answer until all their leases expired. If another
-    /// entry may have taken the lead before, its agents may have renewed them. Until the rows of
-    /// earlier leaders are read, reports are deferred, and they may tell of renewals too. So may
-    /// reports that this leader has not handled yet, because it is slow or was suspended.
+    /// Releases the runs on workers that did not answer until all their leases expired.
     pub(super) fn expire_leases(&mut self, now: Ms) {
-        if !self.is_recovered {
-            return;
-        }
-        let has_expired = |at: Ms| at <= now && at < self.certain_until;
-        let mut expired = Vec::new();
+        let standing = Standing {
+            now,
+            certain_until: self.certain_until,
+            is_recovered: self.is_recovered,
+        };
+        let mut lapses = Vec::new();
         let mut unheard = BTreeSet::new();
         for (name, worker) in &self.workers {
-            let Some(at) = worker.lease_expiry.filter(|&at| has_expired(at)) else {
-                continue;
-            };
-            match &worker.agent {
-                Some(agent) if !self.agents.has_heard(agent, at) => {
-                    unheard.insert(agent.clone());
-                }
-                _ => expired.push(name.clone()),
+            let heard_until = |agent: &Name| self.agents.heard_until(agent);
+            match Lapse::prove(&standing, name, worker, heard_until) {
+                Ok(lapse) => lapses.push(lapse),
+                Err(Unproven::Unheard(agent)) => drop(unheard.insert(agent)),
+                Err(Unproven::Early) => {}
             }
         }
         for agent in unheard {
@@ -88,68 +88,74 @@
                 self.send(&agent, Order::Stop(echo));
             }
         }
-        for name in expired {
-            self.record_crash_at_lapse(now, &name);
-            let lost = self.workers.get(&name).map_or(0, |it| it.runs.len());
-            self.release_lost_runs(now, &name, None, "lease-expired");
-            let Some(worker) = self.workers.get_mut(&name) else {
-                continue;
-            };
-            let line = format!(
-                "kind=worker-lapsed worker={name} agent={} known={} past_bound_ms={} \
-                 past_floor_ms={} answered_ago_ms={} runs={}",
-                worker.agent.as_deref().unwrap_or("none"),
-                worker.is_known,
-                now.since(worker.lease_expiry.unwrap_or(now)).0,
-                now.since(worker.min_lease_expiry).0,
-                now.since(worker.last_answer).0,
-                lost
-            );
-            worker.is_known = true;
-            worker.is_unresponsive = true;
-            worker.lease_expiry = None;
-            worker.has_lapsed = true;
-            self.unknown_runs
-                .retain(|placement, _| placement.worker != name);
-            self.log(line);
-            self.tally.lapses += 1;
-            if self
-                .workers
-                .get(&name)
-                .is_some_and(|worker| worker.registration.is_none())
-            {
-                self.remove_worker(&name);
-                self.is_fleet_synced = false;
-            }
+        for lapse in lapses {
+            self.handle_lapse(now, lapse);
         }
     }
 
-    /// Releases the runs on a worker, except those of the incarnation `kept`. A start that no
-    /// incarnation has listed may reach or have reached that one, so it is voided there first.
-    pub(super) fn release_lost_runs(
-        &mut self,
-        now: Ms,
-        name: &Name,
-        kept: Option<Ms>,
-        reason: &'static str,
-    ) {
-        let Some(worker) = self.workers.get(name) else {
+    fn handle_lapse(&mut self, now: Ms, lapse: Lapse) {
+        let name = lapse.worker().clone();
+        self.record_crash_at_lapse(now, &name);
+        let lost = self.release_lapsed_runs(now, &lapse);
+        let Some(worker) = self.workers.get_mut(&name) else {
             return;
         };
-        let runs: Vec<(Task, Run)> = worker.runs.iter().copied().collect();
-        for (task, run) in runs {
+        let line = format!(
+            "kind=worker-lapsed worker={name} agent={} known={} past_bound_ms={} \
+             past_floor_ms={} answered_ago_ms={} runs={lost}",
+            worker.agent.as_deref().unwrap_or("none"),
+            worker.is_known,
+            now.since(lapse.expired_at()).0,
+            now.since(worker.min_lease_expiry).0,
+            now.since(worker.last_answer).0,
+        );
+        worker.record_lapse(lapse);
+        let is_unlisted = worker.registration.is_none();
+        self.unknown_runs
+            .retain(|placement, _| placement.worker != name);
+        self.log(line);
+        self.tally.lapses += 1;
+        if is_unlisted {
+            self.remove_worker(&name);
+            self.is_fleet_synced = false;
+        }
+    }
+
+    /// Releases the runs on a worker whose leases have expired, and returns how many there were.
+    fn release_lapsed_runs(&mut self, now: Ms, lapse: &Lapse) -> usize {
+        let runs = self.runs_on(lapse.worker());
+        for &(task, run) in &runs {
             let attempt = self.run_mut(task, run);
-            if attempt.as_ref().map(|attempt| attempt.incarnation) == kept {
+            if let Some(over) = attempt.and_then(|attempt| lapse.ends(attempt, task)) {
+                self.release(now, over);
+            }
+        }
+        runs.len()
+    }
+
+    /// Releases the runs of the earlier incarnations of a worker that has answered in a later one. A
+    /// start that no incarnation has listed may reach or have reached that one, so it is voided there
+    /// first.
+    pub(super) fn release_outlived_runs(&mut self, now: Ms, observation: &Observation) {
+        for (task, run) in self.runs_on(&observation.worker) {
+            let Some(attempt) = self.run_mut(task, run) else {
+                continue;
+            };
+            if attempt.incarnation == observation.incarnation {
                 continue;
             }
-            match (attempt, kept) {
-                (Some(attempt), Some(kept)) if attempt.may_outlive_incarnation() => {
-                    attempt.incarnation = kept;
-                    attempt.stop_sent = None;
-                    self.stop_run(now, task, run, reason);
-                }
-                _ => self.release(now, task, run, reason),
+            if let Some(over) = Over::outlived(attempt, task, observation) {
+                self.release(now, over);
+            } else {
+                attempt.incarnation = observation.incarnation;
+                attempt.stop_sent = None;
+                self.stop_run(now, task, run, "worker-restarted");
             }
         }
     }
+
+    fn runs_on(&self, name: &Name) -> Vec<(Task, Run)> {
+        let worker = self.workers.get(name);
+        worker.map_or_else(Vec::new, |worker| worker.runs.iter().copied().collect())
+    }
 }
--- a/crates/scheduler/src/leader/orders.rs
+++ b/crates/scheduler/src/leader/orders.rs
@@ -11,6 +11,7 @@
 use crate::message::Order;
 use crate::message::Outcome;
 use crate::message::Placement;
+use crate::over::Over;
 use crate::task::Phase;
 
 /// The delay after which an order to stop without effect is sent again.
@@ -56,25 +57,31 @@
             Outcome::Fenced => self.actions.push(Action::Resign("fenced by a worker")),
             Outcome::Unknown => self.mark_unsure(now, id, placement.run),
             Outcome::Invalid => {
-                self.release(now, id, placement.run, "refused-as-invalid");
+                self.release_refused(now, placement, outcome);
                 self.fail_job(now, id.step.job, "invalid-for-worker");
             }
             Outcome::Ticket => {
                 self.advice.drop_ticket(id.step, &placement.worker);
-                self.release(now, id, placement.run, "ticket-refused");
-            }
-            Outcome::Old | Outcome::Late => {
-                self.release(now, id, placement.run, "start-refused");
+                self.release_refused(now, placement, outcome);
             }
+            Outcome::Old | Outcome::Late => self.release_refused(now, placement, outcome),
             Outcome::Room | Outcome::Unsent | Outcome::Unhealthy | Outcome::Reborn => {
                 if let Some(worker) = self.workers.get_mut(&placement.worker) {
                     worker.avoid_until = worker.avoid_until.max(now + REFUSED_START_COOLDOWN);
                 }
-                self.release(now, id, placement.run, "start-refused");
+                self.release_refused(now, placement, outcome);
             }
         }
     }
 
+    fn release_refused(&mut self, now: Ms, placement: &Placement, outcome: Outcome) {
+        let attempt = self.run_mut(placement.task, placement.run);
+        let over = attempt.and_then(|attempt| Over::refused(attempt, placement, outcome));
+        if let Some(over) = over {
+            self.release(now, over);
+        }
+    }
+
     pub(super) fn mark_unsure(&mut self, now: Ms, id: Task, run: Run) {
         let Some(attempt) = self.run_mut(id, run) else {
             return;
@@ -164,8 +171,11 @@
             Outcome::Fenced => self.actions.push(Action::Resign("fenced by a worker")),
             Outcome::Reborn => {
                 let incarnation = attempt.incarnation;
+                let over = Over::replaced(attempt, placement, outcome);
                 self.record_crash(now, &placement.worker, incarnation, Evidence::Replaced);
-                self.release(now, placement.task, placement.run, "worker-restarted");
+                if let Some(over) = over {
+                    self.release(now, over);
+                }
             }
             other => self.log(format!(
                 "kind=stop-failed task={} run={} worker={} outcome={other:?}",
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -13,10 +13,7 @@
 use crate::message::Order;
 use crate::message::Report;
 use crate::message::Running;
-
-/// The most ends that a worker lists at a time. It keeps any further ones until these are
-/// acknowledged.
-const MAX_LISTED_ENDS: usize = 500;
+use crate::over::MAX_LISTED_ENDS;
 
 impl Leader {
     pub(super) fn handle_report(&mut self, now: Ms, entry: &Name, report: Report) {
@@ -103,12 +100,7 @@
                 // The agent must no longer acknowledge the ends of the incarnation before.
                 self.send_watch(&observation.worker);
             }
-            self.release_lost_runs(
-                now,
-                &observation.worker,
-                Some(observation.incarnation),
-                "worker-restarted",
-            );
+            self.release_outlived_runs(now, &observation);
         }
         let is_first = self
             .workers
--- a/crates/scheduler/src/leader/runs.rs
+++ b/crates/scheduler/src/leader/runs.rs
@@ -11,6 +11,7 @@
 use crate::message::Order;
 use crate::message::Placement;
 use crate::message::Running;
+use crate::over::Over;
 use crate::task::Attempt;
 use crate::task::Phase;
 
@@ -97,9 +98,9 @@
         if task.run(run).is_some() {
             return;
         }
-        let has_other_run = !task.runs.is_empty();
+        let has_other_run = !task.runs().is_empty();
         task.is_seen = true;
-        task.runs.push(Attempt {
+        let attempt = Attempt {
             worker: name.clone(),
             incarnation,
             run,
@@ -114,9 +115,9 @@
             share: None,
             percent: 0,
             measurement: 0,
-        });
+        };
         if let Some(step) = job.step(id.step) {
-            step.startable.remove(&id.index);
+            step.add_run(id.index, attempt);
         }
         if let Some(worker) = self.workers.get_mut(name) {
             worker.book(&claim, id, run);
@@ -193,11 +194,14 @@
                 task,
                 run,
             } = placement;
+            let mut latest = incarnation;
             if let Some(worker) = self.workers.get_mut(&worker) {
                 worker.unknown_runs.remove(&(task, run));
+                // The run is voided in the incarnation that answers.
+                latest = worker.incarnation.map_or(latest, |it| it.max(latest));
             }
             self.discover_occurrence(task.step);
-            self.adopt_run(now, &worker, incarnation, task, run, Phase::Unsure);
+            self.adopt_run(now, &worker, latest, task, run, Phase::Unsure);
         }
     }
 
@@ -218,22 +222,20 @@
             // this poll.
             attempt.stopped_at = None;
         }
-        let is_stopped = attempt
-            .stopped_at
-            .is_some_and(|at| observation.polled_at > at);
+        if let Some(over) = Over::stopped(attempt, id, entry, observation) {
+            return self.release(now, over);
+        }
         match attempt.phase {
             Phase::Starting if now.since(attempt.phase_since) >= START_TIMEOUT => {
                 // The answer was lost with the agent that polled the worker before.
                 self.mark_unsure(now, id, run);
             }
             Phase::Starting => {}
-            Phase::Unsure if !is_stopped => {
+            Phase::Unsure => {
                 if attempt.stopped_at.is_none() {
                     self.stop_run(now, id, run, "start-unanswered");
                 }
             }
-            Phase::Unsure => self.release(now, id, run, "never-started"),
-            Phase::Stopping if is_stopped => self.release(now, id, run, "stopped"),
             Phase::Running | Phase::Stopping => {
                 attempt.missed_polls += 1;
                 if attempt.missed_polls >= MAX_MISSED_POLLS && attempt.phase == Phase::Running {
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -112,7 +112,7 @@
         let Some(state) = job.step(step) else {
             return (Vec::new(), false);
         };
-        let mut tasks: Vec<u32> = state.startable.iter().copied().collect();
+        let mut tasks: Vec<u32> = state.startable().iter().copied().collect();
         if is_gang && tasks.len() < state.unfinished as usize {
             // The members share one run, so none starts before the last run of all has ended.
             return (Vec::new(), false);
@@ -120,7 +120,7 @@
         if may_run_unseen && !state.is_fresh {
             tasks.retain(|&index| state.tasks[index as usize].is_seen);
         }
-        let startable = state.startable.len();
+        let startable = state.startable().len();
         if !job.are_crashes_durable() {
             tasks.retain(|&index| !job.is_suspect(Task { step, index }));
         }
@@ -269,15 +269,12 @@
         };
         let payload = Arc::clone(&job.spec.payload);
         let checkpoint = job.start_checkpoint(id);
-        if let Some(step) = job.step(id.step) {
-            step.startable.remove(&id.index);
-        }
         let waited = now.since(job.known_since);
         let Some(task) = job.task(id) else {
             return;
         };
         task.is_seen = true;
-        task.runs.push(Attempt {
+        let attempt = Attempt {
             worker: name.clone(),
             incarnation,
             run,
@@ -292,7 +289,10 @@
             share: Some(100),
             percent: 0,
             measurement: 0,
-        });
+        };
+        if let Some(step) = job.step(id.step) {
+            step.add_run(id.index, attempt);
+        }
         self.log(format!(
             "kind=start task={id} run={run} worker={name} agent={agent} waited_ms={}",
             waited.0
--- a/crates/scheduler/src/leader/serving.rs
+++ b/crates/scheduler/src/leader/serving.rs
@@ -292,7 +292,7 @@
         let steps = job.occurrences.get(&id.step.occurrence)?;
         let step = steps.get(usize::from(id.step.step))?;
         let task = step.tasks.get(id.index as usize)?;
-        let attempt = task.runs.iter().find(|attempt| attempt.run == run)?;
+        let attempt = task.runs().iter().find(|attempt| attempt.run == run)?;
         attempt.share
     }
 
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod job;
 pub mod leader;
 pub mod message;
+pub mod over;
 pub mod pace;
 pub mod placement;
 pub mod progress;
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -6,6 +6,7 @@
 use decision::name::Name;
 
 use crate::id::Run;
+use crate::over::Over;
 
 /// The progress of an order for a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -75,7 +76,7 @@
     pub is_seen: bool,
     /// The runs of the task. There can be several only for speculative steps, and while duplicates
     /// are being stopped.
-    pub runs: Vec<Attempt>,
+    runs: Vec<Attempt>,
     /// The checkpoint from which the next run resumes.
     pub checkpoint: Option<Arc<str>>,
     /// The time when this checkpoint was first reported.
@@ -104,9 +105,21 @@
         self.runs.iter_mut().find(|attempt| attempt.run == run)
     }
 
-    /// Removes the run with this number and returns it.
-    pub fn remove_run(&mut self, run: Run) -> Option<Attempt> {
-        let index = self.runs.iter().position(|attempt| attempt.run == run)?;
+    /// Returns the runs of the task.
+    #[must_use]
+    pub fn runs(&self) -> &[Attempt] {
+        &self.runs
+    }
+
+    /// Adds a run.
+    pub fn add_run(&mut self, attempt: Attempt) {
+        self.runs.push(attempt);
+    }
+
+    /// Removes a run that is over and returns it.
+    pub fn remove_run(&mut self, over: &Over) -> Option<Attempt> {
+        let mut runs = self.runs.iter();
+        let index = runs.position(|attempt| attempt.run == over.run())?;
         Some(self.runs.swap_remove(index))
     }
 }
