Count a worker as known only if it lists all its ends

Callers could see a completed task start again: a worker lists at most 500 ends. A new leader counted a worker with a full list as known, and started tasks whose ends stood behind the list; they were listed, and acknowledged, later.

Evidence: a_worker_is_not_known_by_a_full_list_of_ends failed before; the task started while its worker listed 500 other ends.

Now over::lists_all says whether an answer names everything, and a full list makes no worker known. The ends that are listed are acknowledged meanwhile, so the list becomes shorter.

--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -13,7 +13,7 @@
 use crate::message::Order;
 use crate::message::Report;
 use crate::message::Running;
-use crate::over::MAX_LISTED_ENDS;
+use crate::over;
 
 impl Leader {
     pub(super) fn handle_report(&mut self, now: Ms, entry: &Name, report: Report) {
@@ -107,7 +107,8 @@
             .get_mut(&observation.worker)
             .is_some_and(|worker| {
                 let is_first = !worker.is_known;
-                worker.is_known = observation.running.is_some() || worker.is_known;
+                // Runs that a list does not name may have ended.
+                worker.is_known |= over::lists_all(&observation);
                 is_first && worker.is_known
             });
         for end in &observation.ended {
@@ -141,7 +142,7 @@
         };
         worker.unknown_runs.retain(|run| reported.contains(run));
         let mut missing: Vec<(Task, Run)> = worker.runs.difference(&reported).copied().collect();
-        if observation.ended.len() >= MAX_LISTED_ENDS {
+        if !over::lists_all(observation) {
             // The missing runs may have ended in a way that the worker has not listed yet.
             missing.clear();
         }
--- a/crates/scheduler/src/over.rs
+++ b/crates/scheduler/src/over.rs
@@ -115,16 +115,12 @@
         let is_same_life =
             attempt.worker == observation.worker && attempt.incarnation == observation.incarnation;
         let run = attempt.run;
-        let is_missing = observation
-            .running
-            .as_ref()
-            .is_some_and(|rows| !rows.iter().any(|row| row.task == task && row.run == run));
-        let is_full = observation.ended.len() >= MAX_LISTED_ENDS;
-        (is_answered && is_same_life && is_missing && !is_full).then_some(Self {
-            task,
-            run,
-            reason,
-        })
+        let is_listed = observation.running.as_ref().is_none_or(|rows| {
+            let mut rows = rows.iter();
+            rows.any(|row| row.task == task && row.run == run)
+        });
+        let is_missing = lists_all(observation) && !is_listed;
+        (is_answered && is_same_life && is_missing).then_some(Self { task, run, reason })
     }
 
     /// Proves the end of a run that an earlier incarnation of a worker had listed, by an answer of a
@@ -250,6 +246,13 @@
     }
 }
 
+/// Returns whether the answer to a poll names all runs on the worker and all ends that it keeps. If
+/// the list of ends is full, it may keep more.
+#[must_use]
+pub const fn lists_all(observation: &Observation) -> bool {
+    observation.running.is_some() && observation.ended.len() < MAX_LISTED_ENDS
+}
+
 /// Returns whether an order was for this attempt.
 fn is_of(attempt: &Attempt, placement: &Placement) -> bool {
     attempt.run == placement.run && attempt.worker == placement.worker
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -537,3 +537,38 @@
     counts.update(BEGUN, &heartbeat);
     assert_eq!(counts.waiting_in(BEGUN, "idle"), Some(0));
 }
+
+/// A worker that had more unacknowledged ends than it lists counted as known, and a task whose end
+/// it did not list yet was started again.
+#[test]
+fn a_worker_is_not_known_by_a_full_list_of_ends() {
+    let mut takeover = Takeover::begin(vec![accepted(1, OLD_ROW, 1)], &[]);
+    let listed = |ends: Vec<End>| {
+        received(Report::Polled(Observation {
+            ended: ends,
+            ..observation("silent", &[])
+        }))
+    };
+    let other = |number| End {
+        number,
+        task: task(1_000 + number, 0),
+        run: Run(number),
+        termination: Termination::Stopped,
+        checkpoint: None,
+    };
+    let full = || listed((1..=500).map(other).collect());
+    let mut started = takeover.apply(Ms(10), vec![polled("sound", &[]), full()]);
+    started.extend(takeover.apply(Ms(900), vec![full()]));
+    // By now the ends of unknown jobs are acknowledged.
+    started.extend(takeover.apply(Ms(10_100), vec![full()]));
+    let last = End {
+        number: 501,
+        task: task(1, 0),
+        run: OLD_RUN,
+        termination: Termination::Done,
+        checkpoint: None,
+    };
+    started.extend(takeover.apply(Ms(10_200), vec![listed(vec![last])]));
+    started.extend(takeover.apply(Ms(11_000), Vec::new()));
+    assert_eq!(started, []);
+}
