Count the answer to a stop for the life of the worker that was ordered

An unanswered start is voided again when its worker answers in a later life, because that one may still carry it out. The answer of the former life to its void can arrive after the first poll of the later one, over another connection. It was taken for the answer of the later life, and the next poll that did not list the run released it: its task could start while the start was still to be carried out. Cause: an order to stop names the life that it is meant for, and handle_stop_outcome did not look at it.

Evidence: an_answer_to_a_stop_counts_for_the_life_of_the_worker_that_was_ordered failed before (the task started with the answer Done).

Now an answer for another life than that of the attempt counts only if it fences the leader. Over::replaced checks the same.

--- a/crates/scheduler/src/leader/orders.rs
+++ b/crates/scheduler/src/leader/orders.rs
@@ -163,12 +163,15 @@
         let Some(attempt) = self.run_mut(placement.task, placement.run) else {
             return;
         };
+        let is_for_earlier_life = attempt.incarnation != placement.incarnation;
         match outcome {
+            Outcome::Fenced => self.actions.push(Action::Resign("fenced by a worker")),
+            // The life that answers now is ordered to stop the run too.
+            _ if is_for_earlier_life => {}
             Outcome::Done | Outcome::Old => {
                 attempt.stopped_at = Some(at);
                 attempt.stopped_by = Some(entry.clone());
             }
-            Outcome::Fenced => self.actions.push(Action::Resign("fenced by a worker")),
             Outcome::Reborn => {
                 let incarnation = attempt.incarnation;
                 let over = Over::replaced(attempt, placement, outcome);
--- a/crates/scheduler/src/over.rs
+++ b/crates/scheduler/src/over.rs
@@ -87,7 +87,8 @@
 
     /// Proves the end of a run by the answer of another worker to the order to stop it.
     pub fn replaced(attempt: &Attempt, placement: &Placement, outcome: Outcome) -> Option<Self> {
-        let is_replaced = outcome == Outcome::Reborn;
+        let is_replaced =
+            outcome == Outcome::Reborn && attempt.incarnation == placement.incarnation;
         (is_replaced && is_of(attempt, placement)).then_some(Self {
             task: placement.task,
             run: placement.run,
--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -260,3 +260,71 @@
     });
     numbers.collect()
 }
+
+/// Begins a leader with two workers and one agent that starts a task whose outcome is unknown.
+/// Returns the start, which was voided, but the agent has not answered that yet.
+fn begin_unanswered_start() -> (Leader, Start) {
+    let mut leader = Leader::new(name("e0"), Epoch(17), BOUNDS, Ms(1_000));
+    let registered =
+        |worker: &str| Event::RegistrationChanged(name(worker), Some(registration("d2")));
+    let begin = vec![
+        Event::Config(Arc::new(config())),
+        Event::Joined(name("e1"), name("d1")),
+        Event::Recovered,
+        registered("w"),
+        registered("w2"),
+    ];
+    apply_events(&mut leader, Ms(1_000), begin);
+    let known = vec![
+        Event::Committed,
+        from_agent(observation(Ms(1_010))),
+        from_agent(observation_of("w2", INCARNATION, Ms(1_010))),
+        Event::Accepted(Job(1), 20, accepted(), None),
+    ];
+    let orders = apply_events(&mut leader, Ms(1_020), known);
+    let [start] = &starts(&orders)[..] else {
+        panic!("{orders:?}");
+    };
+    let unanswered = vec![
+        from_agent(Report::Started(start.placement(), Outcome::Unknown)),
+        from_agent(observation_of(&start.worker, INCARNATION, Ms(1_800))),
+    ];
+    let orders = apply_events(&mut leader, Ms(1_800), unanswered);
+    assert!(
+        orders.contains(&Order::Void(start.placement())),
+        "{orders:?}"
+    );
+    (leader, start.clone())
+}
+
+fn from_agent(report: Report) -> Event {
+    Event::Received(name("e1"), report)
+}
+
+/// The answer of the former life of a worker arrived after the first poll of the next one, and was
+/// taken for that of the next one, which could still carry out the start.
+#[test]
+fn an_answer_to_a_stop_counts_for_the_life_of_the_worker_that_was_ordered() {
+    for outcome in [Outcome::Done, Outcome::Old, Outcome::Reborn] {
+        let (mut leader, start) = begin_unanswered_start();
+        let events = vec![
+            from_agent(observation_of(&start.worker, NEXT_INCARNATION, Ms(1_900))),
+            from_agent(Report::Stopped(start.placement(), outcome, Ms(1_905))),
+            from_agent(observation_of(&start.worker, NEXT_INCARNATION, Ms(1_910))),
+        ];
+        let mut orders = apply_events(&mut leader, Ms(1_910), events);
+        assert_eq!(starts(&orders), [], "{outcome:?}");
+        orders.retain(|order| matches!(order, Order::Void(_)));
+        let void = Placement {
+            incarnation: NEXT_INCARNATION,
+            ..start.placement()
+        };
+        assert_eq!(orders, [Order::Void(void.clone())], "{outcome:?}");
+        let voided = vec![
+            from_agent(Report::Stopped(void, Outcome::Done, Ms(1_920))),
+            from_agent(observation_of(&start.worker, NEXT_INCARNATION, Ms(1_930))),
+        ];
+        let orders = apply_events(&mut leader, Ms(1_930), voided);
+        assert_eq!(starts(&orders).len(), 1, "{outcome:?}: {orders:?}");
+    }
+}
--- a/crates/scheduler/tests/over.rs
+++ b/crates/scheduler/tests/over.rs
@@ -197,6 +197,12 @@
     ] {
         assert_eq!(Over::replaced(&stopping(), &placement(), outcome), None);
     }
+    let in_later_life = Attempt {
+        incarnation: NEXT_INCARNATION,
+        ..stopping()
+    };
+    let over = Over::replaced(&in_later_life, &placement(), Outcome::Reborn);
+    assert_eq!(over, None);
     let over = Over::replaced(&stopping(), &placement(), Outcome::Reborn);
     assert_eq!(reason(over), Some("worker-restarted"));
 }
