--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -13,10 +13,7 @@
 use crate::message::Order;
 use crate::message::Report;
 use crate::message::Running;
-
-/// The most ends that a worker lists at a time. It keeps any further ones until these are
-/// acknowledged.
-const MAX_LISTED_ENDS: usize = 500;
+use crate::over;
 
 impl Leader {
     pub(super) fn handle_report(&mut self, now: Ms, entry: &Name, report: Report) {
@@ -103,19 +100,15 @@
                 // The agent must no longer acknowledge the ends of the incarnation before.
                 self.send_watch(&observation.worker);
             }
-            self.release_lost_runs(
-                now,
-                &observation.worker,
-                Some(observation.incarnation),
-                "worker-restarted",
-            );
+            self.release_outlived_runs(now, &observation);
         }
         let is_first = self
             .workers
             .get_mut(&observation.worker)
             .is_some_and(|worker| {
                 let is_first = !worker.is_known;
-                worker.is_known = observation.running.is_some() || worker.is_known;
+                // Runs that a list does not name may have ended.
+                worker.is_known |= over::lists_all(&observation);
                 is_first && worker.is_known
             });
         for end in &observation.ended {
@@ -149,7 +142,7 @@
         };
         worker.unknown_runs.retain(|run| reported.contains(run));
         let mut missing: Vec<(Task, Run)> = worker.runs.difference(&reported).copied().collect();
-        if observation.ended.len() >= MAX_LISTED_ENDS {
+        if !over::lists_all(observation) {
             // The missing runs may have ended in a way that the worker has not listed yet.
             missing.clear();
         }
