Time renewals and starts from a query that the leader has answered

A leader counts 3 s of renewals from the moment at which it drops an agent, a new leader from its start. The agent counted them from the moment at which it read the last heartbeat, and nothing bounds the age of what it reads while each gap is below 1.4 s: it went on renewing for as long as the delay after the leader was gone.

Cause: the time of reading stood for the time of the contact.

Change: each 0.4 s an agent sends Report::contact_query in place of Report::Beat: a QueryStage whose number has the highest bit set and holds the time of sending. The leader's answer confirms the contact of that time, so it holds on the agent's own clock however late the answer is read; and as it follows all orders before it, a worker that was given to another agent is covered too. Renewals and starts use the confirmed contact, silence still the time of reading. The agent sends the query before queued reports; the leader reads up to 256 reports of a connection ahead, passes queries on by the queue of results and answers them only over the current connection. An agent without an answer for 3 s leaves, so that another one polls its workers.

Other builds: an earlier leader answers the query as a customer's, though after the reports before it; an earlier agent sends none and is served as before.

The test of the overloaded loop now also bounds the time to an answer by 1.4 s.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -55,8 +55,8 @@
         }
     }
 
-    /// Returns the next poll, given the time of the last message from the leader and the time when
-    /// the runs were last reported. A worker that did not answer is polled without a renewal, so
+    /// Returns the next poll, given the last confirmed contact with the leader and the time when the
+    /// runs were last reported. A worker that did not answer is polled without a renewal, so
     /// that its lease expires at a time that the leader knows.
     #[must_use]
     pub fn next_poll(&self, now: Ms, last_contact: Ms, reported: Ms) -> Poll {
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -123,6 +123,23 @@
     Stage(u64, Option<Stage>),
 }
 
+/// The bit by which the number of a contact query differs from those of customers' queries.
+const CONTACT_QUERY_BIT: u64 = 1 << 63;
+
+impl Order {
+    /// Returns when the agent sent the contact query that this order answers, by its own clock;
+    /// `None` if it answers none.
+    #[must_use]
+    pub const fn contact_query_sent_at(&self) -> Option<Ms> {
+        match self {
+            Self::Stage(number, _) if *number & CONTACT_QUERY_BIT != 0 => {
+                Some(Ms(*number & !CONTACT_QUERY_BIT))
+            }
+            _ => None,
+        }
+    }
+}
+
 /// The regular message of the leader to all agents.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
@@ -243,7 +260,7 @@
 pub enum Report {
     /// The first message of a connection.
     Hello(Hello),
-    /// Shows that the agent is alive; sent at regular intervals.
+    /// Shows that the agent is alive; sent at regular intervals by agents of earlier builds.
     Beat,
     /// A worker answered a poll.
     #[serde(rename = "Look")]
@@ -265,6 +282,22 @@
     QueryStage(u64, Job),
 }
 
+impl Report {
+    /// Returns a query of no customer by which an agent finds out that the leader handles what it
+    /// sends; sent at regular intervals. Leaders of earlier builds answer it too, though after the
+    /// reports that were sent before it.
+    #[must_use]
+    pub const fn contact_query(sent_at: Ms) -> Self {
+        Self::QueryStage(CONTACT_QUERY_BIT | sent_at.0, Job(0))
+    }
+
+    /// Returns whether this is a contact query.
+    #[must_use]
+    pub const fn is_contact_query(&self) -> bool {
+        matches!(self, Self::QueryStage(number, _) if *number & CONTACT_QUERY_BIT != 0)
+    }
+}
+
 /// A write that an entry requests for a customer. A repeated request has no further effect.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Request {
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -15,6 +15,7 @@
 mod leadership;
 pub mod logging;
 pub mod options;
+mod outgoing;
 mod own_agent;
 mod peers;
 mod persist;
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -205,6 +205,9 @@
             return;
         }
         lock(&self.state).has_order = true;
+        if let Some(sent_at) = order.contact_query_sent_at() {
+            return session.confirm_contact(sent_at);
+        }
         match order {
             Order::Beat(heartbeat) => {
                 let leader_version = heartbeat.config;
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -250,6 +250,12 @@
             }
             Input::Event(Event::Received(_, Report::Config(raw))) => self.shared.apply_config(&raw),
             Input::Event(event) => self.handle_event(event),
+            Input::Queried(entry, connection, query) => {
+                // An answer tells the agent that it is connected.
+                if self.is_current(&entry, connection) {
+                    self.handle_event(Event::Received(entry, query));
+                }
+            }
             Input::Stored(entry, number, storage) => {
                 let orders = self.outgoing.entry(entry).or_default();
                 orders.push(Order::Stored(number, storage));
@@ -267,17 +273,19 @@
                 self.greet(entry);
             }
             Input::Left(entry, connection) => {
-                let is_current = self
-                    .agents
-                    .get(&entry)
-                    .is_some_and(|(current, _)| *current == connection);
-                if is_current {
+                if self.is_current(&entry, connection) {
                     self.disconnect(entry);
                 }
             }
         }
     }
 
+    /// Returns whether this is the number of the current connection of an agent.
+    fn is_current(&self, entry: &Name, connection: u64) -> bool {
+        let current = self.agents.get(entry);
+        current.is_some_and(|(current, _)| *current == connection)
+    }
+
     fn handle_event(&mut self, event: Event) {
         if let Event::Received(_, Report::Polled(observation)) = &event {
             for end in &observation.ended {
--- a/src/serve/driver/tests.rs
+++ b/src/serve/driver/tests.rs
@@ -162,14 +162,28 @@
 struct Received {
     /// The longest time between two heartbeats for one agent.
     longest_silence: Cell<Ms>,
+    /// The longest time until a contact query was answered.
+    longest_answer: Cell<Ms>,
     starts: Cell<u32>,
 }
 
-/// Takes the orders of one agent. Each worker that it has to watch answers a poll.
-async fn follow(orders: Receiver<Vec<Order>>, me: Name, inputs: Outlet, received: Rc<Received>) {
+/// Takes the orders of one agent, which sends a contact query at each heartbeat. Each worker that it
+/// has to watch answers a poll.
+async fn follow(
+    orders: Receiver<Vec<Order>>,
+    (me, connection): (Name, u64),
+    inputs: Outlet,
+    received: Rc<Received>,
+) {
     let mut last = clock::now();
     while let Ok(batch) = orders.recv().await {
         for order in batch {
+            if let Some(sent_at) = order.contact_query_sent_at() {
+                let time = clock::now().since(sent_at);
+                received
+                    .longest_answer
+                    .set(received.longest_answer.get().max(time));
+            }
             match order {
                 Order::Beat(_) => {
                     let silence = clock::now().since(last);
@@ -177,6 +191,11 @@
                     received
                         .longest_silence
                         .set(received.longest_silence.get().max(silence));
+                    let query = Report::contact_query(last);
+                    let query = Input::Queried(me.clone(), connection, query);
+                    if inputs.send_result(query).await.is_err() {
+                        return;
+                    }
                 }
                 Order::Watch(watch) => {
                     let index = watch.worker[1..].parse().expect("the number of a worker");
@@ -247,9 +266,9 @@
                 epoch: Epoch(7),
                 known: Vec::new(),
             };
-            leadership.join(hello, out).await;
+            let me = (agent(index), leadership.join(hello, out).await);
             let received = Rc::clone(&received);
-            tasks.push(local.spawn(follow(orders, agent(index), inputs.clone(), received)));
+            tasks.push(local.spawn(follow(orders, me, inputs.clone(), received)));
         }
         for index in 0..WORKERS {
             let sent = inputs.send_row(registration(index)).await;
@@ -260,6 +279,7 @@
         // The first write lists the fleet, after which tasks may start.
         sleep(Ms(1_500)).await;
         received.longest_silence.set(Ms::ZERO);
+        received.longest_answer.set(Ms::ZERO);
 
         let begun = clock::now();
         let floods: Vec<_> = (0..3)
@@ -281,6 +301,8 @@
         }
         let silence = received.longest_silence.get();
         assert!(silence < SILENCE_TIMEOUT, "silent for {silence}");
+        let answer = received.longest_answer.get();
+        assert!(answer > Ms::ZERO && answer < SILENCE_TIMEOUT, "{answer}");
         assert_eq!(
             received.starts.get(),
             u32::try_from(JOBS).expect("few jobs") * TASKS_PER_JOB
@@ -292,6 +314,47 @@
     }));
 }
 
+/// Returns the orders for an agent that are to be sent.
+fn outgoing(driver: &Driver, index: usize) -> &[Order] {
+    driver
+        .outgoing
+        .get(&agent(index))
+        .map_or(&[], Vec::as_slice)
+}
+
+/// An answer tells an agent that its leader has kept it, so a query that was sent over a connection
+/// which was lost since must not be answered over the next one.
+#[test]
+fn a_contact_query_is_answered_over_the_current_connection_only() {
+    let unused = "127.0.0.1:9".parse().expect("an address");
+    let shared = Arc::new(Shared::new(options(unused)).expect("no port is needed"));
+    let (inputs, inbox) = inbox::new();
+    let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs));
+    let mut driver = Driver::new(&shared, &leadership, inbox);
+    let (out, _orders) = smol::channel::bounded(peers::MAX_QUEUED_BATCHES);
+    let hello = Hello {
+        entry: agent(1),
+        domain: name("d"),
+        epoch: Epoch(7),
+        known: Vec::new(),
+    };
+    let query = |connection| Input::Queried(agent(1), connection, Report::contact_query(Ms(30)));
+    let answers = |driver: &Driver| {
+        let orders = outgoing(driver, 1).iter();
+        orders.filter_map(Order::contact_query_sent_at).count()
+    };
+    driver.handle_input(query(3));
+    assert_eq!(answers(&driver), 0, "not connected yet");
+    driver.handle_input(Input::Joined(hello, 3, out));
+    driver.handle_input(query(2));
+    assert_eq!(answers(&driver), 0, "an earlier connection");
+    driver.handle_input(query(3));
+    assert_eq!(answers(&driver), 1, "the current connection");
+    driver.handle_input(Input::Left(agent(1), 3));
+    driver.handle_input(query(3));
+    assert_eq!(answers(&driver), 0, "a lost connection");
+}
+
 /// Among hundreds of agents that wait for room in one queue, a feed passed on some 50 rows a second,
 /// so that a new leader read the jobs for 4 s and started a task whose cancellation it did not know.
 #[test]
--- a/src/serve/inbox.rs
+++ b/src/serve/inbox.rs
@@ -3,7 +3,8 @@
 //! Reports of agents and rows of the store come at any rate, so whoever reads them waits while their
 //! queue is full. Rows have a queue of their own that comes before the reports: among hundreds of
 //! agents that wait, a feed would get so small a share that a new leader reads the jobs for seconds
-//! and learns of cancellations late. Results of the leader's own calls are few and come first.
+//! and learns of cancellations late. Results of the leader's own calls and the contact queries of
+//! agents are few and come first.
 
 use decision::clock::Ms;
 use scheduler::leader::Event;
@@ -15,7 +16,8 @@
 use super::leadership::Input;
 use super::sleep;
 
-/// The most results of calls that are queued. There is at most one for each call in progress.
+/// The most results of calls and contact queries that are queued. There is at most one for each call
+/// in progress, and each agent sends few queries.
 const MAX_RESULTS: usize = 256;
 /// The most rows of the store that are queued.
 const MAX_ROWS: usize = 1_024;
@@ -72,7 +74,7 @@
 }
 
 impl Outlet {
-    /// Queues the result of a call of the leader.
+    /// Queues the result of a call of the leader, or a contact query.
     pub(super) async fn send_result(&self, input: Input) -> Result<(), Closed> {
         Ok(self.results.send(input).await?)
     }
--- a/src/serve/leadership.rs
+++ b/src/serve/leadership.rs
@@ -17,6 +17,7 @@
 use scheduler::leader::Event;
 use scheduler::message::Hello;
 use scheduler::message::Order;
+use scheduler::message::Report;
 use scheduler::message::Storage;
 use smol::channel::Sender;
 
@@ -45,6 +46,8 @@
     Joined(Hello, u64, Sender<Vec<Order>>),
     /// The connection with this number to an agent ended.
     Left(Name, u64),
+    /// A contact query over the connection with this number to an agent.
+    Queried(Name, u64, Report),
     /// The result of the write that an agent requested under this number.
     Stored(Name, u64, Storage),
 }
@@ -94,7 +97,7 @@
         lock(&self.divided)
     }
 
-    /// Queues the result of a call of the leader for the driver loop.
+    /// Queues the result of a call of the leader, or a contact query, for the driver loop.
     pub(super) async fn send_result(&self, input: Input) {
         // It is not needed once the driver has ended.
         let _: Result<(), Closed> = self.inputs.send_result(input).await;
--- a/src/serve/own_agent.rs
+++ b/src/serve/own_agent.rs
@@ -23,22 +23,28 @@
 pub(super) async fn run(shared: Arc<Shared>, leadership: Arc<Leadership>) {
     let entry = shared.options.name.clone();
     loop {
-        let (reports, received) = smol::channel::bounded(peers::MAX_QUEUED_REPORTS);
+        let (session, mut outgoing) = Session::begin(leadership.epoch, peers::MAX_QUEUED_REPORTS);
         let (out, orders) = smol::channel::bounded(peers::MAX_QUEUED_BATCHES);
         let mut connection = None;
         let relay = async {
-            while let Ok(report) = received.recv().await {
-                if let Report::Hello(hello) = report {
-                    connection = Some(leadership.join(hello, out.clone()).await);
-                    continue;
-                }
-                let input = Input::Event(Event::Received(entry.clone(), report));
-                if leadership.send(input).await.is_err() {
-                    return;
+            while let Some(report) = outgoing.next().await {
+                match (report, connection) {
+                    (Report::Hello(hello), _) => {
+                        connection = Some(leadership.join(hello, out.clone()).await);
+                    }
+                    (query, Some(connection)) if query.is_contact_query() => {
+                        let input = Input::Queried(entry.clone(), connection, query);
+                        leadership.send_result(input).await;
+                    }
+                    (report, _) => {
+                        let input = Input::Event(Event::Received(entry.clone(), report));
+                        if leadership.send(input).await.is_err() {
+                            return;
+                        }
+                    }
                 }
             }
         };
-        let session = Session::begin(leadership.epoch, reports);
         let running = async {
             peers::run_session(&shared, &session, orders).await;
         };
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -10,6 +10,7 @@
 use scheduler::election::Record;
 use scheduler::id::Epoch;
 use scheduler::leader::Event;
+use scheduler::leader::LEADER_CONTACT_TIMEOUT;
 use scheduler::message::Hello;
 use scheduler::message::Order;
 use scheduler::message::Report;
@@ -20,6 +21,7 @@
 use smol::channel::Sender;
 use smol::future::FutureExt;
 use smol::future::poll_once;
+use smol::future::zip;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 
@@ -30,6 +32,7 @@
 use super::inbox::Closed;
 use super::leadership::Input;
 use super::leadership::Leadership;
+use super::outgoing::Outgoing;
 use super::rows;
 use super::session::Session;
 use super::sleep;
@@ -51,9 +54,9 @@
 pub(super) const MAX_QUEUED_BATCHES: usize = 128;
 /// The most received frames that wait to be carried out.
 const MAX_QUEUED_FRAMES: usize = 64;
-/// The most reports in one frame. The longest, of a worker that lists all ends that it may, takes
-/// some 50 KB.
-const MAX_FRAME_REPORTS: usize = 64;
+/// The most reports of an agent that are read ahead while those before them wait for the leader, so
+/// that contact queries are not held up behind them.
+const MAX_READ_AHEAD_REPORTS: usize = 256;
 /// The most orders in one frame. The longest, with the payload of a job, takes some 4 KB.
 const MAX_FRAME_ORDERS: usize = 512;
 
@@ -100,10 +103,9 @@
         }
     };
     drop(stream.set_nodelay(true));
-    let (reports, outgoing) = smol::channel::bounded(MAX_QUEUED_REPORTS);
     let (incoming, orders) = smol::channel::bounded(MAX_QUEUED_FRAMES);
+    let (session, outgoing) = Session::begin(epoch, MAX_QUEUED_REPORTS);
     let forwarding = forward_frames(stream, outgoing, incoming);
-    let session = Session::begin(epoch, reports);
     let running = run_session(shared, &session, orders);
     let ended = async {
         let error = forwarding.await;
@@ -125,7 +127,7 @@
 /// Writes reports to a connection and reads orders from it until either fails.
 async fn forward_frames(
     stream: TcpStream,
-    outgoing: Receiver<Report>,
+    mut outgoing: Outgoing,
     incoming: Sender<Vec<Order>>,
 ) -> Error {
     let mut reader = stream.clone();
@@ -142,15 +144,15 @@
         }
     };
     let write = async {
-        while let Ok(first) = outgoing.recv().await {
-            let mut reports = vec![first];
-            let others = std::iter::from_fn(|| outgoing.try_recv().ok());
-            reports.extend(others.take(MAX_FRAME_REPORTS - 1));
+        loop {
+            let reports = outgoing.next_frame().await;
+            if reports.is_empty() {
+                return Error::Peer("the session ended".into());
+            }
             if let Err(error) = frame::write(&mut writer, &reports).await {
                 return error;
             }
         }
-        Error::Peer("the session ended".into())
     };
     read.or(write).await
 }
@@ -200,8 +202,7 @@
         let now = clock::now();
         if now >= heartbeat_due {
             heartbeat_due = now + HEARTBEAT_INTERVAL;
-            // A leader that has not read the reports before does not need this one.
-            session.report(Report::Beat);
+            session.query_contact();
             if !session.is_open() {
                 return true;
             }
@@ -218,6 +219,15 @@
             );
             return true;
         }
+        let confirmed_age = now.since(session.confirmed_contact());
+        if confirmed_age > LEADER_CONTACT_TIMEOUT {
+            // No lease may be renewed, so another agent has to poll the workers.
+            log::warn!(
+                "kind=leader-unconfirmed epoch={epoch} ms={}",
+                confirmed_age.0
+            );
+            return true;
+        }
         let is_own = shared.leadership().is_some();
         if store_age > MAX_STORE_AGE && !is_own && check.is_none() && now >= check_due {
             check_due = now + HEARTBEAT_INTERVAL;
@@ -296,7 +306,12 @@
     let (out, orders) = smol::channel::bounded(MAX_QUEUED_BATCHES);
     let entry = hello.entry.clone();
     let connection = leadership.join(hello, out).await;
-    let read = read_reports(&mut reader, &leadership, &entry);
+    let (read_ahead, reports) = smol::channel::bounded(MAX_READ_AHEAD_REPORTS);
+    let reading = read_reports(&mut reader, &leadership, &entry, connection, read_ahead);
+    let read = async {
+        let (error, ()) = zip(reading, pass_on(&leadership, &entry, reports)).await;
+        error
+    };
     let write = async {
         while let Ok(first) = orders.recv().await {
             let mut batch: Vec<Order> = first;
@@ -322,22 +337,44 @@
     let _: Result<(), Closed> = leadership.send(Input::Left(entry, connection)).await;
 }
 
-/// Passes the reports of an agent on, and reads no further ones while too many are queued.
-async fn read_reports(reader: &mut TcpStream, leadership: &Leadership, entry: &Name) -> Error {
+/// Reads the reports of an agent until the connection fails, and no further ones while too many
+/// are queued. Its contact queries do not wait for the reports before them.
+async fn read_reports(
+    reader: &mut TcpStream,
+    leadership: &Leadership,
+    entry: &Name,
+    connection: u64,
+    read_ahead: Sender<Report>,
+) -> Error {
     loop {
         let reports = match read_with_timeout(reader).await {
             Ok(reports) => reports,
             Err(error) => return error,
         };
-        for report in reports {
-            let event = Event::Received(entry.clone(), report);
-            if leadership.send(Input::Event(event)).await.is_err() {
+        let (queries, others): (Vec<Report>, Vec<Report>) =
+            reports.into_iter().partition(Report::is_contact_query);
+        for query in queries {
+            let input = Input::Queried(entry.clone(), connection, query);
+            leadership.send_result(input).await;
+        }
+        for report in others {
+            if read_ahead.send(report).await.is_err() {
                 return Error::Peer("this entry stopped leading".into());
             }
         }
     }
 }
 
+/// Passes the reports of an agent on to the driver until it ends or none are left.
+async fn pass_on(leadership: &Leadership, entry: &Name, reports: Receiver<Report>) {
+    while let Ok(report) = reports.recv().await {
+        let event = Event::Received(entry.clone(), report);
+        if leadership.send(Input::Event(event)).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// Reads one frame of reports, or fails if the agent sends none within [`SILENCE_TIMEOUT`].
 async fn read_with_timeout(reader: &mut TcpStream) -> Result<Vec<Report>, Error> {
     let timeout = async {
@@ -349,3 +386,6 @@
     };
     frame::read(reader).or(timeout).await
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/serve/peers/tests.rs
@@ -0,0 +1,81 @@
+//! Tests of how the reports of an agent are read.
+
+use smol::LocalExecutor;
+
+use super::*;
+use crate::serve::inbox;
+use crate::serve::inbox::Inbox;
+
+const CONNECTION: u64 = 5;
+const REPORTS: usize = 200;
+const FRAME_REPORTS: usize = 64;
+const TEST_TIME: Ms = Ms(2_000);
+
+/// Returns the next input, or `None` if none is queued within [`TEST_TIME`].
+async fn next_input(inbox: &Inbox) -> Option<Input> {
+    let begun = clock::now();
+    while clock::now().since(begun) < TEST_TIME {
+        if let Some(input) = inbox.try_next() {
+            return Some(input);
+        }
+        sleep(Ms(5)).await;
+    }
+    None
+}
+
+/// A leader that is behind with reports has to answer contact queries in time all the same, or its
+/// agents renew no leases. What it had received of an agent that has gone still counts.
+#[test]
+fn contact_queries_overtake_the_reports_before_them_and_no_report_is_lost() {
+    let local = LocalExecutor::new();
+    smol::block_on(local.run(async {
+        let (inputs, inbox) = inbox::new();
+        let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs.clone()));
+        let entry = Name::try_from("b").expect("test names are valid");
+        let other = || Input::Left(entry.clone(), 0);
+        while poll_once(inputs.send(other())).await.is_some() {}
+        let queued = inbox.len();
+
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let mut agent = TcpStream::connect(address).await.expect("a connection");
+        let (mut reader, _) = listener.accept().await.expect("a connection");
+        let (owned, by) = (Arc::clone(&leadership), entry.clone());
+        let reading = local.spawn(async move {
+            let (read_ahead, reports) = smol::channel::bounded(MAX_READ_AHEAD_REPORTS);
+            let read = read_reports(&mut reader, &owned, &by, CONNECTION, read_ahead);
+            zip(read, pass_on(&owned, &by, reports)).await.0
+        });
+
+        let reports = vec![Report::Beat; REPORTS];
+        for frame in reports.chunks(FRAME_REPORTS) {
+            frame::write(&mut agent, frame).await.expect("a write");
+        }
+        let query = Report::contact_query(Ms(1_234));
+        let last = [Report::Beat, query.clone()];
+        frame::write(&mut agent, &last).await.expect("a write");
+        // The driver gets no room for reports before it has read the query.
+        let begun = clock::now();
+        while inbox.len() == queued && clock::now().since(begun) < TEST_TIME {
+            sleep(Ms(5)).await;
+        }
+        let first = inbox.try_next();
+        let is_query = matches!(
+            &first,
+            Some(Input::Queried(by, CONNECTION, report)) if *by == entry && *report == query
+        );
+        assert!(is_query, "{first:?}");
+
+        drop(agent);
+        let mut received = 0;
+        while received <= REPORTS {
+            match next_input(&inbox).await {
+                Some(Input::Event(Event::Received(..))) => received += 1,
+                Some(Input::Left(..)) => {}
+                other => panic!("{received} reports, then {other:?}"),
+            }
+        }
+        assert!(matches!(reading.await, Error::Peer(_)));
+        assert!(inbox.try_next().is_none());
+    }));
+}
--- a/src/serve/session.rs
+++ b/src/serve/session.rs
@@ -15,6 +15,7 @@
 
 use super::clock;
 use super::lock;
+use super::outgoing::Outgoing;
 
 /// The time after a dropped report until which what it said has been reported again: a worker that
 /// answers is polled and reported within the wait of a poll, its time limit and the interval of
@@ -27,6 +28,8 @@
     epoch: Epoch,
     rules: Mutex<session::Session>,
     reports: Sender<Report>,
+    /// Signals that a contact query is due.
+    queries: Sender<()>,
     /// The number of reports that found the queue full.
     dropped: AtomicU64,
     /// When the last one of them was dropped, in ms; 0 if none was.
@@ -36,16 +39,21 @@
 }
 
 impl Session {
-    /// Begins a session whose reports go to `reports`.
-    pub(super) fn begin(epoch: Epoch, reports: Sender<Report>) -> Arc<Self> {
-        Arc::new(Self {
+    /// Begins a session, and returns it with what it sends to the leader. At most `max_reports`
+    /// reports are queued.
+    pub(super) fn begin(epoch: Epoch, max_reports: usize) -> (Arc<Self>, Outgoing) {
+        let (reports, queued_reports) = smol::channel::bounded(max_reports);
+        let (queries, queued_queries) = smol::channel::bounded(1);
+        let session = Arc::new(Self {
             epoch,
             rules: Mutex::new(session::Session::new(epoch, clock::now())),
             reports,
+            queries,
             dropped: AtomicU64::new(0),
             dropped_at: AtomicU64::new(0),
             refusal: smol::channel::bounded(1),
-        })
+        });
+        (session, Outgoing::new(queued_reports, queued_queries))
     }
 
     pub(super) const fn epoch(&self) -> Epoch {
@@ -72,6 +80,12 @@
         }
     }
 
+    /// Sends the leader a contact query before all queued reports.
+    pub(super) fn query_contact(&self) {
+        // The channel holds one signal, and a signal that is already queued is enough.
+        let _ = self.queries.try_send(());
+    }
+
     /// Returns whether the leader has been sent all that this agent knows, or would have reported by
     /// now, except for what it may have learned just now.
     pub(super) fn is_complete(&self) -> bool {
@@ -83,6 +97,11 @@
         lock(&self.rules).record_contact(clock::now());
     }
 
+    /// Records the answer to a contact query that was sent at `sent_at`.
+    pub(super) fn confirm_contact(&self, sent_at: Ms) {
+        lock(&self.rules).confirm_contact(sent_at);
+    }
+
     /// Records that the connection to the leader was lost.
     pub(super) fn lose(&self) {
         let dropped = self.dropped.load(Ordering::SeqCst);
@@ -117,16 +136,20 @@
         lock(&self.rules).last_contact()
     }
 
+    pub(super) fn confirmed_contact(&self) -> Ms {
+        lock(&self.rules).confirmed_contact()
+    }
+
     pub(super) fn is_open(&self) -> bool {
         lock(&self.rules).is_open()
     }
 
-    /// Returns the last contact with the leader if tasks may be started in this session.
+    /// Returns the last confirmed contact with the leader if tasks may be started in this session.
     pub(super) fn start_contact(&self) -> Option<Ms> {
         lock(&self.rules).start_contact()
     }
 
-    /// Returns the last contact with the leader if leases may be renewed in this session.
+    /// Returns the last confirmed contact with the leader if leases may be renewed in this session.
     pub(super) fn renewal_contact(&self) -> Option<Ms> {
         lock(&self.rules).renewal_contact()
     }
--- a/src/serve/session/tests.rs
+++ b/src/serve/session/tests.rs
@@ -5,8 +5,7 @@
 /// Reports are dropped while the leader reads none, and an echo would tell it that there were none.
 #[test]
 fn a_session_that_has_just_dropped_a_report_is_not_complete() {
-    let (reports, _received) = smol::channel::bounded(1);
-    let session = Session::begin(Epoch(7), reports);
+    let (session, _outgoing) = Session::begin(Epoch(7), 1);
     assert!(session.report(Report::Beat));
     assert!(session.is_complete());
     assert!(!session.report(Report::Beat));
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -178,8 +178,8 @@
         }
     }
 
-    /// Logs the outcome of an order that was sent at `sent_at`, with the age of the contact with the
-    /// leader.
+    /// Logs the outcome of an order that was sent at `sent_at`, with the age of the confirmed
+    /// contact with the leader.
     fn log_order(&self, order: &str, placement: &Placement, outcome: Outcome, sent_at: Ms) {
         let now = clock::now();
         log::info!(
@@ -190,7 +190,7 @@
             placement.worker,
             self.session.epoch(),
             now.since(sent_at).0,
-            now.since(self.session.last_contact()).0
+            now.since(self.session.confirmed_contact()).0
         );
     }
 
--- a/tests/serve/entry.rs
+++ b/tests/serve/entry.rs
@@ -28,6 +28,8 @@
     pub ready: SocketAddr,
     /// The address of the metrics.
     pub metrics: SocketAddr,
+    /// The address at which it accepts agents while it leads.
+    pub peer: SocketAddr,
     /// The file that its log is written to.
     log: PathBuf,
 }
@@ -76,6 +78,7 @@
             customer,
             ready,
             metrics,
+            peer,
             log: log_file,
         }
     }
--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 #[path = "../../crates/scheduler/tests/known_red/mod.rs"]
 mod known_red;
+mod lag;
 mod odd;
 mod operation;
 mod proxy;
--- a/tests/serve/sessions.rs
+++ b/tests/serve/sessions.rs
@@ -10,6 +10,7 @@
 use crate::entry::Entry;
 use crate::fleet::Fleet;
 use crate::fleet::wait_until;
+use crate::lag::Lag;
 use crate::start;
 
 /// Panics if an entry began to lead twice in one epoch.
@@ -193,3 +194,38 @@
     assert_eq!(started, None);
     fleet.assert_no_violations();
 }
+
+/// What a leader sent before it died may reach its agent seconds later, without a gap that the agent
+/// could notice. The next leader counts on the last renewal within 3 s of the death.
+#[test]
+fn an_agent_renews_no_lease_for_long_because_of_delayed_messages() {
+    const DELAY: Duration = Duration::from_millis(5_000);
+    let fleet = Fleet::start(1);
+    let mut leader = start(&fleet, &["a"]).remove(0);
+    wait_until("the first leader", 5_000, || {
+        leader.read_log().contains("kind=worker-known")
+    });
+    let lag = Lag::start(&fleet.spawner, leader.peer);
+    let (real, shown) = (leader.peer.to_string(), lag.address.to_string());
+    fleet.store.replace("lead", "record", &real, &shown);
+    let agent = start(&fleet, &["b"]).remove(0);
+    wait_until("the agent", 5_000, || {
+        agent.read_log().contains("kind=watch-begun")
+    });
+    lag.grow(DELAY);
+    thread::sleep(DELAY);
+    let epoch = fleet.cluster().workers["i-0"].fencing_token;
+    leader.signal("-KILL");
+    leader.wait();
+    let killed_at = Instant::now();
+    // What was under way has been delivered by the end of this sleep.
+    thread::sleep(DELAY + Duration::from_millis(3_500));
+    let cluster = fleet.cluster();
+    let renewed_at = cluster.renewed_at[&epoch];
+    let log = agent.read_log();
+    assert!(
+        renewed_at < killed_at + Duration::from_millis(3_000),
+        "the lease was renewed for the dead leader {:?} after its death: {log}",
+        renewed_at - killed_at
+    );
+}
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -147,6 +147,22 @@
             .expect("the row exists")
     }
 
+    /// Replaces bytes in the value of a row by as many others, without a new version.
+    pub fn replace(&self, table: &str, key: &str, from: &str, to: &str) {
+        assert_eq!(from.len(), to.len());
+        let mut state = self.state.lock().expect("no holder of this lock panics");
+        let row = (table.into(), String::new(), key.into());
+        let value = state.rows.get_mut(&row).and_then(|row| row.0.as_mut());
+        let value = value.expect("the row exists");
+        let mut bytes = unbase64(value);
+        let found = bytes
+            .windows(from.len())
+            .position(|it| it == from.as_bytes());
+        let at = found.expect("the value contains the bytes");
+        bytes[at..at + to.len()].copy_from_slice(to.as_bytes());
+        *value = base64(&bytes);
+    }
+
     fn set_row(&self, table: &str, part: &str, key: &str, value: Option<String>) {
         let mut state = self.state.lock().expect("no holder of this lock panics");
         state.version += 1;
@@ -306,3 +322,22 @@
     }
     text
 }
+
+/// Decodes base64 with padding.
+fn unbase64(text: &str) -> Vec<u8> {
+    let digit = |raw: u8| match raw {
+        b'A'..=b'Z' => raw - b'A',
+        b'a'..=b'z' => raw - b'a' + 26,
+        b'0'..=b'9' => raw - b'0' + 52,
+        b'+' => 62,
+        _ => 63,
+    };
+    let mut bytes = Vec::new();
+    for chunk in text.trim_end_matches('=').as_bytes().chunks(4) {
+        let digits = chunk.iter().map(|&raw| u32::from(digit(raw)));
+        let group = digits.fold(0, |group, digit| group << 6 | digit) << (6 * (4 - chunk.len()));
+        let raw = group.to_be_bytes();
+        bytes.extend(&raw[1..chunk.len()]);
+    }
+    bytes
+}
