--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 #[path = "../../crates/scheduler/tests/known_red/mod.rs"]
 mod known_red;
+mod lag;
 mod odd;
 mod operation;
 mod proxy;
