Repeat an answered stop when a worker changes its agent

A task whose start got no answer could wait for hours: its void was answered, then the agent lost power before its next poll was reported, and the same entry became the agent again. Its clock counts from the start of its VM, so no later poll seemed to be later than the answer, and an answered order is not repeated. Cause: a time on the clock of an agent was kept beyond the connection of that agent.

Evidence: an_answered_stop_is_repeated_after_a_restart_of_the_agent failed before (no start within ten polls).

Now a worker that gets an agent forgets the answers of the one before, and the orders are sent again. Polls by another agent did the same before.

--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -263,9 +263,20 @@
             worker.agent = Some(agent);
             worker.improved_at = now;
         }
+        self.forget_stop_answers(name);
         self.send_watch(name);
     }
 
+    /// Forgets the answers to orders to stop runs on a worker, which are repeated. An agent of the
+    /// same entry may have another clock than the one that received them.
+    fn forget_stop_answers(&mut self, name: &Name) {
+        for (task, run) in self.runs_on(name) {
+            if let Some(attempt) = self.run_mut(task, run) {
+                attempt.stopped_at = None;
+            }
+        }
+    }
+
     /// Sends the agent of a worker its address and the number up to which its ends are
     /// acknowledged.
     pub(super) fn send_watch(&mut self, name: &Name) {
--- a/crates/scheduler/src/leader/lapses.rs
+++ b/crates/scheduler/src/leader/lapses.rs
@@ -154,7 +154,7 @@
         }
     }
 
-    fn runs_on(&self, name: &Name) -> Vec<(Task, Run)> {
+    pub(super) fn runs_on(&self, name: &Name) -> Vec<(Task, Run)> {
         let worker = self.workers.get(name);
         worker.map_or_else(Vec::new, |worker| worker.runs.iter().copied().collect())
     }
--- a/crates/scheduler/tests/orders.rs
+++ b/crates/scheduler/tests/orders.rs
@@ -328,3 +328,33 @@
         assert_eq!(starts(&orders).len(), 1, "{outcome:?}: {orders:?}");
     }
 }
+
+/// The agent of a worker lost power after it had reported the answer to an order to stop. Its clock
+/// began anew, so that no poll seemed to be later than that answer, and the task never started.
+#[test]
+fn an_answered_stop_is_repeated_after_a_restart_of_the_agent() {
+    let (mut leader, start) = begin_unanswered_start();
+    let answered = Report::Stopped(start.placement(), Outcome::Done, Ms(50_000_000));
+    let restart = vec![
+        from_agent(answered),
+        Event::Left(name("e1")),
+        Event::Joined(name("e1"), name("d1")),
+    ];
+    apply_events(&mut leader, Ms(2_000), restart);
+    let mut started = Vec::new();
+    for round in 1..10 {
+        // The clock of the agent is behind that of the leader by 2 s.
+        let (now, clock) = (Ms(2_000 + round * 400), Ms(round * 400));
+        let poll = from_agent(observation_of(&start.worker, INCARNATION, clock));
+        let orders = apply_events(&mut leader, now, vec![Event::Tick(now), poll]);
+        started.extend(starts(&orders));
+        let voids = orders.into_iter().filter_map(|order| match order {
+            Order::Void(placement) => Some(placement),
+            _ => None,
+        });
+        let answers = voids.map(|it| from_agent(Report::Stopped(it, Outcome::Done, clock)));
+        let orders = apply_events(&mut leader, now, answers.collect());
+        started.extend(starts(&orders));
+    }
+    assert!(!started.is_empty());
+}
