Keep acknowledged ends of unknown jobs until their rows arrive

A task started after its end was acknowledged: an end of a job that the leader did not know was acknowledged after 10 s and forgotten, and the row of the job was read later. Cause: not knowing a job was taken for its end being of no use.

Rule: once a leader has read all rows, an unknown job was removed, or no earlier leader has started it, because none starts a job whose row is newer than the row of its successor. So its ends may be acknowledged; they have to be, because a worker discards its ends in order. The leader no longer relies on that alone: it keeps the ends as done and failed that it has acknowledged, and applies them when the row arrives. Ends of unreadable jobs stay on their workers as before.

One more test shows that the end is acknowledged and counts (done, failed, lapsed).

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -15,6 +15,7 @@
 mod orders;
 mod pass;
 mod polls;
+mod recall;
 mod report;
 mod retention;
 mod runs;
@@ -98,6 +99,7 @@
     deferred_reports: Vec<(Name, Report)>,
     /// Runs whose jobs this leader does not know, with the time when each was first observed.
     unknown_runs: BTreeMap<Placement, Ms>,
+    recall: recall::Recall,
     workers: BTreeMap<Name, Worker>,
     /// The workers that the store lists, by name.
     fleet: BTreeMap<Name, Member>,
@@ -193,6 +195,7 @@
             is_recovered: false,
             deferred_reports: Vec::new(),
             unknown_runs: BTreeMap::new(),
+            recall: recall::Recall::default(),
             workers: BTreeMap::new(),
             fleet: BTreeMap::new(),
             jobs: BTreeMap::new(),
--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -34,13 +34,17 @@
             Some(_) => return,
             None => now,
         };
-        let is_expected =
-            now.since(since) < UNKNOWN_JOB_TIMEOUT || self.unreadable.contains(&end.task.step.job);
+        let is_expected = now.since(since) < UNKNOWN_JOB_TIMEOUT
+            || self.unreadable.contains(&end.task.step.job)
+            || !self.recall.has_room();
         if !is_job_known && is_expected {
             worker.pending.insert(end.number, Pending::Unknown(since));
             return;
         }
         worker.pending.insert(end.number, Pending::Settled);
+        if !is_job_known {
+            self.recall.keep(end);
+        }
         let id = end.task;
         self.discover_occurrence(id.step);
         if let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task(id)) {
@@ -67,28 +71,15 @@
             return;
         };
         let spec = job.step_spec(id.step.step);
-        let is_gang = spec.is_some_and(|spec| spec.is_gang);
         // An earlier leader may have learned of the end of another copy or member.
         let is_only_run = !spec.is_some_and(|spec| spec.is_gang || spec.is_speculative);
         let runs = job.task(id).map(|task| task.runs());
         if is_only_run && matches!(runs, Some([only]) if only.run == end.run) {
             job.mark_successors_fresh(id.step);
         }
-        let mut is_step_done = false;
-        if is_gang {
-            let count = job.step(id.step).map_or(0, |step| step.tasks.len());
-            for index in (0..).take(count) {
-                is_step_done |= job.complete(Task {
-                    step: id.step,
-                    index,
-                });
-            }
-        } else {
-            is_step_done = job.complete(id);
-        }
+        let is_step_done = self.complete_tasks(id);
         // Another member or copy may have completed the task in progress that is not durable yet.
-        let version = job.version;
-        self.record_pending(name, end.number, id.step.job, version);
+        self.record_pending(name, end.number, id.step.job);
         self.log(format!(
             "kind=run-ended task={id} run={} worker={name} how=done n={}",
             end.run, end.number
@@ -101,6 +92,26 @@
         self.schedule_write(id.step.job);
     }
 
+    /// Completes a task, or all tasks of its gang. Returns whether that completed the step.
+    pub(super) fn complete_tasks(&mut self, id: Task) -> bool {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return false;
+        };
+        let is_gang = job.step_spec(id.step.step).is_some_and(|spec| spec.is_gang);
+        if !is_gang {
+            return job.complete(id);
+        }
+        let count = job.step(id.step).map_or(0, |step| step.tasks.len());
+        let mut is_step_done = false;
+        for index in (0..).take(count) {
+            is_step_done |= job.complete(Task {
+                step: id.step,
+                index,
+            });
+        }
+        is_step_done
+    }
+
     /// Stops the other runs of a completed task.
     fn stop_duplicates(&mut self, now: Ms, id: Task) {
         let duplicates: Vec<Run> = self
@@ -114,7 +125,7 @@
         }
     }
 
-    fn finish_step(&mut self, now: Ms, step: id::Step) {
+    pub(super) fn finish_step(&mut self, now: Ms, step: id::Step) {
         self.dequeue(step);
         self.advice.remove_step(step);
         let unix = self.unix;
@@ -148,30 +159,46 @@
         let is_lasting = job
             .step_spec(id.step.step)
             .is_some_and(|spec| spec.is_lasting);
-        let is_done = job.task(id).is_some_and(|task| {
+        if let Some(task) = job.task(id) {
             task.failed_on = Some(name.clone());
-            task.is_done
-        });
-        let is_done = is_done || id.step.occurrence < job.progress.finished_occurrences;
-        let mut failures = 0;
+        }
+        let failures = self.count_failure(end);
         if !is_lasting {
-            if !is_done && !job.has_ended() {
-                failures = job.record_failure(id, end.run);
-            }
             // Without the progress that makes the failure irrelevant, it counts.
-            let version = job.version;
-            self.record_pending(name, end.number, id.step.job, version);
+            self.record_pending(name, end.number, id.step.job);
             self.schedule_write(id.step.job);
         }
         self.log(format!(
             "kind=run-ended task={id} run={} worker={name} how=failed n={} failures={failures}",
             end.run, end.number
         ));
-        let max_attempts = self.max_attempts(id.step.job);
+        self.fail_exhausted_job(now, id.step.job, failures);
+        self.release_ended(now, name, incarnation, end);
+    }
+
+    /// Counts a failed run against its task, and returns the number of its failed runs, or 0 if they
+    /// do not matter.
+    pub(super) fn count_failure(&mut self, end: &End) -> usize {
+        let id = end.task;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else {
+            return 0;
+        };
+        let spec = job.step_spec(id.step.step);
+        let is_lasting = spec.is_some_and(|spec| spec.is_lasting);
+        let is_done = job.task(id).is_some_and(|task| task.is_done)
+            || id.step.occurrence < job.progress.finished_occurrences;
+        if is_lasting || is_done || job.has_ended() {
+            return 0;
+        }
+        job.record_failure(id, end.run)
+    }
+
+    /// Fails a job if a task of it has failed this often.
+    pub(super) fn fail_exhausted_job(&mut self, now: Ms, id: id::Job, failures: usize) {
+        let max_attempts = self.max_attempts(id);
         if failures >= max_attempts {
-            self.fail_job(now, id.step.job, "max-attempts");
+            self.fail_job(now, id, "max-attempts");
         }
-        self.release_ended(now, name, incarnation, end);
     }
 
     fn max_attempts(&self, id: id::Job) -> usize {
@@ -193,7 +220,9 @@
         self.stop_ended_job(now, id);
     }
 
-    fn record_pending(&mut self, name: &Name, number: u64, job: id::Job, version: u64) {
+    /// Keeps an end from being acknowledged until the progress of its job is durable.
+    fn record_pending(&mut self, name: &Name, number: u64, job: id::Job) {
+        let version = self.jobs.get(&job).map_or(0, |job| job.version);
         if let Some(worker) = self.workers.get_mut(name) {
             worker
                 .pending
--- a/crates/scheduler/src/leader/jobs.rs
+++ b/crates/scheduler/src/leader/jobs.rs
@@ -45,6 +45,7 @@
             self.begin_due(id);
         }
         self.adopt_unknown_runs(now, id);
+        self.apply_recalled_ends(now, id);
     }
 
     /// Begins the occurrences of a job that are due.
--- a/crates/scheduler/tests/unread.rs
+++ b/crates/scheduler/tests/unread.rs
@@ -306,6 +306,38 @@
     );
 }
 
+/// The job is not lost either: its end counts when its row arrives.
+#[test]
+fn an_end_that_was_acknowledged_before_its_job_was_read_counts_when_the_row_arrives() {
+    let table = [
+        (Termination::Done, Stage::Ended(Outcome::Completed)),
+        (Termination::Failed, Stage::Ended(Outcome::Failed)),
+        (Termination::Lapsed, Stage::Queued),
+    ];
+    for (termination, expected) in table {
+        let mut strict = config();
+        strict.queues[0].max_attempts = 1;
+        let mut leader = new_leader();
+        let rows = vec![
+            Event::Config(Arc::new(strict)),
+            fleet(),
+            Event::Recovered,
+            polled("silent", &[], Vec::new()),
+        ];
+        apply(&mut leader, Ms(10), rows);
+        let ended = || vec![polled("sound", &[], vec![end(termination)])];
+        apply(&mut leader, Ms(20), ended());
+        let actions = apply(&mut leader, Ms(10_100), ended());
+        let is_acknowledged = actions.iter().any(|action| {
+            matches!(action, Action::Send(_, Order::Watch(watch)) if watch.acknowledged == Some((INCARNATION, 1)))
+        });
+        assert!(is_acknowledged, "{termination:?}: {actions:?}");
+        apply(&mut leader, Ms(11_000), vec![accepted(NEW_ROW)]);
+        apply(&mut leader, Ms(11_100), Vec::new());
+        assert_eq!(leader.stage(Job(1)), Some(expected), "{termination:?}");
+    }
+}
+
 /// A second run failed after its task was completed. The leader before wrote that the occurrence
 /// is finished, and died before the worker learned that the end is acknowledged.
 fn assert_a_failure_in_a_finished_occurrence_is_irrelevant() {
