Store the cancellation of a job that is not found

Cause: a cancel wrote nothing if the job was not found. The store may carry out the write of a job seconds after the entry that sent it has given up.

Weighed: an acceptance that expects no cancellation row would have to refuse the job or store it as ended; the leader ends a job whose cancellation is stored before it anyway, so the acceptance stays as it is.

Change: the cancel of an unknown job stores its row if the store still holds no such job (else the job is cancelled as usual), and only then answers 410. A job stored after it is cancelled from the start: the leader passes its cancellation on before the job. Until then the id stays unknown, 410. The leader removes such rows 20 s after it read them, if there still is no such job; a job submitted later is a new one. A job handed in within these 20 s under an id that its client has cancelled is accepted and shown as cancelled. Bounds: an entry makes at most 2 such writes/s, 8 at once, and answers 503 beyond that; so at most some 60 rows an entry. The leader removes 30 rows a part and second, at most 8 writes/s.

Tests: tests/serve cancels: a job whose write is under way never runs; a job submitted long after is a new one; a wave is refused beyond a bound. The stand-in store can delay an acceptance as it delays progress.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -15,6 +15,7 @@
 mod leadership;
 pub mod logging;
 pub mod options;
+mod orphans;
 mod own_agent;
 mod peers;
 mod persist;
@@ -55,6 +56,7 @@
 use self::leadership::Leadership;
 use self::logging::quote;
 use self::options::Options;
+use self::orphans::Quota;
 
 /// How long an idle connection is kept. It is longer than the intervals of polls and feeds, so that
 /// their connections are reused.
@@ -107,6 +109,8 @@
     is_store_available: AtomicBool,
     /// Consecutive writes for customers that had no answer.
     unanswered_writes: AtomicU32,
+    /// The limit of writes of cancellations of unknown jobs.
+    unknown_cancels: Mutex<Quota>,
     /// Tracks for how long the leader's heartbeat in the store has been unchanged.
     observer: Mutex<Observer>,
     agent: Agent,
@@ -137,6 +141,7 @@
             config: Mutex::default(),
             is_store_available: AtomicBool::new(true),
             unanswered_writes: AtomicU32::new(0),
+            unknown_cancels: Mutex::default(),
             observer: Mutex::default(),
             agent: Agent::default(),
             leadership: Mutex::default(),
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::sync::Mutex;
 
 use adapter::config;
 use adapter::directory;
@@ -16,11 +17,16 @@
 use scheduler::leader::Event;
 use scheduler::leader::Member;
 use scheduler::progress::Progress;
+use smol::future::FutureExt;
 
 use super::Shared;
+use super::clock;
 use super::inbox::Outlet;
 use super::leadership::Leadership;
+use super::lock;
 use super::logging::quote;
+use super::orphans;
+use super::orphans::Orphans;
 use super::rows;
 use super::rows::Kind;
 use super::sleep;
@@ -261,18 +267,30 @@
 }
 
 /// Passes the jobs, progress and fleet that earlier leaders stored to the leader, then follows
-/// accepted and cancelled jobs.
+/// accepted and cancelled jobs. Also removes cancellations without a job.
 pub(super) async fn follow_jobs(shared: Arc<Shared>, leadership: Arc<Leadership>, inputs: Outlet) {
+    let orphans = Mutex::new(Orphans::default());
+    let sweeping = orphans::sweep(&shared, &orphans);
+    let following = read_and_follow_jobs(&shared, &leadership, &inputs, &orphans);
+    sweeping.or(following).await;
+}
+
+async fn read_and_follow_jobs(
+    shared: &Shared,
+    leadership: &Leadership,
+    inputs: &Outlet,
+    orphans: &Mutex<Orphans>,
+) {
     let send = async |event| inputs.send_row(event).await.is_ok();
-    let mut follower = Follower::new(&shared, rows::JOBS);
+    let mut follower = Follower::new(shared, rows::JOBS);
     let mut jobs = follower.read_all().await;
-    let progress = Follower::new(&shared, rows::PROGRESS).read_all().await;
+    let progress = Follower::new(shared, rows::PROGRESS).read_all().await;
     let progress = leadership.divided().join(rows::PROGRESS, progress);
     let mut progress: HashMap<String, Row> = progress
         .into_iter()
         .map(|row| (row.key.clone(), row))
         .collect();
-    let fleet = Follower::new(&shared, rows::FLEET).read_all().await;
+    let fleet = Follower::new(shared, rows::FLEET).read_all().await;
     let fleet = leadership.divided().join(rows::FLEET, fleet);
     for row in fleet {
         match rows::decode(&row) {
@@ -288,6 +306,13 @@
     loop {
         jobs.sort_by_key(|row| row.version);
         for row in jobs {
+            let cancelled = lock(orphans).record(clock::now(), &row);
+            // A cancellation is passed on before its job, which then never begins.
+            if let Some(job) = cancelled
+                && !send(Event::Cancelled(job)).await
+            {
+                return;
+            }
             if row.is_removed {
                 continue;
             }
@@ -306,7 +331,11 @@
         }
         jobs = match follower.next_changes().await {
             Some(changed) => changed,
-            None => follower.read_all().await,
+            None => {
+                let rows = follower.read_all().await;
+                lock(orphans).restart(&rows);
+                rows
+            }
         };
     }
 }
@@ -320,7 +349,7 @@
         .collect()
 }
 
-/// Returns what a row of the table of jobs tells the leader; `None` if nothing.
+/// Returns what the row of a job tells the leader; `None` if it is a cancellation or cannot be read.
 fn job_event(row: &Row, progress: &mut HashMap<String, Row>) -> Option<Event> {
     let ignored = |table: &str, error: &rows::Error| {
         log::error!(
@@ -347,7 +376,7 @@
                 }
             }
         }
-        Ok(Kind::Cancelled(job)) => Some(Event::Cancelled(job)),
+        Ok(Kind::Cancelled(_)) => None,
         Err(error) => {
             ignored(rows::JOBS, &error);
             None
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -34,6 +34,7 @@
 use super::Shared;
 use super::chunks;
 use super::clock;
+use super::lock;
 use super::persist;
 use super::rows;
 
@@ -196,7 +197,7 @@
     match find_stage(shared, job).await {
         Ok(Some(Stage::Ended(_))) => return empty(StatusCode::OK),
         Ok(Some(_)) => {}
-        Ok(None) => return empty(StatusCode::GONE),
+        Ok(None) => return cancel_unknown(shared, job).await,
         Err(error) => {
             log::warn!(
                 "kind=cancel-unknown job={job} cause={:?}",
@@ -205,6 +206,10 @@
             return refuse(shared, "stage-unknown", "-");
         }
     }
+    cancel_known(shared, job).await
+}
+
+async fn cancel_known(shared: &Shared, job: Job) -> Answer {
     let storage = persist::persist(shared, Write::Cancel(job)).await;
     log::info!("kind=cancel-submitted job={job} outcome={storage:?}");
     match storage {
@@ -214,6 +219,22 @@
     }
 }
 
+/// Cancels a job that was not found. Its write may be under way, so the cancellation is stored all
+/// the same; a job that is stored after it is cancelled from the start.
+async fn cancel_unknown(shared: &Shared, job: Job) -> Answer {
+    if !lock(&shared.unknown_cancels).take(clock::now()) {
+        return refuse(shared, "unknown-cancels", "-");
+    }
+    let storage = persist::cancel_unknown(shared, job).await;
+    log::info!("kind=cancel-unknown job={job} outcome={storage:?}");
+    match storage {
+        Storage::Done => empty(StatusCode::GONE),
+        Storage::Again => cancel_known(shared, job).await,
+        Storage::Refused => refuse(shared, "store-refused", "-"),
+        Storage::Unknown => empty(StatusCode::GATEWAY_TIMEOUT),
+    }
+}
+
 fn refuse(shared: &Shared, reason: &'static str, queue: &str) -> Answer {
     shared.instruments.record_refusal(reason);
     log::info!("kind=request-refused queue={queue} reason={reason}");
--- a/src/serve/persist.rs
+++ b/src/serve/persist.rs
@@ -4,6 +4,7 @@
 
 use adapter::store;
 use adapter::store::Transaction;
+use scheduler::id::Job;
 use scheduler::message::Request;
 use scheduler::message::Storage;
 use smol::Timer;
@@ -68,7 +69,22 @@
             removed: Vec::new(),
         },
     };
-    let result = shared.store.transact(&transaction).await;
+    transact(shared, &transaction).await
+}
+
+/// Stores the cancellation of a job that the store does not hold. [`Storage::Again`] means that it
+/// does hold the job.
+pub(super) async fn cancel_unknown(shared: &Shared, job: Job) -> Storage {
+    let transaction = Transaction {
+        expected: vec![(rows::accepted(job), 0)],
+        puts: vec![(rows::cancelled(job), Vec::new())],
+        removed: Vec::new(),
+    };
+    transact(shared, &transaction).await
+}
+
+async fn transact(shared: &Shared, transaction: &Transaction) -> Storage {
+    let result = shared.store.transact(transaction).await;
     shared.record_write(!matches!(result, Err(store::Error::Unknown(_))));
     match result {
         Ok(_) => Storage::Done,
--- a/tests/serve/cancels.rs
+++ b/tests/serve/cancels.rs
@@ -3,6 +3,7 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::JOB;
 use crate::entry::Entry;
 use crate::fleet::Fleet;
 use crate::fleet::wait_until;
@@ -63,3 +64,69 @@
     thread::sleep(NOTICE_TIME);
     assert_second_step_does_not_start(&fleet, job, &[&leader, &other]);
 }
+
+/// A 410 promises that no such job exists. The store may carry out the write of a job seconds after
+/// the entry that sent it has given up.
+#[test]
+fn a_job_whose_write_is_under_way_when_it_is_cancelled_never_runs() {
+    let fleet = Fleet::start(1);
+    let entries = start(&fleet, &["a", "b"]);
+    let job = "00000000000000d2";
+    let path = format!("/q/{job}");
+    fleet.store.delay_next_acceptance();
+    thread::scope(|scope| {
+        let submission = scope.spawn(|| fleet.send(entries[0].customer, "POST", &path, JOB).0);
+        wait_until("the write of the job", 5_000, || {
+            fleet.store.has_delayed_acceptance()
+        });
+        let status = fleet.send(entries[1].customer, "DELETE", &path, "").0;
+        assert_eq!(status, 410);
+        let status = submission.join().expect("the submission ends");
+        assert_eq!(status, 504);
+    });
+    wait_until("the stage", 6_000, || {
+        fleet.state(entries[1].customer, job) == "cancelled"
+    });
+    thread::sleep(Duration::from_millis(1_000));
+    let cluster = fleet.cluster();
+    assert!(cluster.done.is_empty(), "{:?}", cluster.done);
+    assert_eq!(cluster.running(), 0);
+}
+
+/// The row of a cancellation without a job must not stay, nor show a job that nobody submitted.
+#[test]
+fn a_job_submitted_long_after_its_unknown_id_was_cancelled_is_a_new_one() {
+    let fleet = Fleet::start(1);
+    let entry = start(&fleet, &["a"]).remove(0);
+    let job = "00000000000000d3";
+    let path = format!("/q/{job}");
+    let is_stored = || fleet.store.has_row("jobs", "3", &format!("c{job}"));
+    assert_eq!(fleet.send(entry.customer, "DELETE", &path, "").0, 410);
+    assert!(is_stored());
+    assert_eq!(fleet.send(entry.customer, "GET", &path, "").0, 410);
+    wait_until("the removal of the cancellation", 40_000, || !is_stored());
+    assert_eq!(fleet.send(entry.customer, "GET", &path, "").0, 410);
+    fleet.submit(entry.customer, job, JOB);
+    fleet.wait_for_completion(entry.customer, job, 10_000);
+    fleet.assert_no_violations();
+}
+
+/// A wave of cancellations of unknown jobs must not use up the writes that the store allows.
+#[test]
+fn cancellations_of_many_unknown_jobs_are_refused_beyond_a_bound() {
+    let fleet = Fleet::start(1);
+    let entry = start(&fleet, &["a"]).remove(0);
+    let job = "00000000000000d4";
+    fleet.submit(entry.customer, job, JOB);
+    let mut statuses = Vec::new();
+    for index in 0..60 {
+        let path = format!("/q/00000000000d{index:04x}");
+        statuses.push(fleet.send(entry.customer, "DELETE", &path, "").0);
+    }
+    let gone = statuses.iter().filter(|&&status| status == 410).count();
+    assert!(statuses.iter().all(|status| [410, 503].contains(status)));
+    assert!((1..40).contains(&gone), "{statuses:?}");
+    // Jobs that exist are cancelled without this bound.
+    let path = format!("/q/{job}");
+    assert_eq!(fleet.send(entry.customer, "DELETE", &path, "").0, 200);
+}
--- a/tests/serve/store.rs
+++ b/tests/serve/store.rs
@@ -37,6 +37,7 @@
     started_at: Instant,
     is_silent: Arc<AtomicBool>,
     delays_progress: Arc<AtomicBool>,
+    delays_acceptance: Arc<AtomicBool>,
     refuses_writes: Arc<AtomicBool>,
     drops_heartbeats: Arc<AtomicBool>,
     loses_record_answer: Arc<AtomicBool>,
@@ -63,6 +64,7 @@
             started_at: Instant::now(),
             is_silent: Arc::default(),
             delays_progress: Arc::default(),
+            delays_acceptance: Arc::default(),
             refuses_writes: Arc::default(),
             drops_heartbeats: Arc::default(),
             loses_record_answer: Arc::default(),
@@ -81,6 +83,23 @@
         self.delays_progress.store(true, Ordering::SeqCst);
     }
 
+    /// Delays the next write of an accepted job in the same way.
+    pub fn delay_next_acceptance(&self) {
+        self.delays_acceptance.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the acceptance to delay has arrived.
+    pub fn has_delayed_acceptance(&self) -> bool {
+        !self.delays_acceptance.load(Ordering::SeqCst)
+    }
+
+    /// Returns whether this part of a table holds a row.
+    pub fn has_row(&self, table: &str, part: &str, key: &str) -> bool {
+        let state = self.state.lock().expect("no holder of this lock panics");
+        let row = state.rows.get(&(table.into(), part.into(), key.into()));
+        row.is_some_and(|(value, _)| value.is_some())
+    }
+
     /// Applies the next write of the leader record and sends no response to it.
     pub fn lose_next_record_answer(&self) {
         self.loses_record_answer.store(true, Ordering::SeqCst);
@@ -255,13 +274,18 @@
             "/rows-tx" => {
                 let puts = body["puts"].as_array().cloned().unwrap_or_default();
                 let is_progress = puts.iter().any(|row| text(row, "table") == "progress");
+                let is_acceptance = puts
+                    .iter()
+                    .any(|row| text(row, "table") == "jobs" && text(row, "key").starts_with('j'));
                 let is_record = puts.iter().any(|row| text(row, "key") == "record");
                 if is_record && self.loses_record_answer.load(Ordering::SeqCst) {
                     self.transact(body);
                     self.loses_record_answer.store(false, Ordering::SeqCst);
                     Timer::after(WRITE_DELAY).await;
                     (StatusCode::SERVICE_UNAVAILABLE, json!({}))
-                } else if is_progress && self.delays_progress.swap(false, Ordering::SeqCst) {
+                } else if (is_progress && self.delays_progress.swap(false, Ordering::SeqCst))
+                    || (is_acceptance && self.delays_acceptance.swap(false, Ordering::SeqCst))
+                {
                     self.transact_delayed(body).await
                 } else {
                     self.transact(body)
