--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -9,6 +9,7 @@
 #[path = "../../crates/scheduler/tests/known_red/mod.rs"]
 mod known_red;
 mod lag;
+mod leaving;
 mod odd;
 mod operation;
 mod proxy;
