Acknowledge no ends on an answer that is older than a pause between two polls

The pool silently replaces a connection that the worker has closed, so a poll that acknowledges ends of one life can reach the next one, whose numbers begin anew, without any poll having failed, if the worker restarted while no poll was under way: while the agent waits for an acknowledgement, or was suspended.

Cause: only a failed poll made the agent doubt that the worker is the same, and an answer that was read after a pause counted as one of that moment.

Change: acknowledgements are 0 when the last answer is older than 400 ms (the wait for an acknowledgement and 150 ms). An answer that is read over 1 s after the wait of its poll counts as none; the call itself ends after 0.7 s, so only a suspended process sees it. A poll whose answer lists ends that the leader has acknowledged meanwhile, which that poll could not say, is followed by the next one at once, so that a slow agent does not withhold them for ever.

What stays: a worker that restarts within 400 ms of its answer, and an agent that is suspended for less than 2.2 s in all around an answer.

The fake worker of tests/serve notes a poll that acknowledges ends which its life has not had, and a restart breaks the calls that are under way. Tests changed: absence, no_end_is_acknowledged..., fails and answers within 200 ms, so that it still tells the failed poll from the age.

--- a/crates/scheduler/src/agent.rs
+++ b/crates/scheduler/src/agent.rs
@@ -11,6 +11,11 @@
 /// The interval at which an agent reports the runs on a worker to the leader. It also limits the
 /// time for which a poll waits for an end.
 pub const REPORT_INTERVAL: Ms = Ms(800);
+/// The longest time that the next poll waits for the leader to acknowledge reported ends.
+pub const ACKNOWLEDGEMENT_TIMEOUT: Ms = Ms(250);
+/// The time after an answer in which the worker counts as not restarted. It exceeds the longest
+/// pause between an answer and the next poll.
+const ANSWER_VALIDITY: Ms = Ms(ACKNOWLEDGEMENT_TIMEOUT.0 + 150);
 /// The shortest time for which a poll waits for an end.
 const MIN_WAIT: Ms = Ms(50);
 /// The time for which a poll waits for an end before the worker's clock is known.
@@ -88,12 +93,16 @@
     /// Returns the number up to which the worker may discard its ends, given the incarnation and
     /// number that the leader sent. The number is 0 for another incarnation, which counts its ends
     /// anew. It is also 0 while the worker does not answer: it may have restarted, and a poll that is
-    /// carried out late would discard ends of the next incarnation.
+    /// carried out late would discard ends of the next incarnation. So it is when the last answer is
+    /// older than [`ANSWER_VALIDITY`]: a restart between two polls breaks none of them.
     #[must_use]
-    pub fn acknowledged(&self, reported: Option<(Ms, u64)>) -> u64 {
+    pub fn acknowledged(&self, now: Ms, reported: Option<(Ms, u64)>) -> u64 {
+        let is_recent = self
+            .clock
+            .is_some_and(|(_, answered_at)| now.since(answered_at) <= ANSWER_VALIDITY);
         match reported {
             Some((incarnation, number))
-                if self.incarnation == Some(incarnation) && !self.is_unresponsive =>
+                if self.incarnation == Some(incarnation) && is_recent && !self.is_unresponsive =>
             {
                 number
             }
--- a/crates/scheduler/tests/absence.rs
+++ b/crates/scheduler/tests/absence.rs
@@ -328,13 +328,14 @@
     let mut lease = Lease::new(BOUNDS.lease, BEGUN);
     let acknowledged = Some((INCARNATION, 50));
     lease.record_answer(BEGUN, Ms(1_000), INCARNATION);
-    assert_eq!(lease.acknowledged(acknowledged), 50);
+    assert_eq!(lease.acknowledged(BEGUN, acknowledged), 50);
     // The worker has lost its power with this poll. The next poll may be the first one of its next
     // life, which counts its ends anew.
-    lease.record_failure(BEGUN + Ms(1_500));
-    assert_eq!(lease.acknowledged(acknowledged), 0);
-    lease.record_answer(BEGUN + Ms(1_600), Ms(2_600), INCARNATION);
-    assert_eq!(lease.acknowledged(acknowledged), 50);
+    lease.record_failure(BEGUN + Ms(100));
+    assert_eq!(lease.acknowledged(BEGUN + Ms(100), acknowledged), 0);
+    let answered = BEGUN + Ms(200);
+    lease.record_answer(answered, Ms(1_200), INCARNATION);
+    assert_eq!(lease.acknowledged(answered, acknowledged), 50);
 }
 
 #[test]
--- a/crates/scheduler/tests/world/poll.rs
+++ b/crates/scheduler/tests/world/poll.rs
@@ -77,7 +77,7 @@
             epoch: watch.epoch,
             watch: Some(number),
             deadline,
-            acknowledged: watch.lease.acknowledged(watch.acknowledged),
+            acknowledged: watch.lease.acknowledged(now, watch.acknowledged),
             sent: now.0,
             is_answered: true,
             agent,
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -12,6 +12,7 @@
 use adapter::worker::Status;
 use decision::clock::Ms;
 use decision::name::Name;
+use scheduler::agent::ACKNOWLEDGEMENT_TIMEOUT;
 use scheduler::agent::Lease;
 use scheduler::agent::REPORT_INTERVAL;
 use scheduler::leader::LEADER_CONTACT_TIMEOUT;
@@ -35,8 +36,10 @@
 
 /// The pause after a failed poll.
 const RETRY_DELAY: Ms = Ms(200);
-/// The longest time that the next poll waits for the leader to acknowledge reported ends.
-const ACKNOWLEDGEMENT_TIMEOUT: Ms = Ms(250);
+/// The time beyond the wait of a poll after which its answer counts as none. It exceeds the time
+/// limit of the call, so only a process that was suspended reads a later one, and the worker may have
+/// restarted since.
+const MAX_ANSWER_DELAY: Ms = Ms(1_000);
 
 /// Polls one worker and sends orders to it in one session with a leader. Each lock is held
 /// briefly, never together with another lock and never across I/O.
@@ -199,11 +202,39 @@
         Poll {
             epoch: self.session.epoch(),
             deadline,
-            acknowledged: lock(&self.lease).acknowledged(acknowledged),
+            acknowledged: lock(&self.lease).acknowledged(clock::now(), acknowledged),
             wait,
         }
     }
 
+    /// Sends a poll. An answer that is read late counts as none.
+    async fn send_poll(
+        &self,
+        shared: &Shared,
+        sent_at: Ms,
+        request: Poll,
+    ) -> Result<Status, Error> {
+        let workers = &shared.workers;
+        let status = workers.poll(&self.name, self.address, request).await?;
+        let delay = clock::now().since(sent_at + request.wait);
+        if delay > MAX_ANSWER_DELAY {
+            return Err(Error::Unknown(format!("answer read {} ms late", delay.0)));
+        }
+        Ok(status)
+    }
+
+    /// Returns whether the next poll acknowledges all ends that an answer lists, which the poll that
+    /// it answers did not.
+    fn can_acknowledge(&self, request: Poll, status: &Status) -> bool {
+        let last = status.ended.iter().map(|end| end.number).max();
+        let acknowledged = *lock(&self.acknowledged);
+        acknowledged.is_some_and(|(incarnation, number)| {
+            incarnation == status.incarnation
+                && last <= Some(number)
+                && last > Some(request.acknowledged)
+        })
+    }
+
     /// Polls the worker immediately, without waiting for an end and without renewing the lease. It
     /// acknowledges no ends, because the worker may have restarted while the regular poll waits.
     async fn poll_now(&self, shared: &Shared) {
@@ -220,7 +251,7 @@
             acknowledged: 0,
             wait: Ms::ZERO,
         };
-        match shared.workers.poll(&self.name, self.address, request).await {
+        match self.send_poll(shared, sent_at, request).await {
             Ok(status) => {
                 let now = clock::now();
                 lock(&self.lease).record_answer(now, status.clock, status.incarnation);
@@ -247,7 +278,7 @@
             plan
         };
         let request = self.poll_request(plan.deadline, plan.wait);
-        match shared.workers.poll(&self.name, self.address, request).await {
+        match self.send_poll(shared, sent_at, request).await {
             Ok(status) => {
                 let now = clock::now();
                 shared
@@ -256,6 +287,7 @@
                 let was_unresponsive =
                     lock(&self.lease).record_answer(now, status.clock, status.incarnation);
                 let has_ends = !status.ended.is_empty();
+                let waits = has_ends && !self.can_acknowledge(request, &status);
                 let is_due = now.since(*reported_at) >= REPORT_INTERVAL || was_unresponsive;
                 if is_due {
                     *reported_at = now;
@@ -263,7 +295,7 @@
                 if is_due || has_ends {
                     self.report(sent_at, status, is_due);
                 }
-                if has_ends {
+                if waits {
                     self.wait_for_acknowledgement().await;
                 }
                 Ms::ZERO
--- a/tests/serve/cluster.rs
+++ b/tests/serve/cluster.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use decision::clock::Ms;
 use decision::resource::Size;
 use http::StatusCode;
 use scheduler::id::Epoch;
@@ -74,6 +75,14 @@
         workers.map(|worker| worker.executions.len()).sum()
     }
 
+    /// Starts a worker anew under its id and its address. Its connections stay open.
+    pub fn restart(&mut self, name: &str, now: u64) {
+        let worker = self.workers.get_mut(name).expect("the worker exists");
+        let earlier = worker.incarnation;
+        *worker = Worker::new(worker.size, now);
+        worker.incarnation = worker.incarnation.max(earlier + Ms(1));
+    }
+
     fn advance(&mut self, now: u64) {
         for worker in self.workers.values_mut() {
             for (task, how) in worker.advance(now) {
@@ -106,6 +115,16 @@
             self.renewed_at.insert(token, Instant::now());
         }
         let upto = body["ackedUpto"].as_u64().unwrap_or(0);
+        if upto >= worker.next_end {
+            let what = format!(
+                "{name} was told that ends up to {upto} are acknowledged, but {} is the next one",
+                worker.next_end
+            );
+            // A poll that waits comes here again.
+            if !self.violations.contains(&what) {
+                self.violations.push(what);
+            }
+        }
         worker.ends.retain(|end| end.number > upto);
         if worker.ends.is_empty() && now < end {
             return None;
@@ -179,7 +198,8 @@
     }
 }
 
-/// Answers a call to the worker `name` once it is carried out; a poll may wait.
+/// Answers a call to the worker `name` once it is carried out; a poll may wait. A restart breaks the
+/// calls that are under way.
 pub async fn respond(
     cluster: &Mutex<Cluster>,
     name: &str,
@@ -190,11 +210,16 @@
     let now = || u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
     let token = Epoch(body["fencingToken"].as_u64().unwrap_or(0));
     let end = now() + body["waitMs"].as_u64().unwrap_or(0);
+    let mut life = None;
     loop {
         let now = now();
         {
             let mut cluster = cluster.lock().expect("no holder of this lock panics");
             cluster.advance(now);
+            let incarnation = cluster.workers[name].incarnation;
+            if *life.get_or_insert(incarnation) != incarnation {
+                return (StatusCode::SERVICE_UNAVAILABLE, json!({}));
+            }
             if path != "/hold" {
                 return cluster.order(name, now, path, token, body);
             }
--- a/tests/serve/fleet.rs
+++ b/tests/serve/fleet.rs
@@ -176,6 +176,12 @@
         assert!(worker.accept_token(token), "{token} is the highest token");
     }
 
+    /// Starts a worker anew under its id and its address.
+    pub fn restart(&self, worker: &str) {
+        let now = u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.cluster().restart(worker, now);
+    }
+
     /// Panics if a worker has observed a violation.
     pub fn assert_no_violations(&self) {
         let cluster = self.cluster();
--- a/tests/serve/sessions.rs
+++ b/tests/serve/sessions.rs
@@ -229,3 +229,26 @@
         renewed_at - killed_at
     );
 }
+
+/// A worker that restarts while its agent is suspended fails no poll of it, and the ends of its next
+/// life have the same numbers as those that the leader has acknowledged.
+#[test]
+fn a_resumed_agent_acknowledges_no_ends_of_the_next_life_of_its_worker() {
+    let fleet = Fleet::start(1);
+    let (leader, agent) = start_leader_and_agent(&fleet);
+    let job = "00000000000000c5";
+    fleet.submit(leader.customer, job, JOB);
+    fleet.wait_for_completion(leader.customer, job, 10_000);
+    wait_until("the acknowledgement", 5_000, || {
+        fleet.cluster().workers["i-0"].ends.is_empty()
+    });
+    agent.signal("-STOP");
+    // The worker answers the poll that is under way before it restarts.
+    thread::sleep(Duration::from_millis(1_000));
+    fleet.restart("i-0");
+    // An agent that has been out of contact for 3 s does not poll.
+    thread::sleep(Duration::from_millis(1_200));
+    agent.signal("-CONT");
+    thread::sleep(Duration::from_millis(1_500));
+    fleet.assert_no_violations();
+}
