Send an agent no orders for its earlier connection over the next one

What callers could see: two runs of a task. An agent that connects anew within a round in which the leader had orders for its earlier connection got these over the next one. With an order to poll a worker that has another agent by then, it renewed a lease that the leader judged by the reports of that other agent.

Cause: a hello of a connected agent replaced the connection but kept the orders collected for it; only a lost connection dropped them.

Evidence, failing before: driver, orders_for_an_earlier_connection_of_an_agent_are_not_sent_over_the_next_one (the order to poll w0 is sent although another agent has w0).

Change: a hello of a connected agent disconnects it first, as a lost connection does. The settings that tests of several modules use moved to serve/testing.rs.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -22,6 +22,8 @@
 mod resign;
 mod rows;
 mod session;
+#[cfg(test)]
+mod testing;
 mod watch;
 
 use std::net::SocketAddr;
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -264,7 +264,8 @@
                 let entry = hello.entry.clone();
                 let domain = hello.domain.clone();
                 if self.agents.contains_key(&entry) {
-                    self.handle_event(Event::Left(entry.clone()));
+                    // Orders for the connection before would reach the agent over this one.
+                    self.disconnect(entry.clone());
                 }
                 self.agents.insert(entry.clone(), (connection, out));
                 self.config_due.push_back(entry.clone());
--- a/src/serve/driver/tests.rs
+++ b/src/serve/driver/tests.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -33,7 +32,7 @@
 use crate::serve::inbox::Outlet;
 use crate::serve::leadership;
 use crate::serve::lock;
-use crate::serve::options::Options;
+use crate::serve::testing::options;
 
 const WORKERS: usize = 1_100;
 const AGENTS: usize = 147;
@@ -57,27 +56,6 @@
     name(&format!("e{index}"))
 }
 
-fn options(store: SocketAddr) -> Options {
-    let unused: SocketAddr = "127.0.0.1:9".parse().expect("an address");
-    Options {
-        name: agent(0),
-        failure_domain: name("d"),
-        processor_share: 1.0,
-        log: log::LevelFilter::Off,
-        customer: unused,
-        ready: unused,
-        peer: unused,
-        metrics: None,
-        store,
-        advice: None,
-        row_bytes: 65_536,
-        lease: Ms(10_000),
-        retention: Ms(120_000),
-        harm: Ms(5_000),
-        stop: Ms(6_000),
-    }
-}
-
 fn config() -> Config {
     let queue = Queue {
         name: name("queue"),
@@ -355,6 +333,44 @@
     assert_eq!(answers(&driver), 0, "a lost connection");
 }
 
+/// An order of before the loss of a connection could reach the agent over the next one. It then
+/// polled a worker that another agent had by then, and renewed a lease that the leader took for
+/// expired.
+#[test]
+fn orders_for_an_earlier_connection_of_an_agent_are_not_sent_over_the_next_one() {
+    let unused = "127.0.0.1:9".parse().expect("an address");
+    let shared = Arc::new(Shared::new(options(unused)).expect("no port is needed"));
+    let (inputs, inbox) = inbox::new();
+    let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs));
+    let mut driver = Driver::new(&shared, &leadership, inbox);
+    let join = |index, connection| {
+        let (out, orders) = smol::channel::bounded(peers::MAX_QUEUED_BATCHES);
+        let hello = Hello {
+            entry: agent(index),
+            domain: name("d"),
+            epoch: Epoch(7),
+            known: Vec::new(),
+        };
+        (Input::Joined(hello, connection, out), orders)
+    };
+    let watches = |driver: &Driver, index| {
+        let orders = outgoing(driver, index).iter();
+        orders
+            .filter(|order| matches!(order, Order::Watch(_)))
+            .count()
+    };
+    let (first, _first_orders) = join(1, 1);
+    driver.handle_input(first);
+    driver.handle_input(Input::Event(registration(0)));
+    assert_eq!(watches(&driver, 1), 1);
+    let (other, _other_orders) = join(2, 2);
+    driver.handle_input(other);
+    let (second, _second_orders) = join(1, 3);
+    driver.handle_input(second);
+    assert_eq!(watches(&driver, 2), 1, "the other agent has the worker");
+    assert_eq!(watches(&driver, 1), 0, "{:?}", outgoing(&driver, 1));
+}
+
 /// Among hundreds of agents that wait for room in one queue, a feed passed on some 50 rows a second,
 /// so that a new leader read the jobs for 4 s and started a task whose cancellation it did not know.
 #[test]
