Stop polling a worker at once when the leader says so

What callers could see: two runs of a task. While an order to start was under way (up to 0.8 s, or longer on a suspended machine), the polls of a worker went on, and renewed its lease, after the leader had given it to another agent.

Cause: the poll loop ended when the watcher was dropped, and an order to the worker that is under way holds the watcher.

Evidence, failing before: agent, no_poll_follows_the_order_to_stop_polling_although_a_start_is_under_way (28 polls instead of 14 after 0.3 s).

Change: the order to stop polling, and a new address, end the watcher; only the poll that is under way is finished.

--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -232,11 +232,20 @@
                 }
                 let name = watch.worker.clone();
                 match Watcher::start(shared, Arc::clone(session), watch) {
-                    Ok(watcher) => drop(state.watchers.insert(name, watcher)),
+                    Ok(watcher) => {
+                        if let Some(earlier) = state.watchers.insert(name, watcher) {
+                            earlier.end();
+                        }
+                    }
                     Err(error) => log::error!("kind=watch-refused worker={name} cause={error}"),
                 }
             }
-            Order::Unwatch(name) => drop(lock(&self.state).watchers.remove(&name)),
+            Order::Unwatch(name) => {
+                let watcher = lock(&self.state).watchers.remove(&name);
+                if let Some(watcher) = watcher {
+                    watcher.end();
+                }
+            }
             Order::Start(start) => match self.watcher(&start.worker) {
                 Some(watcher) => {
                     let run = watcher.start_task(Arc::clone(shared), start);
@@ -286,3 +295,6 @@
         lock(&self.state).watchers.get(name).cloned()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::Weak;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use adapter::worker::Error;
 use adapter::worker::Poll;
@@ -59,6 +61,8 @@
     known_runs: Mutex<BTreeMap<Placement, Ms>>,
     /// The poll loop. Dropping it cancels the loop.
     polling: Mutex<Option<Task<()>>>,
+    /// Whether the leader has ordered to stop polling.
+    has_ended: AtomicBool,
 }
 
 impl Watcher {
@@ -78,6 +82,7 @@
             acknowledgement: smol::channel::bounded(1),
             known_runs: Mutex::default(),
             polling: Mutex::default(),
+            has_ended: AtomicBool::new(false),
         });
         let polls = poll_while_watched(Arc::clone(shared), Arc::downgrade(&watcher));
         *lock(&watcher.polling) = Some(shared.spawner.spawn(polls));
@@ -93,6 +98,11 @@
         *self.raw_address == *address
     }
 
+    /// Ends the polls after the one that is under way, although orders to the worker may still be.
+    pub(super) fn end(&self) {
+        self.has_ended.store(true, Ordering::SeqCst);
+    }
+
     pub(super) fn acknowledge(&self, acknowledged: Option<(Ms, u64)>) {
         *lock(&self.acknowledged) = acknowledged;
         // The channel holds one signal, and a signal that is already queued is enough.
@@ -381,13 +391,16 @@
     }
 }
 
-/// Polls a worker until its [`Watcher`] is dropped or its session has ended.
+/// Polls a worker until its [`Watcher`] has ended or is dropped, or its session has ended.
 async fn poll_while_watched(shared: Arc<Shared>, watcher: Weak<Watcher>) {
     let mut reported_at = Ms::ZERO;
     while let Some(watcher) = watcher.upgrade() {
         let Some(last_contact) = watcher.session.renewal_contact() else {
             return;
         };
+        if watcher.has_ended.load(Ordering::SeqCst) {
+            return;
+        }
         let pause = watcher.poll(&shared, last_contact, &mut reported_at).await;
         drop(watcher);
         if pause > Ms::ZERO {
