--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -6,12 +6,15 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::Weak;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use adapter::worker::Error;
 use adapter::worker::Poll;
 use adapter::worker::Status;
 use decision::clock::Ms;
 use decision::name::Name;
+use scheduler::agent::ACKNOWLEDGEMENT_TIMEOUT;
 use scheduler::agent::Lease;
 use scheduler::agent::REPORT_INTERVAL;
 use scheduler::leader::LEADER_CONTACT_TIMEOUT;
@@ -35,8 +38,10 @@
 
 /// The pause after a failed poll.
 const RETRY_DELAY: Ms = Ms(200);
-/// The longest time that the next poll waits for the leader to acknowledge reported ends.
-const ACKNOWLEDGEMENT_TIMEOUT: Ms = Ms(250);
+/// The time beyond the wait of a poll after which its answer counts as none. It exceeds the time
+/// limit of the call, so only a process that was suspended reads a later one, and the worker may have
+/// restarted since.
+const MAX_ANSWER_DELAY: Ms = Ms(1_000);
 
 /// Polls one worker and sends orders to it in one session with a leader. Each lock is held
 /// briefly, never together with another lock and never across I/O.
@@ -56,6 +61,8 @@
     known_runs: Mutex<BTreeMap<Placement, Ms>>,
     /// The poll loop. Dropping it cancels the loop.
     polling: Mutex<Option<Task<()>>>,
+    /// Whether the leader has ordered to stop polling.
+    has_ended: AtomicBool,
 }
 
 impl Watcher {
@@ -75,6 +82,7 @@
             acknowledgement: smol::channel::bounded(1),
             known_runs: Mutex::default(),
             polling: Mutex::default(),
+            has_ended: AtomicBool::new(false),
         });
         let polls = poll_while_watched(Arc::clone(shared), Arc::downgrade(&watcher));
         *lock(&watcher.polling) = Some(shared.spawner.spawn(polls));
@@ -90,6 +98,11 @@
         *self.raw_address == *address
     }
 
+    /// Ends the polls after the one that is under way, although orders to the worker may still be.
+    pub(super) fn end(&self) {
+        self.has_ended.store(true, Ordering::SeqCst);
+    }
+
     pub(super) fn acknowledge(&self, acknowledged: Option<(Ms, u64)>) {
         *lock(&self.acknowledged) = acknowledged;
         // The channel holds one signal, and a signal that is already queued is enough.
@@ -199,11 +212,39 @@
         Poll {
             epoch: self.session.epoch(),
             deadline,
-            acknowledged: lock(&self.lease).acknowledged(acknowledged),
+            acknowledged: lock(&self.lease).acknowledged(clock::now(), acknowledged),
             wait,
         }
     }
 
+    /// Sends a poll. An answer that is read late counts as none.
+    async fn send_poll(
+        &self,
+        shared: &Shared,
+        sent_at: Ms,
+        request: Poll,
+    ) -> Result<Status, Error> {
+        let workers = &shared.workers;
+        let status = workers.poll(&self.name, self.address, request).await?;
+        let delay = clock::now().since(sent_at + request.wait);
+        if delay > MAX_ANSWER_DELAY {
+            return Err(Error::Unknown(format!("answer read {} ms late", delay.0)));
+        }
+        Ok(status)
+    }
+
+    /// Returns whether the next poll acknowledges all ends that an answer lists, which the poll that
+    /// it answers did not.
+    fn can_acknowledge(&self, request: Poll, status: &Status) -> bool {
+        let last = status.ended.iter().map(|end| end.number).max();
+        let acknowledged = *lock(&self.acknowledged);
+        acknowledged.is_some_and(|(incarnation, number)| {
+            incarnation == status.incarnation
+                && last <= Some(number)
+                && last > Some(request.acknowledged)
+        })
+    }
+
     /// Polls the worker immediately, without waiting for an end and without renewing the lease. It
     /// acknowledges no ends, because the worker may have restarted while the regular poll waits.
     async fn poll_now(&self, shared: &Shared) {
@@ -220,7 +261,7 @@
             acknowledged: 0,
             wait: Ms::ZERO,
         };
-        match shared.workers.poll(&self.name, self.address, request).await {
+        match self.send_poll(shared, sent_at, request).await {
             Ok(status) => {
                 let now = clock::now();
                 lock(&self.lease).record_answer(now, status.clock, status.incarnation);
@@ -247,7 +288,7 @@
             plan
         };
         let request = self.poll_request(plan.deadline, plan.wait);
-        match shared.workers.poll(&self.name, self.address, request).await {
+        match self.send_poll(shared, sent_at, request).await {
             Ok(status) => {
                 let now = clock::now();
                 shared
@@ -256,6 +297,7 @@
                 let was_unresponsive =
                     lock(&self.lease).record_answer(now, status.clock, status.incarnation);
                 let has_ends = !status.ended.is_empty();
+                let waits = has_ends && !self.can_acknowledge(request, &status);
                 let is_due = now.since(*reported_at) >= REPORT_INTERVAL || was_unresponsive;
                 if is_due {
                     *reported_at = now;
@@ -263,7 +305,7 @@
                 if is_due || has_ends {
                     self.report(sent_at, status, is_due);
                 }
-                if has_ends {
+                if waits {
                     self.wait_for_acknowledgement().await;
                 }
                 Ms::ZERO
@@ -349,13 +391,16 @@
     }
 }
 
-/// Polls a worker until its [`Watcher`] is dropped or its session has ended.
+/// Polls a worker until its [`Watcher`] has ended or is dropped, or its session has ended.
 async fn poll_while_watched(shared: Arc<Shared>, watcher: Weak<Watcher>) {
     let mut reported_at = Ms::ZERO;
     while let Some(watcher) = watcher.upgrade() {
         let Some(last_contact) = watcher.session.renewal_contact() else {
             return;
         };
+        if watcher.has_ended.load(Ordering::SeqCst) {
+            return;
+        }
         let pause = watcher.poll(&shared, last_contact, &mut reported_at).await;
         drop(watcher);
         if pause > Ms::ZERO {
