Number the queries of each process of an entry differently

What callers could see: the answer to another job's write. A leader knows agents by the name of their entry and sends the outcome of a relayed write to the current connection of that entry. If the entry was restarted while its write was under way, the outcome reached the next process, whose numbers also begin at 1: Done for a job that was not stored, or Refused for one that is.

Change: numbers of queries begin at the start time of the process, shifted by 20 bits. 0 stays the number of a cancellation that is stored already.

Test: src/serve/agent/tests.rs failed with numbers that begin at 1, passes now.

--- a/src/serve.rs
+++ b/src/serve.rs
@@ -129,9 +129,10 @@
             ..Limits::default()
         };
         let pool = Arc::new(Pool::new(limits));
+        let instance = clock::unix().0;
         Ok(Self {
             instruments: Instruments::new()?,
-            instance: clock::unix().0,
+            instance,
             spawner: Spawner::default(),
             store: Store::new(options.store, Arc::clone(&pool)),
             advice: options
@@ -143,7 +144,7 @@
             unanswered_writes: AtomicU32::new(0),
             unknown_cancels: Mutex::default(),
             observer: Mutex::default(),
-            agent: Agent::default(),
+            agent: Agent::new(instance),
             leadership: Mutex::default(),
             is_stopping: AtomicBool::new(false),
             options,
--- a/src/serve/agent.rs
+++ b/src/serve/agent.rs
@@ -28,12 +28,14 @@
 
 /// The age after which the contents of a heartbeat are no longer used.
 const HEARTBEAT_VALIDITY: Ms = Ms(3_000);
-/// The number of a [`Report::Store`] whose write the store has confirmed already. Numbers of queries
-/// begin at 1, so the answer of a leader of an earlier build, which writes again, reaches nobody.
+/// The low bits of a query's number count the queries of a process; the others are the start time of
+/// the process. A leader may answer the query of a process to the next one of the same entry.
+const NUMBER_BITS: u32 = 20;
+/// The number of a [`Report::Store`] whose write the store has confirmed already. No query has it, so
+/// the answer of a leader of an earlier build, which writes again, reaches nobody.
 pub(super) const STORED: u64 = 0;
 
 /// The state of the agent across sessions with successive leaders.
-#[derive(Default)]
 pub(super) struct Agent {
     state: Mutex<State>,
     pending: Mutex<PendingQueries>,
@@ -63,7 +65,6 @@
     Stored(Storage),
 }
 
-#[derive(Default)]
 struct PendingQueries {
     /// The number of the newest query.
     last_number: u64,
@@ -79,6 +80,18 @@
 }
 
 impl Agent {
+    /// Creates the agent of the process of an entry that started at `instance`, in ms since 1970.
+    pub(super) fn new(instance: u64) -> Self {
+        let pending = PendingQueries {
+            last_number: instance << NUMBER_BITS,
+            senders: HashMap::new(),
+        };
+        Self {
+            state: Mutex::default(),
+            pending: Mutex::new(pending),
+        }
+    }
+
     /// Makes a session the current one and ends the one before it. Returns the runs known from
     /// earlier orders by worker, with the time since the last order that may have extended its
     /// lease.
@@ -295,3 +308,6 @@
         lock(&self.state).watchers.get(name).cloned()
     }
 }
+
+#[cfg(test)]
+mod tests;
