--- a/tests/serve/feeds.rs
+++ b/tests/serve/feeds.rs
@@ -4,8 +4,12 @@
 use std::time::Duration;
 
 use crate::JOB;
+use crate::cancels;
+use crate::cancels::Cut;
 use crate::fleet::Fleet;
 use crate::fleet::wait_until;
+use crate::known_red;
+use crate::proxy::Mode;
 use crate::start;
 
 /// The platform allows starts on a worker for this long after its draining was acknowledged, and
@@ -58,3 +62,22 @@
     let log = leader.read_log();
     assert!(log.contains(&format!("kind=job-learned job={job}")));
 }
+
+#[test]
+fn a_leader_that_is_cut_off_from_the_store_starts_nothing_on_a_draining_worker() {
+    known_red::run(
+        concat!(env!("CARGO_MANIFEST_DIR"), "/KNOWN-RED.txt"),
+        "a_leader_that_is_cut_off_from_the_store_starts_nothing_on_a_draining_worker",
+        cut_off_a_leader_before_a_worker_drains,
+    );
+}
+
+fn cut_off_a_leader_before_a_worker_drains() {
+    let fleet = Fleet::start(1);
+    let job = "00000000000000f3";
+    let cut = Cut::start(&fleet, job);
+    cut.link.set(Mode::Stall);
+    fleet.register(0, "draining");
+    thread::sleep(PROMISED_TIME + Duration::from_millis(100));
+    cancels::assert_second_step_does_not_start(&fleet, job, &[&cut.leader, &cut.agent]);
+}
