--- a/src/serve/agent/tests.rs
+++ b/src/serve/agent/tests.rs
@@ -1,5 +1,6 @@
-//! Tests of what the agent does when it has to stop polling a worker.
+//! Tests of how the agent stops polling a worker, and of the numbers of its queries.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -10,6 +11,7 @@
 use link::server::Limits;
 use link::server::Server;
 use scheduler::message::Watch;
+use smol::future::poll_once;
 use smol::net::TcpListener;
 
 use super::*;
@@ -66,3 +68,35 @@
         drop(held);
     }));
 }
+
+const QUERIES: usize = 100;
+
+/// Returns the numbers of the first queries of a process.
+fn numbers(instance: u64) -> BTreeSet<u64> {
+    let agent = Agent::new(instance);
+    let (session, mut outgoing) = Session::begin(Epoch(1), QUERIES);
+    agent.begin_session(&session);
+    for _ in 0..QUERIES {
+        smol::block_on(poll_once(agent.query_stage(Job(1))));
+    }
+    let mut numbers = BTreeSet::new();
+    while let Some(Some(report)) = smol::block_on(poll_once(outgoing.next())) {
+        match report {
+            Report::QueryStage(number, _) => numbers.insert(number),
+            other => panic!("{other:?} is no query"),
+        };
+    }
+    numbers
+}
+
+/// The leader knows an agent by the name of its entry. The answer to a write that an entry requested
+/// just before it was restarted may reach its next process, where it must not count as the answer to
+/// another write.
+#[test]
+fn two_processes_of_an_entry_number_their_queries_differently() {
+    let first = numbers(1_796_526_100_000);
+    let second = numbers(1_796_526_100_001);
+    assert_eq!(first.len(), QUERIES);
+    assert!(first.is_disjoint(&second));
+    assert!(!first.contains(&STORED));
+}
