Start nothing on an unreadable fleet before all leases have expired

A new leader that cannot read the list of workers took it for an empty one: it counted no worker as unheard and started tasks that ran on workers of earlier leaders, and replaced the list, so that the next leader missed those workers too. Cause: a row that cannot be read was taken for one that is not there.

Evidence: no_task_starts_before_all_leases_have_expired_if_the_fleet_cannot_be_read failed before (the task started at once).

Now the reader of the rows tells the leader (Event::FleetUnreadable). It counts listed workers as those of earlier leaders and does not write the fleet before their leases have certainly expired (9.52 s); tasks start only on stored workers. Runs that workers list go on meanwhile.

cargo test -p scheduler: all pass but the three known red ones. The change in src/serve/feeds.rs is compiled and linted only.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -143,6 +143,9 @@
     /// The store has not confirmed the last write of the fleet, so it lists either that fleet or
     /// the one before it.
     is_fleet_uncertain: bool,
+    /// The stored fleet cannot be read. It is not replaced, and thus no task starts, before all
+    /// leases that earlier leaders renewed have expired.
+    is_fleet_unread: bool,
     /// The workers have not changed since they were last compared with the stored ones.
     is_fleet_synced: bool,
     /// The steps that found no room, each with its last try.
@@ -220,6 +223,7 @@
             removed: BTreeSet::new(),
             stored_workers: BTreeSet::new(),
             is_fleet_uncertain: false,
+            is_fleet_unread: false,
             is_fleet_synced: false,
             tried: BTreeMap::new(),
             next_candidate: None,
@@ -260,6 +264,7 @@
             Event::Unreadable(id) => drop(self.unreadable.insert(id)),
             Event::Cancelled(id) => self.cancel_job(now, id),
             Event::Fleet(members) => self.restore_fleet(now, members),
+            Event::FleetUnreadable => self.hold_fleet(),
             Event::InterferenceLoaded(summary) => self.model.merge(&summary),
             Event::Recovered => self.finish_recovery(now),
             Event::Config(config) => self.configure(config),
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -59,6 +59,21 @@
         }
     }
 
+    /// Records that the workers on which earlier leaders may have started tasks are unknown: those
+    /// that are listed, and others.
+    pub(super) fn hold_fleet(&mut self) {
+        self.is_fleet_unread = true;
+        for worker in self.workers.values_mut() {
+            worker.is_inherited = true;
+        }
+    }
+
+    /// Returns whether runs of earlier leaders may be on workers that this leader does not know.
+    pub(super) fn is_fleet_held(&self, now: Ms) -> bool {
+        let expiry = self.initial_lease_expiry();
+        self.is_fleet_unread && (now < expiry || self.certain_until <= expiry)
+    }
+
     /// Returns the time at which a worker that never answers this leader has lost all runs that
     /// earlier leaders started.
     fn initial_lease_expiry(&self) -> Ms {
@@ -86,6 +101,7 @@
         let is_stored_alike = place(&worker.registration) == place(&registration);
         self.is_fleet_synced &= is_stored_alike && !is_new;
         if is_new {
+            worker.is_inherited = self.is_fleet_unread;
             worker.delay_lease_expiry(lease_expiry);
             self.unwatched.insert(name.clone());
         }
--- a/crates/scheduler/src/leader/commit.rs
+++ b/crates/scheduler/src/leader/commit.rs
@@ -54,12 +54,13 @@
         if self.committing.is_some() || now < self.commit_after {
             return;
         }
-        let fleet = if self.is_fleet_synced {
+        let is_held = self.is_fleet_held(now);
+        let fleet = if self.is_fleet_synced || is_held {
             None
         } else {
             self.changed_fleet()
         };
-        self.is_fleet_synced = true;
+        self.is_fleet_synced |= !is_held;
         let is_due = self.dirty.values().any(|&due| due <= now);
         let interference = self.due_summary(now);
         let is_idle = !is_due && fleet.is_none() && self.removable.is_empty();
--- a/crates/scheduler/src/leader/event.rs
+++ b/crates/scheduler/src/leader/event.rs
@@ -29,6 +29,8 @@
     Cancelled(id::Job),
     /// The store lists these workers, on which earlier leaders may have started tasks.
     Fleet(Vec<Member>),
+    /// The store holds a list of such workers that cannot be read.
+    FleetUnreadable,
     /// An earlier leader stored these interference coefficients between images.
     InterferenceLoaded(Summary),
     /// All rows that earlier leaders wrote have been passed to this leader.
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -572,3 +572,35 @@
     started.extend(takeover.apply(Ms(11_000), Vec::new()));
     assert_eq!(started, []);
 }
+
+/// A list of workers that could not be read counted as no list, and tasks were started again that
+/// ran on workers of earlier leaders.
+#[test]
+fn no_task_starts_before_all_leases_have_expired_if_the_fleet_cannot_be_read() {
+    for is_listed in [false, true] {
+        let leader = Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN);
+        let mut takeover = Takeover { leader };
+        let mut events = vec![
+            Event::Config(Arc::new(config())),
+            Event::Joined(name("e1"), name("d1")),
+            registered("sound"),
+            Event::FleetUnreadable,
+            accepted(1, OLD_ROW, 1),
+            Event::Recovered,
+        ];
+        if is_listed {
+            events.push(registered("silent"));
+        }
+        let mut started = takeover.apply(Ms(0), events);
+        for after in [100, 900, 1_700, 9_000, 9_500] {
+            let events = vec![Event::Committed, polled("sound", &[])];
+            started.extend(takeover.apply(Ms(after), events));
+        }
+        assert_eq!(started, [], "{is_listed}");
+        for after in [LEASES_OVER.0, 9_700, 9_800] {
+            let events = vec![Event::Committed, polled("sound", &[])];
+            started.extend(takeover.apply(Ms(after), events));
+        }
+        assert_eq!(started, [task(1, 0)], "{is_listed}");
+    }
+}
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -272,7 +272,12 @@
                     return;
                 }
             }
-            Err(error) => log::error!("kind=row-ignored table=fleet cause={:?}", error.to_string()),
+            Err(error) => {
+                log::error!("kind=row-ignored table=fleet cause={:?}", error.to_string());
+                if !send(Event::FleetUnreadable).await {
+                    return;
+                }
+            }
         }
     }
     let mut is_first = true;
