--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -299,7 +299,12 @@
                     return;
                 }
             }
-            Err(error) => log::error!("kind=row-ignored table=fleet cause={:?}", error.to_string()),
+            Err(error) => {
+                log::error!("kind=row-ignored table=fleet cause={:?}", error.to_string());
+                if !send(Event::FleetUnreadable).await {
+                    return;
+                }
+            }
         }
     }
     let mut is_first = true;
