Count a step as late a little before its last moment

Callers saw: under slight overload nearly a third of the jobs missed their objectives, far more than the overload explains. Cause: steps that can still meet the objective come first, the most urgent ones before the others, so under overload each starts as late as it may; is_late left time for delays to filling steps only, and a plain step that takes longer than its estimate then misses the objective.

Change: the margin of 30 % of the remaining estimate holds for all steps.

--- a/crates/scheduler/src/leader/waiting.rs
+++ b/crates/scheduler/src/leader/waiting.rs
@@ -16,7 +16,9 @@
 /// The most steps that a pass considers in turn. Most of them are like one without room and cost
 /// little.
 const MAX_STEPS_IN_TURN: usize = 512;
-/// The time that pacing is expected to add to the rest of a filling job, in percent of the estimate.
+/// The time that the rest of a job is expected to take beyond its estimate, in percent. Tasks differ,
+/// and filling ones are slowed down now and then. Under overload, most steps start as late as they
+/// may, and those that take longer than estimated would miss their objectives.
 const EXPECTED_DELAY_PERCENT: u64 = 30;
 
 impl Leader {
@@ -84,19 +86,11 @@
         distinct.copied().collect()
     }
 
-    /// Returns whether a step that starts now is likely to miss the objective of its job. Filling
-    /// tasks are slowed down now and then, so the rest of their job takes longer than estimated.
+    /// Returns whether a step that starts now is likely to miss the objective of its job.
     fn is_late(&self, now: Ms, rank: Rank, step: id::Step) -> bool {
-        let index = usize::from(step.step);
         let job = self.jobs.get(&step.job);
-        let remaining = job.and_then(|job| job.remaining.get(index));
-        let is_filling = job
-            .and_then(|job| job.step_spec(step.step))
-            .is_some_and(|spec| spec.is_filling);
-        let delay = match remaining {
-            Some(remaining) if is_filling => remaining.0 * EXPECTED_DELAY_PERCENT / 100,
-            _ => 0,
-        };
+        let remaining = job.and_then(|job| job.remaining.get(usize::from(step.step)));
+        let delay = remaining.map_or(0, |it| it.0 * EXPECTED_DELAY_PERCENT / 100);
         rank.latest_start < now + Ms(delay)
     }
 }
--- /dev/null
+++ b/crates/scheduler/tests/aging.rs
@@ -0,0 +1,331 @@
+//! Tests of how long work waits on a fleet that is close to its capacity.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use common::BOUNDS;
+use common::INCARNATION;
+use common::accepted_job;
+use common::config;
+use common::name;
+use common::registration;
+use decision::clock::Ms;
+use decision::name::Name;
+use decision::resource::Size;
+use scheduler::id::Epoch;
+use scheduler::id::Job;
+use scheduler::job::Accepted;
+use scheduler::leader::Action;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::leader::Member;
+use scheduler::message::End;
+use scheduler::message::Observation;
+use scheduler::message::Order;
+use scheduler::message::Outcome;
+use scheduler::message::Report;
+use scheduler::message::Running;
+use scheduler::message::Start;
+use scheduler::message::Termination;
+use scheduler::spec;
+
+/// The time of day when the leaders' clock begins.
+const MIDNIGHT: u64 = 1_700_000_000_000;
+/// The time between two steps of a play.
+const ROUND: u64 = 25;
+/// The number of tasks that a worker runs at a time.
+const SLOTS: u32 = 2;
+const WORKERS: u64 = 10;
+/// The estimate of each task. The mean of the run times is the same.
+const ESTIMATE: u64 = 1_000;
+/// By the stretch and the allowance of the queue.
+const OBJECTIVE: u64 = 1_750;
+/// The number of tasks that the fleet completes in a second.
+const CAPACITY: u64 = WORKERS * SLOTS as u64 * 1_000 / ESTIMATE;
+
+/// A run on a worker.
+struct Execution {
+    start: Start,
+    until: u64,
+    /// The number of the end, which grows on each worker; 0 while it runs.
+    end: u64,
+}
+
+/// A job of one task.
+struct Submitted {
+    row: u64,
+    accepted: Accepted,
+    at: u64,
+    started: bool,
+    ended: Option<u64>,
+}
+
+/// A fleet under leaders that follow each other.
+struct Play {
+    leader: Leader,
+    now: u64,
+    /// The newest version of the store.
+    version: u64,
+    jobs: BTreeMap<Job, Submitted>,
+    /// The jobs in the order of their acceptance.
+    order: Vec<Job>,
+    running: Vec<Execution>,
+    /// The ends that the store does not hold yet.
+    ended: Vec<Execution>,
+    /// The error of the clock of each entry, in ms.
+    clock_errors: Vec<i64>,
+    workers: u64,
+    /// The number of ends so far.
+    ends: u64,
+}
+
+fn worker(index: u64) -> Name {
+    name(&format!("w{index}"))
+}
+
+/// Returns a number that looks drawn.
+const fn scatter(number: u64) -> u64 {
+    (number + 1).wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 20
+}
+
+const fn single(estimate: u64) -> spec::Step {
+    spec::Step {
+        count: 1,
+        need: Size {
+            millicores: 8_000 / SLOTS,
+            memory_mb: 100,
+            accelerators: 0,
+        },
+        estimate: Ms(estimate),
+        after: Vec::new(),
+        is_gang: false,
+        is_same_rack: false,
+        label: None,
+        rack: None,
+        per_worker: None,
+        is_speculative: false,
+        is_lasting: false,
+        has_checkpoints: false,
+        image: None,
+        tail_limit: None,
+        is_filling: false,
+        disruption_budget: 0,
+    }
+}
+
+impl Play {
+    fn new(workers: u64, clock_errors: &[i64]) -> Self {
+        let mut play = Self {
+            leader: Leader::new(name("e0"), Epoch(1), BOUNDS, Ms::ZERO),
+            now: 0,
+            version: 1,
+            jobs: BTreeMap::new(),
+            order: Vec::new(),
+            running: Vec::new(),
+            ended: Vec::new(),
+            clock_errors: clock_errors.to_vec(),
+            workers,
+            ends: 0,
+        };
+        play.change_leader();
+        play
+    }
+
+    /// Begins a new leader, which knows what the store holds.
+    fn change_leader(&mut self) {
+        self.version += 1;
+        let now = Ms(self.now);
+        self.leader = Leader::new(name("e0"), Epoch(self.version), BOUNDS, now);
+        self.handle(Event::Config(Arc::new(config())));
+        self.handle(Event::Tick(Ms(MIDNIGHT + self.now)));
+        self.handle(Event::Joined(name("e0"), name("d1")));
+        let members = (0..self.workers).map(|index| Member {
+            worker: worker(index),
+            address: registration("d1").address,
+            domain: name("d1"),
+        });
+        self.handle(Event::Fleet(members.collect()));
+        let waiting = self.order.iter().map(|id| (*id, &self.jobs[id]));
+        let waiting = waiting.filter(|(_, job)| job.ended.is_none());
+        let rows: Vec<Event> = waiting
+            .map(|(id, job)| Event::Accepted(id, job.row, job.accepted.clone(), None))
+            .collect();
+        for row in rows {
+            self.handle(row);
+        }
+        self.handle(Event::Recovered);
+        for index in 0..self.workers {
+            let registered = Some(registration("d1"));
+            self.handle(Event::RegistrationChanged(worker(index), registered));
+        }
+    }
+
+    /// Accepts a job at one of the entries.
+    fn accept(&mut self, step: spec::Step) -> Job {
+        let number = self.order.len() as u64;
+        let error = self.clock_errors[(scatter(number) % self.clock_errors.len() as u64) as usize];
+        let mut accepted = accepted_job(vec![step]);
+        accepted.at = Ms((MIDNIGHT + self.now).saturating_add_signed(error));
+        self.submit(accepted)
+    }
+
+    fn submit(&mut self, accepted: Accepted) -> Job {
+        self.version += 1;
+        let id = Job(scatter(self.order.len() as u64));
+        self.order.push(id);
+        let job = Submitted {
+            row: self.version,
+            accepted: accepted.clone(),
+            at: self.now,
+            started: false,
+            ended: None,
+        };
+        self.jobs.insert(id, job);
+        self.handle(Event::Accepted(id, self.version, accepted, None));
+        id
+    }
+
+    fn handle(&mut self, event: Event) {
+        let actions = self.leader.handle(Ms(self.now), event);
+        self.perform(actions);
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(_, Order::Start(start)) => self.start(start),
+                Action::Commit(commit) => {
+                    for (id, progress) in commit.progress {
+                        if progress.ended.is_some() {
+                            self.ended.retain(|end| end.start.task.step.job != id);
+                            self.jobs.get_mut(&id).expect("a job").ended = Some(self.now);
+                        }
+                    }
+                    self.handle(Event::Committed);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn start(&mut self, start: Start) {
+        let job = self.jobs.get_mut(&start.task.step.job).expect("a job");
+        assert!(!job.started, "{} starts twice", start.task);
+        job.started = true;
+        let number = scatter(start.task.step.job.0) % 400;
+        let estimate = job.accepted.spec.steps[0].estimate.0;
+        self.running.push(Execution {
+            until: self.now + estimate * (800 + number) / 1_000,
+            start: start.clone(),
+            end: 0,
+        });
+        let started = Report::Started(start.placement(), Outcome::Done);
+        self.handle(Event::Received(name("e0"), started));
+    }
+
+    /// Lets one round pass: ends runs, polls all workers, and starts what fits.
+    fn step(&mut self) {
+        self.now += ROUND;
+        let now = self.now;
+        for mut run in self.running.extract_if(.., |run| run.until <= now) {
+            self.ends += 1;
+            run.end = self.ends;
+            self.ended.push(run);
+        }
+        if self.now.is_multiple_of(2 * ROUND) {
+            self.handle(Event::Tick(Ms(MIDNIGHT + self.now)));
+        }
+        for index in 0..self.workers {
+            self.poll(&worker(index));
+        }
+        self.handle(Event::LeadConfirmed(Ms(self.now)));
+        let actions = self.leader.schedule(Ms(self.now));
+        self.perform(actions);
+    }
+
+    fn poll(&mut self, worker: &Name) {
+        let running = self
+            .running
+            .iter()
+            .filter(|run| run.start.worker == *worker);
+        let running = running.map(|run| Running {
+            task: run.start.task,
+            run: run.start.run,
+            checkpoint: None,
+            percent: 0,
+            measurement: 0,
+        });
+        let ended = self.ended.iter().filter(|run| run.start.worker == *worker);
+        let ended = ended.map(|run| End {
+            number: run.end,
+            task: run.start.task,
+            run: run.start.run,
+            termination: Termination::Done,
+            checkpoint: None,
+        });
+        let observation = Observation {
+            worker: worker.clone(),
+            incarnation: INCARNATION,
+            polled_at: Ms(self.now),
+            running: Some(running.collect()),
+            ended: ended.collect(),
+        };
+        self.handle(Event::Received(name("e0"), Report::Polled(observation)));
+    }
+}
+
+/// What became of the jobs of a play.
+#[derive(Debug)]
+struct Summary {
+    /// The share of the jobs accepted after the burst that met their objective, in percent.
+    on_time: f64,
+}
+
+/// Load: a burst beyond the capacity of the fleet, then steady jobs near the capacity, with changes of
+/// the leader. The burst takes `burst` seconds of the capacity beside the steady work of `load`
+/// percent.
+fn play_burst(load: u64, burst: u64, clock_errors: &[i64], end: u64) -> Summary {
+    const BEGIN: u64 = 5_000;
+    const BURST_DURATION: u64 = 10_000;
+    let mut play = Play::new(WORKERS, clock_errors);
+    let (mut steady, mut extra) = (0, 0);
+    let mut next_change = 7_000;
+    while play.now < end {
+        let due = play.now * CAPACITY * load / 100_000;
+        while steady < due {
+            steady += 1;
+            play.accept(single(ESTIMATE));
+        }
+        let elapsed = play.now.saturating_sub(BEGIN).min(BURST_DURATION);
+        while extra < elapsed * burst * CAPACITY / BURST_DURATION {
+            extra += 1;
+            play.accept(single(ESTIMATE));
+        }
+        if play.now >= next_change {
+            play.change_leader();
+            next_change += 3_000 + scatter(play.version) % 5_000;
+        }
+        play.step();
+    }
+    let after =
+        |job: &&Submitted| job.at > BEGIN + BURST_DURATION && job.at + 2 * OBJECTIVE < play.now;
+    let after: Vec<&Submitted> = play.jobs.values().filter(after).collect();
+    let on_time = after.iter().filter(|job| {
+        let ended = job.ended.unwrap_or(u64::MAX);
+        ended - job.at <= OBJECTIVE
+    });
+    let on_time = 100.0 * on_time.count() as f64 / after.len() as f64;
+    Summary { on_time }
+}
+
+/// Load: more work than the fleet completes. Steps started as late as they might, and all whose tasks
+/// took longer than estimated missed their objectives.
+#[test]
+fn most_jobs_are_on_time_under_slight_overload_if_estimates_are_rough() {
+    for load in [102, 105] {
+        let summary = play_burst(load, 0, &[0], 60_000);
+        assert!(summary.on_time >= 85.0, "{load} %: {summary:?}");
+    }
+}
