Let the soak delay the leader's connections, and keep its ports

Plays ended with "another process listens at" once in six: the port of a proxy that refused connections went to another outgoing connection. Proxies now listen below the ports of outgoing connections.

New faults: connections between the leader and its agents on which messages arrive later and later, without a long gap, beside workers that are silent for almost a lease; duty cycles down to 4% and with stops of 1.15 s. Wide steps of short tasks give many ends. A world closes its sockets when it ends.

--- a/tests/serve/entry.rs
+++ b/tests/serve/entry.rs
@@ -16,6 +16,10 @@
 use std::thread;
 use std::time::Duration;
 
+use rustix::process;
+use rustix::process::Pid;
+use rustix::process::Signal;
+
 /// Attempts to start an entry whose ports may be taken before it listens.
 const MAX_START_ATTEMPTS: usize = 5;
 /// The time within which an entry whose port is taken has exited.
@@ -131,6 +135,17 @@
         assert!(sent.expect("the kill command runs").success());
     }
 
+    /// Stops or continues the process at once, without another process that sends the signal.
+    pub fn set_stopped(&self, is_stopped: bool) {
+        let signal = if is_stopped {
+            Signal::STOP
+        } else {
+            Signal::CONT
+        };
+        let id = Pid::from_child(&self.child);
+        process::kill_process(id, signal).expect("the process is a child of this one");
+    }
+
     pub fn has_ended(&mut self) -> bool {
         self.child
             .try_wait()
--- a/tests/serve/proxy.rs
+++ b/tests/serve/proxy.rs
@@ -2,15 +2,21 @@
 //! through it.
 
 use std::net::SocketAddr;
+use std::ops::Range;
+use std::process;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use link::Spawner;
 use smol::Task;
 use smol::Timer;
+use smol::channel::Receiver;
 use smol::future::FutureExt;
 use smol::io::AsyncReadExt;
 use smol::io::AsyncWriteExt;
@@ -19,9 +25,29 @@
 
 /// How long a delayed request may take at the server after its delivery.
 const LATE_ANSWER_TIME: Duration = Duration::from_millis(500);
+/// By how much time the delay of slow traffic grows in each unit of time.
+const SLOWDOWN: f64 = 1.8;
 /// Attempts to listen again at an address, at most one each 20 ms.
 const MAX_BIND_ATTEMPTS: usize = 250;
 
+/// The ports of proxies, which lie below those of outgoing connections, so that no such connection
+/// takes the port of a proxy that refuses connections.
+const PORTS: Range<u16> = 10_000..32_000;
+
+/// Listens at a free port of proxies. Each process begins its search at another port.
+fn listen() -> TcpListener {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    for _ in PORTS {
+        let count = NEXT.fetch_add(1, Ordering::SeqCst);
+        let count = count.wrapping_add(process::id().wrapping_mul(1_009));
+        let port = PORTS.start + (count % PORTS.len() as u32) as u16;
+        if let Ok(listener) = smol::block_on(TcpListener::bind(("127.0.0.1", port))) {
+            return listener;
+        }
+    }
+    panic!("no port of {PORTS:?} is free");
+}
+
 /// How the proxy treats traffic.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Mode {
@@ -41,6 +67,8 @@
     /// Requests are forwarded after this time, although the client may have gone, without an
     /// answer.
     Late(Duration),
+    /// Traffic arrives later and later, at most by this time, but without a long gap.
+    Slow(Duration),
 }
 
 /// The direction of traffic through the proxy.
@@ -55,6 +83,8 @@
     mode: Mode,
     /// The number of changes of the mode.
     changes: u64,
+    /// When the mode changed last.
+    changed_at: Option<Instant>,
     /// The task that accepts connections; `None` while they are refused.
     accepting: Option<Task<()>>,
     connections: Vec<Task<()>>,
@@ -71,8 +101,7 @@
 
 impl Proxy {
     pub fn start(spawner: &Spawner, target: SocketAddr) -> Self {
-        let listener =
-            smol::block_on(TcpListener::bind("127.0.0.1:0")).expect("a loopback port is free");
+        let listener = listen();
         let proxy = Self {
             address: listener.local_addr().expect("the listener has an address"),
             spawner: Arc::clone(spawner),
@@ -93,6 +122,7 @@
         let mut state = self.state();
         state.mode = mode;
         state.changes += 1;
+        state.changed_at = Some(Instant::now());
         let change = state.changes;
         if mode == Mode::Refuse {
             state.accepting = None;
@@ -165,26 +195,55 @@
         }
     }
 
-    async fn forward(&self, mut from: TcpStream, mut to: TcpStream, direction: Direction) {
-        let mut buffer = vec![0; 16 << 10];
-        loop {
-            let count = match from.read(&mut buffer).await {
-                Ok(0) | Err(_) => return,
-                Ok(count) => count,
-            };
+    /// Returns how much later traffic arrives that is sent now.
+    fn delay(&self) -> Duration {
+        let state = self.state();
+        match (state.mode, state.changed_at) {
+            (Mode::Slow(most), Some(since)) => most.min(since.elapsed().mul_f64(SLOWDOWN)),
+            _ => Duration::ZERO,
+        }
+    }
+
+    async fn forward(&self, mut from: TcpStream, to: TcpStream, direction: Direction) {
+        let (sender, receiver) = smol::channel::unbounded();
+        let read = async {
+            let mut buffer = vec![0; 16 << 10];
+            while let Ok(count @ 1..) = from.read(&mut buffer).await {
+                let due = Instant::now() + self.delay();
+                if sender.try_send((due, buffer[..count].to_vec())).is_err() {
+                    break;
+                }
+            }
+            sender.close();
+            smol::future::pending().await
+        };
+        read.or(self.write(receiver, to, direction)).await;
+    }
+
+    /// Forwards what is received at the time when it is due, until a mode ends the connection.
+    async fn write(
+        &self,
+        receiver: Receiver<(Instant, Vec<u8>)>,
+        mut to: TcpStream,
+        direction: Direction,
+    ) {
+        while let Ok((due, bytes)) = receiver.recv().await {
+            if due > Instant::now() {
+                Timer::at(due).await;
+            }
             match (self.pass(direction).await, direction) {
                 (Mode::Reset | Mode::Refuse, _)
                 | (Mode::LoseAnswers | Mode::Late(_), Direction::Answer) => return,
                 (Mode::Late(delay), Direction::Request) => {
                     Timer::after(delay).await;
-                    if to.write_all(&buffer[..count]).await.is_ok() {
+                    if to.write_all(&bytes).await.is_ok() {
                         Timer::after(LATE_ANSWER_TIME).await;
                     }
                     return;
                 }
                 _ => {}
             }
-            if to.write_all(&buffer[..count]).await.is_err() {
+            if to.write_all(&bytes).await.is_err() {
                 return;
             }
         }
--- a/tests/serve/soak/plan.rs
+++ b/tests/serve/soak/plan.rs
@@ -44,7 +44,7 @@
     StoreRefuses,
     /// The process of an entry is stopped.
     Pause,
-    /// The process of an entry runs for this part of each period, both in ms.
+    /// The process of an entry runs for a part of each period, both in ms.
     Slow { runs: u64, period: u64 },
     /// An entry is killed, and starts again when the fault is over.
     Kill,
@@ -61,59 +61,56 @@
     Leave,
 }
 
-/// The names of the kinds in a plan.
+/// The names of the paths in a plan, before those of the modes.
+const PATHS: &[(&str, Path)] = &[
+    ("store", Path::Store),
+    ("worker", Path::Workers),
+    ("all", Path::AllToWorkers),
+    ("peer", Path::Peers),
+    ("topeer", Path::ToPeer),
+    ("client", Path::Clients),
+];
+
+const MODES: &[(&str, Mode)] = &[
+    ("refused", Mode::Refuse),
+    ("reset", Mode::Reset),
+    ("silent", Mode::Stall),
+    ("oneway", Mode::OneWay),
+    ("lost", Mode::LoseAnswers),
+    ("late", LATE),
+    ("slow", Mode::Slow(Duration::from_millis(12_000))),
+];
+
+/// The names of the other kinds in a plan.
 const KINDS: &[(&str, Kind)] = &[
-    ("store-refused", Kind::Link(Path::Store, Mode::Refuse)),
-    ("store-reset", Kind::Link(Path::Store, Mode::Reset)),
-    ("store-silent", Kind::Link(Path::Store, Mode::Stall)),
-    ("store-one-way", Kind::Link(Path::Store, Mode::OneWay)),
-    ("store-lost", Kind::Link(Path::Store, Mode::LoseAnswers)),
-    ("store-late", Kind::Link(Path::Store, LATE)),
-    ("store-503", Kind::StoreRefuses),
-    ("worker-refused", Kind::Link(Path::Workers, Mode::Refuse)),
-    ("worker-reset", Kind::Link(Path::Workers, Mode::Reset)),
-    ("worker-silent", Kind::Link(Path::Workers, Mode::Stall)),
-    ("worker-one-way", Kind::Link(Path::Workers, Mode::OneWay)),
-    ("worker-lost", Kind::Link(Path::Workers, Mode::LoseAnswers)),
-    ("worker-late", Kind::Link(Path::Workers, LATE)),
-    ("all-refused", Kind::Link(Path::AllToWorkers, Mode::Refuse)),
-    ("all-reset", Kind::Link(Path::AllToWorkers, Mode::Reset)),
-    ("all-silent", Kind::Link(Path::AllToWorkers, Mode::Stall)),
-    ("all-one-way", Kind::Link(Path::AllToWorkers, Mode::OneWay)),
-    (
-        "all-lost",
-        Kind::Link(Path::AllToWorkers, Mode::LoseAnswers),
-    ),
-    ("all-late", Kind::Link(Path::AllToWorkers, LATE)),
-    ("peer-refused", Kind::Link(Path::Peers, Mode::Refuse)),
-    ("peer-silent", Kind::Link(Path::Peers, Mode::Stall)),
-    ("peer-one-way", Kind::Link(Path::Peers, Mode::OneWay)),
-    ("to-peer-refused", Kind::Link(Path::ToPeer, Mode::Refuse)),
-    ("to-peer-silent", Kind::Link(Path::ToPeer, Mode::Stall)),
-    ("to-peer-one-way", Kind::Link(Path::ToPeer, Mode::OneWay)),
-    ("client-refused", Kind::Link(Path::Clients, Mode::Refuse)),
-    ("client-lost", Kind::Link(Path::Clients, Mode::LoseAnswers)),
-    ("client-late", Kind::Link(Path::Clients, LATE)),
+    ("store:503", Kind::StoreRefuses),
     ("pause", Kind::Pause),
     (
-        "slow",
+        "duty20",
         Kind::Slow {
             runs: 20,
             period: 100,
         },
     ),
     (
-        "slower",
+        "duty9",
         Kind::Slow {
             runs: 15,
             period: 165,
         },
     ),
     (
-        "slowest",
+        "duty4",
         Kind::Slow {
-            runs: 30,
-            period: 330,
+            runs: 10,
+            period: 250,
+        },
+    ),
+    (
+        "duty12",
+        Kind::Slow {
+            runs: 150,
+            period: 1_300,
         },
     ),
     ("kill", Kind::Kill),
@@ -124,19 +121,43 @@
     ("leave", Kind::Leave),
 ];
 
+/// Returns the names of all kinds.
+fn names() -> Vec<String> {
+    let links = PATHS.iter().flat_map(|(path, _)| {
+        let modes = MODES.iter();
+        modes.map(move |(mode, _)| format!("{path}:{mode}"))
+    });
+    let others = KINDS.iter().map(|(name, _)| (*name).to_owned());
+    links.chain(others).collect()
+}
+
+fn parse_kind(name: &str) -> Option<Kind> {
+    let other = KINDS.iter().find(|(other, _)| *other == name);
+    other.map(|(_, kind)| *kind).or_else(|| {
+        let (path, mode) = name.split_once(':')?;
+        let (_, path) = PATHS.iter().find(|(other, _)| *other == path)?;
+        let (_, mode) = MODES.iter().find(|(other, _)| *other == mode)?;
+        Some(Kind::Link(*path, *mode))
+    })
+}
+
 /// A delay that exceeds the time limits of callers.
 const LATE: Mode = Mode::Late(Duration::from_millis(2_600));
 
-/// How often each group of kinds is drawn, by the prefix of their names.
+/// The name of the fault that delays what the leader and the agents send each other.
+const SLOW_LEADER: &str = "topeer:slow";
+
+/// How often each group of kinds is drawn, by the start of their names.
 const WEIGHTS: &[(&str, u32)] = &[
-    ("store-", 4),
-    ("worker-", 4),
-    ("all-", 4),
-    ("peer-", 2),
-    ("to-peer-", 2),
-    ("client-", 1),
+    ("store:", 4),
+    ("worker:", 4),
+    ("all:", 4),
+    ("peer:", 2),
+    ("topeer:", 2),
+    (SLOW_LEADER, 3),
+    ("client:", 1),
     ("pause", 3),
-    ("slow", 5),
+    ("duty", 5),
     ("kill", 2),
     ("terminate", 1),
     ("crash", 1),
@@ -152,7 +173,7 @@
     pub at: u64,
     /// How long it lasts, in ms.
     pub lasts: u64,
-    pub name: &'static str,
+    pub name: String,
     pub kind: Kind,
     /// The number of the entry; `None` for the one that leads when the fault begins.
     pub entry: Option<usize>,
@@ -189,10 +210,9 @@
         let number = |raw: &str| raw.parse().map_err(|error| format!("{raw}: {error}"));
         let at = number(word("the time")?)?;
         let lasts = number(word("the duration")?)?;
-        let raw = word("the kind")?;
+        let name = word("the kind")?.to_owned();
+        let kind = parse_kind(&name).ok_or_else(|| format!("{name} is no kind of fault"))?;
         let entry = word("the entry")?;
-        let found = KINDS.iter().find(|(name, _)| *name == raw);
-        let &(name, kind) = found.ok_or_else(|| format!("{raw} is no kind of fault"))?;
         let index = |raw: &str| raw.parse().map_err(|error| format!("{raw}: {error}"));
         let entry = match entry {
             "leader" => None,
@@ -222,7 +242,7 @@
         .collect()
 }
 
-fn draw_kind(random: &mut StdRng) -> (&'static str, Kind) {
+fn draw_name(random: &mut StdRng) -> String {
     let total: u32 = WEIGHTS.iter().map(|(_, weight)| weight).sum();
     let mut rest = random.random_range(0..total);
     let group = WEIGHTS.iter().find(|(_, weight)| {
@@ -230,18 +250,19 @@
         rest = rest.saturating_sub(*weight);
         is_drawn
     });
-    let prefix = group.expect("the weights add up to the total").0;
-    let kinds: Vec<_> = KINDS
-        .iter()
-        .filter(|(name, _)| name.starts_with(prefix))
-        .collect();
-    *kinds[random.random_range(0..kinds.len())]
+    let start = group.expect("the weights add up to the total").0;
+    let mut names = names();
+    names.retain(|name| name.starts_with(start));
+    names.swap_remove(random.random_range(0..names.len()))
 }
 
 /// Returns how long a fault of this kind lasts, in ms.
 fn draw_duration(random: &mut StdRng, kind: Kind) -> u64 {
     let choices: &[u64] = match kind {
-        Kind::Link(..) | Kind::StoreRefuses => &[1_000, 2_500, 4_000, 5_500, 8_000, 12_000],
+        Kind::Link(_, Mode::Slow(_)) => &[6_000, 10_000, 14_000],
+        Kind::Link(..) | Kind::StoreRefuses => {
+            &[1_000, 1_500, 2_500, 4_000, 5_500, 5_800, 8_000, 12_000]
+        }
         Kind::Pause => &[600, 1_500, 2_500, 4_000, 6_000, 9_000, 15_000],
         Kind::Slow { .. } => &[3_000, 6_000, 10_000, 15_000],
         Kind::Kill | Kind::Terminate => &[0, 300, 2_500],
@@ -251,14 +272,34 @@
     choices[random.random_range(0..choices.len())]
 }
 
+/// Returns a silence of some workers shortly after `at`, which ends before their leases do. If what
+/// agents report is later and later meanwhile, the leader learns of it after the time at which the
+/// leases would have expired.
+fn draw_silence(random: &mut StdRng, at: u64, workers: usize) -> Fault {
+    let first = random.random_range(0..workers);
+    Fault {
+        at: at + random.random_range(100..1_000),
+        lasts: [4_000, 4_500, 5_000, 5_500][random.random_range(0..4)],
+        name: "all:silent".into(),
+        kind: Kind::Link(Path::AllToWorkers, Mode::Stall),
+        entry: Some(0),
+        workers: (0..8.min(workers))
+            .map(|index| (first + index) % workers)
+            .collect(),
+    }
+}
+
 /// Draws the faults of a play, in the order in which they begin.
 pub fn draw(seed: u64, entries: usize, workers: usize, length: u64) -> Vec<Fault> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut at = FIRST_FAULT_MS;
     let mut faults = Vec::new();
     while at < length {
-        let (name, kind) = draw_kind(&mut random);
-        let is_leader = random.random_range(0..LEADER_SHARE) == 0;
+        let name = draw_name(&mut random);
+        let kind = parse_kind(&name).expect("the name is one of a kind");
+        // Only the leader has connections from other entries.
+        let is_leader = matches!(kind, Kind::Link(Path::ToPeer, _))
+            || random.random_range(0..LEADER_SHARE) == 0;
         let entry = random.random_range(0..entries);
         let some = [1, 1, 3, 8][random.random_range(0..4)].min(workers);
         let first = random.random_range(0..workers);
@@ -279,16 +320,20 @@
         faults.push(Fault {
             at,
             lasts: lasts.min(length + LAST_FAULT_MS - at),
-            name,
+            name: name.clone(),
             kind,
             entry: (!is_leader).then_some(entry),
             workers: (0..if affects_worker { some } else { 0 })
                 .map(|index| (first + index * 5) % workers)
                 .collect(),
         });
+        if name == SLOW_LEADER && random.random_range(0..2) == 0 {
+            faults.push(draw_silence(&mut random, at, workers));
+        }
         let fraction: f64 = random.random_range(0.05..1.0);
         at += (-fraction.ln() * MEAN_PAUSE_MS) as u64;
     }
+    faults.sort_by_key(|fault| fault.at);
     faults
 }
 
@@ -310,7 +355,7 @@
         ("x", "plan:1: x: invalid digit found in string"),
         ("\n5 6", "plan:2: the kind is missing"),
         ("5 6 none 1", "plan:1: none is no kind of fault"),
-        ("5 6 kill", "plan:1: the entry is missing"),
+        ("5 6 kill\n", "plan:1: the entry is missing"),
     ];
     for (text, error) in cases {
         assert_eq!(parse("plan", text), Err(error.to_owned()));
--- a/tests/serve/soak/spec.rs
+++ b/tests/serve/soak/spec.rs
@@ -8,7 +8,9 @@
 use serde_json::json;
 
 /// The times that tasks work, in ms.
-const DURATIONS_MS: [u64; 6] = [200, 400, 1_000, 2_500, 6_000, 12_000];
+const DURATIONS_MS: [u64; 9] = [200, 400, 400, 1_000, 1_000, 2_500, 2_500, 6_000, 12_000];
+/// The tasks of a wide step of short tasks.
+const WIDE_COUNT: u32 = 60;
 
 #[derive(Clone, Debug)]
 pub struct StepSpec {
@@ -41,7 +43,7 @@
             let is_gang = random.random_range(0..8) == 0;
             StepSpec {
                 count: random.random_range(1..if is_gang { 4 } else { 6 }),
-                millicores: [500, 1_000, 2_000][random.random_range(0..3)],
+                millicores: [500, 500, 1_000, 2_000][random.random_range(0..4)],
                 memory_mb: 100,
                 duration: DURATIONS_MS[random.random_range(0..DURATIONS_MS.len())],
                 is_gang,
@@ -59,6 +61,13 @@
             steps[0].is_gang = false;
             steps[0].millicores = 500;
         }
+        if random.random_range(0..8) == 0 {
+            steps[0].count = WIDE_COUNT;
+            steps[0].millicores = 200;
+            steps[0].duration = DURATIONS_MS[0];
+            steps[0].is_gang = false;
+            steps[0].is_lasting = false;
+        }
         Self { steps }
     }
 
--- a/tests/serve/soak/world.rs
+++ b/tests/serve/soak/world.rs
@@ -20,6 +20,7 @@
 use link::Spawner;
 use serde_json::Value;
 use serde_json::json;
+use smol::Timer;
 
 use super::judge::Judge;
 use super::plan::Fault;
@@ -116,9 +117,15 @@
 impl World {
     pub fn start(seed: u64, entries: usize, workers: usize, judge: Judge) -> Self {
         let spawner = Spawner::default();
+        let is_over: Arc<AtomicBool> = Arc::default();
         for _ in 0..RUNNERS {
-            let runner = Arc::clone(&spawner);
-            thread::spawn(move || smol::block_on(runner.run(smol::future::pending::<()>())));
+            let (runner, is_over) = (Arc::clone(&spawner), Arc::clone(&is_over));
+            let until_over = async move {
+                while !is_over.load(Ordering::SeqCst) {
+                    Timer::after(Duration::from_millis(500)).await;
+                }
+            };
+            thread::spawn(move || smol::block_on(runner.run(until_over)));
         }
         let site = Site::new(seed, workers, judge);
         let store = Store::new();
@@ -161,7 +168,7 @@
             hosts_busy: (0..workers).map(|_| AtomicBool::new(false)).collect(),
             host_addresses,
             peers,
-            is_over: Arc::default(),
+            is_over,
         };
         (0..workers).for_each(|index| world.register(index));
         world.start_clock();
@@ -248,16 +255,16 @@
                 parts.view.refuses.store(false, Ordering::SeqCst);
             }
             Kind::Pause => alone(&node.is_busy, || {
-                node.entry().signal("-STOP");
+                node.entry().set_stopped(true);
                 wait(fault.lasts);
-                node.entry().signal("-CONT");
+                node.entry().set_stopped(false);
             }),
             Kind::Slow { runs, period } => alone(&node.is_busy, || {
                 let end = Instant::now() + Duration::from_millis(fault.lasts);
                 while Instant::now() < end {
-                    node.entry().signal("-STOP");
+                    node.entry().set_stopped(true);
                     wait(period - runs);
-                    node.entry().signal("-CONT");
+                    node.entry().set_stopped(false);
                     wait(runs);
                 }
             }),
@@ -374,6 +381,14 @@
 
 impl Drop for World {
     fn drop(&mut self) {
+        for parts in &self.parts {
+            let single = [&parts.store, &parts.clients];
+            let proxies = single.into_iter().chain(&parts.workers).chain(&parts.peers);
+            // Closes the sockets, which would otherwise stay open until the test process exits.
+            proxies.for_each(|proxy| {
+                proxy.set(Mode::Refuse);
+            });
+        }
         self.is_over.store(true, Ordering::SeqCst);
     }
 }
