Wait for the counts of the leader before the test asks for them

Trace, by the log of that entry: lead-begun at 961.231 s, recovered at 961.363 s, request-refused reason=no-counts at 961.365 s. The entry was ready, its leader had read the rows 2 ms before, and the first heartbeat with counts was under way; a refusal is the right answer then, since unknown counts are refused.

The test now waits up to 5 s for the counts and then checks all cases as before.

--- a/tests/serve/requests.rs
+++ b/tests/serve/requests.rs
@@ -26,6 +26,10 @@
 fn requests_that_cannot_be_served_get_specific_status_codes() {
     let fleet = Fleet::start(1);
     let entries = start(&fleet, &["a"]);
+    // An entry can be ready before its leader has counted the waiting jobs.
+    wait_until("the counts of the leader", 5_000, || {
+        fleet.send(entries[0].customer, "GET", "/q/", "").0 == 200
+    });
     let cases = [
         ("GET", "/q/00000000000000ff", "", 410),
         ("DELETE", "/q/00000000000000ff", "", 410),
