Bound how long late work waits behind work that is on time

Callers saw: work that a burst left behind started last, however long it had waited; with steady work close to the capacity it did not start at all. Cause: late steps come behind those that are on time, and nothing bounds that wait.

Change: steps that are late by more than 10 s come first in some slices of 50 ms, in 1 % of them for each 10 s of lateness, up to 300 s. The slices follow from the clock alone, so changes of the leader shift nothing. Such steps use up at most 8 of the 24 tries of a class, and half of the steps that a pass considers. waiting.rs names the load and the price.

--- a/crates/scheduler/src/leader/pass.rs
+++ b/crates/scheduler/src/leader/pass.rs
@@ -16,6 +16,9 @@
 /// The most steps without room that one pass tries in turn in each class after that, so that a small
 /// step starts although many before it find no room for long.
 const MAX_UNPLACED_IN_TURN: usize = 4;
+/// The most overdue steps without room that one pass tries in each class before those that are on
+/// time.
+const MAX_UNPLACED_OVERDUE: usize = 8;
 
 /// The results of one pass over the waiting steps.
 #[derive(Default)]
@@ -54,6 +57,16 @@
         }
     }
 
+    /// Sets how many steps without room are tried before a step, which is overdue and comes before
+    /// those that are on time, or is not.
+    pub(super) const fn allow(&mut self, is_first: bool) {
+        self.limit = if is_first {
+            MAX_UNPLACED_OVERDUE
+        } else {
+            MAX_UNPLACED_STEPS
+        };
+    }
+
     /// Lets the pass try further steps of each class.
     pub(super) const fn allow_more(&mut self) {
         self.limit = MAX_UNPLACED_STEPS + MAX_UNPLACED_IN_TURN;
@@ -61,9 +74,9 @@
         self.has_skipped = false;
     }
 
-    /// Returns whether no further step of any class is tried.
+    /// Returns whether no further step of any class is tried by its urgency.
     pub(super) fn is_exhausted(&self) -> bool {
-        self.tried.iter().all(|&tried| tried >= self.limit)
+        self.tried.iter().all(|&tried| tried >= MAX_UNPLACED_STEPS)
     }
 
     /// Returns whether a step may find room, given the steps that found none before it.
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -9,6 +9,7 @@
 use super::Leader;
 use super::pass;
 use super::pass::Pass;
+use super::waiting;
 use crate::age;
 use crate::id;
 use crate::id::Run;
@@ -65,7 +66,8 @@
         let avoids_slow = placement::can_avoid_slow(self.workers.values(), now);
         let mut pass = Pass::new(self.has_unheard_workers(), avoids_slow);
         let mut is_cut = waiting.len() < self.waiting.len();
-        for (_, step) in waiting {
+        for (rank, step) in waiting {
+            pass.allow(waiting::comes_first(now, rank));
             self.start_step(now, step, &mut pass);
             is_cut |= pass.is_exhausted();
             if pass.starts >= MAX_STARTS || pass.is_exhausted() {
--- a/crates/scheduler/src/leader/waiting.rs
+++ b/crates/scheduler/src/leader/waiting.rs
@@ -2,6 +2,16 @@
 //!
 //! Load: any number of steps may wait, and many of them for ever, because nothing has room for them.
 //! A pass considers the most urgent ones, and some of the others in turn.
+//!
+//! Load: a burst beyond the capacity, then steady work close to the capacity, while leaders change
+//! each few seconds. Within a priority, steps that can still meet their objective come before late
+//! ones, so that the work after the burst is on time. That alone leaves to the burst what the steady
+//! work does not need, which may be nothing. So overdue steps come first in some slices of time, the
+//! more the later they are. The slices follow from the clock alone; no change of the leader shifts
+//! them. Work that takes the fleet `b` seconds then waits for some `sqrt(2 * b * FULL_LATENESS)`, because
+//! its share of the starts grows until it is begun. This holds for steps that fit where a task ends;
+//! nothing keeps room free for larger ones. The price is paid by new work, of which that share may be
+//! late where the steady work leaves no capacity; a shorter wait of the burst would cost more of it.
 
 use std::ops::Bound;
 
@@ -21,17 +31,29 @@
 /// and filling ones are slowed down now and then. Under overload, most steps start as late as they
 /// may, and those that take longer than estimated would miss their objectives.
 const EXPECTED_DELAY_PERCENT: u64 = 30;
+/// A step is overdue this long after its latest start.
+const OVERDUE_AFTER: Ms = Ms(10_000);
+/// The lateness of a step that would come first all the time. The share of the time in which an overdue
+/// step comes first grows with its lateness, up to [`age::MAX`].
+const FULL_LATENESS: Ms = Ms(1_000_000);
+/// The length of a slice of time. A pass takes place in each of them.
+const SLICE_MS: u64 = 50;
+/// The most overdue steps that come first, if very many steps wait.
+const MAX_OVERDUE_FIRST: usize = MAX_URGENT_STEPS / 2;
 
 impl Leader {
     /// Returns the waiting steps in order of urgency, or the most urgent ones of very many. Within a
-    /// priority, steps that can still meet the objective come before those that cannot, so that new
-    /// jobs after a burst are on time instead of all jobs being late.
+    /// priority, steps that can still meet the objective come before those that cannot, except in the
+    /// turns of overdue ones.
     pub(super) fn by_urgency(&self, now: Ms) -> Vec<(Rank, id::Step)> {
         if self.waiting.len() > MAX_URGENT_STEPS {
             return self.most_urgent(now);
         }
         let mut waiting: Vec<(Rank, id::Step)> = self.waiting.iter().copied().collect();
-        waiting.sort_by_cached_key(|&(rank, step)| (rank.priority, self.is_late(now, rank, step)));
+        waiting.sort_by_cached_key(|&(rank, step)| {
+            let is_first = comes_first(now, rank);
+            (rank.priority, !is_first, self.is_late(now, rank, step))
+        });
         waiting
     }
 
@@ -57,9 +79,19 @@
                 id::Step::default(),
             );
             let is_same = |&&(rank, _): &&(Rank, id::Step)| rank.priority == priority;
+            let overdue = self.waiting.range(first..).take_while(is_same);
+            let overdue = overdue.take_while(|&&(rank, _)| comes_first(now, rank));
+            let room = MAX_OVERDUE_FIRST.min(MAX_URGENT_STEPS - urgent.len());
+            let begin = urgent.len();
+            urgent.extend(overdue.take(room));
+            let first_late = match urgent[begin..].last() {
+                Some(&last) => Bound::Excluded(last),
+                None => Bound::Included(first),
+            };
             let on_time = self.waiting.range(first_on_time..).take_while(is_same);
             let on_time = on_time.filter(|&&(rank, step)| !self.is_late(now, rank, step));
-            let late = self.waiting.range(first..).take_while(is_same);
+            let late = self.waiting.range((first_late, Bound::Unbounded));
+            let late = late.take_while(is_same);
             let late = late.filter(|&&(rank, step)| self.is_late(now, rank, step));
             urgent.extend(on_time.chain(late).take(MAX_URGENT_STEPS - urgent.len()));
             if urgent.len() == MAX_URGENT_STEPS {
@@ -99,6 +131,20 @@
     }
 }
 
+/// Returns whether a step is overdue, and comes before the steps that are on time at this time.
+pub(super) fn comes_first(now: Ms, rank: Rank) -> bool {
+    let lateness = age::shifted(now).since(rank.latest_start).min(age::MAX);
+    lateness > OVERDUE_AFTER && slice_position(now) < u64::MAX / FULL_LATENESS.0 * lateness.0
+}
+
+/// Returns the position of a slice of time in a sequence that covers all numbers evenly and has no
+/// period, so that a periodic load does not always miss the slices below a limit.
+const fn slice_position(now: Ms) -> u64 {
+    /// 2^64 divided by the golden ratio.
+    const SPREAD: u64 = 0x9E37_79B9_7F4A_7C15;
+    (now.0 / SLICE_MS).wrapping_mul(SPREAD)
+}
+
 /// A step that sorts after all others of its rank.
 const LAST_STEP: id::Step = id::Step {
     job: id::Job(u64::MAX),
--- a/crates/scheduler/tests/aging.rs
+++ b/crates/scheduler/tests/aging.rs
@@ -511,6 +511,8 @@
 /// What became of the jobs of a play.
 #[derive(Debug)]
 struct Summary {
+    /// The longest wait of a job from its acceptance until its start or the end of the play, in ms.
+    longest_wait: u64,
     /// The share of the jobs accepted after the burst that met their objective, in percent.
     on_time: f64,
 }
@@ -541,6 +543,8 @@
         }
         play.step();
     }
+    let jobs = play.jobs.values();
+    let waits = jobs.map(|job| job.started.unwrap_or(play.now) - job.at);
     let after =
         |job: &&Submitted| job.at > BEGIN + BURST_DURATION && job.at + 2 * OBJECTIVE < play.now;
     let after: Vec<&Submitted> = play.jobs.values().filter(after).collect();
@@ -549,7 +553,10 @@
         ended - job.at <= OBJECTIVE
     });
     let on_time = 100.0 * on_time.count() as f64 / after.len() as f64;
-    Summary { on_time }
+    Summary {
+        longest_wait: waits.max().unwrap_or_default(),
+        on_time,
+    }
 }
 
 /// Load: more work than the fleet completes. Steps started as late as they might, and all whose tasks
@@ -561,3 +568,32 @@
         assert!(summary.on_time >= 90.0, "{load} %: {summary:?}");
     }
 }
+
+/// Late work got the capacity that new work left, and counted as new under each leader.
+#[test]
+fn the_work_of_a_burst_waits_for_a_bounded_time_and_most_new_jobs_are_on_time() {
+    let table = [
+        (90, 10, 110_000, 99.5),
+        (95, 10, 145_000, 96.5),
+        (98, 10, 145_000, 91.0),
+        (102, 10, 150_000, 85.0),
+        (98, 30, 250_000, 86.0),
+    ];
+    for (load, burst, longest_wait, on_time) in table {
+        let summary = play_burst(load, burst, &[0], 300_000);
+        let case = format!("{load} %, {burst} s: {summary:?}");
+        assert!(summary.longest_wait <= longest_wait, "{case}");
+        assert!(summary.on_time >= on_time, "{case}");
+    }
+}
+
+/// One clock of five is wrong.
+#[test]
+fn a_wrong_clock_lets_the_work_of_a_burst_wait_no_longer() {
+    for error in [-(HOUR as i64), -8_000, 8_000, HOUR as i64] {
+        let summary = play_burst(95, 10, &[0, 0, error, 0, 0], 200_000);
+        let case = format!("{error} ms: {summary:?}");
+        assert!(summary.longest_wait <= 150_000, "{case}");
+        assert!(summary.on_time >= 95.0, "{case}");
+    }
+}
