--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -604,3 +604,54 @@
         assert_eq!(started, [task(1, 0)], "{is_listed}");
     }
 }
+
+/// An agent that followed an earlier leader for longer tells how recently it renewed a lease. That
+/// counts only for workers that this leader knows, and if the list of workers cannot be read, the
+/// others are those on which tasks may run.
+#[test]
+fn no_task_starts_before_leases_that_agents_renewed_late_have_expired_if_the_fleet_cannot_be_read() {
+    const JOINED: Ms = Ms(5_000);
+    for is_readable in [true, false] {
+        let leader = Leader::new(name("e0"), EPOCH, BOUNDS, BEGUN);
+        let mut takeover = Takeover { leader };
+        let list = if is_readable {
+            fleet()
+        } else {
+            Event::FleetUnreadable
+        };
+        let events = vec![
+            Event::Config(Arc::new(config())),
+            Event::Joined(name("e1"), name("d1")),
+            registered("sound"),
+            list,
+            accepted(1, OLD_ROW, 1),
+            Event::Recovered,
+        ];
+        let mut started = takeover.apply(Ms(0), events);
+        let sound = || vec![Event::Committed, polled("sound", &[])];
+        started.extend(takeover.apply(Ms(100), sound()));
+        let run = Placement {
+            worker: name("silent"),
+            incarnation: INCARNATION,
+            task: task(1, 0),
+            run: OLD_RUN,
+        };
+        let hello = Hello {
+            entry: name("e2"),
+            domain: name("d1"),
+            epoch: EPOCH,
+            known: vec![(name("silent"), Ms(0), vec![run])],
+        };
+        let joined = vec![
+            Event::Received(name("e2"), Report::Hello(hello)),
+            Event::Joined(name("e2"), name("d1")),
+        ];
+        started.extend(takeover.apply(JOINED, joined));
+        // A lease that was renewed at that moment lasts 6 s, and 2 % longer by a slow clock.
+        let lease = BOUNDS.lease + Ms(BOUNDS.lease.0 / 50);
+        for after in (5_100..(JOINED + lease).0).step_by(400) {
+            started.extend(takeover.apply(Ms(after), sound()));
+        }
+        assert_eq!(started, [], "readable: {is_readable}");
+    }
+}
--- a/crates/scheduler/tests/unread.rs
+++ b/crates/scheduler/tests/unread.rs
@@ -541,3 +541,45 @@
         assert_all_deferred_reports_count_before_a_lease_expires,
     );
 }
+
+/// Ends of unknown jobs that were acknowledged are kept for the life of the leader. Once as many are
+/// kept as may be, a worker with further ones keeps them for ever, and hides all its other ends
+/// behind them.
+#[test]
+fn ends_of_unknown_jobs_are_acknowledged_however_many_there_were_before() {
+    const LISTED: u64 = 500;
+    const KEPT: u64 = 20_000;
+    let mut leader = new_leader();
+    let rows = vec![fleet(), Event::Recovered];
+    apply(&mut leader, Ms(10), rows);
+    let mut after = Ms(20);
+    let mut acknowledged = 0;
+    for first in (0..=KEPT).step_by(500) {
+        let ended = || {
+            let ends = (1..=LISTED).map(|number| End {
+                number: first + number,
+                task: Task {
+                    step: id::Step {
+                        job: Job(1_000_000 + first + number),
+                        ..TASK.step
+                    },
+                    ..TASK
+                },
+                ..end(Termination::Done)
+            });
+            vec![polled("sound", &[], ends.collect())]
+        };
+        // An end of an unknown job is acknowledged after 10 s; the worker lists it for a minute.
+        for _ in 0..6 {
+            for action in apply(&mut leader, after, ended()) {
+                if let Action::Send(_, Order::Watch(watch)) = action
+                    && let Some((INCARNATION, number)) = watch.acknowledged
+                {
+                    acknowledged = acknowledged.max(number);
+                }
+            }
+            after = after + Ms(10_100);
+        }
+        assert_eq!(acknowledged, first + LISTED);
+    }
+}
