Show that contact queries wait behind reports that are not read (failing test)

contact_queries_overtake_however_many_reports_wait: with 200 reports of an agent behind a full queue the query is handled at once; with 1,024, of which the leader handles 100 a second, it is not handled within 3 s, because no frame is read once 256 reports are read ahead. The agent then renews no leases and leaves (leader-unconfirmed). Nothing outside the test file is changed.

--- a/src/serve/peers/tests.rs
+++ b/src/serve/peers/tests.rs
@@ -79,3 +79,50 @@
         assert!(inbox.try_next().is_none());
     }));
 }
+
+/// A leader that handles no report for a while, or fewer than come, reads no more of them once some
+/// are read ahead. The contact queries behind them are not answered then, and after 3 s the agent
+/// renews no leases and leaves, although the leader counts on it.
+#[test]
+fn contact_queries_overtake_however_many_reports_wait() {
+    const QUERY: Ms = Ms(1_234);
+    for waiting in [200, 1_024] {
+        let local = LocalExecutor::new();
+        smol::block_on(local.run(async {
+            let (inputs, inbox) = inbox::new();
+            let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs.clone()));
+            let entry = Name::try_from("b").expect("test names are valid");
+            let other = || Input::Left(entry.clone(), 0);
+            while poll_once(inputs.send(other())).await.is_some() {}
+
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            let mut agent = TcpStream::connect(address).await.expect("a connection");
+            let (mut reader, _) = listener.accept().await.expect("a connection");
+            let (owned, by) = (Arc::clone(&leadership), entry.clone());
+            let reading = local.spawn(async move {
+                let (read_ahead, reports) = smol::channel::bounded(MAX_READ_AHEAD_REPORTS);
+                let read = read_reports(&mut reader, &owned, &by, CONNECTION, read_ahead);
+                zip(read, pass_on(&owned, &by, reports)).await.0
+            });
+
+            // An agent queues 1,024 reports before it drops any, and sends a query each 0.4 s.
+            let reports = vec![Report::Beat; waiting];
+            for frame in reports.chunks(FRAME_REPORTS) {
+                frame::write(&mut agent, frame).await.expect("a write");
+            }
+            let query = [Report::contact_query(QUERY)];
+            frame::write(&mut agent, &query).await.expect("a write");
+            // The leader handles 100 reports a second, and each query at once.
+            let begun = clock::now();
+            let mut is_answered = false;
+            while !is_answered && clock::now().since(begun) < LEADER_CONTACT_TIMEOUT {
+                let input = inbox.try_next();
+                is_answered = matches!(input, Some(Input::Queried(..)));
+                sleep(Ms(10)).await;
+            }
+            drop(reading);
+            assert!(is_answered, "{waiting} reports waiting");
+        }));
+    }
+}
