Show two faults of answers that come in another order (failing tests)

a_run_is_not_stopped_by_lists_that_are_older_than_one_that_names_it: reports read ahead over an earlier connection of an agent are passed on after it has connected anew; three lists of a worker from before a run began count as three missed polls, and the run is ordered to stop ("not-listed"). No second run; running work is lost.

a_task_whose_worker_restarts_with_its_clock_set_back_starts_again: answers of a life with a lower start time are ignored, but are no failed polls; the runs of the former life stay booked for a minute and more.

Both fail on this code; nothing under src is changed.

--- a/crates/scheduler/tests/unread.rs
+++ b/crates/scheduler/tests/unread.rs
@@ -583,3 +583,72 @@
         assert_eq!(acknowledged, first + LISTED);
     }
 }
+
+/// What the leader had received over an agent's earlier connection counts although the agent has
+/// connected anew, so it may be handled after newer answers. Lists from before a run began stop it.
+#[test]
+fn a_run_is_not_stopped_by_lists_that_are_older_than_one_that_names_it() {
+    let mut leader = new_leader();
+    let rows = vec![fleet(), accepted(OLD_ROW), Event::Recovered];
+    apply(&mut leader, Ms(10), rows);
+    let list = |polled_at, running: &[Task]| {
+        let Event::Received(by, Report::Polled(observation)) = polled("sound", running, Vec::new())
+        else {
+            unreachable!("the helper returns an answer to a poll");
+        };
+        let observation = Observation {
+            polled_at,
+            ..observation
+        };
+        Event::Received(by, Report::Polled(observation))
+    };
+    let known = vec![
+        polled("silent", &[], Vec::new()),
+        list(Ms(9_000), &[TASK]),
+    ];
+    apply(&mut leader, Ms(20), known);
+    let earlier = [5_000, 5_800, 6_600].map(|polled_at| list(Ms(polled_at), &[]));
+    let mut actions = apply(&mut leader, Ms(30), earlier.into());
+    actions.extend(apply(&mut leader, Ms(40), vec![list(Ms(9_800), &[TASK])]));
+    let is_stop = |action: &&Action| matches!(action, Action::Send(_, Order::Stop(placement)) if placement.run == OLD_RUN);
+    assert_eq!(actions.iter().find(is_stop), None);
+}
+
+/// The incarnation of a worker is the time of its start by its own clock, which may have been set back
+/// before it started again. Its answers are ignored then, but they are no failed polls either, so the
+/// runs of its former life last for ever.
+#[test]
+fn a_task_whose_worker_restarts_with_its_clock_set_back_starts_again() {
+    let mut leader = new_leader();
+    let rows = vec![fleet(), accepted(OLD_ROW), Event::Recovered];
+    apply(&mut leader, Ms(10), rows);
+    let known = vec![
+        polled("silent", &[TASK], Vec::new()),
+        polled("sound", &[], Vec::new()),
+    ];
+    apply(&mut leader, Ms(20), known);
+    let reborn = Registration {
+        incarnation: Ms(INCARNATION.0 - 1),
+        ..registration("d1")
+    };
+    let listed = Event::RegistrationChanged(name("silent"), Some(reborn));
+    apply(&mut leader, Ms(900), vec![listed]);
+    let mut started = Vec::new();
+    for after in (1_000..60_000).step_by(800) {
+        let Event::Received(by, Report::Polled(observation)) = polled("silent", &[], Vec::new())
+        else {
+            unreachable!("the helper returns an answer to a poll");
+        };
+        let observation = Observation {
+            incarnation: Ms(INCARNATION.0 - 1),
+            polled_at: Ms(after),
+            ..observation
+        };
+        let answers = vec![
+            Event::Received(by, Report::Polled(observation)),
+            polled("sound", &[], Vec::new()),
+        ];
+        started.extend(starts(&apply(&mut leader, Ms(after), answers)));
+    }
+    assert_eq!(started, [TASK]);
+}
