--- a/crates/scheduler/tests/unread.rs
+++ b/crates/scheduler/tests/unread.rs
@@ -541,3 +541,114 @@
         assert_all_deferred_reports_count_before_a_lease_expires,
     );
 }
+
+/// Ends of unknown jobs that were acknowledged are kept for the life of the leader. Once as many are
+/// kept as may be, a worker with further ones keeps them for ever, and hides all its other ends
+/// behind them.
+#[test]
+fn ends_of_unknown_jobs_are_acknowledged_however_many_there_were_before() {
+    const LISTED: u64 = 500;
+    const KEPT: u64 = 20_000;
+    let mut leader = new_leader();
+    let rows = vec![fleet(), Event::Recovered];
+    apply(&mut leader, Ms(10), rows);
+    let mut after = Ms(20);
+    let mut acknowledged = 0;
+    for first in (0..=KEPT).step_by(500) {
+        let ended = || {
+            let ends = (1..=LISTED).map(|number| End {
+                number: first + number,
+                task: Task {
+                    step: id::Step {
+                        job: Job(1_000_000 + first + number),
+                        ..TASK.step
+                    },
+                    ..TASK
+                },
+                ..end(Termination::Done)
+            });
+            vec![polled("sound", &[], ends.collect())]
+        };
+        // An end of an unknown job is acknowledged after 10 s; the worker lists it for a minute.
+        for _ in 0..6 {
+            for action in apply(&mut leader, after, ended()) {
+                if let Action::Send(_, Order::Watch(watch)) = action
+                    && let Some((INCARNATION, number)) = watch.acknowledged
+                {
+                    acknowledged = acknowledged.max(number);
+                }
+            }
+            after = after + Ms(10_100);
+        }
+        assert_eq!(acknowledged, first + LISTED);
+    }
+}
+
+/// What the leader had received over an agent's earlier connection counts although the agent has
+/// connected anew, so it may be handled after newer answers. Lists from before a run began stop it.
+#[test]
+fn a_run_is_not_stopped_by_lists_that_are_older_than_one_that_names_it() {
+    let mut leader = new_leader();
+    let rows = vec![fleet(), accepted(OLD_ROW), Event::Recovered];
+    apply(&mut leader, Ms(10), rows);
+    let list = |polled_at, running: &[Task]| {
+        let Event::Received(by, Report::Polled(observation)) = polled("sound", running, Vec::new())
+        else {
+            unreachable!("the helper returns an answer to a poll");
+        };
+        let observation = Observation {
+            polled_at,
+            ..observation
+        };
+        Event::Received(by, Report::Polled(observation))
+    };
+    let known = vec![
+        polled("silent", &[], Vec::new()),
+        list(Ms(9_000), &[TASK]),
+    ];
+    apply(&mut leader, Ms(20), known);
+    let earlier = [5_000, 5_800, 6_600].map(|polled_at| list(Ms(polled_at), &[]));
+    let mut actions = apply(&mut leader, Ms(30), earlier.into());
+    actions.extend(apply(&mut leader, Ms(40), vec![list(Ms(9_800), &[TASK])]));
+    let is_stop = |action: &&Action| matches!(action, Action::Send(_, Order::Stop(placement)) if placement.run == OLD_RUN);
+    assert_eq!(actions.iter().find(is_stop), None);
+}
+
+/// The incarnation of a worker is the time of its start by its own clock, which may have been set back
+/// before it started again. Its answers are ignored then, but they are no failed polls either, so the
+/// runs of its former life last for ever.
+#[test]
+fn a_task_whose_worker_restarts_with_its_clock_set_back_starts_again() {
+    let mut leader = new_leader();
+    let rows = vec![fleet(), accepted(OLD_ROW), Event::Recovered];
+    apply(&mut leader, Ms(10), rows);
+    let known = vec![
+        polled("silent", &[TASK], Vec::new()),
+        polled("sound", &[], Vec::new()),
+    ];
+    apply(&mut leader, Ms(20), known);
+    let reborn = Registration {
+        incarnation: Ms(INCARNATION.0 - 1),
+        ..registration("d1")
+    };
+    let listed = Event::RegistrationChanged(name("silent"), Some(reborn));
+    apply(&mut leader, Ms(900), vec![listed]);
+    let mut started = Vec::new();
+    for after in (1_000..60_000).step_by(800) {
+        let Event::Received(by, Report::Polled(observation)) = polled("silent", &[], Vec::new())
+        else {
+            unreachable!("the helper returns an answer to a poll");
+        };
+        let observation = Observation {
+            incarnation: Ms(INCARNATION.0 - 1),
+            polled_at: Ms(after),
+            ..observation
+        };
+        let answers = vec![
+            Event::Received(by, Report::Polled(observation)),
+            polled("sound", &[], Vec::new()),
+        ];
+        started.extend(starts(&apply(&mut leader, Ms(after), answers)));
+    }
+    assert_eq!(started, [TASK]);
+}
