Drop the oldest kept ends instead of acknowledging no more

What callers could see: a worker whose ends were never acknowledged again, so that all its later ends stayed hidden behind 500 of unknown jobs.

Cause: once 20,000 acknowledged ends of unknown jobs were kept, further ones were not acknowledged for the life of the leader.

The kept ends only guard against a row that arrives against expectation, so the oldest may go.

--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -35,9 +35,8 @@
             Some(_) => return,
             None => now,
         };
-        let is_expected = now.since(since) < UNKNOWN_JOB_TIMEOUT
-            || self.unreadable.contains(&end.task.step.job)
-            || !self.recall.has_room();
+        let is_expected =
+            now.since(since) < UNKNOWN_JOB_TIMEOUT || self.unreadable.contains(&end.task.step.job);
         if !is_job_known && is_expected {
             worker.pending.insert(end.number, Pending::Unknown(since));
             return;
--- a/crates/scheduler/src/leader/recall.rs
+++ b/crates/scheduler/src/leader/recall.rs
@@ -15,38 +15,54 @@
 use crate::message::End;
 use crate::message::Termination;
 
-/// The most ends of unknown jobs that are kept. Further ones are not acknowledged.
+/// The most ends of unknown jobs that are kept. The oldest ones are dropped beyond that, because an end
+/// that is never acknowledged would hide all later ends of its worker.
 const MAX_KEPT: usize = 20_000;
 
 /// The ends of unknown jobs that were acknowledged.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Recall {
-    ends: BTreeMap<id::Job, Vec<End>>,
-    count: usize,
+    /// The ends in the order in which they were kept.
+    ends: BTreeMap<u64, End>,
+    /// The positions of the ends of each job.
+    by_job: BTreeMap<id::Job, Vec<u64>>,
+    /// The position of the next end.
+    next: u64,
 }
 
 impl Recall {
-    /// Returns whether another end can be kept.
-    pub(super) const fn has_room(&self) -> bool {
-        self.count < MAX_KEPT
-    }
-
     /// Keeps an end if its task must not forget it.
     pub(super) fn keep(&mut self, end: &End) {
         if !matches!(end.termination, Termination::Done | Termination::Failed) {
             return;
         }
-        self.ends
-            .entry(end.task.step.job)
-            .or_default()
-            .push(end.clone());
-        self.count += 1;
+        self.ends.insert(self.next, end.clone());
+        let positions = self.by_job.entry(end.task.step.job).or_default();
+        positions.push(self.next);
+        self.next += 1;
+        if self.ends.len() > MAX_KEPT {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some((position, end)) = self.ends.pop_first() else {
+            return;
+        };
+        let job = end.task.step.job;
+        if let Some(positions) = self.by_job.get_mut(&job) {
+            positions.retain(|&other| other != position);
+            if positions.is_empty() {
+                self.by_job.remove(&job);
+            }
+        }
     }
 
     fn take(&mut self, id: id::Job) -> Vec<End> {
-        let ends = self.ends.remove(&id).unwrap_or_default();
-        self.count -= ends.len();
-        ends
+        let positions = self.by_job.remove(&id).unwrap_or_default();
+        let ends = positions.iter();
+        ends.filter_map(|position| self.ends.remove(position))
+            .collect()
     }
 }
 
