Hold an unreadable fleet for the renewals that agents report

What callers could see: two runs of a task, if the list of workers cannot be read and an agent followed the earlier leader for some seconds more.

Cause: the renewals in an agent's first message counted only for workers that the leader knows, and an unlisted worker of an unreadable list is none of them.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -149,6 +149,8 @@
     /// The stored fleet cannot be read. It is not replaced, and thus no task starts, before all
     /// leases that earlier leaders renewed have expired.
     is_fleet_unread: bool,
+    /// By the reports of agents, leases on workers of that fleet may last until this time.
+    fleet_held_until: Ms,
     /// The workers have not changed since they were last compared with the stored ones.
     is_fleet_synced: bool,
     /// The steps that found no room, each with its last try.
@@ -227,6 +229,7 @@
             stored_workers: BTreeSet::new(),
             is_fleet_uncertain: false,
             is_fleet_unread: false,
+            fleet_held_until: Ms::ZERO,
             is_fleet_synced: false,
             tried: BTreeMap::new(),
             next_candidate: None,
--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -70,7 +70,7 @@
 
     /// Returns whether runs of earlier leaders may be on workers that this leader does not know.
     pub(super) fn is_fleet_held(&self, now: Ms) -> bool {
-        let expiry = self.initial_lease_expiry();
+        let expiry = self.initial_lease_expiry().max(self.fleet_held_until);
         self.is_fleet_unread && (now < expiry || self.certain_until <= expiry)
     }
 
--- a/crates/scheduler/src/leader/lapses.rs
+++ b/crates/scheduler/src/leader/lapses.rs
@@ -25,9 +25,14 @@
     pub(super) fn record_earlier_renewals(&mut self, now: Ms, hello: &Hello) {
         let lease = LEADER_CONTACT_TIMEOUT + self.lease_expiry_delay();
         for (name, renewal_age, _) in &hello.known {
+            let expiry = Ms(now.0.saturating_sub(renewal_age.0)) + lease;
+            if self.is_fleet_unread {
+                // The worker may be one that this leader does not know.
+                self.fleet_held_until = self.fleet_held_until.max(expiry);
+            }
             let unheard = self.workers.get_mut(name);
             if let Some(worker) = unheard.filter(|worker| !worker.is_known) {
-                worker.delay_lease_expiry(Ms(now.0.saturating_sub(renewal_age.0)) + lease);
+                worker.delay_lease_expiry(expiry);
             }
         }
     }
