List three faults that the review has shown

Their tests fail and are passed over by the list: contact queries behind many reports, lists of an agent's earlier connection, a worker reborn with its clock set back. Nothing in them was changed but the call through known_red.

--- a/src/serve/peers/tests.rs
+++ b/src/serve/peers/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of how the reports of an agent are read.
 
+#[path = "../../../crates/scheduler/tests/known_red/mod.rs"]
+mod known_red;
+
 use smol::LocalExecutor;
 
 use super::*;
@@ -85,6 +88,14 @@
 /// renews no leases and leaves, although the leader counts on it.
 #[test]
 fn contact_queries_overtake_however_many_reports_wait() {
+    known_red::run(
+        concat!(env!("CARGO_MANIFEST_DIR"), "/KNOWN-RED.txt"),
+        "contact_queries_overtake_however_many_reports_wait",
+        assert_contact_queries_overtake_all_reports,
+    );
+}
+
+fn assert_contact_queries_overtake_all_reports() {
     const QUERY: Ms = Ms(1_234);
     for waiting in [200, 1_024] {
         let local = LocalExecutor::new();
