--- a/crates/scheduler/tests/unread.rs
+++ b/crates/scheduler/tests/unread.rs
@@ -578,7 +578,7 @@
                     acknowledged = acknowledged.max(number);
                 }
             }
-            after = after + Ms(10_100);
+            after += Ms(10_100);
         }
         assert_eq!(acknowledged, first + LISTED);
     }
