--- a/tests/serve/soak/spec.rs
+++ b/tests/serve/soak/spec.rs
@@ -8,7 +8,7 @@
 use serde_json::json;
 
 /// The times that tasks work, in ms.
-const DURATIONS_MS: [u64; 9] = [200, 400, 400, 1_000, 1_000, 2_500, 2_500, 6_000, 12_000];
+const DURATIONS_MS: [u64; 9] = [200, 400, 1_000, 1_000, 2_500, 2_500, 6_000, 6_000, 12_000];
 /// The tasks of a wide step of short tasks.
 const WIDE_COUNT: u32 = 60;
 
--- a/tests/serve/soak/world.rs
+++ b/tests/serve/soak/world.rs
@@ -38,7 +38,7 @@
 /// How long an entry may take to end after SIGTERM.
 const END_TIMEOUT: Duration = Duration::from_secs(9);
 /// How long a draining worker serves before it has no registration, in ms.
-const DRAIN_MS: u64 = 2_000;
+const DRAIN_MS: u64 = 1_500;
 /// The start of each address in a row, and the length of one with a port of five digits.
 const ADDRESS_START: &[u8] = b"127.0.0.1:";
 const ADDRESS_LENGTH: usize = 15;
