--- a/src/serve/driver/tests.rs
+++ b/src/serve/driver/tests.rs
@@ -238,12 +238,7 @@
         let mut tasks = Vec::new();
         for index in 0..AGENTS {
             let (out, orders) = smol::channel::bounded(peers::MAX_QUEUED_BATCHES);
-            let hello = Hello {
-                entry: agent(index),
-                domain: name("d"),
-                epoch: Epoch(7),
-                known: Vec::new(),
-            };
+            let hello = hello(index);
             let me = (agent(index), leadership.join(hello, out).await);
             let received = Rc::clone(&received);
             tasks.push(local.spawn(follow(orders, me, inputs.clone(), received)));
@@ -292,6 +287,25 @@
     }));
 }
 
+/// Returns a driver whose store nobody serves.
+fn new_driver() -> Driver {
+    let unused = "127.0.0.1:9".parse().expect("an address");
+    let shared = Arc::new(Shared::new(options(unused)).expect("no port is needed"));
+    let (inputs, inbox) = inbox::new();
+    let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs));
+    Driver::new(&shared, &leadership, inbox)
+}
+
+/// Returns the first message of an agent that knows no runs.
+fn hello(index: usize) -> Hello {
+    Hello {
+        entry: agent(index),
+        domain: name("d"),
+        epoch: Epoch(7),
+        known: Vec::new(),
+    }
+}
+
 /// Returns the orders for an agent that are to be sent.
 fn outgoing(driver: &Driver, index: usize) -> &[Order] {
     driver
@@ -304,18 +318,9 @@
 /// which was lost since must not be answered over the next one.
 #[test]
 fn a_contact_query_is_answered_over_the_current_connection_only() {
-    let unused = "127.0.0.1:9".parse().expect("an address");
-    let shared = Arc::new(Shared::new(options(unused)).expect("no port is needed"));
-    let (inputs, inbox) = inbox::new();
-    let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs));
-    let mut driver = Driver::new(&shared, &leadership, inbox);
+    let mut driver = new_driver();
     let (out, _orders) = smol::channel::bounded(peers::MAX_QUEUED_BATCHES);
-    let hello = Hello {
-        entry: agent(1),
-        domain: name("d"),
-        epoch: Epoch(7),
-        known: Vec::new(),
-    };
+    let hello = hello(1);
     let query = |connection| Input::Queried(agent(1), connection, Report::contact_query(Ms(30)));
     let answers = |driver: &Driver| {
         let orders = outgoing(driver, 1).iter();
@@ -338,19 +343,10 @@
 /// expired.
 #[test]
 fn orders_for_an_earlier_connection_of_an_agent_are_not_sent_over_the_next_one() {
-    let unused = "127.0.0.1:9".parse().expect("an address");
-    let shared = Arc::new(Shared::new(options(unused)).expect("no port is needed"));
-    let (inputs, inbox) = inbox::new();
-    let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs));
-    let mut driver = Driver::new(&shared, &leadership, inbox);
+    let mut driver = new_driver();
     let join = |index, connection| {
         let (out, orders) = smol::channel::bounded(peers::MAX_QUEUED_BATCHES);
-        let hello = Hello {
-            entry: agent(index),
-            domain: name("d"),
-            epoch: Epoch(7),
-            known: Vec::new(),
-        };
+        let hello = hello(index);
         (Input::Joined(hello, connection, out), orders)
     };
     let watches = |driver: &Driver, index| {
@@ -494,18 +490,9 @@
 /// An agent that reads nothing is disconnected, so that its starts count as unsure.
 #[test]
 fn an_agent_that_takes_no_orders_is_disconnected() {
-    let unused = "127.0.0.1:9".parse().expect("an address");
-    let shared = Arc::new(Shared::new(options(unused)).expect("no port is needed"));
-    let (inputs, inbox) = inbox::new();
-    let leadership = Arc::new(Leadership::new(Epoch(7), Ms::ZERO, inputs));
-    let mut driver = Driver::new(&shared, &leadership, inbox);
+    let mut driver = new_driver();
     let (out, orders) = smol::channel::bounded(peers::MAX_QUEUED_BATCHES);
-    let hello = Hello {
-        entry: agent(1),
-        domain: name("d"),
-        epoch: Epoch(7),
-        known: Vec::new(),
-    };
+    let hello = hello(1);
     driver.handle_input(Input::Joined(hello, 1, out));
     let mut taken = HashMap::new();
     for round in 0..=peers::MAX_QUEUED_BATCHES {
--- a/src/serve/peers/tests.rs
+++ b/src/serve/peers/tests.rs
@@ -26,6 +26,32 @@
     None
 }
 
+/// Connects an agent whose reports are read and passed on by the returned task.
+async fn connect(
+    local: &LocalExecutor<'_>,
+    leadership: &Arc<Leadership>,
+    entry: &Name,
+) -> (TcpStream, Task<Error>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let agent = TcpStream::connect(address).await.expect("a connection");
+    let (mut reader, _) = listener.accept().await.expect("a connection");
+    let (leadership, entry) = (Arc::clone(leadership), entry.clone());
+    let reading = local.spawn(async move {
+        let (read_ahead, reports) = smol::channel::bounded(MAX_READ_AHEAD_REPORTS);
+        let read = read_reports(&mut reader, &leadership, &entry, CONNECTION, read_ahead);
+        zip(read, pass_on(&leadership, &entry, reports)).await.0
+    });
+    (agent, reading)
+}
+
+async fn send_reports(agent: &mut TcpStream, count: usize) {
+    let reports = vec![Report::Beat; count];
+    for frame in reports.chunks(FRAME_REPORTS) {
+        frame::write(agent, frame).await.expect("a write");
+    }
+}
+
 /// A leader that is behind with reports has to answer contact queries in time all the same, or its
 /// agents renew no leases. What it had received of an agent that has gone still counts.
 #[test]
@@ -39,21 +65,9 @@
         while poll_once(inputs.send(other())).await.is_some() {}
         let queued = inbox.len();
 
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let mut agent = TcpStream::connect(address).await.expect("a connection");
-        let (mut reader, _) = listener.accept().await.expect("a connection");
-        let (owned, by) = (Arc::clone(&leadership), entry.clone());
-        let reading = local.spawn(async move {
-            let (read_ahead, reports) = smol::channel::bounded(MAX_READ_AHEAD_REPORTS);
-            let read = read_reports(&mut reader, &owned, &by, CONNECTION, read_ahead);
-            zip(read, pass_on(&owned, &by, reports)).await.0
-        });
+        let (mut agent, reading) = connect(&local, &leadership, &entry).await;
 
-        let reports = vec![Report::Beat; REPORTS];
-        for frame in reports.chunks(FRAME_REPORTS) {
-            frame::write(&mut agent, frame).await.expect("a write");
-        }
+        send_reports(&mut agent, REPORTS).await;
         let query = Report::contact_query(Ms(1_234));
         let last = [Report::Beat, query.clone()];
         frame::write(&mut agent, &last).await.expect("a write");
@@ -106,22 +120,10 @@
             let other = || Input::Left(entry.clone(), 0);
             while poll_once(inputs.send(other())).await.is_some() {}
 
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-            let address = listener.local_addr().expect("an address");
-            let mut agent = TcpStream::connect(address).await.expect("a connection");
-            let (mut reader, _) = listener.accept().await.expect("a connection");
-            let (owned, by) = (Arc::clone(&leadership), entry.clone());
-            let reading = local.spawn(async move {
-                let (read_ahead, reports) = smol::channel::bounded(MAX_READ_AHEAD_REPORTS);
-                let read = read_reports(&mut reader, &owned, &by, CONNECTION, read_ahead);
-                zip(read, pass_on(&owned, &by, reports)).await.0
-            });
+            let (mut agent, reading) = connect(&local, &leadership, &entry).await;
 
             // An agent queues 1,024 reports before it drops any, and sends a query each 0.4 s.
-            let reports = vec![Report::Beat; waiting];
-            for frame in reports.chunks(FRAME_REPORTS) {
-                frame::write(&mut agent, frame).await.expect("a write");
-            }
+            send_reports(&mut agent, waiting).await;
             let query = [Report::contact_query(QUERY)];
             frame::write(&mut agent, &query).await.expect("a write");
             // The leader handles 100 reports a second, and each query at once.
