Log what an expired lease was judged by, and count early releases

The users' record holds only lines that name the task, and `run-released ... lease-expired` says nothing of whose report the leader went by, so five hypotheses look alike. Now a line `lease-expired` names the task with the agent, the age of the last renewal by its report and of the worker's last answer; `look-failed` says whether its watch had ended (`ended=true`); the counter `early_releases` counts confirmed runs that are released sooner than a lease after their start was ordered, which a lease that each start renews never allows.

--- a/crates/scheduler/src/fleet.rs
+++ b/crates/scheduler/src/fleet.rs
@@ -146,6 +146,9 @@
     pub trial: Option<(id::Job, Ms)>,
     /// The time when all leases have expired unless the worker answers before.
     pub lease_expiry: Option<Ms>,
+    /// When the agent last sent an order that may have renewed the lease, by its report of the last
+    /// poll without an answer; absent if there was none.
+    pub renewed_at: Option<Ms>,
     /// All leases have expired since the worker last answered.
     pub has_lapsed: bool,
     /// The worker has never answered this leader: a poll failed after all leases had expired, so
--- a/crates/scheduler/src/leader/lapses.rs
+++ b/crates/scheduler/src/leader/lapses.rs
@@ -49,6 +49,7 @@
         let lease_expiry = Ms(now.0.saturating_sub(renewal_age.0)) + lease;
         let is_new = !worker.is_unresponsive;
         worker.is_unresponsive = true;
+        worker.renewed_at = Some(Ms(now.0.saturating_sub(renewal_age.0)));
         if failure.is_closed {
             worker.refused_since.get_or_insert(now);
         }
@@ -132,12 +133,37 @@
         for &(task, run) in &runs {
             let attempt = self.run_mut(task, run);
             if let Some(over) = attempt.and_then(|attempt| lapse.ends(attempt, task)) {
+                self.record_expired_lease(now, lapse, task, run);
                 self.release(now, over);
             }
         }
         runs.len()
     }
 
+    /// Logs what shows that the lease of a run has expired, and counts the run if it is younger than
+    /// a lease.
+    fn record_expired_lease(&mut self, now: Ms, lapse: &Lapse, task: Task, run: Run) {
+        let Some(worker) = self.workers.get(lapse.worker()) else {
+            return;
+        };
+        let agent = worker.agent.as_deref().unwrap_or("none");
+        let renewed_ago = worker.renewed_at.map(|at| now.since(at).0.to_string());
+        let line = format!(
+            "kind=lease-expired task={task} run={run} worker={} agent={agent} \
+             expired_ago_ms={} renewed_ago_ms={} answered_ago_ms={}",
+            lapse.worker(),
+            now.since(lapse.expired_at()).0,
+            renewed_ago.as_deref().unwrap_or("none"),
+            now.since(worker.last_answer).0,
+        );
+        self.log(line);
+        let lease = self.bounds.lease;
+        let is_early = self
+            .run_mut(task, run)
+            .is_some_and(|attempt| attempt.is_confirmed() && now.since(attempt.started_at) < lease);
+        self.tally.early_releases += u64::from(is_early);
+    }
+
     /// Releases the runs of the earlier incarnations of a worker that has answered in a later one. A
     /// start that no incarnation has listed may reach or have reached that one, so it is voided there
     /// first.
--- a/crates/scheduler/src/leader/tally.rs
+++ b/crates/scheduler/src/leader/tally.rs
@@ -5,6 +5,9 @@
 pub struct Tally {
     /// How often the leases of a worker counted as expired.
     pub lapses: u64,
+    /// Runs released for expired leases sooner than a lease after their start was ordered, although
+    /// the start, which was confirmed, renewed the lease.
+    pub early_releases: u64,
     /// Crashes of workers on which runs had just begun.
     pub crashes: u64,
     /// Jobs given up because a task crashes the workers that start it.
--- a/crates/scheduler/src/task.rs
+++ b/crates/scheduler/src/task.rs
@@ -58,6 +58,12 @@
 }
 
 impl Attempt {
+    /// Returns whether the worker has carried out the order to start.
+    #[must_use]
+    pub const fn is_confirmed(&self) -> bool {
+        matches!(self.phase, Phase::Running | Phase::Stopping)
+    }
+
     /// Returns whether the next incarnation of the worker may have carried out the order to start,
     /// or may still do so.
     #[must_use]
--- a/crates/scheduler/tests/tally.rs
+++ b/crates/scheduler/tests/tally.rs
@@ -96,6 +96,7 @@
         leader.handle(NOW + Ms(after), Event::LeadConfirmed(NOW + Ms(after)));
         echo::tick(&mut leader, NOW + Ms(after));
         assert_eq!(leader.tally().lapses, 1, "{after}");
+        assert_eq!(leader.tally().early_releases, 0, "{after}");
         // The polls go on while the worker is silent.
         leader.handle(NOW + Ms(after), failed(Ms(after)));
     }
--- a/src/serve/instruments.rs
+++ b/src/serve/instruments.rs
@@ -38,6 +38,7 @@
     leads: Counter<u64>,
     feeds_lost: Counter<u64>,
     lapses: Counter<u64>,
+    early_releases: Counter<u64>,
     crashes: Counter<u64>,
     crashing_jobs: Counter<u64>,
     second_runs: Counter<u64>,
@@ -68,6 +69,10 @@
             leads: counter("leads", "Times that this entry became the leader"),
             feeds_lost: counter("feeds_lost", "Feeds of the store that broke off, by table"),
             lapses: counter("lapses", "Workers whose leases counted as expired"),
+            early_releases: counter(
+                "early_releases",
+                "Confirmed runs released for expired leases sooner than a lease after their start was ordered",
+            ),
             crashes: counter("crashes", "Crashes of workers on which runs had just begun"),
             crashing_jobs: counter(
                 "crashing_jobs",
@@ -90,6 +95,7 @@
         };
         // An instrument without a value is not exported.
         instruments.lapses.add(0, &[]);
+        instruments.early_releases.add(0, &[]);
         instruments.crashes.add(0, &[]);
         instruments.crashing_jobs.add(0, &[]);
         instruments.second_runs.add(0, &[]);
@@ -131,6 +137,8 @@
         }
         self.lapses
             .add(tally.lapses.saturating_sub(last.lapses), &[]);
+        let early = tally.early_releases.saturating_sub(last.early_releases);
+        self.early_releases.add(early, &[]);
         self.crashes
             .add(tally.crashes.saturating_sub(last.crashes), &[]);
         self.crashing_jobs
--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -314,11 +314,12 @@
                 let now = clock::now();
                 let renewal_age = lock(&self.lease).renewal_age(now);
                 log::info!(
-                    "kind=look-failed worker={} epoch={} ms={} renewed_ago_ms={} cause={:?}",
+                    "kind=look-failed worker={} epoch={} ms={} renewed_ago_ms={} ended={} cause={:?}",
                     self.name,
                     self.session.epoch(),
                     now.since(sent_at).0,
                     renewal_age.map_or_else(|| "none".into(), |age| age.0.to_string()),
+                    self.has_ended.load(Ordering::SeqCst),
                     error.to_string()
                 );
                 if matches!(error, Error::Fenced) {
