Show that a poll of a former watch releases a run that has just begun

The agent begins another watch and starts a task; the poll of the former watch times out and is reported with the age of that watch's last renewal, 5.8 s. The leader releases the run 0.67 s after its start and starts the task on another worker.

--- a/src/serve/watch.rs
+++ b/src/serve/watch.rs
@@ -409,3 +409,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
