Take lists of an agent's earlier connection for what they are

What is asked is the same (no stop), and that the three lists were dropped. The entry leaves KNOWN-RED.txt.

--- a/crates/scheduler/tests/unread.rs
+++ b/crates/scheduler/tests/unread.rs
@@ -26,6 +26,7 @@
 use scheduler::leader::Member;
 use scheduler::message::End;
 use scheduler::message::Failure;
+use scheduler::message::Finding;
 use scheduler::message::Observation;
 use scheduler::message::Order;
 use scheduler::message::Outcome as CallOutcome;
@@ -584,22 +585,24 @@
     }
 }
 
-/// What the leader had received over an agent's earlier connection counts although the agent has
-/// connected anew, so it may be handled after newer answers. Lists from before a run began stop it.
-#[test]
-fn a_run_is_not_stopped_by_lists_that_are_older_than_one_that_names_it() {
-    known_red::run(
-        KNOWN_RED,
-        "a_run_is_not_stopped_by_lists_that_are_older_than_one_that_names_it",
-        assert_older_lists_stop_no_run,
-    );
+/// Returns the number of the last watch of a worker among these orders.
+fn watch_of(actions: &[Action], worker: &str) -> id::Watch {
+    let watches = actions.iter().filter_map(|action| match action {
+        Action::Send(_, Order::Watch(watch)) if watch.worker == name(worker) => Some(watch.number),
+        _ => None,
+    });
+    watches.last().expect("the worker is watched")
 }
 
-fn assert_older_lists_stop_no_run() {
+/// What the leader had received over an agent's earlier connection counted although the agent had
+/// connected anew, so it was handled after newer answers. Lists from before a run began stopped it.
+#[test]
+fn a_run_is_not_stopped_by_lists_that_are_older_than_one_that_names_it() {
     let mut leader = new_leader();
     let rows = vec![fleet(), accepted(OLD_ROW), Event::Recovered];
-    apply(&mut leader, Ms(10), rows);
-    let list = |polled_at, running: &[Task]| {
+    let actions = apply(&mut leader, Ms(10), rows);
+    let former = watch_of(&actions, "sound");
+    let list = |watch, polled_at, running: &[Task]| {
         let Event::Received(by, Report::Polled(observation)) = polled("sound", running, Vec::new())
         else {
             unreachable!("the helper returns an answer to a poll");
@@ -608,15 +611,24 @@
             polled_at,
             ..observation
         };
-        Event::Received(by, Report::Polled(observation))
+        let report = Report::of_watch(watch, Finding::Polled(observation));
+        Event::Received(by, report)
     };
-    let known = vec![polled("silent", &[], Vec::new()), list(Ms(9_000), &[TASK])];
+    let rejoined = vec![Event::Left(name("e1")), joined("e1")];
+    let actions = apply(&mut leader, Ms(15), rejoined);
+    let present = watch_of(&actions, "sound");
+    let known = vec![
+        polled("silent", &[], Vec::new()),
+        list(present, Ms(9_000), &[TASK]),
+    ];
     apply(&mut leader, Ms(20), known);
-    let earlier = [5_000, 5_800, 6_600].map(|polled_at| list(Ms(polled_at), &[]));
+    let earlier = [5_000, 5_800, 6_600].map(|polled_at| list(former, Ms(polled_at), &[]));
     let mut actions = apply(&mut leader, Ms(30), earlier.into());
-    actions.extend(apply(&mut leader, Ms(40), vec![list(Ms(9_800), &[TASK])]));
+    let newer = vec![list(present, Ms(9_800), &[TASK])];
+    actions.extend(apply(&mut leader, Ms(40), newer));
     let is_stop = |action: &&Action| matches!(action, Action::Send(_, Order::Stop(placement)) if placement.run == OLD_RUN);
     assert_eq!(actions.iter().find(is_stop), None);
+    assert_eq!(leader.tally().outdated_reports, 3);
 }
 
 /// The incarnation of a worker is the time of its start by its own clock, which may have been set back
