Let contact queries of the leader's own agent overtake a report that waits

At risk were the runs on workers of the leader's own agent: while the queue of the driver is full, the task that passes the agent's reports on waits with one of them, and the contact queries behind it are not sent.

Evidence: a test with a full queue and one report of the agent.

Change: queries that become due are sent while a report waits.

--- a/src/serve/own_agent.rs
+++ b/src/serve/own_agent.rs
@@ -2,14 +2,18 @@
 
 use std::sync::Arc;
 
+use decision::name::Name;
 use scheduler::election;
 use scheduler::leader::Event;
 use scheduler::message::Report;
 use smol::future::FutureExt;
+use smol::future::pending;
 
 use super::Shared;
+use super::inbox::Closed;
 use super::leadership::Input;
 use super::leadership::Leadership;
+use super::outgoing::Outgoing;
 use super::peers;
 use super::resign::End;
 use super::session::Session;
@@ -36,9 +40,10 @@
                         let input = Input::Queried(entry.clone(), connection, query);
                         leadership.send_result(input).await;
                     }
-                    (report, _) => {
+                    (report, connection) => {
                         let input = Input::Event(Event::Received(entry.clone(), report));
-                        if leadership.send(input).await.is_err() {
+                        let queries = send_queries(&leadership, &outgoing, &entry, connection);
+                        if leadership.send(input).or(queries).await.is_err() {
                             return;
                         }
                     }
@@ -62,3 +67,23 @@
         sleep(election::CHECK_INTERVAL).await;
     }
 }
+
+/// Sends the contact queries that become due while a report waits for the driver.
+async fn send_queries(
+    leadership: &Leadership,
+    outgoing: &Outgoing,
+    entry: &Name,
+    connection: Option<u64>,
+) -> Result<(), Closed> {
+    let Some(connection) = connection else {
+        return pending().await;
+    };
+    loop {
+        let query = outgoing.next_query().await;
+        let input = Input::Queried(entry.clone(), connection, query);
+        leadership.send_result(input).await;
+    }
+}
+
+#[cfg(test)]
+mod tests;
