Start nothing while registrations are old and the store serves an agent

Cause: registrations reach the leader through its own feed only.

Change: when the last confirmed write of the leader is 1.2 s old, its agents read the leader's rows, and state with a contact query that a read was served within 0.4 s. The leader starts nothing while such a statement is at most 2 s old and its registrations are 1.6 s old (leader/hold.rs). In a full outage no read is served, and in one that slows all calls none is served promptly, so work goes on. Leaders of the previous build take the statement for a plain contact query.

New lines: starts-held and starts-resumed with registrations_age_ms.

Not covered: a leader whose writes are confirmed while its feed is not served.

--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -10,6 +10,7 @@
 mod drain;
 mod ends;
 mod event;
+mod hold;
 mod jobs;
 mod lapses;
 mod orders;
@@ -130,6 +131,7 @@
     /// No commit begins before this time, because the previous one was not confirmed.
     commit_after: Ms,
     last_drain: Ms,
+    hold: hold::Hold,
     load_logged: Ms,
     model_logged: Ms,
     /// The time of the event that was handled last.
@@ -220,6 +222,7 @@
             certain_until: Ms::ZERO,
             commit_after: Ms::ZERO,
             last_drain: Ms::ZERO,
+            hold: hold::Hold::new(now),
             load_logged: Ms::ZERO,
             model_logged: Ms::ZERO,
             clock: now,
@@ -277,6 +280,7 @@
             Event::RegistrationChanged(name, registration) => {
                 self.update_registration(now, name, registration)
             }
+            Event::RegistrationsRead(sent_at) => self.record_registrations(sent_at),
             Event::Joined(entry, domain) => self.add_agent(now, entry, domain),
             Event::Left(entry) => self.remove_agent(now, &entry),
             Event::Received(entry, report) => self.handle_report(now, &entry, report),
--- a/crates/scheduler/src/leader/event.rs
+++ b/crates/scheduler/src/leader/event.rs
@@ -39,6 +39,9 @@
     Config(Arc<Config>),
     /// The registration of the worker changed, or was removed if it is `None`.
     RegistrationChanged(Name, Option<Registration>),
+    /// All changes of registrations that the store had confirmed at this time have been passed to the
+    /// leader.
+    RegistrationsRead(Ms),
     /// An agent connected; the names are those of the entry and of its failure domain.
     Joined(Name, Name),
     /// The connection to the agent of this entry ended.
--- a/crates/scheduler/src/leader/polls.rs
+++ b/crates/scheduler/src/leader/polls.rs
@@ -38,6 +38,9 @@
                 None => self.handle_stop_outcome(now, entry, &placement, outcome, at),
             },
             Report::QueryStage(number, job) => {
+                if report.is_store_statement() {
+                    self.record_statement(now);
+                }
                 let stage = self.stage(job);
                 self.send(entry, Order::Stage(number, stage));
             }
--- a/crates/scheduler/src/leader/schedule.rs
+++ b/crates/scheduler/src/leader/schedule.rs
@@ -57,7 +57,7 @@
 impl Leader {
     pub(super) fn start_tasks(&mut self, now: Ms) {
         let is_too_early = self.is_crowded && now.since(self.last_pass) < CROWDED_INTERVAL;
-        if is_too_early || self.waiting.is_empty() {
+        if self.holds_starts(now) || is_too_early || self.waiting.is_empty() {
             return;
         }
         self.last_pass = now;
--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -127,6 +127,8 @@
 const CONTACT_QUERY_BIT: u64 = 1 << 63;
 /// The highest bit of the number of a query for a receipt. Those of customers' queries are lower.
 const RECEIPT_QUERY_BIT: u64 = 1 << 62;
+/// The job that a contact query names if the store serves the agent. The others name [`Job`] 0.
+const STORE_SERVED: Job = Job(1);
 
 impl Order {
     /// Returns when the agent sent the contact query that this order answers, by its own clock;
@@ -310,6 +312,19 @@
         Self::QueryStage(CONTACT_QUERY_BIT | sent_at.0, Job(0))
     }
 
+    /// Returns a contact query that also states that the store serves the agent, for a leader that
+    /// the store seems not to serve. Leaders of earlier builds take it for any contact query.
+    #[must_use]
+    pub const fn store_statement(sent_at: Ms) -> Self {
+        Self::QueryStage(CONTACT_QUERY_BIT | sent_at.0, STORE_SERVED)
+    }
+
+    /// Returns whether this is a contact query which states that the store serves the agent.
+    #[must_use]
+    pub fn is_store_statement(&self) -> bool {
+        self.is_contact_query() && matches!(self, Self::QueryStage(_, job) if *job == STORE_SERVED)
+    }
+
     /// Returns a query of no customer by which an agent finds out that the leader has handled all
     /// reports before it. Leaders of earlier builds answer it too.
     #[must_use]
--- a/crates/scheduler/tests/unread.rs
+++ b/crates/scheduler/tests/unread.rs
@@ -665,3 +665,84 @@
     }
     assert_eq!(started, [TASK]);
 }
+
+/// The age of the registrations at which a leader that the store serves no longer must stop to start
+/// tasks, so that the last start comes within 2 s of any draining.
+const MAX_AGE: Ms = Ms(1_600);
+
+/// Returns a leader that has read all rows and knows that both workers run nothing.
+fn idle_leader() -> Leader {
+    let mut leader = new_leader();
+    apply(&mut leader, Ms(10), vec![fleet(), Event::Recovered]);
+    let known = vec![
+        polled("silent", &[], Vec::new()),
+        polled("sound", &[], Vec::new()),
+    ];
+    apply(&mut leader, Ms(20), known);
+    leader
+}
+
+/// Starts a job this long after the leader's begin. Its registrations were read at `read`, and the
+/// agent stated at `stated` that the store serves it.
+fn starts_at(now: Ms, read: Ms, stated: Option<Ms>) -> bool {
+    let mut leader = idle_leader();
+    let read = Event::RegistrationsRead(BEGUN + read);
+    apply(&mut leader, Ms(30), vec![read]);
+    if let Some(at) = stated {
+        let statement = Event::Received(name("e1"), Report::store_statement(Ms(7)));
+        apply(&mut leader, at, vec![statement]);
+    }
+    let contact = Event::Received(name("e1"), Report::contact_query(Ms(8)));
+    let actions = apply(&mut leader, now, vec![contact, accepted(NEW_ROW)]);
+    !starts(&actions).is_empty()
+}
+
+/// A worker may have registered as draining, which the agents could read and the leader could not.
+/// While the store serves nobody, there is nothing to read, and work goes on.
+#[test]
+fn nothing_starts_while_registrations_are_old_and_the_store_serves_an_agent() {
+    let cases = [
+        ("the store serves nobody", Ms(5_000), Ms(0), None, true),
+        (
+            "not too old yet",
+            Ms(MAX_AGE.0 - 1),
+            Ms(0),
+            Some(Ms(1_300)),
+            true,
+        ),
+        ("too old", MAX_AGE, Ms(0), Some(Ms(1_300)), false),
+        ("still stated", Ms(3_200), Ms(0), Some(Ms(1_300)), false),
+        ("stated long ago", Ms(3_300), Ms(0), Some(Ms(1_300)), true),
+        ("read since", Ms(2_500), Ms(1_400), Some(Ms(1_300)), true),
+        (
+            "read, too old again",
+            Ms(3_000),
+            Ms(1_400),
+            Some(Ms(2_900)),
+            false,
+        ),
+    ];
+    for (case, now, read, stated, expected) in cases {
+        assert_eq!(starts_at(now, read, stated), expected, "{case}");
+    }
+}
+
+#[test]
+fn a_held_task_starts_when_the_registrations_are_read_again() {
+    let mut leader = idle_leader();
+    let statement = Event::Received(name("e1"), Report::store_statement(Ms(7)));
+    let actions = apply(&mut leader, Ms(2_000), vec![statement, accepted(NEW_ROW)]);
+    assert_eq!(starts(&actions), []);
+    let mut draining = registration("d1");
+    draining.is_draining = true;
+    let read = vec![
+        Event::RegistrationChanged(name("silent"), Some(draining)),
+        Event::RegistrationsRead(BEGUN + Ms(2_090)),
+    ];
+    let actions = apply(&mut leader, Ms(2_100), read);
+    let workers = actions.iter().filter_map(|action| match action {
+        Action::Send(_, Order::Start(start)) => Some(start.worker.clone()),
+        _ => None,
+    });
+    assert_eq!(workers.collect::<Vec<_>>(), [name("sound")]);
+}
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -49,6 +49,8 @@
     table: &'static str,
     /// The version up to which changes have been read.
     after: u64,
+    /// When the last served read or feed call was sent, so that it shows all earlier changes.
+    read_at: Ms,
     /// Whether the last read or feed was served.
     is_available: bool,
 }
@@ -59,6 +61,7 @@
             shared,
             table,
             after: 0,
+            read_at: Ms::ZERO,
             is_available: true,
         }
     }
@@ -66,9 +69,11 @@
     /// Reads the whole table, retrying until the store serves it.
     async fn read_all(&mut self) -> Vec<Row> {
         loop {
+            let sent_at = clock::now();
             match read_table(self.shared, self.table).await {
                 Ok((rows, version)) => {
                     self.after = version;
+                    self.read_at = sent_at;
                     self.record_success();
                     return rows;
                 }
@@ -77,22 +82,22 @@
         }
     }
 
-    /// Waits for changed rows. `None` means that the store no longer has the history since the last
+    /// Waits for changed rows, of which there are none if nothing changes for a while. `None` means that the store no longer has the history since the last
     /// read, so the whole table has to be read again.
     async fn next_changes(&mut self) -> Option<Vec<Row>> {
         loop {
             let wait = feed_wait(self.shared);
+            let sent_at = clock::now();
             match self.shared.store.feed(self.table, self.after, wait).await {
                 Ok(Page {
                     mut rows, version, ..
                 }) => {
                     self.record_success();
                     self.after = version.max(self.after);
+                    self.read_at = sent_at;
                     // A feed returns the rows of all parts.
                     rows.retain(|row| rows::parts(self.table).contains(&&*row.part));
-                    if !rows.is_empty() {
-                        return Some(rows);
-                    }
+                    return Some(rows);
                 }
                 Err(Error::Compacted) => {
                     log::warn!(
@@ -244,6 +249,10 @@
                     return;
                 }
             }
+            let read = Event::RegistrationsRead(follower.read_at);
+            if inputs.send_row(read).await.is_err() {
+                return;
+            }
             match follower.next_changes().await {
                 Some(changed) => rows = changed,
                 None => break,
--- a/src/serve/outgoing.rs
+++ b/src/serve/outgoing.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use decision::clock::Ms;
 use scheduler::message::Report;
 use smol::channel::Receiver;
 use smol::future::FutureExt;
@@ -14,11 +15,15 @@
 /// some 50 KB.
 const MAX_FRAME_REPORTS: usize = 64;
 
+/// Builds a contact query that is sent at a time.
+pub(super) type Query = fn(Ms) -> Report;
+
 /// The reports of a session, whose first one introduces the agent, and its contact queries. These
 /// overtake queued reports: what they confirm counts from the time at which they are sent.
 pub(super) struct Outgoing {
     reports: Receiver<Report>,
-    queries: Receiver<()>,
+    /// What builds each contact query, given the time at which it is sent.
+    queries: Receiver<Query>,
     flow: Arc<Flow>,
     has_begun: bool,
 }
@@ -26,7 +31,7 @@
 impl Outgoing {
     pub(super) const fn new(
         reports: Receiver<Report>,
-        queries: Receiver<()>,
+        queries: Receiver<Query>,
         flow: Arc<Flow>,
     ) -> Self {
         Self {
@@ -50,11 +55,11 @@
 
     /// Waits until a contact query is due, for ever once the session has ended.
     pub(super) async fn next_query(&self) -> Report {
-        if self.queries.recv().await.is_err() {
+        match self.queries.recv().await {
+            Ok(query) => query(clock::now()),
             // The reports that are still queued come first.
-            return pending().await;
+            Err(_) => pending().await,
         }
-        Report::contact_query(clock::now())
     }
 
     /// Waits for the reports of the next frame, which are empty if the session has ended. All but
--- a/src/serve/outgoing/tests.rs
+++ b/src/serve/outgoing/tests.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use decision::clock::Ms;
 use scheduler::id::Epoch;
 use scheduler::message::Order;
 use smol::future::poll_once;
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -47,6 +47,13 @@
 /// The age of the leader's last confirmed write above which an agent checks the leader record in
 /// the store.
 const MAX_STORE_AGE: Ms = Ms(1_800);
+/// The age of that write above which an agent tells the leader whether the store serves it. A leader
+/// that writes each 0.3 s and tells of it each 0.4 s stays below it, and the leader has to know
+/// before its registrations are 1.6 s old.
+const STATEMENT_AGE: Ms = Ms(1_200);
+/// The longest time of a read that shows that the store serves an agent while it does not serve the
+/// leader. Where calls take longer, the leader's may be as slow, and its work has to go on.
+const MAX_PROMPT_READ: Ms = Ms(400);
 
 /// The most reports that wait for the leader to read them. Further ones are dropped: what they say
 /// is found out again by later polls.
@@ -172,6 +179,7 @@
     orders: Receiver<Vec<Order>>,
 ) -> bool {
     let epoch = session.epoch();
+    let spawner = &shared.spawner;
     let hello = Hello {
         entry: shared.options.name.clone(),
         domain: shared.options.failure_domain.clone(),
@@ -232,14 +240,13 @@
             return true;
         }
         let is_own = shared.leadership().is_some();
-        if store_age > MAX_STORE_AGE && !is_own && check.is_none() && now >= check_due {
+        let is_stale = store_age + now.since(last_contact) > STATEMENT_AGE;
+        if is_stale && !is_own && check.is_none() && now >= check_due {
             check_due = now + HEARTBEAT_INTERVAL;
-            let owned = Arc::clone(shared);
-            check = Some(
-                shared
-                    .spawner
-                    .spawn(async move { is_deposed(&owned, epoch).await }),
-            );
+            let (shared, session) = (Arc::clone(shared), Arc::clone(session));
+            let may_depose = store_age > MAX_STORE_AGE;
+            let checking = async move { check_leader(&shared, &session, may_depose).await };
+            check = Some(spawner.spawn(checking));
         }
         let checked = match &mut check {
             Some(task) => poll_once(task).await,
@@ -258,16 +265,25 @@
     }
 }
 
-/// Returns whether the store shows another leader record than that of `epoch`, or a heartbeat that
-/// no longer changes. The result is `false` when the store does not serve the read.
-async fn is_deposed(shared: &Shared, epoch: Epoch) -> bool {
+/// Returns whether the store shows another leader record than that of the session, or with
+/// `may_depose` a heartbeat that no longer changes. If the store serves the read promptly, tells the
+/// leader so; if it does not serve it, the result is `false`.
+async fn check_leader(shared: &Shared, session: &Session, may_depose: bool) -> bool {
+    let sent_at = clock::now();
     let Ok(page) = shared.store.read(rows::LEAD, rows::UNDIVIDED, "", 8).await else {
         return false;
     };
+    if clock::now().since(sent_at) <= MAX_PROMPT_READ {
+        session.state_store_served();
+    }
+    let epoch = session.epoch();
     let row = |key: &str| page.rows.iter().find(|row| row.key == key);
     if row(&rows::record().key).is_some_and(|row| row.version != epoch.0) {
         return true;
     }
+    if !may_depose {
+        return false;
+    }
     let version = row(&rows::heartbeat().key).map_or(0, |row| row.version);
     shared.observe_heartbeat(version) >= election::UNCHANGED_TIMEOUT
 }
--- a/src/serve/session.rs
+++ b/src/serve/session.rs
@@ -17,20 +17,24 @@
 use super::flow::Flow;
 use super::lock;
 use super::outgoing::Outgoing;
+use super::outgoing::Query;
 
 /// The time after a dropped report until which what it said has been reported again: a worker that
 /// answers is polled and reported within the wait of a poll, its time limit and the interval of
 /// reports.
 const REPEAT_TIME: Ms = Ms(4_000);
 
+/// The most contact queries that are queued: a regular one and one that tells of the store.
+const MAX_QUEUED_QUERIES: usize = 2;
+
 /// A session and the channel of its reports. Each watcher owns the session that it was started in,
 /// so that a result that arrives late cannot reach a later leader.
 pub(super) struct Session {
     epoch: Epoch,
     rules: Mutex<session::Session>,
     reports: Sender<Report>,
-    /// Signals that a contact query is due.
-    queries: Sender<()>,
+    /// The contact queries that are due.
+    queries: Sender<Query>,
     flow: Arc<Flow>,
     /// The number of reports that found the queue full.
     dropped: AtomicU64,
@@ -45,7 +49,7 @@
     /// reports are queued.
     pub(super) fn begin(epoch: Epoch, max_reports: usize) -> (Arc<Self>, Outgoing) {
         let (reports, queued_reports) = smol::channel::bounded(max_reports);
-        let (queries, queued_queries) = smol::channel::bounded(1);
+        let (queries, queued_queries) = smol::channel::bounded(MAX_QUEUED_QUERIES);
         let flow = Arc::new(Flow::default());
         let session = Arc::new(Self {
             epoch,
@@ -86,8 +90,14 @@
 
     /// Sends the leader a contact query before all queued reports.
     pub(super) fn query_contact(&self) {
-        // The channel holds one signal, and a signal that is already queued is enough.
-        let _ = self.queries.try_send(());
+        // Those that are already queued are enough.
+        let _ = self.queries.try_send(Report::contact_query);
+    }
+
+    /// Tells the leader, before all queued reports, that the store serves this entry.
+    pub(super) fn state_store_served(&self) {
+        // It is stated again for as long as the store seems not to serve the leader.
+        let _ = self.queries.try_send(Report::store_statement);
     }
 
     /// Returns whether the leader has been sent all that this agent knows, or would have reported by
--- a/tests/serve/cancels.rs
+++ b/tests/serve/cancels.rs
@@ -49,18 +49,21 @@
     }
 }
 
+/// Lets the runs of the first step of a job end as done.
+pub fn end_first_step(fleet: &Fleet) {
+    let mut cluster = fleet.cluster();
+    cluster.runs_forever = false;
+    let workers = cluster.workers.values_mut();
+    for execution in workers.flat_map(|worker| worker.executions.values_mut()) {
+        execution.ends_at = 0;
+    }
+}
+
 /// Lets the runs of the first step of a job end as done, if they are still there, and panics if a
 /// task of the second step starts within the time in which the lead may change.
 #[track_caller]
 pub fn assert_second_step_does_not_start(fleet: &Fleet, job: &str, entries: &[&Entry]) {
-    {
-        let mut cluster = fleet.cluster();
-        cluster.runs_forever = false;
-        let workers = cluster.workers.values_mut();
-        for execution in workers.flat_map(|worker| worker.executions.values_mut()) {
-            execution.ends_at = 0;
-        }
-    }
+    end_first_step(fleet);
     thread::sleep(Duration::from_millis(4_000));
     for entry in entries {
         let log = entry.read_log();
--- a/tests/serve/feeds.rs
+++ b/tests/serve/feeds.rs
@@ -8,7 +8,6 @@
 use crate::cancels::Cut;
 use crate::fleet::Fleet;
 use crate::fleet::wait_until;
-use crate::known_red;
 use crate::proxy::Mode;
 use crate::start;
 
@@ -79,14 +78,6 @@
 
 #[test]
 fn a_leader_that_is_cut_off_from_the_store_starts_nothing_on_a_draining_worker() {
-    known_red::run(
-        concat!(env!("CARGO_MANIFEST_DIR"), "/KNOWN-RED.txt"),
-        "a_leader_that_is_cut_off_from_the_store_starts_nothing_on_a_draining_worker",
-        cut_off_a_leader_before_a_worker_drains,
-    );
-}
-
-fn cut_off_a_leader_before_a_worker_drains() {
     let fleet = Fleet::start(1);
     let job = "00000000000000f3";
     let cut = Cut::start(&fleet, job);
@@ -95,3 +86,37 @@
     thread::sleep(PROMISED_TIME + Duration::from_millis(100));
     cancels::assert_second_step_does_not_start(&fleet, job, &[&cut.leader, &cut.agent]);
 }
+
+/// Where the store serves nobody, no entry can know of a worker that drains, and work has to go on.
+#[test]
+fn tasks_start_while_the_store_serves_nobody() {
+    let fleet = Fleet::start(1);
+    let job = "00000000000000f5";
+    let cut = Cut::start(&fleet, job);
+    fleet.store.set_silent(true);
+    thread::sleep(PROMISED_TIME + Duration::from_millis(100));
+    cancels::end_first_step(&fleet);
+    let start = format!("kind=start task={job}.0.1.");
+    wait_until("the second step", 1_000, || {
+        cut.leader.read_log().contains(&start)
+    });
+}
+
+/// A store that is slow for all entries serves the leader too, so that it learns of draining workers.
+#[test]
+fn tasks_start_while_the_store_is_slow_for_all_entries() {
+    let fleet = Fleet::start(1);
+    let job = "00000000000000f6";
+    let cut = Cut::start(&fleet, job);
+    // Requests and answers are each delayed by this time.
+    fleet
+        .store_proxy
+        .set(Mode::Slow(Duration::from_millis(400)));
+    thread::sleep(Duration::from_millis(4_000));
+    cancels::end_first_step(&fleet);
+    let start = format!("kind=start task={job}.0.1.");
+    wait_until("the second step", 3_000, || {
+        cut.leader.read_log().contains(&start)
+    });
+    assert!(!cut.leader.read_log().contains("kind=starts-held"));
+}
