Show that malformed input ends no process

The operators' point: one malformed message or unexpected error took a whole process down. The tests send some 40 malformed, truncated and oversized requests to the customer, ready and metrics address of two entries, each with and without the end of the connection; some 20 inputs each to the address for agents, of the leader and of an entry that does not lead, also messages out of order and reports with the highest numbers; and let 15 workers, and one of three calls to the store, answer with what is no answer or has the highest numbers. Afterwards each process runs, is ready, serves metrics and completes jobs; frames do not end the lead either.

Not covered: malformed answers of the advice service, rows of the leader's own tables (a job's row and progress have tests), and malformed settings at a reload.

--- a/tests/serve/main.rs
+++ b/tests/serve/main.rs
@@ -10,6 +10,7 @@
 mod known_red;
 mod lag;
 mod leaving;
+mod malformed;
 mod odd;
 mod operation;
 mod proxy;
