Repeat a failed read of the store instead of the whole table

Cause: a table is read in one call for each part and page, and after a failed call it was read from its start. With 8 parts and one failure in three calls hardly any try comes to the end; a table of many pages needs far fewer failures for that.

Change: the call that failed is repeated after the same pause of 0.2 s. The version from which the feed goes on is that of the first answer of each part, as before, so that no change is missed however long the reading takes.

--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -66,16 +66,55 @@
         }
     }
 
-    /// Reads the whole table, retrying until the store serves it.
+    /// Reads all parts of the table. A feed that starts at the lowest of the versions at which the
+    /// parts were first read misses no change.
     async fn read_all(&mut self) -> Vec<Row> {
+        let begun = clock::now();
+        let mut rows: Vec<Row> = Vec::new();
+        let mut version = u64::MAX;
+        for part in rows::parts(self.table) {
+            let (part_rows, part_version) = self.read_part(part).await;
+            rows.extend(part_rows);
+            version = version.min(part_version);
+        }
+        self.after = version;
+        self.read_at = begun;
+        rows
+    }
+
+    /// Reads a part of the table. Also returns the version at which it was first read.
+    async fn read_part(&mut self, part: &str) -> (Vec<Row>, u64) {
+        let mut rows: Vec<Row> = Vec::new();
+        let mut version = None;
+        let mut from = String::new();
         loop {
-            let sent_at = clock::now();
-            match read_table(self.shared, self.table).await {
-                Ok((rows, version)) => {
-                    self.after = version;
-                    self.read_at = sent_at;
+            let page = self.read_page(part, &from).await;
+            version = version.or(Some(page.version));
+            let Some(last) = page.rows.last() else {
+                break;
+            };
+            // `!` sorts before every character used in keys, so the next page starts just after the
+            // last key of this one.
+            from = format!("{}!", last.key);
+            let has_more = page.has_more;
+            rows.extend(page.rows);
+            if !has_more {
+                break;
+            }
+        }
+        (rows, version.unwrap_or_default())
+    }
+
+    /// Reads the rows of a part from a key on, retrying until the store serves the call. What has
+    /// been read before is kept: a table of many pages would hardly be read to its end if each
+    /// failure began it anew.
+    async fn read_page(&mut self, part: &str, from: &str) -> Page {
+        loop {
+            let store = &self.shared.store;
+            match store.read(self.table, part, from, MAX_PAGE_ROWS).await {
+                Ok(page) => {
                     self.record_success();
-                    return rows;
+                    return page;
                 }
                 Err(error) => self.record_failure(&error).await,
             }
@@ -148,41 +187,6 @@
     }
 }
 
-/// Reads all parts of a table. Also returns the lowest of the versions at which the parts were
-/// first read, so that a feed that starts there misses no change.
-async fn read_table(shared: &Shared, table: &str) -> Result<(Vec<Row>, u64), Error> {
-    let mut rows: Vec<Row> = Vec::new();
-    let mut version = u64::MAX;
-    for part in rows::parts(table) {
-        let (part_rows, part_version) = read_part(shared, table, part).await?;
-        rows.extend(part_rows);
-        version = version.min(part_version);
-    }
-    Ok((rows, version))
-}
-
-async fn read_part(shared: &Shared, table: &str, part: &str) -> Result<(Vec<Row>, u64), Error> {
-    let mut rows: Vec<Row> = Vec::new();
-    let mut version = None;
-    let mut from = String::new();
-    loop {
-        let page = shared.store.read(table, part, &from, MAX_PAGE_ROWS).await?;
-        version = version.or(Some(page.version));
-        let Some(last) = page.rows.last() else {
-            break;
-        };
-        // `!` sorts before every character used in keys, so the next page starts just after the
-        // last key of this one.
-        from = format!("{}!", last.key);
-        let has_more = page.has_more;
-        rows.extend(page.rows);
-        if !has_more {
-            break;
-        }
-    }
-    Ok((rows, version.unwrap_or_default()))
-}
-
 /// Follows the operator's table and puts each newer configuration in force.
 pub(super) async fn follow_config(shared: Arc<Shared>) {
     let mut follower = Follower::new(&shared, config::TABLE);
--- a/tests/serve/malformed.rs
+++ b/tests/serve/malformed.rs
@@ -443,3 +443,15 @@
     }
     assert_all_serve(&fleet, &mut entries, 0xe411);
 }
+
+/// A new leader reads each table in many calls. If it began anew after each failed one, it would
+/// hardly ever come to the end.
+#[test]
+fn a_leader_reads_the_rows_although_one_of_three_calls_fails() {
+    let fleet = Fleet::start(2);
+    let (address, _) = start_odd_store(&fleet);
+    let entry = Entry::start("a", address);
+    wait_until("the recovery", 10_000, || {
+        entry.read_log().contains("kind=recovered")
+    });
+}
