--- a/crates/scheduler/src/message.rs
+++ b/crates/scheduler/src/message.rs
@@ -130,8 +130,13 @@
 
 /// The bit by which the number of a contact query differs from those of customers' queries.
 const CONTACT_QUERY_BIT: u64 = 1 << 63;
-/// The number of the query by which an agent tells that it numbers the reports of its watches.
-const NUMBERING_QUERY: u64 = 1 << 62;
+/// The number of the query by which an agent tells that it numbers the reports of its watches. Those of
+/// customers' queries are lower.
+const NUMBERING_QUERY: u64 = 1 << 61;
+/// The highest bit of the number of a query for a receipt. Those of customers' queries are lower.
+const RECEIPT_QUERY_BIT: u64 = 1 << 62;
+/// The job that a contact query names if the store serves the agent. The others name [`Job`] 0.
+const STORE_SERVED: Job = Job(1);
 
 impl Order {
     /// Removes what an agent that does not number its reports cannot read.
@@ -152,6 +157,23 @@
             _ => None,
         }
     }
+
+    /// Returns when the agent sent the query for a receipt that this order answers, by its own
+    /// clock; `None` if it answers none.
+    #[must_use]
+    pub const fn receipt_query_sent_at(&self) -> Option<Ms> {
+        match self {
+            Self::Stage(number, _) if is_receipt_number(*number) => {
+                Some(Ms(*number & !RECEIPT_QUERY_BIT))
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Returns whether the number of a query is that of one for a receipt.
+const fn is_receipt_number(number: u64) -> bool {
+    number >= RECEIPT_QUERY_BIT && number < CONTACT_QUERY_BIT
 }
 
 /// The regular message of the leader to all agents.
@@ -378,6 +400,26 @@
         }
     }
 
+    /// Returns a contact query that also states that the store serves the agent, for a leader that
+    /// the store seems not to serve. Leaders of earlier builds take it for any contact query.
+    #[must_use]
+    pub const fn store_statement(sent_at: Ms) -> Self {
+        Self::QueryStage(CONTACT_QUERY_BIT | sent_at.0, STORE_SERVED)
+    }
+
+    /// Returns whether this is a contact query which states that the store serves the agent.
+    #[must_use]
+    pub fn is_store_statement(&self) -> bool {
+        self.is_contact_query() && matches!(self, Self::QueryStage(_, job) if *job == STORE_SERVED)
+    }
+
+    /// Returns a query of no customer by which an agent finds out that the leader has handled all
+    /// reports before it. Leaders of earlier builds answer it too.
+    #[must_use]
+    pub const fn receipt_query(sent_at: Ms) -> Self {
+        Self::QueryStage(RECEIPT_QUERY_BIT | sent_at.0, Job(0))
+    }
+
     /// Returns whether this is a contact query.
     #[must_use]
     pub const fn is_contact_query(&self) -> bool {
--- a/src/serve/feeds.rs
+++ b/src/serve/feeds.rs
@@ -49,6 +49,8 @@
     table: &'static str,
     /// The version up to which changes have been read.
     after: u64,
+    /// When the last served read or feed call was sent, so that it shows all earlier changes.
+    read_at: Ms,
     /// Whether the last read or feed was served.
     is_available: bool,
 }
@@ -59,40 +61,82 @@
             shared,
             table,
             after: 0,
+            read_at: Ms::ZERO,
             is_available: true,
         }
     }
 
-    /// Reads the whole table, retrying until the store serves it.
+    /// Reads all parts of the table. A feed that starts at the lowest of the versions at which the
+    /// parts were first read misses no change.
     async fn read_all(&mut self) -> Vec<Row> {
+        let begun = clock::now();
+        let mut rows: Vec<Row> = Vec::new();
+        let mut version = u64::MAX;
+        for part in rows::parts(self.table) {
+            let (part_rows, part_version) = self.read_part(part).await;
+            rows.extend(part_rows);
+            version = version.min(part_version);
+        }
+        self.after = version;
+        self.read_at = begun;
+        rows
+    }
+
+    /// Reads a part of the table. Also returns the version at which it was first read.
+    async fn read_part(&mut self, part: &str) -> (Vec<Row>, u64) {
+        let mut rows: Vec<Row> = Vec::new();
+        let mut version = None;
+        let mut from = String::new();
+        loop {
+            let page = self.read_page(part, &from).await;
+            version = version.or(Some(page.version));
+            let Some(last) = page.rows.last() else {
+                break;
+            };
+            // `!` sorts before every character used in keys, so the next page starts just after the
+            // last key of this one.
+            from = format!("{}!", last.key);
+            let has_more = page.has_more;
+            rows.extend(page.rows);
+            if !has_more {
+                break;
+            }
+        }
+        (rows, version.unwrap_or_default())
+    }
+
+    /// Reads the rows of a part from a key on, retrying until the store serves the call. What has
+    /// been read before is kept: a table of many pages would hardly be read to its end if each
+    /// failure began it anew.
+    async fn read_page(&mut self, part: &str, from: &str) -> Page {
         loop {
-            match read_table(self.shared, self.table).await {
-                Ok((rows, version)) => {
-                    self.after = version;
+            let store = &self.shared.store;
+            match store.read(self.table, part, from, MAX_PAGE_ROWS).await {
+                Ok(page) => {
                     self.record_success();
-                    return rows;
+                    return page;
                 }
                 Err(error) => self.record_failure(&error).await,
             }
         }
     }
 
-    /// Waits for changed rows. `None` means that the store no longer has the history since the last
+    /// Waits for changed rows, of which there are none if nothing changes for a while. `None` means that the store no longer has the history since the last
     /// read, so the whole table has to be read again.
     async fn next_changes(&mut self) -> Option<Vec<Row>> {
         loop {
             let wait = feed_wait(self.shared);
+            let sent_at = clock::now();
             match self.shared.store.feed(self.table, self.after, wait).await {
                 Ok(Page {
                     mut rows, version, ..
                 }) => {
                     self.record_success();
                     self.after = version.max(self.after);
+                    self.read_at = sent_at;
                     // A feed returns the rows of all parts.
                     rows.retain(|row| rows::parts(self.table).contains(&&*row.part));
-                    if !rows.is_empty() {
-                        return Some(rows);
-                    }
+                    return Some(rows);
                 }
                 Err(Error::Compacted) => {
                     log::warn!(
@@ -143,41 +187,6 @@
     }
 }
 
-/// Reads all parts of a table. Also returns the lowest of the versions at which the parts were
-/// first read, so that a feed that starts there misses no change.
-async fn read_table(shared: &Shared, table: &str) -> Result<(Vec<Row>, u64), Error> {
-    let mut rows: Vec<Row> = Vec::new();
-    let mut version = u64::MAX;
-    for part in rows::parts(table) {
-        let (part_rows, part_version) = read_part(shared, table, part).await?;
-        rows.extend(part_rows);
-        version = version.min(part_version);
-    }
-    Ok((rows, version))
-}
-
-async fn read_part(shared: &Shared, table: &str, part: &str) -> Result<(Vec<Row>, u64), Error> {
-    let mut rows: Vec<Row> = Vec::new();
-    let mut version = None;
-    let mut from = String::new();
-    loop {
-        let page = shared.store.read(table, part, &from, MAX_PAGE_ROWS).await?;
-        version = version.or(Some(page.version));
-        let Some(last) = page.rows.last() else {
-            break;
-        };
-        // `!` sorts before every character used in keys, so the next page starts just after the
-        // last key of this one.
-        from = format!("{}!", last.key);
-        let has_more = page.has_more;
-        rows.extend(page.rows);
-        if !has_more {
-            break;
-        }
-    }
-    Ok((rows, version.unwrap_or_default()))
-}
-
 /// Follows the operator's table and puts each newer configuration in force.
 pub(super) async fn follow_config(shared: Arc<Shared>) {
     let mut follower = Follower::new(&shared, config::TABLE);
@@ -244,6 +253,10 @@
                     return;
                 }
             }
+            let read = Event::RegistrationsRead(follower.read_at);
+            if inputs.send_row(read).await.is_err() {
+                return;
+            }
             match follower.next_changes().await {
                 Some(changed) => rows = changed,
                 None => break,
