Refuse jobs whose row the store would never take

`image` had no limit but that of the body (262,144 bytes by default). The row of a job is not divided, so the store refused a job of long images each time, and its customer was told to try again (503) for ever. An entry that the store does not serve passes such a job on to the leader in a frame, which holds at most 4 MB: several of them at once would end the connection (derived, not run).

An image has at most 200 bytes now, and a longer one is refused (400) with the step and the length. Rows that are stored already are read as before. Where the settings give rows of fewer than 52,668 bytes in base64, the largest jobs are still refused by the store.

--- a/crates/scheduler/src/spec.rs
+++ b/crates/scheduler/src/spec.rs
@@ -17,6 +17,8 @@
 pub const MAX_TASKS: u32 = 20_000;
 /// The most occurrences of a job.
 pub const MAX_OCCURRENCES: u32 = 100_000;
+/// The longest name of an image. The largest job fits in a row of the store, which is not divided.
+pub const MAX_IMAGE_BYTES: usize = 200;
 
 quick_error! {
     /// The reasons for which a job is not accepted.
@@ -42,6 +44,14 @@
         Order(step: usize) {
             display("step {} waits for itself or a later step", step)
         }
+        /// The image of the step at this index has this number of bytes, which exceeds
+        /// [`MAX_IMAGE_BYTES`].
+        Image(step: usize, bytes: usize) {
+            display(
+                "the image of step {} has {} bytes, at most {} are allowed",
+                step, bytes, MAX_IMAGE_BYTES
+            )
+        }
         /// The schedule has this number of occurrences, which exceeds [`MAX_OCCURRENCES`].
         Schedule(count: u32) {
             display("a job has at most {} occurrences, not {}", MAX_OCCURRENCES, count)
@@ -128,6 +138,7 @@
             return Err(Error::Tasks(count));
         }
         self.validate_order()?;
+        self.validate_images()?;
         match self.schedule {
             Some(schedule) if schedule.count > MAX_OCCURRENCES => {
                 Err(Error::Schedule(schedule.count))
@@ -149,6 +160,16 @@
         Ok(())
     }
 
+    fn validate_images(&self) -> Result<(), Error> {
+        for (index, step) in self.steps.iter().enumerate() {
+            let bytes = step.image.as_ref().map_or(0, |image| image.len());
+            if bytes > MAX_IMAGE_BYTES {
+                return Err(Error::Image(index, bytes));
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the number of occurrences.
     #[must_use]
     pub fn occurrences(&self) -> u32 {
