Expect no overflow from a job's estimate

`estimateMs` has no limit, and an estimate of more than 614,891,469,123,651,720 ms overflowed where the leader takes 30% of it for the expected delay. With overflow checks the leader's process ends, and so does that of the next leader, because the row of the job stays; release builds wrap around and rank the step wrongly.

The product saturates now.

--- a/crates/scheduler/src/leader/waiting.rs
+++ b/crates/scheduler/src/leader/waiting.rs
@@ -126,7 +126,7 @@
     fn is_late(&self, now: Ms, rank: Rank, step: id::Step) -> bool {
         let job = self.jobs.get(&step.job);
         let remaining = job.and_then(|job| job.remaining.get(usize::from(step.step)));
-        let delay = remaining.map_or(0, |it| it.0 * EXPECTED_DELAY_PERCENT / 100);
+        let delay = remaining.map_or(0, |it| it.0.saturating_mul(EXPECTED_DELAY_PERCENT) / 100);
         rank.latest_start < age::shifted(now) + Ms(delay)
     }
 }
--- /dev/null
+++ b/crates/scheduler/tests/extremes.rs
@@ -0,0 +1,97 @@
+//! Values at the ends of their ranges, each of which a leader handled wrongly before.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::BOUNDS;
+use common::INCARNATION;
+use common::accepted_job;
+use common::config;
+use common::name;
+use common::registration;
+use decision::clock::Ms;
+use scheduler::id;
+use scheduler::id::Epoch;
+use scheduler::leader::Action;
+use scheduler::leader::Event;
+use scheduler::leader::Leader;
+use scheduler::message::Observation;
+use scheduler::message::Order;
+use scheduler::message::Report;
+use scheduler::spec;
+
+const NOW: Ms = Ms(20_000);
+const TODAY: Ms = Ms(1_700_000_000_000);
+
+/// Passes events and a tick to a leader, and returns what it requires.
+fn apply(leader: &mut Leader, now: Ms, events: Vec<Event>) -> Vec<Action> {
+    let all = [Event::LeadConfirmed(now)].into_iter().chain(events);
+    let all = all.chain([Event::Tick(TODAY)]);
+    let mut actions: Vec<Action> = all.flat_map(|event| leader.handle(now, event)).collect();
+    actions.extend(leader.schedule(now));
+    if actions.iter().any(|it| matches!(it, Action::Commit(_))) {
+        actions.extend(leader.handle(now, Event::Committed));
+    }
+    actions
+}
+
+/// Returns a leader with one worker that has nothing to do.
+fn begin() -> Leader {
+    let mut leader = Leader::new(name("e"), Epoch(7), BOUNDS, NOW);
+    let observation = Observation {
+        worker: name("w"),
+        incarnation: INCARNATION,
+        polled_at: Ms(1),
+        running: Some(Vec::new()),
+        ended: Vec::new(),
+    };
+    let events = vec![
+        Event::Config(Arc::new(config())),
+        Event::Recovered,
+        Event::Joined(name("e"), name("d")),
+        Event::RegistrationChanged(name("w"), Some(registration("d"))),
+        Event::Received(name("e"), Report::Polled(observation)),
+    ];
+    apply(&mut leader, NOW, events);
+    leader
+}
+
+fn step(count: u32, estimate: Ms) -> spec::Step {
+    spec::Step {
+        count,
+        estimate,
+        ..spec::Step::default()
+    }
+}
+
+fn accept(job: u64, steps: Vec<spec::Step>) -> Event {
+    Event::Accepted(id::Job(job), 30 + job, accepted_job(steps), None)
+}
+
+fn starts(actions: &[Action]) -> usize {
+    let starts = actions
+        .iter()
+        .filter(|action| matches!(action, Action::Send(_, Order::Start(_))));
+    starts.count()
+}
+
+/// The time that a step is expected to be delayed overflowed.
+#[test]
+fn a_job_of_any_estimate_starts() {
+    for estimate in [
+        0,
+        1,
+        u64::MAX / 30,
+        u64::MAX / 30 + 1,
+        u64::MAX / 2,
+        u64::MAX,
+    ] {
+        let mut leader = begin();
+        let steps = vec![step(2, Ms(estimate))];
+        // The order of a single step needs no estimate.
+        let jobs = vec![accept(1, steps.clone()), accept(2, steps)];
+        let actions = apply(&mut leader, NOW + Ms(50), jobs);
+        assert_eq!(starts(&actions), 4, "{estimate}");
+    }
+}
