Leave alone rows of jobs that nothing can run

The leader decoded a job's row and ran it without checking it again. A row whose step waits for a step that doesn't exist ended the leader's process (index out of bounds), and that of each leader after it; one with 2^32 tasks takes more memory than any machine of ours; one without steps was counted as completed. No entry of ours writes such rows, but one bad row must not stop all jobs.

The leader now checks steps, tasks, order and occurrences of each row (not the lengths of texts, which an earlier build may have allowed), logs `row-ignored` once, and treats the job as one that cannot be read: nothing of it starts, stops or is acknowledged. The new table test failed before. The package's tests pass.

--- a/crates/scheduler/src/leader/jobs.rs
+++ b/crates/scheduler/src/leader/jobs.rs
@@ -27,6 +27,14 @@
         if self.jobs.contains_key(&id) || is_forgotten {
             return;
         }
+        if let Err(error) = accepted.spec.validate_shape() {
+            if self.unreadable.insert(id) {
+                self.log(format!(
+                    "kind=row-ignored table=jobs job={id} cause=\"{error}\""
+                ));
+            }
+            return;
+        }
         let job = job::Job::new(id, row, accepted, progress, &mut self.model, now);
         let tasks: u32 = job.spec.steps.iter().map(|step| step.count).sum();
         self.log(format!(
--- a/crates/scheduler/src/spec.rs
+++ b/crates/scheduler/src/spec.rs
@@ -52,9 +52,9 @@
                 step, bytes, MAX_IMAGE_BYTES
             )
         }
-        /// The schedule has this number of occurrences, which exceeds [`MAX_OCCURRENCES`].
+        /// The schedule has this number of occurrences, which is 0 or exceeds [`MAX_OCCURRENCES`].
         Schedule(count: u32) {
-            display("a job has at most {} occurrences, not {}", MAX_OCCURRENCES, count)
+            display("a job has 1 to {} occurrences, not {}", MAX_OCCURRENCES, count)
         }
     }
 }
@@ -130,6 +130,16 @@
         if self.payload.len() > MAX_PAYLOAD_BYTES {
             return Err(Error::Payload(self.payload.len()));
         }
+        self.validate_shape()?;
+        self.validate_images()
+    }
+
+    /// Validates what a leader relies on in a job whose row may be of another build.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first limit that the job exceeds.
+    pub fn validate_shape(&self) -> Result<(), Error> {
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(Error::Steps(self.steps.len()));
         }
@@ -138,13 +148,11 @@
             return Err(Error::Tasks(count));
         }
         self.validate_order()?;
-        self.validate_images()?;
-        match self.schedule {
-            Some(schedule) if schedule.count > MAX_OCCURRENCES => {
-                Err(Error::Schedule(schedule.count))
-            }
-            _ => Ok(()),
+        let occurrences = self.occurrences();
+        if occurrences == 0 || occurrences > MAX_OCCURRENCES {
+            return Err(Error::Schedule(occurrences));
         }
+        Ok(())
     }
 
     fn validate_order(&self) -> Result<(), Error> {
--- a/crates/scheduler/tests/extremes.rs
+++ b/crates/scheduler/tests/extremes.rs
@@ -95,3 +95,64 @@
         assert_eq!(starts(&actions), 4, "{estimate}");
     }
 }
+
+/// Returns specifications that no entry accepts.
+fn unusable() -> Vec<(&'static str, spec::Job)> {
+    let plain = || accepted_job(vec![step(1, Ms(500)); 2]).spec;
+    let with = |change: fn(&mut spec::Job)| {
+        let mut spec = plain();
+        change(&mut spec);
+        spec
+    };
+    let schedule = |count| spec::Schedule {
+        first: Ms(1),
+        interval: Ms(0),
+        count,
+    };
+    vec![
+        ("no steps", with(|spec| spec.steps.clear())),
+        ("no tasks", with(|spec| spec.steps[1].count = 0)),
+        ("many tasks", with(|spec| spec.steps[1].count = u32::MAX)),
+        (
+            "waits for itself",
+            with(|spec| spec.steps[1].after = vec![1]),
+        ),
+        (
+            "waits for no step",
+            with(|spec| spec.steps[1].after = vec![u16::MAX]),
+        ),
+        (
+            "no occurrences",
+            spec::Job {
+                schedule: Some(schedule(0)),
+                ..plain()
+            },
+        ),
+        (
+            "many occurrences",
+            spec::Job {
+                schedule: Some(schedule(u32::MAX)),
+                ..plain()
+            },
+        ),
+    ]
+}
+
+/// A row that no entry should have written ended the process of each leader that read it.
+#[test]
+fn a_row_with_an_unusable_job_is_left_alone() {
+    for (case, spec) in unusable() {
+        let mut leader = begin();
+        let mut accepted = accepted_job(Vec::new());
+        accepted.spec = spec;
+        let bad = Event::Accepted(id::Job(1), 31, accepted, None);
+        let good = accept(2, vec![step(3, Ms(500))]);
+        let actions = apply(&mut leader, NOW + Ms(50), vec![bad, good]);
+        assert_eq!(starts(&actions), 3, "{case}");
+        let lines = actions.iter().filter(|action| {
+            matches!(action, Action::Log(line) if line.starts_with("kind=row-ignored table=jobs"))
+        });
+        assert_eq!(lines.count(), 1, "{case}");
+        assert_eq!(leader.stage(id::Job(1)), None, "{case}");
+    }
+}
