Count no failed run of a task that its job doesn't have

A worker keeps the ends of runs until they are acknowledged, and a customer may submit a job under the name of a former one. A failed run of a step, task or occurrence that the present job doesn't have was recorded in its progress all the same: with `maxAttempts` such ends the job failed, the row grew by what no later event removes, and a step number from 32,768 on was read as a crash of the workers under another step.

A failed run counts only for a task in progress, which covers finished tasks and occurrences as before.

--- a/crates/scheduler/src/leader/ends.rs
+++ b/crates/scheduler/src/leader/ends.rs
@@ -185,9 +185,9 @@
         };
         let spec = job.step_spec(id.step.step);
         let is_lasting = spec.is_some_and(|spec| spec.is_lasting);
-        let is_done = job.task(id).is_some_and(|task| task.is_done)
-            || id.step.occurrence < job.progress.finished_occurrences;
-        if is_lasting || is_done || job.has_ended() {
+        // A finished occurrence has no tasks, and neither has one that the job does not have.
+        let is_open = job.task(id).is_some_and(|task| !task.is_done);
+        if is_lasting || !is_open || job.has_ended() {
             return 0;
         }
         job.record_failure(id, end.run)
--- a/crates/scheduler/tests/extremes.rs
+++ b/crates/scheduler/tests/extremes.rs
@@ -13,12 +13,16 @@
 use decision::clock::Ms;
 use scheduler::id;
 use scheduler::id::Epoch;
+use scheduler::id::Run;
 use scheduler::leader::Action;
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
+use scheduler::message::End;
 use scheduler::message::Observation;
 use scheduler::message::Order;
 use scheduler::message::Report;
+use scheduler::message::Termination;
+use scheduler::progress::Stage;
 use scheduler::spec;
 
 const NOW: Ms = Ms(20_000);
@@ -156,3 +160,60 @@
         assert_eq!(leader.stage(id::Job(1)), None, "{case}");
     }
 }
+
+/// Returns the report of a failed run of a task of job 1, numbered within the worker.
+fn failed(number: u64, occurrence: u32, step: u16, index: u32) -> Event {
+    let step = id::Step {
+        job: id::Job(1),
+        occurrence,
+        step,
+    };
+    let end = End {
+        number,
+        task: id::Task { step, index },
+        run: Run((6 << 20) + number),
+        termination: Termination::Failed,
+        checkpoint: None,
+    };
+    let observation = Observation {
+        worker: name("w"),
+        incarnation: INCARNATION,
+        polled_at: Ms(1),
+        running: Some(Vec::new()),
+        ended: vec![end],
+    };
+    Event::Received(name("e"), Report::Polled(observation))
+}
+
+/// Ends of a former job of the same name counted against this one, and stayed in its row.
+#[test]
+fn failed_runs_of_tasks_that_a_job_does_not_have_do_not_count() {
+    let cases = [
+        (0, 0, 2),
+        (0, 0, u32::MAX),
+        (0, 1, 0),
+        (0, 1 << 15, 0),
+        (0, u16::MAX, 0),
+        (1, 0, 0),
+        (u32::MAX, 0, 0),
+    ];
+    for (occurrence, step_number, index) in cases {
+        let case = format!("{occurrence}.{step_number}.{index}");
+        let mut leader = begin();
+        let job = accept(1, vec![step(2, Ms(500))]);
+        apply(&mut leader, NOW + Ms(50), vec![job]);
+        for number in 1..=3 {
+            let event = failed(number, occurrence, step_number, index);
+            let actions = apply(&mut leader, NOW + Ms(50 + number * 50), vec![event]);
+            for action in actions {
+                let Action::Commit(commit) = action else {
+                    continue;
+                };
+                let mut written = commit.progress.iter();
+                let is_clean = written.all(|(_, progress)| progress.steps.is_empty());
+                assert!(is_clean, "{case}: {:?}", commit.progress);
+            }
+        }
+        assert_eq!(leader.stage(id::Job(1)), Some(Stage::Queued), "{case}");
+    }
+}
