Search only racks that hold a whole step

For a step with `sameRack` the leader searched the whole fleet once for each rack, also for racks that cannot hold all of its tasks, in each pass for as long as it waited.

The tasks go where they went, unless all of 16 racks with room fail, because serving tasks there leave too little slack or the workers are not in the stored fleet yet.

--- a/crates/decision/src/resource.rs
+++ b/crates/decision/src/resource.rs
@@ -54,6 +54,15 @@
         }
     }
 
+    /// Returns how often `self` fits into `room`; `u32::MAX` if it is zero in each dimension.
+    #[must_use]
+    pub fn times_in(self, room: Self) -> u32 {
+        let times = |need: u32, have: u32| have.checked_div(need).unwrap_or(u32::MAX);
+        times(self.millicores, room.millicores)
+            .min(times(self.memory_mb, room.memory_mb))
+            .min(times(self.accelerators, room.accelerators))
+    }
+
     /// Returns the sum in each dimension, saturating at the maximum.
     #[must_use]
     pub const fn plus(self, other: Self) -> Self {
--- a/crates/scheduler/src/leader.rs
+++ b/crates/scheduler/src/leader.rs
@@ -162,6 +162,8 @@
     /// The time of the last pass over the waiting steps, and the number of passes so far.
     last_pass: Ms,
     passes: u64,
+    /// The number of searches for workers of a step so far.
+    searches: u64,
     /// Some steps found no room in the last pass.
     is_crowded: bool,
     /// The last step that was tried in turn; absent if the next turn begins with the first one.
@@ -236,6 +238,7 @@
             immovable: BTreeMap::new(),
             last_pass: Ms::ZERO,
             passes: 0,
+            searches: 0,
             is_crowded: false,
             last_in_turn: None,
             dirty: BTreeMap::new(),
@@ -325,6 +328,13 @@
         self.passes
     }
 
+    /// Returns the number of searches for workers of a step so far. Each examines the whole fleet at
+    /// most.
+    #[must_use]
+    pub const fn searches(&self) -> u64 {
+        self.searches
+    }
+
     /// Returns the counts of this leader so far.
     #[must_use]
     pub const fn tally(&self) -> Tally {
--- a/crates/scheduler/src/leader/booking.rs
+++ b/crates/scheduler/src/leader/booking.rs
@@ -21,6 +21,9 @@
 /// The number of workers with room for each task of a step from which on a search may end. Some may
 /// turn out not to be in the stored fleet.
 const CANDIDATES_PER_TASK: usize = 4;
+/// The most racks that are searched for one step. Those with room for all of its tasks hold them,
+/// unless serving tasks there leave too little slack.
+const MAX_RACKS: usize = 16;
 
 impl Leader {
     /// Books the best worker for each task, until one fits nowhere. Only workers that have improved
@@ -63,7 +66,8 @@
         let shared = self.next_run();
         let mut racks: Vec<Option<Name>> = Vec::new();
         if request.spec.is_same_rack {
-            racks.extend(self.racks_by_room(request.service).into_iter().map(Some));
+            let found = self.racks_with_room(now, request, indices.len());
+            racks.extend(found.into_iter().take(MAX_RACKS).map(Some));
         }
         racks.push(None);
         let mut best: Vec<(Task, Run, Name)> = Vec::new();
@@ -110,10 +114,11 @@
         registration.is_some_and(|registration| registration.labels.contains(label))
     }
 
-    /// Returns the racks of a service, the one with the most free processors first.
-    fn racks_by_room(&self, service: &Name) -> Vec<Name> {
-        let mut room: BTreeMap<&Name, u64> = BTreeMap::new();
-        for worker in self.workers.values() {
+    /// Returns the racks of which the workers have room for this many tasks of a step, the one with
+    /// the most free processors first.
+    fn racks_with_room(&self, now: Ms, request: &Request<'_>, tasks: usize) -> Vec<Name> {
+        let mut racks: BTreeMap<&Name, (u64, u64)> = BTreeMap::new();
+        for (name, worker) in &self.workers {
             let Some(registration) = &worker.registration else {
                 continue;
             };
@@ -121,16 +126,18 @@
             let Some(rack) = registration
                 .labels
                 .last()
-                .filter(|_| registration.service == *service)
+                .filter(|_| registration.service == *request.service)
             else {
                 continue;
             };
-            let free = registration.size.minus(worker.booked).millicores;
-            *room.entry(rack).or_default() += u64::from(free);
+            let (free, room) = racks.entry(rack).or_default();
+            *free += u64::from(registration.size.minus(worker.booked).millicores);
+            *room += u64::from(placement::room(request, &self.model, name, worker, now));
         }
-        let mut racks: Vec<(u64, Name)> = room
+        let mut racks: Vec<(u64, Name)> = racks
             .into_iter()
-            .map(|(rack, free)| (free, rack.clone()))
+            .filter(|&(_, (_, room))| room >= tasks as u64)
+            .map(|(rack, (free, _))| (free, rack.clone()))
             .collect();
         racks.sort_unstable_by(|a, b| b.cmp(a));
         racks.into_iter().map(|(_, rack)| rack).collect()
@@ -149,6 +156,7 @@
         request: &Request<'_>,
         improved_since: Option<Ms>,
     ) -> BinaryHeap<(i64, Name)> {
+        self.searches += 1;
         let prefers_rack = request.rack.or(request.spec.rack.as_ref()).is_some();
         let count = request.spec.count as usize;
         let limit = if prefers_rack {
--- a/crates/scheduler/src/placement.rs
+++ b/crates/scheduler/src/placement.rs
@@ -135,6 +135,26 @@
     worker.booked.fits(capacity) && size.fits(capacity.minus(worker.booked))
 }
 
+/// Returns the most tasks of a step that a worker can take. Those that fill may find less.
+#[must_use]
+pub fn room(request: &Request<'_>, model: &Model, name: &Name, worker: &Worker, now: Ms) -> u32 {
+    let Some(registration) = &worker.registration else {
+        return 0;
+    };
+    if score(request, model, name, worker, now).is_none() {
+        return 0;
+    }
+    let free = registration.size.minus(worker.booked);
+    let by_size = request.claim.size.times_in(free);
+    let here = worker.steps.get(&request.step).copied().unwrap_or(0);
+    let by_limit = request
+        .spec
+        .per_worker
+        .unwrap_or(u32::MAX)
+        .saturating_sub(here);
+    by_size.min(by_limit)
+}
+
 /// Returns the score of a worker for a task, or `None` if the task does not fit. Higher is better.
 #[must_use]
 pub fn score(
--- a/crates/scheduler/tests/limits/main.rs
+++ b/crates/scheduler/tests/limits/main.rs
@@ -68,10 +68,7 @@
         return false;
     }
     let rooms = sizes.iter().map(|&size| {
-        let by = |need: u32, have: u32| have.checked_div(need).unwrap_or(u32::MAX);
-        let room = by(step.need.millicores, size.millicores)
-            .min(by(step.need.memory_mb, size.memory_mb))
-            .min(by(step.need.accelerators, size.accelerators));
+        let room = step.need.times_in(size);
         u64::from(room.min(step.per_worker.unwrap_or(u32::MAX)))
     });
     let needed = if step.is_gang { step.count } else { 1 };
