--- a/crates/scheduler/src/spec.rs
+++ b/crates/scheduler/src/spec.rs
@@ -17,6 +17,8 @@
 pub const MAX_TASKS: u32 = 20_000;
 /// The most occurrences of a job.
 pub const MAX_OCCURRENCES: u32 = 100_000;
+/// The longest name of an image. The largest job fits in a row of the store, which is not divided.
+pub const MAX_IMAGE_BYTES: usize = 200;
 
 quick_error! {
     /// The reasons for which a job is not accepted.
@@ -42,9 +44,17 @@
         Order(step: usize) {
             display("step {} waits for itself or a later step", step)
         }
-        /// The schedule has this number of occurrences, which exceeds [`MAX_OCCURRENCES`].
+        /// The image of the step at this index has this number of bytes, which exceeds
+        /// [`MAX_IMAGE_BYTES`].
+        Image(step: usize, bytes: usize) {
+            display(
+                "the image of step {} has {} bytes, at most {} are allowed",
+                step, bytes, MAX_IMAGE_BYTES
+            )
+        }
+        /// The schedule has this number of occurrences, which is 0 or exceeds [`MAX_OCCURRENCES`].
         Schedule(count: u32) {
-            display("a job has at most {} occurrences, not {}", MAX_OCCURRENCES, count)
+            display("a job has 1 to {} occurrences, not {}", MAX_OCCURRENCES, count)
         }
     }
 }
@@ -120,6 +130,16 @@
         if self.payload.len() > MAX_PAYLOAD_BYTES {
             return Err(Error::Payload(self.payload.len()));
         }
+        self.validate_shape()?;
+        self.validate_images()
+    }
+
+    /// Validates what a leader relies on in a job whose row may be of another build.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first limit that the job exceeds.
+    pub fn validate_shape(&self) -> Result<(), Error> {
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
             return Err(Error::Steps(self.steps.len()));
         }
@@ -128,12 +148,11 @@
             return Err(Error::Tasks(count));
         }
         self.validate_order()?;
-        match self.schedule {
-            Some(schedule) if schedule.count > MAX_OCCURRENCES => {
-                Err(Error::Schedule(schedule.count))
-            }
-            _ => Ok(()),
+        let occurrences = self.occurrences();
+        if occurrences == 0 || occurrences > MAX_OCCURRENCES {
+            return Err(Error::Schedule(occurrences));
         }
+        Ok(())
     }
 
     fn validate_order(&self) -> Result<(), Error> {
@@ -149,6 +168,16 @@
         Ok(())
     }
 
+    fn validate_images(&self) -> Result<(), Error> {
+        for (index, step) in self.steps.iter().enumerate() {
+            let bytes = step.image.as_ref().map_or(0, |image| image.len());
+            if bytes > MAX_IMAGE_BYTES {
+                return Err(Error::Image(index, bytes));
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the number of occurrences.
     #[must_use]
     pub fn occurrences(&self) -> u32 {
