Release no start that is under way for a failed poll reported before it

A start counts as a renewal only once its answer comes, so between the order and the answer a failed poll with an old renewal still released the run, and the task started elsewhere while the agent carried out the first start.

Evidence: a_start_that_is_under_way_is_not_released_for_an_older_failed_poll failed before, 1 of 1 runs ("run-released ... phase=Starting ms=10", then a start on the other worker).

Change: leases do not count as expired while a start on the worker is unanswered and younger than a lease. The agent answers within the time limit of its call; if its connection is lost, the start becomes unsure and the renewals are held. a_task_starts_elsewhere_once_its_start_was_not_sent_or_is_a_lease_old (passed before, too) shows that it does not wait for longer.

--- a/crates/scheduler/src/leader/lapses.rs
+++ b/crates/scheduler/src/leader/lapses.rs
@@ -18,6 +18,7 @@
 use crate::over::Over;
 use crate::over::Standing;
 use crate::over::Unproven;
+use crate::task::Phase;
 
 impl Leader {
     /// Records the renewals of an agent for an earlier leader. Its list of runs is not used, because
@@ -99,6 +100,9 @@
     fn handle_lapse(&mut self, now: Ms, lapse: Lapse) {
         let name = lapse.worker().clone();
         let lease = self.lease_expiry_delay();
+        if self.has_start_under_way(now, &name) {
+            return;
+        }
         self.record_crash_at_lapse(now, &name);
         let lost = self.release_lapsed_runs(now, &lapse);
         let Some(worker) = self.workers.get_mut(&name) else {
@@ -125,6 +129,17 @@
         }
     }
 
+    /// Returns whether the agent of a worker may carry out a start, and renew the lease with it, after
+    /// all that it has reported. It tells of that within a lease, or its connection is lost.
+    fn has_start_under_way(&mut self, now: Ms, name: &Name) -> bool {
+        let lease = self.lease_expiry_delay();
+        self.runs_on(name).into_iter().any(|(task, run)| {
+            self.run_mut(task, run).is_some_and(|attempt| {
+                attempt.phase == Phase::Starting && now.since(attempt.started_at) < lease
+            })
+        })
+    }
+
     /// Releases the runs on a worker whose leases have expired, and returns how many there were.
     fn release_lapsed_runs(&mut self, now: Ms, lapse: &Lapse) -> usize {
         let runs = self.runs_on(lapse.worker());
