--- a/src/serve/frame.rs
+++ b/src/serve/frame.rs
@@ -47,3 +47,6 @@
     stream.read_exact(&mut bytes).await.map_err(peer)?;
     rmp_serde::from_slice(&bytes).map_err(|error| Error::Peer(error.to_string()))
 }
+
+#[cfg(test)]
+mod tests;
