Show that a registration that comes and goes keeps a lease for ever

What callers would see: LOST. A worker with runs that is listed again counts as moved even if its address is the same, so it gets another watch each time. The renewals are then expected until 3 s later, and the agent gives the age since the new watch began. A worker that is cut off from the agents while its registration lapses and comes back keeps its tasks for as long as this goes on. By reading, the code before went on with the watch at the same address.

--- a/crates/scheduler/tests/unlisted.rs
+++ b/crates/scheduler/tests/unlisted.rs
@@ -20,6 +20,7 @@
 use scheduler::leader::Event;
 use scheduler::leader::Leader;
 use scheduler::leader::Member;
+use scheduler::message::Failure;
 use scheduler::message::Finding;
 use scheduler::message::Observation;
 use scheduler::message::Order;
@@ -35,6 +36,12 @@
 const FORMER: &str = "10.0.0.1:1";
 const PRESENT: &str = "10.0.0.2:1";
 
+/// The leader is older than the leases that agents of earlier leaders may have renewed.
+const SETTLED: Ms = Ms(20_000);
+/// The longest time from the last renewal until a task starts elsewhere: the lease and its margins,
+/// and the time for which an agent renews it after its last contact with the leader.
+const LONGEST_LEASE: Ms = Ms(6_520 + 3_000);
+
 /// A leader, its last orders, and the number of starts.
 struct Play {
     leader: Leader,
@@ -66,6 +73,10 @@
         self.watch.as_ref().map_or("none", |watch| &watch.address)
     }
 
+    fn number(&self) -> id::Watch {
+        self.watch.as_ref().map_or(id::Watch::NONE, |it| it.number)
+    }
+
     fn report(&mut self, agent: &str, after: Ms, report: Report) {
         self.handle(after, Event::Received(name(agent), report));
     }
@@ -140,7 +151,7 @@
     // answers the order to void it.
     if address == FORMER {
         let stop = Finding::Stopped(play.starts[0].placement(), Outcome::Reborn, Ms(1));
-        let number = play.watch.as_ref().map_or(id::Watch::NONE, |it| it.number);
+        let number = play.number();
         play.report("e2", Ms(80), Report::of_watch(number, stop));
         play.report("e2", Ms(90), answered("v"));
     }
@@ -151,3 +162,60 @@
         play.log
     );
 }
+
+/// The worker is cut off from the agents, and its registration lapses and comes back each second, at
+/// the same address. Each time another watch begins, from which the leader counts the lease anew.
+#[test]
+fn a_silent_worker_that_is_listed_again_and_again_keeps_no_task_for_longer_than_a_lease() {
+    known_red::run(
+        KNOWN_RED,
+        "a_silent_worker_that_is_listed_again_and_again_keeps_no_task_for_longer_than_a_lease",
+        assert_a_task_of_a_silent_worker_starts_elsewhere,
+    );
+}
+
+fn assert_a_task_of_a_silent_worker_starts_elsewhere() {
+    let mut play = Play {
+        leader: Leader::new(name("e0"), Epoch(17), BOUNDS, BEGUN),
+        watch: None,
+        starts: Vec::new(),
+        log: Vec::new(),
+    };
+    play.handle(Ms(0), Event::Config(Arc::new(config())));
+    play.handle(Ms(0), Event::Recovered);
+    play.handle(Ms(0), Event::Joined(name("e1"), name("d1")));
+    play.handle(Ms(0), listed("w", PRESENT));
+    play.handle(Ms(0), Event::Committed);
+    play.report("e1", SETTLED, answered("w"));
+    let accepted = common::accepted_job(vec![spec::Step {
+        count: 1,
+        estimate: Ms(60_000),
+        ..spec::Step::default()
+    }]);
+    play.handle(SETTLED, Event::Accepted(Job(1), 30, accepted, None));
+    let [start] = &play.starts[..] else {
+        panic!("{:#?}", play.log);
+    };
+    let started = Report::Started(start.placement(), Outcome::Done);
+    play.report("e1", SETTLED, started);
+    play.handle(SETTLED, listed("v", "10.0.0.3:1"));
+    play.handle(SETTLED, Event::Committed);
+    let (mut number, mut begun) = (play.number(), SETTLED);
+    for second in 1..=LONGEST_LEASE.0.div_ceil(1_000) {
+        let after = SETTLED + Ms(second * 1_000);
+        play.handle(after, Event::RegistrationChanged(name("w"), None));
+        play.handle(after, listed("w", PRESENT));
+        play.handle(after, Event::Committed);
+        if play.number() != number {
+            (number, begun) = (play.number(), after);
+        }
+        let failed = Finding::PollFailed(Failure {
+            worker: name("w"),
+            renewal_age: (after + Ms(500)).since(begun),
+            is_closed: false,
+        });
+        play.report("e1", after + Ms(500), Report::of_watch(number, failed));
+        play.report("e1", after + Ms(500), answered("v"));
+    }
+    assert_eq!(play.starts.len(), 2, "{:#?}", play.log);
+}
