Accept names of images up to 255 bytes, and number no watch without an agent

With 255 the largest accepted job takes 43,019 of 49,152 bytes of a row (printed by a run of the_largest_job_fits_in_a_row), so the reason for a limit is kept.

A worker that moves while no agent polls it gets no watch number: the next agent counted 3 s of renewals of an agent that there was not.

bounds and limits of platform/ pass.

--- a/crates/scheduler/src/leader/assign.rs
+++ b/crates/scheduler/src/leader/assign.rs
@@ -240,7 +240,8 @@
     /// Assigns a worker that has another address to the best agent, and begins another watch if that
     /// is the present one.
     fn move_watch(&mut self, now: Ms, name: &Name) {
-        if !self.reassign_if_better(now, name) {
+        let is_watched = self.workers.get(name).is_some_and(|it| it.agent.is_some());
+        if !self.reassign_if_better(now, name) && is_watched {
             self.renew_watch(now, name);
         }
     }
--- a/crates/scheduler/src/spec.rs
+++ b/crates/scheduler/src/spec.rs
@@ -18,7 +18,7 @@
 /// The most occurrences of a job.
 pub const MAX_OCCURRENCES: u32 = 100_000;
 /// The longest name of an image. The largest job fits in a row of the store, which is not divided.
-pub const MAX_IMAGE_BYTES: usize = 200;
+pub const MAX_IMAGE_BYTES: usize = 255;
 
 quick_error! {
     /// The reasons for which a job is not accepted.
