Show that each new leader counts a silent worker's leases anew

A property over drawn histories of leaders that resign, are killed or replaced holds and guards what follows.

--- a/crates/scheduler/tests/promises.rs
+++ b/crates/scheduler/tests/promises.rs
@@ -1,6 +1,7 @@
 //! Invariants that must hold under faults, checked at the simulated workers in virtual time.
 
 mod crashes;
+mod handover;
 mod known_red;
 mod recovery;
 mod relisted;
--- a/crates/scheduler/tests/world/election.rs
+++ b/crates/scheduler/tests/world/election.rs
@@ -58,6 +58,12 @@
         }
     }
 
+    /// Lets the leader resign, and makes this entry the leader.
+    pub fn hand_over(&mut self, entry: &Name) {
+        self.leader = None;
+        self.elect_at(entry, false);
+    }
+
     /// Ends the replaced leaders of an entry that leads again.
     fn depose_on(&mut self, entry: &Name) {
         self.replaced_leaders.retain(|(name, _)| name != entry);
