Relist workers in cuts, and cut some workers more than once, in drawn soaks

The soak drew each fault on workers of its own: none lost its registration while it was cut off, and none was cut twice. So no drawn plan could meet the fault of the incident, a poll of a former watch that fails after its worker is listed again.

New kinds: `relist:MODE` (some workers lose their registration while their connections are disturbed, for 5.5 to 7.5 s, a lease being 6 s, and are listed again), `move:MODE` (the same, and they have restarted under their ids at other addresses, where only the new life answers), `pair:MODE` (from one entry to single others). New mode `dropped`: what is sent is lost, and a connection that lost something stays silent afterwards, as TCP is until it sends again; a stalled poll was delivered when the stall ended and so never failed late. Every second fault of workers' connections is followed by one or two more on the same workers, of one agent or of all. Disturbances of one proxy now overlap: when one ends, the one before it goes on; before, the end of the newest ended all.

Plans of before with the same seed are other plans now.

--- a/tests/serve/proxy.rs
+++ b/tests/serve/proxy.rs
@@ -1,4 +1,4 @@
-//! A TCP proxy on loopback that can refuse, close, stall, delay or cut one way the connections
+//! A TCP proxy on loopback that can refuse, close, stall, lose, delay or cut one way the connections
 //! through it.
 
 use std::net::SocketAddr;
@@ -27,6 +27,8 @@
 const LATE_ANSWER_TIME: Duration = Duration::from_millis(500);
 /// By how much time the delay of slow traffic grows in each unit of time.
 const SLOWDOWN: f64 = 1.8;
+/// How often a silent connection looks whether its sender has closed it.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Attempts to listen again at an address, at most one each 20 ms.
 const MAX_BIND_ATTEMPTS: usize = 250;
 
@@ -56,6 +58,9 @@
     Pass,
     /// Traffic is held back until the mode changes.
     Stall,
+    /// Traffic is lost. A connection on which some was lost stays silent when the mode changes, as
+    /// while its sender waits before it sends again.
+    Drop,
     /// A connection is closed when traffic arrives on it.
     Reset,
     /// All connections are closed, and new ones are refused.
@@ -78,18 +83,42 @@
     Answer,
 }
 
+/// A mode that applies unless a later disturbance does.
+struct Disturbance {
+    number: u64,
+    mode: Mode,
+    begun: Instant,
+}
+
 #[derive(Default)]
 struct State {
-    mode: Mode,
-    /// The number of changes of the mode.
-    changes: u64,
-    /// When the mode changed last.
-    changed_at: Option<Instant>,
+    /// What disturbs the traffic, in the order in which it began.
+    disturbances: Vec<Disturbance>,
+    /// The number of disturbances so far.
+    count: u64,
     /// The task that accepts connections; `None` while they are refused.
     accepting: Option<Task<()>>,
     connections: Vec<Task<()>>,
 }
 
+impl State {
+    fn mode(&self) -> Mode {
+        let newest = self.disturbances.last();
+        newest.map_or(Mode::Pass, |newest| newest.mode)
+    }
+
+    /// Adds a disturbance and returns its number.
+    fn disturb(&mut self, mode: Mode) -> u64 {
+        self.count += 1;
+        self.disturbances.push(Disturbance {
+            number: self.count,
+            mode,
+            begun: Instant::now(),
+        });
+        self.count
+    }
+}
+
 /// A proxy in front of one address, which may change.
 #[derive(Clone)]
 pub struct Proxy {
@@ -97,6 +126,8 @@
     spawner: Spawner,
     target: Arc<Mutex<SocketAddr>>,
     state: Arc<Mutex<State>>,
+    /// Held while the mode changes, so that only one change at a time listens again.
+    changing: Arc<Mutex<()>>,
 }
 
 impl Proxy {
@@ -107,6 +138,7 @@
             spawner: Arc::clone(spawner),
             target: Arc::new(Mutex::new(target)),
             state: Arc::default(),
+            changing: Arc::default(),
         };
         proxy.accept(listener);
         proxy
@@ -117,29 +149,42 @@
         *self.target.lock().expect("no holder of this lock panics") = target;
     }
 
-    /// Changes the mode, and returns the number of this change.
-    pub fn set(&self, mode: Mode) -> u64 {
+    /// Ends all disturbances and sets the mode.
+    pub fn set(&self, mode: Mode) {
+        self.change(|state| {
+            state.disturbances.clear();
+            if mode != Mode::Pass {
+                state.disturb(mode);
+            }
+        });
+    }
+
+    /// Begins a disturbance, which outlasts those that end before it, and returns its number.
+    pub fn disturb(&self, mode: Mode) -> u64 {
+        self.change(|state| state.disturb(mode))
+    }
+
+    /// Ends the disturbance of this number, if it lasts.
+    pub fn restore(&self, number: u64) {
+        self.change(|state| {
+            state
+                .disturbances
+                .retain(|disturbance| disturbance.number != number);
+        });
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let _changing = self.changing.lock().expect("no holder of this lock panics");
         let mut state = self.state();
-        state.mode = mode;
-        state.changes += 1;
-        state.changed_at = Some(Instant::now());
-        let change = state.changes;
-        if mode == Mode::Refuse {
+        let result = change(&mut state);
+        if state.mode() == Mode::Refuse {
             state.accepting = None;
             state.connections.clear();
         } else if state.accepting.is_none() {
             drop(state);
             self.accept(self.bind());
         }
-        change
-    }
-
-    /// Forwards traffic again unless the mode has changed since the change of this number.
-    pub fn restore(&self, change: u64) {
-        let is_newest = self.state().changes == change;
-        if is_newest {
-            self.set(Mode::Pass);
-        }
+        result
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -147,7 +192,7 @@
     }
 
     fn mode(&self) -> Mode {
-        self.state().mode
+        self.state().mode()
     }
 
     fn bind(&self) -> TcpListener {
@@ -198,10 +243,11 @@
     /// Returns how much later traffic arrives that is sent now.
     fn delay(&self) -> Duration {
         let state = self.state();
-        match (state.mode, state.changed_at) {
-            (Mode::Slow(most), Some(since)) => most.min(since.elapsed().mul_f64(SLOWDOWN)),
+        let newest = state.disturbances.last();
+        newest.map_or(Duration::ZERO, |newest| match newest.mode {
+            Mode::Slow(most) => most.min(newest.begun.elapsed().mul_f64(SLOWDOWN)),
             _ => Duration::ZERO,
-        }
+        })
     }
 
     async fn forward(&self, mut from: TcpStream, to: TcpStream, direction: Direction) {
@@ -234,6 +280,7 @@
             match (self.pass(direction).await, direction) {
                 (Mode::Reset | Mode::Refuse, _)
                 | (Mode::LoseAnswers | Mode::Late(_), Direction::Answer) => return,
+                (Mode::Drop, _) => return wait_until_closed(&receiver).await,
                 (Mode::Late(delay), Direction::Request) => {
                     Timer::after(delay).await;
                     if to.write_all(&bytes).await.is_ok() {
@@ -249,3 +296,10 @@
         }
     }
 }
+
+/// Waits until the sender of what is received has closed its connection.
+async fn wait_until_closed(receiver: &Receiver<(Instant, Vec<u8>)>) {
+    while !receiver.is_closed() {
+        Timer::after(CLOSE_CHECK_INTERVAL).await;
+    }
+}
--- a/tests/serve/soak/plan.rs
+++ b/tests/serve/soak/plan.rs
@@ -1,6 +1,7 @@
 //! The faults of one play, drawn from a seed or read from a file.
 
 use std::fmt;
+use std::ops::Range;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -32,6 +33,8 @@
     Peers,
     /// From all others to an entry.
     ToPeer,
+    /// From an entry to some others.
+    Pairs,
     /// From clients to an entry.
     Clients,
 }
@@ -54,6 +57,9 @@
     Crash,
     /// A worker crashes, and starts again under its id and address when the fault is over.
     Rebirth,
+    /// Some workers have no registration while their connections are disturbed. When the fault is
+    /// over, they are listed again; one that moves has restarted under its id at another address.
+    Relist { mode: Mode, moves: bool },
     /// A worker drains until the fault is over and leaves, which ends what it runs.
     Drain,
     /// A worker drains, and then has no registration and refuses connections, while what it runs
@@ -68,6 +74,7 @@
     ("all", Path::AllToWorkers),
     ("peer", Path::Peers),
     ("topeer", Path::ToPeer),
+    ("pair", Path::Pairs),
     ("client", Path::Clients),
 ];
 
@@ -75,6 +82,7 @@
     ("refused", Mode::Refuse),
     ("reset", Mode::Reset),
     ("silent", Mode::Stall),
+    ("dropped", Mode::Drop),
     ("oneway", Mode::OneWay),
     ("lost", Mode::LoseAnswers),
     ("late", LATE),
@@ -121,9 +129,15 @@
     ("leave", Kind::Leave),
 ];
 
+/// The names of the faults in which workers are listed again, before those of the modes, and whether
+/// the workers move.
+const RELISTS: &[(&str, bool)] = &[("relist", false), ("move", true)];
+
 /// Returns the names of all kinds.
 fn names() -> Vec<String> {
-    let links = PATHS.iter().flat_map(|(path, _)| {
+    let paths = PATHS.iter().map(|(path, _)| path);
+    let relists = RELISTS.iter().map(|(relist, _)| relist);
+    let links = paths.chain(relists).flat_map(|path| {
         let modes = MODES.iter();
         modes.map(move |(mode, _)| format!("{path}:{mode}"))
     });
@@ -135,15 +149,29 @@
     let other = KINDS.iter().find(|(other, _)| *other == name);
     other.map(|(_, kind)| *kind).or_else(|| {
         let (path, mode) = name.split_once(':')?;
-        let (_, path) = PATHS.iter().find(|(other, _)| *other == path)?;
         let (_, mode) = MODES.iter().find(|(other, _)| *other == mode)?;
-        Some(Kind::Link(*path, *mode))
+        let relist = RELISTS.iter().find(|(other, _)| *other == path);
+        let relist = relist.map(|(_, moves)| Kind::Relist {
+            mode: *mode,
+            moves: *moves,
+        });
+        let link = PATHS.iter().find(|(other, _)| *other == path);
+        relist.or_else(|| link.map(|(_, path)| Kind::Link(*path, *mode)))
     })
 }
 
 /// A delay that exceeds the time limits of callers.
 const LATE: Mode = Mode::Late(Duration::from_millis(2_600));
 
+/// How long workers are cut off without a registration, in ms: less than a lease to more than one.
+const RELIST_MS: Range<u64> = 5_500..7_500;
+/// How many workers are listed again at a time.
+const RELIST_COUNTS: [usize; 3] = [2, 6, 9];
+/// Of this many faults of the connections of workers, one is followed by others of the same workers.
+const CUT_AGAIN_SHARE: u32 = 2;
+/// The most time between the end of a cut and the begin of another one of the same worker, in ms.
+const CUT_AGAIN_MS: u64 = 1_500;
+
 /// The name of the fault that delays what the leader and the agents send each other.
 const SLOW_LEADER: &str = "topeer:slow";
 
@@ -155,7 +183,12 @@
     ("peer:", 2),
     ("topeer:", 1),
     (SLOW_LEADER, 4),
+    ("pair:", 2),
     ("client:", 1),
+    ("relist:", 2),
+    ("relist:dropped", 4),
+    ("move:", 2),
+    ("move:dropped", 4),
     ("pause", 3),
     ("duty", 5),
     ("kill", 2),
@@ -177,6 +210,7 @@
     pub kind: Kind,
     /// The number of the entry; `None` for the one that leads when the fault begins.
     pub entry: Option<usize>,
+    /// The numbers of the workers, or of the other entries.
     pub workers: Vec<usize>,
 }
 
@@ -263,6 +297,7 @@
         Kind::Link(..) | Kind::StoreRefuses => {
             &[1_000, 1_500, 2_500, 4_000, 5_500, 5_800, 8_000, 12_000]
         }
+        Kind::Relist { .. } => return random.random_range(RELIST_MS),
         Kind::Pause => &[600, 1_500, 2_500, 4_000, 6_000, 9_000, 15_000],
         Kind::Slow { .. } => &[3_000, 6_000, 10_000, 15_000],
         Kind::Kill | Kind::Terminate => &[0, 300, 2_500],
@@ -289,6 +324,28 @@
     }
 }
 
+/// Returns one or two cuts of the workers of a fault, which overlap it or follow it, on any path.
+fn draw_more_cuts(random: &mut StdRng, fault: &Fault, entries: usize) -> Vec<Fault> {
+    let count = random.random_range(1..3);
+    let cuts = (0..count).map(|_| {
+        let path = ["worker", "all"][random.random_range(0..2)];
+        let (mode, _) = MODES[random.random_range(0..MODES.len())];
+        let name = format!("{path}:{mode}");
+        let kind = parse_kind(&name).expect("the name is one of a kind");
+        let is_leader = random.random_range(0..LEADER_SHARE) == 0;
+        let entry = random.random_range(0..entries);
+        Fault {
+            at: fault.at + random.random_range(0..fault.lasts + CUT_AGAIN_MS),
+            lasts: draw_duration(random, kind),
+            name,
+            kind,
+            entry: (!is_leader).then_some(entry),
+            workers: fault.workers.clone(),
+        }
+    });
+    cuts.collect()
+}
+
 /// Draws the faults of a play, in the order in which they begin.
 pub fn draw(seed: u64, entries: usize, workers: usize, length: u64) -> Vec<Fault> {
     let mut random = StdRng::seed_from_u64(seed);
@@ -313,20 +370,39 @@
                 | Kind::Terminate
         );
         let some = match kind {
+            Kind::Link(Path::Pairs, _) => 1,
             Kind::Link(..) => some,
+            Kind::Relist { .. } => {
+                RELIST_COUNTS[random.random_range(0..RELIST_COUNTS.len())].min(workers)
+            }
             _ => 1,
         };
+        let numbers = if matches!(kind, Kind::Link(Path::Pairs, _)) {
+            entries
+        } else {
+            workers
+        };
         let lasts = draw_duration(&mut random, kind);
-        faults.push(Fault {
+        let fault = Fault {
             at,
             lasts: lasts.min(length + LAST_FAULT_MS - at),
             name: name.clone(),
             kind,
             entry: (!is_leader).then_some(entry),
             workers: (0..if affects_worker { some } else { 0 })
-                .map(|index| (first + index * 5) % workers)
+                .map(|index| (first + index * 5) % numbers)
                 .collect(),
-        });
+        };
+        let is_cut = matches!(
+            kind,
+            Kind::Link(Path::Workers | Path::AllToWorkers, _) | Kind::Relist { .. }
+        );
+        if is_cut && random.random_range(0..CUT_AGAIN_SHARE) == 0 {
+            let mut cuts = draw_more_cuts(&mut random, &fault, entries);
+            cuts.retain(|cut| cut.at < length);
+            faults.extend(cuts);
+        }
+        faults.push(fault);
         if name == SLOW_LEADER {
             faults.push(draw_silence(&mut random, at, workers));
         }
@@ -349,12 +425,38 @@
     assert_eq!(parse("plan", &to_text(&faults)), Ok(faults));
 }
 
+/// The plans that were drawn before issue 42 cut no worker off that was listed anew meanwhile.
+#[test]
+fn drawn_plans_relist_workers_and_cut_some_of_them_more_than_once() {
+    for seed in 1..=10 {
+        let faults = draw(seed, 9, 24, 20_000);
+        let relists = |fault: &&Fault| matches!(fault.kind, Kind::Relist { .. });
+        assert!(faults.iter().any(|fault| relists(&fault)), "seed {seed}");
+        let cuts: Vec<&Fault> = faults
+            .iter()
+            .filter(|fault| {
+                let is_link = matches!(
+                    fault.kind,
+                    Kind::Link(Path::Workers | Path::AllToWorkers, _)
+                );
+                is_link || relists(fault)
+            })
+            .collect();
+        let is_cut_again = cuts.iter().any(|one| {
+            let mut later = cuts.iter().filter(|cut| cut.at > one.at);
+            later.any(|cut| cut.at < one.end() && cut.workers == one.workers)
+        });
+        assert!(is_cut_again, "seed {seed}");
+    }
+}
+
 #[test]
 fn a_bad_line_of_a_plan_is_named() {
     let cases = [
         ("x", "plan:1: x: invalid digit found in string"),
         ("\n5 6", "plan:2: the kind is missing"),
         ("5 6 none 1", "plan:1: none is no kind of fault"),
+        ("5 6 move:none 1", "plan:1: move:none is no kind of fault"),
         ("5 6 kill\n", "plan:1: the entry is missing"),
     ];
     for (text, error) in cases {
--- a/tests/serve/soak/site.rs
+++ b/tests/serve/soak/site.rs
@@ -79,6 +79,8 @@
     pub id: String,
     pub is_up: bool,
     pub is_draining: bool,
+    /// Which of its two addresses it has.
+    pub slot: usize,
     /// The number of lives before this one.
     life: u32,
     worker: Worker,
@@ -101,6 +103,7 @@
             id,
             is_up: true,
             is_draining: false,
+            slot: 0,
             life: 0,
             worker,
             rate,
@@ -324,11 +327,12 @@
         host.worker.executions.clear();
     }
 
-    /// Starts a worker anew that has crashed.
-    pub fn restart(&mut self, index: usize, now: u64, id: String) {
+    /// Starts a worker anew that has crashed, at one of its addresses.
+    pub fn restart(&mut self, index: usize, now: u64, id: String, slot: usize) {
         let life = self.list[index].life + 1;
         self.list[index] = Host::new(id, now, &mut self.random);
         self.list[index].life = life;
+        self.list[index].slot = slot;
     }
 }
 
@@ -385,20 +389,21 @@
         (host.id.clone(), row.to_string())
     }
 
-    /// Answers a call to a worker once it is carried out; a poll may wait. A worker that is down,
-    /// or whose life ends meanwhile, does not answer.
-    pub async fn respond(&self, index: usize, call: Call) -> (StatusCode, Value) {
+    /// Answers a call to a worker at one of its addresses once it is carried out; a poll may wait. A
+    /// worker that is down or has the other address, or whose life ends meanwhile, does not answer.
+    pub async fn respond(&self, index: usize, slot: usize, call: Call) -> (StatusCode, Value) {
         let mut life = None;
         let end = self.now() + call.body["waitMs"].as_u64().unwrap_or(0);
         loop {
-            if let Some(response) = self.try_respond(index, &call, end, &mut life) {
+            if let Some(response) = self.try_respond(index, slot, &call, end, &mut life) {
                 return response;
             }
-            let (is_up, now_life) = {
+            let (is_here, now_life) = {
                 let hosts = self.hosts.lock().expect("no holder of this lock panics");
-                (hosts.list[index].is_up, hosts.list[index].life)
+                let host = &hosts.list[index];
+                (host.is_up && host.slot == slot, host.life)
             };
-            if !is_up || life != Some(now_life) {
+            if !is_here || life != Some(now_life) {
                 return smol::future::pending().await;
             }
             Timer::after(Duration::from_millis(15)).await;
@@ -408,6 +413,7 @@
     fn try_respond(
         &self,
         index: usize,
+        slot: usize,
         call: &Call,
         end: u64,
         life: &mut Option<u32>,
@@ -417,7 +423,8 @@
         let Hosts { judge, list, .. } = &mut *hosts;
         let host = &mut list[index];
         let is_new = life.is_none();
-        if !host.is_up || *life.get_or_insert(host.life) != host.life {
+        let is_here = host.is_up && host.slot == slot;
+        if !is_here || *life.get_or_insert(host.life) != host.life {
             return None;
         }
         if !call.expected_worker.is_empty() && call.expected_worker != host.id {
--- a/tests/serve/soak/world.rs
+++ b/tests/serve/soak/world.rs
@@ -42,6 +42,8 @@
 /// The start of each address in a row, and the length of one with a port of five digits.
 const ADDRESS_START: &[u8] = b"127.0.0.1:";
 const ADDRESS_LENGTH: usize = 15;
+/// The addresses that each worker has in turn if it moves.
+const SLOTS: usize = 2;
 
 /// What an entry sees instead of the addresses of workers and of other entries.
 #[derive(Default)]
@@ -133,11 +135,11 @@
             "pathPrefix": "/q/", "service": "s", "priority": 0, "maxAttempts": 3, "stretch": 1.5,
             "targetLatencyMs": 250}], "services": [{"name": "s"}], "limits": {}});
         store.put("op", "config", &config.to_string());
-        let host_addresses = (0..workers).map(|index| {
+        let host_addresses = (0..workers * SLOTS).map(|place| {
             let site = site.clone();
             server::start_with_calls(&spawner, move |call| {
                 let site = site.clone();
-                async move { site.respond(index, call).await }
+                async move { site.respond(place / SLOTS, place % SLOTS, call).await }
             })
         });
         let host_addresses: Vec<SocketAddr> = host_addresses.collect();
@@ -189,7 +191,8 @@
     }
 
     fn register(&self, index: usize) {
-        let address = self.host_addresses[index].to_string();
+        let slot = self.site.settled().0.list[index].slot;
+        let address = self.host_addresses[index * SLOTS + slot].to_string();
         let (id, row) = self.site.registration(index, &address);
         self.store.put("servers", &id, &row);
     }
@@ -275,12 +278,14 @@
                     alone(&self.hosts_busy[worker], || self.replace(worker, fault));
                 }
             }
+            Kind::Relist { mode, moves } => self.relist(mode, moves, fault),
         }
     }
 
     fn disturb(&self, path: Path, mode: Mode, entry: usize, fault: &Fault) {
         let to_workers = |parts: &Parts| -> Vec<Proxy> {
-            let proxies = fault.workers.iter().map(|worker| &parts.workers[*worker]);
+            let workers = fault.workers.iter();
+            let proxies = workers.flat_map(|worker| parts.worker(*worker));
             proxies.cloned().collect()
         };
         let parts = &self.parts[entry];
@@ -288,6 +293,10 @@
             Path::Store => vec![parts.store.clone()],
             Path::Clients => vec![parts.clients.clone()],
             Path::Peers => parts.peers.clone(),
+            Path::Pairs => {
+                let others = fault.workers.iter();
+                others.map(|other| parts.peers[*other].clone()).collect()
+            }
             Path::ToPeer => {
                 let others = self.parts.iter();
                 others.map(|parts| parts.peers[entry].clone()).collect()
@@ -295,10 +304,10 @@
             Path::Workers => to_workers(parts),
             Path::AllToWorkers => self.parts.iter().flat_map(to_workers).collect(),
         };
-        let changes: Vec<u64> = proxies.iter().map(|proxy| proxy.set(mode)).collect();
+        let begun: Vec<u64> = proxies.iter().map(|proxy| proxy.disturb(mode)).collect();
         wait(fault.lasts);
-        for (proxy, change) in iter::zip(proxies, changes) {
-            proxy.restore(change);
+        for (proxy, number) in iter::zip(proxies, begun) {
+            proxy.restore(number);
         }
     }
 
@@ -325,15 +334,50 @@
 
     /// Closes or opens all connections of a worker.
     fn set_reachable(&self, worker: usize, is_reachable: bool) {
-        for parts in &self.parts {
+        for proxy in self.parts.iter().flat_map(|parts| parts.worker(worker)) {
             // Refusing drops the calls under way, so that none outlives the life of the worker.
-            parts.workers[worker].set(Mode::Refuse);
+            proxy.set(Mode::Refuse);
             if is_reachable {
-                parts.workers[worker].set(Mode::Pass);
+                proxy.set(Mode::Pass);
             }
         }
     }
 
+    /// Removes the registrations of some workers while their connections are disturbed, and lists
+    /// those that are not busy with another fault again.
+    fn relist(&self, mode: Mode, moves: bool, fault: &Fault) {
+        let idle = |worker: &&usize| !self.hosts_busy[**worker].swap(true, Ordering::SeqCst);
+        let workers: Vec<usize> = fault.workers.iter().filter(idle).copied().collect();
+        workers.iter().for_each(|worker| self.unregister(*worker));
+        let proxies = |worker: usize| {
+            self.parts
+                .iter()
+                .flat_map(move |parts| parts.worker(worker))
+        };
+        let proxies: Vec<&Proxy> = workers.iter().flat_map(|worker| proxies(*worker)).collect();
+        let begun: Vec<u64> = proxies.iter().map(|proxy| proxy.disturb(mode)).collect();
+        wait(fault.lasts);
+        if moves {
+            workers.iter().for_each(|worker| self.relocate(*worker));
+        }
+        for (proxy, number) in iter::zip(proxies, begun) {
+            proxy.restore(number);
+        }
+        for worker in workers {
+            self.register(worker);
+            self.hosts_busy[worker].store(false, Ordering::SeqCst);
+        }
+    }
+
+    /// Restarts a worker under its id at its other address. Nothing answers at the former one.
+    fn relocate(&self, worker: usize) {
+        let (mut hosts, now) = self.site.settled();
+        hosts.crash(worker, now);
+        let host = &hosts.list[worker];
+        let (id, slot) = (host.id.clone(), (host.slot + 1) % SLOTS);
+        hosts.restart(worker, now, id, slot);
+    }
+
     /// Ends the life of a worker as the fault says, and begins the next one.
     fn replace(&self, worker: usize, fault: &Fault) {
         let set_draining = |is_draining| {
@@ -372,7 +416,8 @@
             Kind::Rebirth => hosts.list[worker].id.clone(),
             _ => format!("i-{worker}-{now}"),
         };
-        hosts.restart(worker, now, id);
+        let slot = hosts.list[worker].slot;
+        hosts.restart(worker, now, id, slot);
         drop(hosts);
         self.set_reachable(worker, true);
         self.register(worker);
@@ -403,6 +448,11 @@
 }
 
 impl Parts {
+    /// Returns the proxies of the addresses of a worker.
+    fn worker(&self, worker: usize) -> &[Proxy] {
+        &self.workers[worker * SLOTS..][..SLOTS]
+    }
+
     fn new(spawner: &Spawner, store: &Store, hosts: &[SocketAddr], entries: usize) -> Self {
         let view: Arc<View> = Arc::default();
         let workers: Vec<Proxy> = hosts
