Judge in the soak that no run is released sooner than a lease after its start

Callers see the fault of the incident only if the first run still works when the second one starts; a lease that counts as expired too early is wrong without that. Each start renews the lease, so a confirmed run is never released as `lease-expired` sooner than a lease after its start was ordered.

The soak now keeps this as the rule EARLY: from the lines `start`, `lease-expired` and `run-released` of all entries, which the finding quotes, and from the metric `early_releases`, read each second from each entry.

Tests in the module: phases, reasons and the bound; a count of 0 and of 10 in the metrics.

--- a/tests/serve/soak/judge.rs
+++ b/tests/serve/soak/judge.rs
@@ -93,7 +93,8 @@
         }
     }
 
-    fn find(&mut self, rule: &'static str, job: Job, text: String) {
+    /// Notes that a promise was broken.
+    pub fn find(&mut self, rule: &'static str, job: Job, text: String) {
         eprintln!("{rule} {text}");
         self.findings.push(Finding { rule, job, text });
     }
--- a/tests/serve/soak/mod.rs
+++ b/tests/serve/soak/mod.rs
@@ -7,6 +7,7 @@
 mod clients;
 mod judge;
 mod plan;
+mod releases;
 mod rounds;
 mod site;
 mod spec;
@@ -77,6 +78,7 @@
             let is_over = &is_over;
             scope.spawn(move || client.run(is_over));
         }
+        scope.spawn(|| world.read_metrics(&is_over));
         for fault in faults {
             wait(fault.at.saturating_sub(world.site.now()));
             scope.spawn(|| world.play(fault));
@@ -118,8 +120,12 @@
         wait(200);
     }
     let ended = world.ended_entries();
+    let early = world.early_releases();
     let (mut hosts, now) = world.site.settled();
     hosts.judge.end(now);
+    for finding in early {
+        hosts.judge.find(finding.rule, finding.job, finding.text);
+    }
     for name in ended {
         let text = format!("{now} the process of {name} has ended by itself");
         let job = Job::default();
--- a/tests/serve/soak/world.rs
+++ b/tests/serve/soak/world.rs
@@ -16,16 +16,22 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use http::Request;
 use http::StatusCode;
+use http_body_util::Full;
 use link::Spawner;
+use link::pool::Limits;
+use link::pool::Pool;
 use serde_json::Value;
 use serde_json::json;
 use smol::Timer;
 
+use super::judge::Finding;
 use super::judge::Judge;
 use super::plan::Fault;
 use super::plan::Kind;
 use super::plan::Path;
+use super::releases;
 use super::site::Site;
 use crate::entry::Entry;
 use crate::proxy::Mode;
@@ -39,6 +45,9 @@
 const END_TIMEOUT: Duration = Duration::from_secs(9);
 /// How long a draining worker serves before it has no registration, in ms.
 const DRAIN_MS: u64 = 1_500;
+/// How often metrics are read, in ms, and how long that may take.
+const METRICS_INTERVAL_MS: u64 = 1_000;
+const METRICS_TIMEOUT: Duration = Duration::from_millis(300);
 /// The start of each address in a row, and the length of one with a port of five digits.
 const ADDRESS_START: &[u8] = b"127.0.0.1:";
 const ADDRESS_LENGTH: usize = 15;
@@ -113,6 +122,8 @@
     hosts_busy: Vec<AtomicBool>,
     host_addresses: Vec<SocketAddr>,
     peers: Peers,
+    /// What the metrics of the entries show, by the address of a process.
+    counted: Mutex<BTreeMap<SocketAddr, Finding>>,
     is_over: Arc<AtomicBool>,
 }
 
@@ -170,6 +181,7 @@
             hosts_busy: (0..workers).map(|_| AtomicBool::new(false)).collect(),
             host_addresses,
             peers,
+            counted: Mutex::default(),
             is_over,
         };
         (0..workers).for_each(|index| world.register(index));
@@ -207,6 +219,39 @@
         self.parts[entry].clients.address
     }
 
+    /// Reads the metrics of all entries until the end of the traffic.
+    pub fn read_metrics(&self, is_over: &AtomicBool) {
+        let pool = Pool::new(Limits::default());
+        while !is_over.load(Ordering::SeqCst) {
+            wait(METRICS_INTERVAL_MS);
+            self.nodes.iter().for_each(|node| self.count(&pool, node));
+        }
+    }
+
+    fn count(&self, pool: &Pool, node: &Node) {
+        // The entry is locked while its process restarts.
+        let Ok(address) = node.entry.try_lock().map(|entry| entry.metrics) else {
+            return;
+        };
+        let request = Request::get("/metrics").header("host", "metrics");
+        let request = request.body(Full::default()).expect("the request is valid");
+        let page = smol::block_on(pool.send(address, request, METRICS_TIMEOUT));
+        let page = page.map(|page| String::from_utf8_lossy(page.body()).into_owned());
+        if let Some(finding) = releases::counted(&node.name, &page.unwrap_or_default()) {
+            let mut counted = self.counted.lock().expect("no holder of this lock panics");
+            counted.insert(address, finding);
+        }
+    }
+
+    /// Returns the runs that were released early by the logs and the metrics of the entries.
+    pub fn early_releases(&self) -> Vec<Finding> {
+        let lines = self.log_lines(&["kind=start ", "lease-expired"].map(str::to_owned));
+        let mut findings = releases::early(lines.iter().map(String::as_str));
+        let counted = self.counted.lock().expect("no holder of this lock panics");
+        findings.extend(counted.values().cloned());
+        findings
+    }
+
     pub fn entries(&self) -> usize {
         self.nodes.len()
     }
