Keep the port of a proxy in the soak while it refuses connections

Cause: refusing was done by closing the listening socket. Now the socket is shut down and stays bound, without the option that lets another socket bind the same port, and listens again later.

--- a/tests/serve/proxy.rs
+++ b/tests/serve/proxy.rs
@@ -9,11 +9,13 @@
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use link::Spawner;
+use rustix::net;
+use rustix::net::Shutdown;
+use rustix::net::sockopt;
 use smol::Task;
 use smol::Timer;
 use smol::channel::Receiver;
@@ -29,8 +31,8 @@
 const SLOWDOWN: f64 = 1.8;
 /// How often a silent connection looks whether its sender has closed it.
 const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Attempts to listen again at an address, at most one each 20 ms.
-const MAX_BIND_ATTEMPTS: usize = 250;
+/// The connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
 
 /// The ports of proxies, which lie below those of outgoing connections, so that no such connection
 /// takes the port of a proxy that refuses connections.
@@ -124,6 +126,8 @@
 pub struct Proxy {
     pub address: SocketAddr,
     spawner: Spawner,
+    /// The socket that holds the address, also while connections are refused.
+    listener: TcpListener,
     target: Arc<Mutex<SocketAddr>>,
     state: Arc<Mutex<State>>,
     /// Held while the mode changes, so that only one change at a time listens again.
@@ -136,11 +140,12 @@
         let proxy = Self {
             address: listener.local_addr().expect("the listener has an address"),
             spawner: Arc::clone(spawner),
+            listener,
             target: Arc::new(Mutex::new(target)),
             state: Arc::default(),
             changing: Arc::default(),
         };
-        proxy.accept(listener);
+        proxy.accept();
         proxy
     }
 
@@ -178,11 +183,19 @@
         let mut state = self.state();
         let result = change(&mut state);
         if state.mode() == Mode::Refuse {
-            state.accepting = None;
+            if state.accepting.take().is_some() {
+                // The socket stays bound, so that no other process takes the port meanwhile.
+                net::shutdown(&self.listener, Shutdown::Both).expect("the socket listens");
+                let kept = sockopt::set_socket_reuseaddr(&self.listener, false);
+                kept.expect("the socket is open");
+            }
             state.connections.clear();
         } else if state.accepting.is_none() {
             drop(state);
-            self.accept(self.bind());
+            let shared = sockopt::set_socket_reuseaddr(&self.listener, true);
+            shared.expect("the socket is open");
+            net::listen(&self.listener, BACKLOG).expect("the socket is bound");
+            self.accept();
         }
         result
     }
@@ -195,20 +208,10 @@
         self.state().mode()
     }
 
-    fn bind(&self) -> TcpListener {
-        for _ in 0..MAX_BIND_ATTEMPTS {
-            if let Ok(listener) = smol::block_on(TcpListener::bind(self.address)) {
-                return listener;
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        panic!("another process listens at {}", self.address);
-    }
-
-    fn accept(&self, listener: TcpListener) {
+    fn accept(&self) {
         let proxy = self.clone();
         let accepting = self.spawner.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, _)) = proxy.listener.accept().await {
                 let connection = proxy.spawner.spawn(proxy.clone().connect(stream));
                 let mut state = proxy.state();
                 state.connections.retain(|task| !task.is_finished());
@@ -303,3 +306,24 @@
         Timer::after(CLOSE_CHECK_INTERVAL).await;
     }
 }
+
+/// A soak ended when another process took the port of a proxy that refused connections.
+#[test]
+fn a_proxy_that_refuses_connections_keeps_its_port() {
+    let spawner = Spawner::default();
+    let runner = Arc::clone(&spawner);
+    std::thread::spawn(move || smol::block_on(runner.run(smol::future::pending::<()>())));
+    let server = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let proxy = Proxy::start(&spawner, server.local_addr().expect("an address"));
+    let connects = || std::net::TcpStream::connect(proxy.address).is_ok();
+    for _ in 0..3 {
+        assert!(connects());
+        proxy.set(Mode::Refuse);
+        assert!(!connects());
+        let other = smol::block_on(TcpListener::bind(proxy.address));
+        assert!(other.is_err(), "the port is taken");
+        proxy.set(Mode::Pass);
+    }
+    assert!(connects());
+    drop(server.accept().expect("a connection through the proxy"));
+}
