Relist larger parts of the fleet in drawn soaks

Now a sixth, a half or all of the fleet is relisted at a time, so that work has piled up when workers come back, and for 5.7 to 7.5 s. Each cut of workers is followed by others of the same workers, and a third of the relists. The step between the workers of a fault has no factor in common with 200, the largest fleet.

--- a/tests/serve/soak/plan.rs
+++ b/tests/serve/soak/plan.rs
@@ -164,11 +164,12 @@
 const LATE: Mode = Mode::Late(Duration::from_millis(2_600));
 
 /// How long workers are cut off without a registration, in ms: less than a lease to more than one.
-const RELIST_MS: Range<u64> = 5_500..7_500;
-/// How many workers are listed again at a time.
-const RELIST_COUNTS: [usize; 3] = [2, 6, 9];
-/// Of this many faults of the connections of workers, one is followed by others of the same workers.
-const CUT_AGAIN_SHARE: u32 = 2;
+const RELIST_MS: Range<u64> = 5_700..7_500;
+/// Of how many workers one is listed again at a time.
+const RELIST_SHARES: [usize; 3] = [1, 2, 6];
+/// Of this many faults that relist workers, one is followed by cuts of the same workers, as each cut
+/// of workers is.
+const CUT_AGAIN_SHARE: u32 = 3;
 /// The most time between the end of a cut and the begin of another one of the same worker, in ms.
 const CUT_AGAIN_MS: u64 = 1_500;
 
@@ -186,9 +187,9 @@
     ("pair:", 2),
     ("client:", 1),
     ("relist:", 2),
-    ("relist:dropped", 4),
+    ("relist:dropped", 5),
     ("move:", 2),
-    ("move:dropped", 4),
+    ("move:dropped", 5),
     ("pause", 3),
     ("duty", 5),
     ("kill", 2),
@@ -373,7 +374,8 @@
             Kind::Link(Path::Pairs, _) => 1,
             Kind::Link(..) => some,
             Kind::Relist { .. } => {
-                RELIST_COUNTS[random.random_range(0..RELIST_COUNTS.len())].min(workers)
+                let share = RELIST_SHARES[random.random_range(0..RELIST_SHARES.len())];
+                workers.div_ceil(share)
             }
             _ => 1,
         };
@@ -390,14 +392,12 @@
             kind,
             entry: (!is_leader).then_some(entry),
             workers: (0..if affects_worker { some } else { 0 })
-                .map(|index| (first + index * 5) % numbers)
+                .map(|index| (first + index * 7) % numbers)
                 .collect(),
         };
-        let is_cut = matches!(
-            kind,
-            Kind::Link(Path::Workers | Path::AllToWorkers, _) | Kind::Relist { .. }
-        );
-        if is_cut && random.random_range(0..CUT_AGAIN_SHARE) == 0 {
+        let is_cut = matches!(kind, Kind::Link(Path::Workers | Path::AllToWorkers, _));
+        let is_relist = matches!(kind, Kind::Relist { .. });
+        if is_cut || is_relist && random.random_range(0..CUT_AGAIN_SHARE) == 0 {
             let mut cuts = draw_more_cuts(&mut random, &fault, entries);
             cuts.retain(|cut| cut.at < length);
             faults.extend(cuts);
