Judge that requests on kept connections get whole answers in planned stops

Clients of the soak opened connections through proxies, with a pool that gives up idle ones, and judged no answer that did not come: nothing showed whether an entry that stops answers what it has read.

Each entry now has a client that keeps a connection to it, past the proxies, and uses it until it ends, every 150 ms and during a planned stop every 5 ms; one request in 16 submits a job. Rule UNANSWERED: an entry that was not killed ends a connection after a part of an answer, or without an answer and without a reset. An entry that closes a connection with something unread resets it, so an end without a reset shows that the request was read; the client looks before each request that the connection is open.

Tests: whole and partial answers; a server that has read a request ends the connection, one that has not resets it.

--- a/tests/serve/soak/clients.rs
+++ b/tests/serve/soak/clients.rs
@@ -69,15 +69,9 @@
         self.next += 1;
         let spec = Spec::draw(&mut self.random);
         let body = spec.to_json();
-        let known = Known {
-            spec,
-            accepted: None,
-            is_refused: false,
-            cancel_sent: false,
-            cancelled: None,
-            completed: None,
-        };
-        self.world.site.settled().0.judge.jobs.insert(job, known);
+        let mut hosts = self.world.site.settled().0;
+        hosts.judge.jobs.insert(job, Known::new(spec));
+        drop(hosts);
         let mut refusals = 0;
         for attempt in 1..=MAX_ATTEMPTS {
             let (status, _) = self.send("POST", job, body.clone());
--- a/tests/serve/soak/judge.rs
+++ b/tests/serve/soak/judge.rs
@@ -66,6 +66,20 @@
     pub completed: Option<u64>,
 }
 
+impl Known {
+    /// Returns what a client knows of a job that it is about to submit.
+    pub const fn new(spec: Spec) -> Self {
+        Self {
+            spec,
+            accepted: None,
+            is_refused: false,
+            cancel_sent: false,
+            cancelled: None,
+            completed: None,
+        }
+    }
+}
+
 /// The promise that was broken, with the observations that contradict each other.
 #[derive(Clone, Debug)]
 pub struct Finding {
@@ -79,6 +93,9 @@
     pub findings: Vec<Finding>,
     pub jobs: BTreeMap<Job, Known>,
     pub faults: Vec<Fault>,
+    /// The whole answers on kept connections, and those of entries that were stopping.
+    pub kept_answers: u64,
+    pub stopping_answers: u64,
     runs: BTreeMap<Task, Vec<Observed>>,
     crashes: BTreeMap<Task, u32>,
     /// The runs that were found to go on after a cancel, each of which counts once.
@@ -377,12 +394,8 @@
     let mut judge = Judge::default();
     let tasks: Vec<Task> = spec.tasks(job).collect();
     let known = Known {
-        spec,
         accepted: Some(0),
-        is_refused: false,
-        cancel_sent: false,
-        cancelled: None,
-        completed: None,
+        ..Known::new(spec)
     };
     judge.jobs.insert(job, known);
     let start = |run, started| Observed {
--- a/tests/serve/soak/mod.rs
+++ b/tests/serve/soak/mod.rs
@@ -6,6 +6,7 @@
 
 mod clients;
 mod judge;
+mod kept;
 mod plan;
 mod releases;
 mod rounds;
@@ -24,6 +25,7 @@
 use clients::Client;
 use judge::Finding;
 use judge::Judge;
+use kept::Kept;
 use plan::Fault;
 use scheduler::id::Job;
 use world::World;
@@ -78,6 +80,11 @@
             let is_over = &is_over;
             scope.spawn(move || client.run(is_over));
         }
+        for entry in 0..entries {
+            let mut client = Kept::new(&world, seed, entry);
+            let is_over = &is_over;
+            scope.spawn(move || client.run(is_over));
+        }
         scope.spawn(|| world.read_metrics(&is_over));
         for fault in faults {
             wait(fault.at.saturating_sub(world.site.now()));
@@ -155,7 +162,8 @@
         .collect();
     format!(
         "soak seed {seed}: {now} ms, {accepted} jobs accepted, {starts} starts, {done} done, \
-         found {rules:?}"
+         {} answers on kept connections, {} of stopping entries, found {rules:?}",
+        hosts.judge.kept_answers, hosts.judge.stopping_answers
     )
 }
 
--- a/tests/serve/soak/world.rs
+++ b/tests/serve/soak/world.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -100,6 +101,12 @@
     domain: String,
     entry: Mutex<Entry>,
     is_busy: AtomicBool,
+    /// The address for customers' requests, past the proxy.
+    customer: Mutex<SocketAddr>,
+    /// Whether its process has been asked to end.
+    is_stopping: AtomicBool,
+    /// How many of its processes were killed.
+    kills: AtomicU64,
     /// The logs of all processes of this entry.
     logs: Mutex<Vec<PathBuf>>,
 }
@@ -168,6 +175,9 @@
                 name,
                 domain,
                 logs: Mutex::new(vec![entry.log_path()]),
+                customer: Mutex::new(entry.customer),
+                is_stopping: AtomicBool::new(false),
+                kills: AtomicU64::new(0),
                 entry: Mutex::new(entry),
                 is_busy: AtomicBool::new(false),
             }
@@ -219,6 +229,22 @@
         self.parts[entry].clients.address
     }
 
+    /// Returns the address of an entry for customers' requests, past the proxy.
+    pub fn direct(&self, entry: usize) -> SocketAddr {
+        let customer = self.nodes[entry].customer.lock();
+        *customer.expect("no holder of this lock panics")
+    }
+
+    /// Returns whether the process of an entry was asked to end.
+    pub fn is_stopping(&self, entry: usize) -> bool {
+        self.nodes[entry].is_stopping.load(Ordering::SeqCst)
+    }
+
+    /// Returns how many processes of an entry were killed.
+    pub fn kills(&self, entry: usize) -> u64 {
+        self.nodes[entry].kills.load(Ordering::SeqCst)
+    }
+
     /// Reads the metrics of all entries until the end of the traffic.
     pub fn read_metrics(&self, is_over: &AtomicBool) {
         let pool = Pool::new(Limits::default());
@@ -359,20 +385,27 @@
     fn restart(&self, entry: usize, signal: &str, pause: u64) {
         let node = &self.nodes[entry];
         let mut process = node.entry();
+        let is_kill = signal == "-KILL";
+        node.kills.fetch_add(u64::from(is_kill), Ordering::SeqCst);
+        node.is_stopping.store(!is_kill, Ordering::SeqCst);
         process.signal(signal);
         let end = Instant::now() + END_TIMEOUT;
         while !process.has_ended() {
             if Instant::now() >= end {
+                node.kills.fetch_add(1, Ordering::SeqCst);
                 process.signal("-KILL");
             }
             wait(20);
         }
+        node.is_stopping.store(false, Ordering::SeqCst);
         wait(pause);
         let parts = &self.parts[entry];
         *process = Entry::start_in(&node.domain, &node.name, parts.store.address, &|peer| {
             publish(&self.parts, &self.peers, entry, peer);
         });
         parts.clients.redirect(process.customer);
+        let mut customer = node.customer.lock().expect("no holder of this lock panics");
+        *customer = process.customer;
         let mut logs = node.logs.lock().expect("no holder of this lock panics");
         logs.push(process.log_path());
     }
