--- a/tests/serve/soak/mod.rs
+++ b/tests/serve/soak/mod.rs
@@ -33,7 +33,7 @@
 
 /// The number of seeds that run if `SOAK_SEEDS` is not set.
 const DEFAULT_SEEDS: u64 = 2;
-const DEFAULT_SECONDS: u64 = 20;
+const DEFAULT_SECONDS: u64 = 28;
 const DEFAULT_ENTRIES: usize = 5;
 const DEFAULT_WORKERS: usize = 16;
 /// The clients, for each worker of the fleet a part of one.
--- a/tests/serve/soak/plan.rs
+++ b/tests/serve/soak/plan.rs
@@ -13,8 +13,8 @@
 
 /// The mean pause between two faults, in ms.
 const MEAN_PAUSE_MS: f64 = 700.0;
-/// The time without faults at the start of a play, in ms.
-const FIRST_FAULT_MS: u64 = 2_000;
+/// The time without faults at the start of a play but for one relist, in ms.
+const FIRST_FAULT_MS: u64 = 10_500;
 /// The time within which all faults are over after the last one may have begun, in ms.
 const LAST_FAULT_MS: u64 = 4_000;
 /// Of this many faults of an entry, one is aimed at the leader whoever it is.
@@ -164,7 +164,15 @@
 const LATE: Mode = Mode::Late(Duration::from_millis(2_600));
 
 /// How long workers are cut off without a registration, in ms: less than a lease to more than one.
-const RELIST_MS: Range<u64> = 5_700..7_500;
+const RELIST_MS: Range<u64> = 5_700..8_000;
+/// Two relists of half of the fleet, which then has runs, are in each play, before most other faults and while the last
+/// ones end: where the leader changes meanwhile, they test less. Their ends, in ms after the first
+/// fault and after the last one.
+const FIRST_RELIST_END_MS: u64 = 1_000;
+const LAST_RELIST_END_MS: u64 = 4_000;
+/// How long these relists last, in ms: about the time after which the leader removes a worker that has
+/// no registration.
+const FLEET_RELIST_MS: Range<u64> = 6_500..7_300;
 /// Of how many workers one is listed again at a time.
 const RELIST_SHARES: [usize; 3] = [1, 2, 6];
 /// Of this many faults that relist workers, one is followed by cuts of the same workers, as each cut
@@ -173,6 +181,9 @@
 /// The most time between the end of a cut and the begin of another one of the same worker, in ms.
 const CUT_AGAIN_MS: u64 = 1_500;
 
+/// The planned stops in each play beside those that are drawn as other faults are.
+const STOP_COUNT: usize = 3;
+
 /// The name of the fault that delays what the leader and the agents send each other.
 const SLOW_LEADER: &str = "topeer:slow";
 
@@ -325,6 +336,38 @@
     }
 }
 
+/// Returns a relist of half of the fleet that ends at this time, or nearly so.
+fn draw_fleet_relist(random: &mut StdRng, end: u64, workers: usize) -> Fault {
+    let name = ["relist:dropped", "move:dropped"][random.random_range(0..2)];
+    let lasts = random.random_range(FLEET_RELIST_MS);
+    let first = random.random_range(0..workers);
+    Fault {
+        at: end.saturating_sub(lasts),
+        lasts,
+        name: name.into(),
+        kind: parse_kind(name).expect("the name is one of a kind"),
+        entry: Some(0),
+        workers: (0..workers.div_ceil(2))
+            .map(|index| (first + index) % workers)
+            .collect(),
+    }
+}
+
+/// Returns planned stops of single entries after the first relist, which each play has.
+fn draw_stops(seed: u64, entries: usize, length: u64) -> Vec<Fault> {
+    let mut random = StdRng::seed_from_u64(!seed);
+    let first = (FIRST_FAULT_MS + FIRST_RELIST_END_MS).min(length);
+    let stops = (0..STOP_COUNT).map(|_| Fault {
+        at: random.random_range(first..=length),
+        lasts: 300,
+        name: "terminate".into(),
+        kind: Kind::Terminate,
+        entry: Some(random.random_range(0..entries)),
+        workers: Vec::new(),
+    });
+    stops.collect()
+}
+
 /// Returns one or two cuts of the workers of a fault, which overlap it or follow it, on any path.
 fn draw_more_cuts(random: &mut StdRng, fault: &Fault, entries: usize) -> Vec<Fault> {
     let count = random.random_range(1..3);
@@ -351,7 +394,14 @@
 pub fn draw(seed: u64, entries: usize, workers: usize, length: u64) -> Vec<Fault> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut at = FIRST_FAULT_MS;
-    let mut faults = Vec::new();
+    let ends = [
+        FIRST_FAULT_MS + FIRST_RELIST_END_MS,
+        length + LAST_RELIST_END_MS,
+    ];
+    let mut faults: Vec<Fault> = ends
+        .iter()
+        .map(|end| draw_fleet_relist(&mut random, *end, workers))
+        .collect();
     while at < length {
         let name = draw_name(&mut random);
         let kind = parse_kind(&name).expect("the name is one of a kind");
@@ -409,6 +459,7 @@
         let fraction: f64 = random.random_range(0.05..1.0);
         at += (-fraction.ln() * MEAN_PAUSE_MS) as u64;
     }
+    faults.extend(draw_stops(seed, entries, length));
     faults.sort_by_key(|fault| fault.at);
     faults
 }
@@ -429,7 +480,7 @@
 #[test]
 fn drawn_plans_relist_workers_and_cut_some_of_them_more_than_once() {
     for seed in 1..=10 {
-        let faults = draw(seed, 9, 24, 20_000);
+        let faults = draw(seed, 9, 24, super::DEFAULT_SECONDS * 1_000);
         let relists = |fault: &&Fault| matches!(fault.kind, Kind::Relist { .. });
         assert!(faults.iter().any(|fault| relists(&fault)), "seed {seed}");
         let cuts: Vec<&Fault> = faults
