--- a/tests/serve/proxy.rs
+++ b/tests/serve/proxy.rs
@@ -1,4 +1,4 @@
-//! A TCP proxy on loopback that can refuse, close, stall, delay or cut one way the connections
+//! A TCP proxy on loopback that can refuse, close, stall, lose, delay or cut one way the connections
 //! through it.
 
 use std::net::SocketAddr;
@@ -9,11 +9,13 @@
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use link::Spawner;
+use rustix::net;
+use rustix::net::Shutdown;
+use rustix::net::sockopt;
 use smol::Task;
 use smol::Timer;
 use smol::channel::Receiver;
@@ -27,8 +29,10 @@
 const LATE_ANSWER_TIME: Duration = Duration::from_millis(500);
 /// By how much time the delay of slow traffic grows in each unit of time.
 const SLOWDOWN: f64 = 1.8;
-/// Attempts to listen again at an address, at most one each 20 ms.
-const MAX_BIND_ATTEMPTS: usize = 250;
+/// How often a silent connection looks whether its sender has closed it.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// The connections that may wait to be accepted.
+const BACKLOG: i32 = 1_024;
 
 /// The ports of proxies, which lie below those of outgoing connections, so that no such connection
 /// takes the port of a proxy that refuses connections.
@@ -56,6 +60,9 @@
     Pass,
     /// Traffic is held back until the mode changes.
     Stall,
+    /// Traffic is lost. A connection on which some was lost stays silent when the mode changes, as
+    /// while its sender waits before it sends again.
+    Drop,
     /// A connection is closed when traffic arrives on it.
     Reset,
     /// All connections are closed, and new ones are refused.
@@ -78,25 +85,53 @@
     Answer,
 }
 
+/// A mode that applies unless a later disturbance does.
+struct Disturbance {
+    number: u64,
+    mode: Mode,
+    begun: Instant,
+}
+
 #[derive(Default)]
 struct State {
-    mode: Mode,
-    /// The number of changes of the mode.
-    changes: u64,
-    /// When the mode changed last.
-    changed_at: Option<Instant>,
+    /// What disturbs the traffic, in the order in which it began.
+    disturbances: Vec<Disturbance>,
+    /// The number of disturbances so far.
+    count: u64,
     /// The task that accepts connections; `None` while they are refused.
     accepting: Option<Task<()>>,
     connections: Vec<Task<()>>,
 }
 
+impl State {
+    fn mode(&self) -> Mode {
+        let newest = self.disturbances.last();
+        newest.map_or(Mode::Pass, |newest| newest.mode)
+    }
+
+    /// Adds a disturbance and returns its number.
+    fn disturb(&mut self, mode: Mode) -> u64 {
+        self.count += 1;
+        self.disturbances.push(Disturbance {
+            number: self.count,
+            mode,
+            begun: Instant::now(),
+        });
+        self.count
+    }
+}
+
 /// A proxy in front of one address, which may change.
 #[derive(Clone)]
 pub struct Proxy {
     pub address: SocketAddr,
     spawner: Spawner,
+    /// The socket that holds the address, also while connections are refused.
+    listener: TcpListener,
     target: Arc<Mutex<SocketAddr>>,
     state: Arc<Mutex<State>>,
+    /// Held while the mode changes, so that only one change at a time listens again.
+    changing: Arc<Mutex<()>>,
 }
 
 impl Proxy {
@@ -105,10 +140,12 @@
         let proxy = Self {
             address: listener.local_addr().expect("the listener has an address"),
             spawner: Arc::clone(spawner),
+            listener,
             target: Arc::new(Mutex::new(target)),
             state: Arc::default(),
+            changing: Arc::default(),
         };
-        proxy.accept(listener);
+        proxy.accept();
         proxy
     }
 
@@ -117,29 +154,50 @@
         *self.target.lock().expect("no holder of this lock panics") = target;
     }
 
-    /// Changes the mode, and returns the number of this change.
-    pub fn set(&self, mode: Mode) -> u64 {
+    /// Ends all disturbances and sets the mode.
+    pub fn set(&self, mode: Mode) {
+        self.change(|state| {
+            state.disturbances.clear();
+            if mode != Mode::Pass {
+                state.disturb(mode);
+            }
+        });
+    }
+
+    /// Begins a disturbance, which outlasts those that end before it, and returns its number.
+    pub fn disturb(&self, mode: Mode) -> u64 {
+        self.change(|state| state.disturb(mode))
+    }
+
+    /// Ends the disturbance of this number, if it lasts.
+    pub fn restore(&self, number: u64) {
+        self.change(|state| {
+            state
+                .disturbances
+                .retain(|disturbance| disturbance.number != number);
+        });
+    }
+
+    fn change<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let _changing = self.changing.lock().expect("no holder of this lock panics");
         let mut state = self.state();
-        state.mode = mode;
-        state.changes += 1;
-        state.changed_at = Some(Instant::now());
-        let change = state.changes;
-        if mode == Mode::Refuse {
-            state.accepting = None;
+        let result = change(&mut state);
+        if state.mode() == Mode::Refuse {
+            if state.accepting.take().is_some() {
+                // The socket stays bound, so that no other process takes the port meanwhile.
+                net::shutdown(&self.listener, Shutdown::Both).expect("the socket listens");
+                let kept = sockopt::set_socket_reuseaddr(&self.listener, false);
+                kept.expect("the socket is open");
+            }
             state.connections.clear();
         } else if state.accepting.is_none() {
             drop(state);
-            self.accept(self.bind());
-        }
-        change
-    }
-
-    /// Forwards traffic again unless the mode has changed since the change of this number.
-    pub fn restore(&self, change: u64) {
-        let is_newest = self.state().changes == change;
-        if is_newest {
-            self.set(Mode::Pass);
+            let shared = sockopt::set_socket_reuseaddr(&self.listener, true);
+            shared.expect("the socket is open");
+            net::listen(&self.listener, BACKLOG).expect("the socket is bound");
+            self.accept();
         }
+        result
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -147,23 +205,13 @@
     }
 
     fn mode(&self) -> Mode {
-        self.state().mode
+        self.state().mode()
     }
 
-    fn bind(&self) -> TcpListener {
-        for _ in 0..MAX_BIND_ATTEMPTS {
-            if let Ok(listener) = smol::block_on(TcpListener::bind(self.address)) {
-                return listener;
-            }
-            thread::sleep(Duration::from_millis(20));
-        }
-        panic!("another process listens at {}", self.address);
-    }
-
-    fn accept(&self, listener: TcpListener) {
+    fn accept(&self) {
         let proxy = self.clone();
         let accepting = self.spawner.spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, _)) = proxy.listener.accept().await {
                 let connection = proxy.spawner.spawn(proxy.clone().connect(stream));
                 let mut state = proxy.state();
                 state.connections.retain(|task| !task.is_finished());
@@ -198,10 +246,11 @@
     /// Returns how much later traffic arrives that is sent now.
     fn delay(&self) -> Duration {
         let state = self.state();
-        match (state.mode, state.changed_at) {
-            (Mode::Slow(most), Some(since)) => most.min(since.elapsed().mul_f64(SLOWDOWN)),
+        let newest = state.disturbances.last();
+        newest.map_or(Duration::ZERO, |newest| match newest.mode {
+            Mode::Slow(most) => most.min(newest.begun.elapsed().mul_f64(SLOWDOWN)),
             _ => Duration::ZERO,
-        }
+        })
     }
 
     async fn forward(&self, mut from: TcpStream, to: TcpStream, direction: Direction) {
@@ -234,6 +283,7 @@
             match (self.pass(direction).await, direction) {
                 (Mode::Reset | Mode::Refuse, _)
                 | (Mode::LoseAnswers | Mode::Late(_), Direction::Answer) => return,
+                (Mode::Drop, _) => return wait_until_closed(&receiver).await,
                 (Mode::Late(delay), Direction::Request) => {
                     Timer::after(delay).await;
                     if to.write_all(&bytes).await.is_ok() {
@@ -249,3 +299,31 @@
         }
     }
 }
+
+/// Waits until the sender of what is received has closed its connection.
+async fn wait_until_closed(receiver: &Receiver<(Instant, Vec<u8>)>) {
+    while !receiver.is_closed() {
+        Timer::after(CLOSE_CHECK_INTERVAL).await;
+    }
+}
+
+/// A soak ended when another process took the port of a proxy that refused connections.
+#[test]
+fn a_proxy_that_refuses_connections_keeps_its_port() {
+    let spawner = Spawner::default();
+    let runner = Arc::clone(&spawner);
+    std::thread::spawn(move || smol::block_on(runner.run(smol::future::pending::<()>())));
+    let server = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let proxy = Proxy::start(&spawner, server.local_addr().expect("an address"));
+    let connects = || std::net::TcpStream::connect(proxy.address).is_ok();
+    for _ in 0..3 {
+        assert!(connects());
+        proxy.set(Mode::Refuse);
+        assert!(!connects());
+        let other = smol::block_on(TcpListener::bind(proxy.address));
+        assert!(other.is_err(), "the port is taken");
+        proxy.set(Mode::Pass);
+    }
+    assert!(connects());
+    drop(server.accept().expect("a connection through the proxy"));
+}
--- a/tests/serve/soak/mod.rs
+++ b/tests/serve/soak/mod.rs
@@ -6,7 +6,9 @@
 
 mod clients;
 mod judge;
+mod kept;
 mod plan;
+mod releases;
 mod rounds;
 mod site;
 mod spec;
@@ -23,6 +25,7 @@
 use clients::Client;
 use judge::Finding;
 use judge::Judge;
+use kept::Kept;
 use plan::Fault;
 use scheduler::id::Job;
 use world::World;
@@ -30,7 +33,7 @@
 
 /// The number of seeds that run if `SOAK_SEEDS` is not set.
 const DEFAULT_SEEDS: u64 = 2;
-const DEFAULT_SECONDS: u64 = 20;
+const DEFAULT_SECONDS: u64 = 28;
 const DEFAULT_ENTRIES: usize = 5;
 const DEFAULT_WORKERS: usize = 16;
 /// The clients, for each worker of the fleet a part of one.
@@ -77,6 +80,12 @@
             let is_over = &is_over;
             scope.spawn(move || client.run(is_over));
         }
+        for entry in 0..entries {
+            let mut client = Kept::new(&world, seed, entry);
+            let is_over = &is_over;
+            scope.spawn(move || client.run(is_over));
+        }
+        scope.spawn(|| world.read_metrics(&is_over));
         for fault in faults {
             wait(fault.at.saturating_sub(world.site.now()));
             scope.spawn(|| world.play(fault));
@@ -118,8 +127,12 @@
         wait(200);
     }
     let ended = world.ended_entries();
+    let early = world.early_releases();
     let (mut hosts, now) = world.site.settled();
     hosts.judge.end(now);
+    for finding in early {
+        hosts.judge.find(finding.rule, finding.job, finding.text);
+    }
     for name in ended {
         let text = format!("{now} the process of {name} has ended by itself");
         let job = Job::default();
@@ -149,7 +162,8 @@
         .collect();
     format!(
         "soak seed {seed}: {now} ms, {accepted} jobs accepted, {starts} starts, {done} done, \
-         found {rules:?}"
+         {} answers on kept connections, {} of stopping entries, found {rules:?}",
+        hosts.judge.kept_answers, hosts.judge.stopping_answers
     )
 }
 
--- a/tests/serve/soak/world.rs
+++ b/tests/serve/soak/world.rs
@@ -9,6 +9,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -16,16 +17,22 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use http::Request;
 use http::StatusCode;
+use http_body_util::Full;
 use link::Spawner;
+use link::pool::Limits;
+use link::pool::Pool;
 use serde_json::Value;
 use serde_json::json;
 use smol::Timer;
 
+use super::judge::Finding;
 use super::judge::Judge;
 use super::plan::Fault;
 use super::plan::Kind;
 use super::plan::Path;
+use super::releases;
 use super::site::Site;
 use crate::entry::Entry;
 use crate::proxy::Mode;
@@ -39,9 +46,14 @@
 const END_TIMEOUT: Duration = Duration::from_secs(9);
 /// How long a draining worker serves before it has no registration, in ms.
 const DRAIN_MS: u64 = 1_500;
+/// How often metrics are read, in ms, and how long that may take.
+const METRICS_INTERVAL_MS: u64 = 1_000;
+const METRICS_TIMEOUT: Duration = Duration::from_millis(300);
 /// The start of each address in a row, and the length of one with a port of five digits.
 const ADDRESS_START: &[u8] = b"127.0.0.1:";
 const ADDRESS_LENGTH: usize = 15;
+/// The addresses that each worker has in turn if it moves.
+const SLOTS: usize = 2;
 
 /// What an entry sees instead of the addresses of workers and of other entries.
 #[derive(Default)]
@@ -89,6 +101,12 @@
     domain: String,
     entry: Mutex<Entry>,
     is_busy: AtomicBool,
+    /// The address for customers' requests, past the proxy.
+    customer: Mutex<SocketAddr>,
+    /// Whether its process has been asked to end.
+    is_stopping: AtomicBool,
+    /// How many of its processes were killed.
+    kills: AtomicU64,
     /// The logs of all processes of this entry.
     logs: Mutex<Vec<PathBuf>>,
 }
@@ -111,6 +129,8 @@
     hosts_busy: Vec<AtomicBool>,
     host_addresses: Vec<SocketAddr>,
     peers: Peers,
+    /// What the metrics of the entries show, by the address of a process.
+    counted: Mutex<BTreeMap<SocketAddr, Finding>>,
     is_over: Arc<AtomicBool>,
 }
 
@@ -133,11 +153,11 @@
             "pathPrefix": "/q/", "service": "s", "priority": 0, "maxAttempts": 3, "stretch": 1.5,
             "targetLatencyMs": 250}], "services": [{"name": "s"}], "limits": {}});
         store.put("op", "config", &config.to_string());
-        let host_addresses = (0..workers).map(|index| {
+        let host_addresses = (0..workers * SLOTS).map(|place| {
             let site = site.clone();
             server::start_with_calls(&spawner, move |call| {
                 let site = site.clone();
-                async move { site.respond(index, call).await }
+                async move { site.respond(place / SLOTS, place % SLOTS, call).await }
             })
         });
         let host_addresses: Vec<SocketAddr> = host_addresses.collect();
@@ -155,6 +175,9 @@
                 name,
                 domain,
                 logs: Mutex::new(vec![entry.log_path()]),
+                customer: Mutex::new(entry.customer),
+                is_stopping: AtomicBool::new(false),
+                kills: AtomicU64::new(0),
                 entry: Mutex::new(entry),
                 is_busy: AtomicBool::new(false),
             }
@@ -168,6 +191,7 @@
             hosts_busy: (0..workers).map(|_| AtomicBool::new(false)).collect(),
             host_addresses,
             peers,
+            counted: Mutex::default(),
             is_over,
         };
         (0..workers).for_each(|index| world.register(index));
@@ -189,7 +213,8 @@
     }
 
     fn register(&self, index: usize) {
-        let address = self.host_addresses[index].to_string();
+        let slot = self.site.settled().0.list[index].slot;
+        let address = self.host_addresses[index * SLOTS + slot].to_string();
         let (id, row) = self.site.registration(index, &address);
         self.store.put("servers", &id, &row);
     }
@@ -204,6 +229,55 @@
         self.parts[entry].clients.address
     }
 
+    /// Returns the address of an entry for customers' requests, past the proxy.
+    pub fn direct(&self, entry: usize) -> SocketAddr {
+        let customer = self.nodes[entry].customer.lock();
+        *customer.expect("no holder of this lock panics")
+    }
+
+    /// Returns whether the process of an entry was asked to end.
+    pub fn is_stopping(&self, entry: usize) -> bool {
+        self.nodes[entry].is_stopping.load(Ordering::SeqCst)
+    }
+
+    /// Returns how many processes of an entry were killed.
+    pub fn kills(&self, entry: usize) -> u64 {
+        self.nodes[entry].kills.load(Ordering::SeqCst)
+    }
+
+    /// Reads the metrics of all entries until the end of the traffic.
+    pub fn read_metrics(&self, is_over: &AtomicBool) {
+        let pool = Pool::new(Limits::default());
+        while !is_over.load(Ordering::SeqCst) {
+            wait(METRICS_INTERVAL_MS);
+            self.nodes.iter().for_each(|node| self.count(&pool, node));
+        }
+    }
+
+    fn count(&self, pool: &Pool, node: &Node) {
+        // The entry is locked while its process restarts.
+        let Ok(address) = node.entry.try_lock().map(|entry| entry.metrics) else {
+            return;
+        };
+        let request = Request::get("/metrics").header("host", "metrics");
+        let request = request.body(Full::default()).expect("the request is valid");
+        let page = smol::block_on(pool.send(address, request, METRICS_TIMEOUT));
+        let page = page.map(|page| String::from_utf8_lossy(page.body()).into_owned());
+        if let Some(finding) = releases::counted(&node.name, &page.unwrap_or_default()) {
+            let mut counted = self.counted.lock().expect("no holder of this lock panics");
+            counted.insert(address, finding);
+        }
+    }
+
+    /// Returns the runs that were released early by the logs and the metrics of the entries.
+    pub fn early_releases(&self) -> Vec<Finding> {
+        let lines = self.log_lines(&["kind=start ", "lease-expired"].map(str::to_owned));
+        let mut findings = releases::early(lines.iter().map(String::as_str));
+        let counted = self.counted.lock().expect("no holder of this lock panics");
+        findings.extend(counted.values().cloned());
+        findings
+    }
+
     pub fn entries(&self) -> usize {
         self.nodes.len()
     }
@@ -275,12 +349,14 @@
                     alone(&self.hosts_busy[worker], || self.replace(worker, fault));
                 }
             }
+            Kind::Relist { mode, moves } => self.relist(mode, moves, fault),
         }
     }
 
     fn disturb(&self, path: Path, mode: Mode, entry: usize, fault: &Fault) {
         let to_workers = |parts: &Parts| -> Vec<Proxy> {
-            let proxies = fault.workers.iter().map(|worker| &parts.workers[*worker]);
+            let workers = fault.workers.iter();
+            let proxies = workers.flat_map(|worker| parts.worker(*worker));
             proxies.cloned().collect()
         };
         let parts = &self.parts[entry];
@@ -288,6 +364,10 @@
             Path::Store => vec![parts.store.clone()],
             Path::Clients => vec![parts.clients.clone()],
             Path::Peers => parts.peers.clone(),
+            Path::Pairs => {
+                let others = fault.workers.iter();
+                others.map(|other| parts.peers[*other].clone()).collect()
+            }
             Path::ToPeer => {
                 let others = self.parts.iter();
                 others.map(|parts| parts.peers[entry].clone()).collect()
@@ -295,45 +375,87 @@
             Path::Workers => to_workers(parts),
             Path::AllToWorkers => self.parts.iter().flat_map(to_workers).collect(),
         };
-        let changes: Vec<u64> = proxies.iter().map(|proxy| proxy.set(mode)).collect();
+        let begun: Vec<u64> = proxies.iter().map(|proxy| proxy.disturb(mode)).collect();
         wait(fault.lasts);
-        for (proxy, change) in iter::zip(proxies, changes) {
-            proxy.restore(change);
+        for (proxy, number) in iter::zip(proxies, begun) {
+            proxy.restore(number);
         }
     }
 
     fn restart(&self, entry: usize, signal: &str, pause: u64) {
         let node = &self.nodes[entry];
         let mut process = node.entry();
+        let is_kill = signal == "-KILL";
+        node.kills.fetch_add(u64::from(is_kill), Ordering::SeqCst);
+        node.is_stopping.store(!is_kill, Ordering::SeqCst);
         process.signal(signal);
         let end = Instant::now() + END_TIMEOUT;
         while !process.has_ended() {
             if Instant::now() >= end {
+                node.kills.fetch_add(1, Ordering::SeqCst);
                 process.signal("-KILL");
             }
             wait(20);
         }
+        node.is_stopping.store(false, Ordering::SeqCst);
         wait(pause);
         let parts = &self.parts[entry];
         *process = Entry::start_in(&node.domain, &node.name, parts.store.address, &|peer| {
             publish(&self.parts, &self.peers, entry, peer);
         });
         parts.clients.redirect(process.customer);
+        let mut customer = node.customer.lock().expect("no holder of this lock panics");
+        *customer = process.customer;
         let mut logs = node.logs.lock().expect("no holder of this lock panics");
         logs.push(process.log_path());
     }
 
     /// Closes or opens all connections of a worker.
     fn set_reachable(&self, worker: usize, is_reachable: bool) {
-        for parts in &self.parts {
+        for proxy in self.parts.iter().flat_map(|parts| parts.worker(worker)) {
             // Refusing drops the calls under way, so that none outlives the life of the worker.
-            parts.workers[worker].set(Mode::Refuse);
+            proxy.set(Mode::Refuse);
             if is_reachable {
-                parts.workers[worker].set(Mode::Pass);
+                proxy.set(Mode::Pass);
             }
         }
     }
 
+    /// Removes the registrations of some workers while their connections are disturbed, and lists
+    /// those that are not busy with another fault again.
+    fn relist(&self, mode: Mode, moves: bool, fault: &Fault) {
+        let idle = |worker: &&usize| !self.hosts_busy[**worker].swap(true, Ordering::SeqCst);
+        let workers: Vec<usize> = fault.workers.iter().filter(idle).copied().collect();
+        workers.iter().for_each(|worker| self.unregister(*worker));
+        let proxies = |worker: usize| {
+            self.parts
+                .iter()
+                .flat_map(move |parts| parts.worker(worker))
+        };
+        let proxies: Vec<&Proxy> = workers.iter().flat_map(|worker| proxies(*worker)).collect();
+        let begun: Vec<u64> = proxies.iter().map(|proxy| proxy.disturb(mode)).collect();
+        wait(fault.lasts);
+        if moves {
+            workers.iter().for_each(|worker| self.relocate(*worker));
+        }
+        for (proxy, number) in iter::zip(proxies, begun) {
+            proxy.restore(number);
+        }
+        for worker in workers {
+            self.register(worker);
+            self.hosts_busy[worker].store(false, Ordering::SeqCst);
+        }
+    }
+
+    /// Restarts a worker under its id at its other address. Nothing answers at the former one.
+    fn relocate(&self, worker: usize) {
+        let (mut hosts, now) = self.site.settled();
+        hosts.crash(worker, now);
+        let host = &hosts.list[worker];
+        let (id, slot) = (host.id.clone(), (host.slot + 1) % SLOTS);
+        hosts.restart(worker, now, id, slot);
+    }
+
     /// Ends the life of a worker as the fault says, and begins the next one.
     fn replace(&self, worker: usize, fault: &Fault) {
         let set_draining = |is_draining| {
@@ -372,7 +494,8 @@
             Kind::Rebirth => hosts.list[worker].id.clone(),
             _ => format!("i-{worker}-{now}"),
         };
-        hosts.restart(worker, now, id);
+        let slot = hosts.list[worker].slot;
+        hosts.restart(worker, now, id, slot);
         drop(hosts);
         self.set_reachable(worker, true);
         self.register(worker);
@@ -403,6 +526,11 @@
 }
 
 impl Parts {
+    /// Returns the proxies of the addresses of a worker.
+    fn worker(&self, worker: usize) -> &[Proxy] {
+        &self.workers[worker * SLOTS..][..SLOTS]
+    }
+
     fn new(spawner: &Spawner, store: &Store, hosts: &[SocketAddr], entries: usize) -> Self {
         let view: Arc<View> = Arc::default();
         let workers: Vec<Proxy> = hosts
