--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -83,70 +83,81 @@
     }
 }
 
-/// Two workers crash, one after the other, each soon after it has begun the same task of a service
-/// that is to run until it is cancelled.
-pub fn crashed_workers(record: &Arc<Record>, has_trouble: bool) -> Verdict {
-    const COUNT: usize = 6;
-    let behave: Behave = Arc::new(|_| Behaviour {
-        work: None,
-        fails: false,
-        tail: 0.0,
-        disturbs: 0.0,
-        uses: 1_000.0,
+/// Two of fifteen workers begin another life, of a kind on which tasks that serve are slower, though
+/// well within their limit.
+pub fn other_kind(record: &Arc<Record>, has_trouble: bool) -> Verdict {
+    let behave: Behave = Arc::new(|task| {
+        let is_serving = task.starts_with('5') || task.starts_with('6');
+        Behaviour {
+            work: (!is_serving).then_some(2_000),
+            fails: false,
+            tail: if is_serving { 10.0 } else { 0.0 },
+            disturbs: 0.0,
+            uses: 1_000.0,
+        }
     });
-    let fleet = Fleet::start(Arc::clone(record), 3, 8, None, &behave);
-    fleet.configure(1, vec![route("r-live", "/live/", 3)]);
-    if !fleet.is_served("/live/") {
+    let fleet = Fleet::start(Arc::clone(record), 3, 15, None, &behave);
+    fleet.configure(
+        1,
+        vec![route("r-batch", "/batch/", 3), route("r-live", "/live/", 3)],
+    );
+    if !fleet.is_served("/batch/") {
         return Verdict::NotRun;
     }
-    let (id, path) = ("5c0e7a21d94b36f8", "/live/5c0e7a21d94b36f8");
-    let step = r#"{"count":6,"cpu":1000,"memMb":256,"longRunning":true,"antiAffinity":1}"#;
-    if !fleet.submit(
-        path,
-        &format!(r#"{{"taskSpec":"a service","steps":[{step}]}}"#),
-    ) {
-        return Verdict::NotRun;
+    let step = r#"{"count":15,"cpu":2000,"memMb":256,"longRunning":true,"image":"img-s","targetMs":45,"antiAffinity":1}"#;
+    let services = ["5c0e7a21d94b36f8", "6c0e7a21d94b36f8"];
+    for id in services {
+        if !fleet.submit(
+            &format!("/live/{id}"),
+            &format!(r#"{{"taskSpec":"s","steps":[{step}]}}"#),
+        ) {
+            return Verdict::NotRun;
+        }
     }
-    let task = format!("{id}.0.0.0");
     let at_work = |fleet: &Fleet| {
-        let tasks = (0..COUNT).map(|n| format!("{id}.0.0.{n}"));
+        let tasks = services
+            .iter()
+            .flat_map(|id| (0..15).map(move |n| format!("{id}.0.0.{n}")));
         tasks.filter(|task| fleet.find(task).is_some()).count()
     };
-    if !fleet.wait(5_000, |fleet| at_work(fleet) == COUNT) {
+    if !fleet.wait(10_000, |fleet| at_work(fleet) == 30) {
         return Verdict::NotRun;
     }
-    if has_trouble {
-        for _ in 0..2 {
-            if !fleet.wait(20_000, |fleet| fleet.find(&task).is_some()) {
-                break;
-            }
-            pause(300);
-            let Some((worker, _)) = fleet.find(&task) else {
-                break;
-            };
-            fleet.workers[worker].crash();
-            // Its address is used again later than `addrReuseS`.
-            pause(2_500);
-            fleet.workers[worker].start();
+    pause(6_000);
+    for worker in &fleet.workers[..2] {
+        worker.crash();
+    }
+    pause(2_500);
+    for worker in &fleet.workers[..2] {
+        *worker.kind.lock().expect("lock") = "b".into();
+        if has_trouble {
+            *worker.slowness.lock().expect("lock") = 2.5;
         }
+        worker.start();
     }
-    let mut state = String::new();
-    fleet.wait(30_000, |fleet| {
-        pause(1_000);
-        state = fleet.state(path).unwrap_or_default();
-        matches!(state.as_str(), "completed" | "failed" | "cancelled")
-    });
-    pause(2_000);
-    let left = at_work(&fleet);
     record.line(&format!(
-        "the service is shown as {state}; {left} of its {COUNT} tasks are at work"
+        "w0 and w1 are of kind b now, on which a task that serves has a tail of {} ms; its targetMs is 45",
+        if has_trouble { 25 } else { 10 }
     ));
-    match state.as_str() {
-        "failed" => {
-            record.line("no worker has listed an end failed, and nobody has cancelled the service");
-            Verdict::Broken
-        }
-        "running" if left == COUNT => Verdict::Held,
-        _ => Verdict::NotRun,
+    if !fleet.wait(30_000, |fleet| at_work(fleet) == 30) {
+        record.line(&format!(
+            "only {} of 30 tasks that serve are at work",
+            at_work(&fleet)
+        ));
     }
+    pause(8_000);
+    let (id, path) = ("98ce7a21d94b36f8", "/batch/98ce7a21d94b36f8");
+    let step = r#"{"count":1,"cpu":1000,"memMb":256,"estimateMs":2000,"requirements":"b"}"#;
+    if !fleet.submit(path, &format!(r#"{{"taskSpec":"x","steps":[{step}]}}"#)) {
+        return Verdict::NotRun;
+    }
+    let task = format!("{id}.0.0.0");
+    if fleet.wait(FINISH + IDLE, |fleet| fleet.find(&task).is_some()) {
+        return Verdict::Held;
+    }
+    record.line("nothing of the job ran for 17 s; each of the two workers of kind b has 12 of 16 cores free");
+    let is_begun = fleet.wait(20_000, |fleet| fleet.find(&task).is_some());
+    record.line(&format!("begun within 20 s more: {is_begun}"));
+    fleet.state(path);
+    Verdict::Broken
 }
--- a/review/lib-2/http.rs
+++ b/review/lib-2/http.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 over loopback: a server with a thread for each connection, and a client.
 
+use std::collections::HashMap;
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Read;
@@ -15,6 +16,9 @@
 use std::thread;
 use std::time::Duration;
 
+/// The stack of the thread of a connection.
+const STACK_BYTES: usize = 256 << 10;
+
 pub struct Request {
     pub method: String,
     pub path: String,
@@ -66,7 +70,7 @@
 pub struct Server {
     pub address: SocketAddr,
     alive: Arc<AtomicBool>,
-    connections: Arc<Mutex<Vec<TcpStream>>>,
+    connections: Arc<Mutex<HashMap<u64, TcpStream>>>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
@@ -90,19 +94,27 @@
             .expect("a listener has this mode");
         let address = listener.local_addr().expect("a listener has an address");
         let alive = Arc::new(AtomicBool::new(true));
-        let connections = Arc::new(Mutex::new(Vec::<TcpStream>::new()));
+        let connections = Arc::new(Mutex::new(HashMap::<u64, TcpStream>::new()));
         let (running, open) = (Arc::clone(&alive), Arc::clone(&connections));
         let thread = thread::spawn(move || {
+            let mut number = 0;
             while running.load(Ordering::SeqCst) {
                 match listener.accept() {
                     Ok((stream, _)) => {
                         let _ = stream.set_nonblocking(false);
                         let _ = stream.set_nodelay(true);
+                        number += 1;
                         if let Ok(clone) = stream.try_clone() {
-                            open.lock().expect("lock").push(clone);
+                            open.lock().expect("lock").insert(number, clone);
                         }
                         let (handler, running) = (Arc::clone(&handler), Arc::clone(&running));
-                        thread::spawn(move || serve(&stream, &handler, &running));
+                        let open = Arc::clone(&open);
+                        let serving = move || {
+                            serve(&stream, &handler, &running);
+                            open.lock().expect("lock").remove(&number);
+                        };
+                        let thread = thread::Builder::new().stack_size(STACK_BYTES);
+                        let _ = thread.spawn(serving);
                     }
                     Err(_) => thread::sleep(Duration::from_millis(1)),
                 }
@@ -121,7 +133,7 @@
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
-        for stream in self.connections.lock().expect("lock").drain(..) {
+        for (_, stream) in self.connections.lock().expect("lock").drain() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -35,7 +35,7 @@
     record.line(&format!("case {case} trouble={}", u8::from(has_trouble)));
     let play: fn(&Arc<Record>, bool) -> Verdict = match case.as_str() {
         "dropped-route" => cases::dropped_route,
-        "crashed-workers" => cases::crashed_workers,
+        "other-kind" => cases::other_kind,
         _ => {
             eprintln!("there is no case {case}");
             std::process::exit(2);
--- a/review/lib-2/store.rs
+++ b/review/lib-2/store.rs
@@ -30,17 +30,30 @@
     state: Mutex<State>,
     changed: Condvar,
     begun: Instant,
+    /// The bytes of the transactions that were refused for their size.
+    pub refusals: Mutex<Vec<usize>>,
 }
 
 /// The time of a transaction.
 const TRANSACTION: Duration = Duration::from_millis(3);
+/// The most bytes and entries of a transaction.
+const MAX_BYTES: usize = 1 << 20;
+const MAX_ENTRIES: usize = 100;
+/// The most bytes of a value in base64 (`rowBytes`).
+const ROW_BYTES: usize = 65_536;
+/// The version at the beginning: the store has served others before.
+const FIRST_VERSION: u64 = 50_000;
 
 impl Store {
     pub fn new() -> Arc<Store> {
         Arc::new(Store {
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                version: FIRST_VERSION,
+                rows: BTreeMap::new(),
+            }),
             changed: Condvar::new(),
             begun: Instant::now(),
+            refusals: Mutex::default(),
         })
     }
 
@@ -102,6 +115,16 @@
         let Some(call) = Json::read(body) else {
             return (400, "{}".into());
         };
+        let lists = ["expectedRev", "puts", "remove"].map(|list| call.get(list).list());
+        let entries: usize = lists.iter().map(|list| list.len()).sum();
+        let mut puts = lists[1].iter();
+        let is_long = puts.any(|row| row.get("value").text().len() > ROW_BYTES);
+        if body.len() > MAX_BYTES || entries > MAX_ENTRIES || is_long {
+            let text = format!("refused: {} bytes, {entries} entries", body.len());
+            let mut refusals = self.refusals.lock().expect("lock");
+            refusals.push(body.len());
+            return (400, obj(vec![("error", str(text))]).write());
+        }
         let mut state = self.state.lock().expect("lock");
         let expected = call.get("expectedRev").list();
         let present = |state: &State, key: &Key| {
--- a/review/lib-2/worker.rs
+++ b/review/lib-2/worker.rs
@@ -22,6 +22,8 @@
 
 /// The interval at which a worker registers (`heartbeatMs`).
 const REGISTER: Duration = Duration::from_millis(1_100);
+/// The most ends that are listed at a time.
+const MAX_LISTED: usize = 500;
 /// The longest lease (`holdMaxMs`).
 const HOLD_MAX: u64 = 6_000;
 /// The longest time that a stop takes is `stopGraceMs`; it takes half of that here.
@@ -82,6 +84,10 @@
     server: Mutex<Option<Server>>,
     port: Mutex<u16>,
     lives: Mutex<u32>,
+    /// The first label.
+    pub kind: Mutex<String>,
+    /// How many times as long its tasks take that serve.
+    pub slowness: Mutex<f64>,
 }
 
 impl Worker {
@@ -107,6 +113,8 @@
             server: Mutex::new(None),
             port: Mutex::new(0),
             lives: Mutex::new(0),
+            kind: Mutex::new("a".into()),
+            slowness: Mutex::new(1.0),
         });
         let ticking = Arc::clone(&worker);
         thread::spawn(move || {
@@ -207,6 +215,7 @@
 
     pub fn register(&self) {
         let port = *self.port.lock().expect("lock");
+        let kind = self.kind.lock().expect("lock").clone();
         let mut life = self.life.lock().expect("lock");
         let Some(life) = life.as_mut() else {
             return;
@@ -231,7 +240,7 @@
                     ("gpu", int(0)),
                 ]),
             ),
-            ("labels", Json::Arr(vec![str("a"), str(&*self.rack)])),
+            ("labels", Json::Arr(vec![str(&*kind), str(&*self.rack)])),
         ]);
         self.store.put("servers", &life.id, &entry);
     }
@@ -314,11 +323,12 @@
                 {
                     return Some((409, refused(now, "old")));
                 }
+                let behaviour = (self.behave)(&task);
                 self.record
                     .line(&format!("worker {id} starts {task} run {run}"));
                 let execution = Execution {
                     run,
-                    behaviour: (self.behave)(&task),
+                    behaviour,
                     done: 0.0,
                     pace: 100.0,
                     stops_at: None,
@@ -358,7 +368,8 @@
                     let life = guard.as_ref().filter(|life| life.id == id)?;
                     let left = end.saturating_duration_since(Instant::now());
                     if !life.ended.is_empty() || left.is_zero() {
-                        return Some((200, report(life)));
+                        let slowness = *self.slowness.lock().expect("lock");
+                        return Some((200, report(life, slowness)));
                     }
                     guard = self.ended.wait_timeout(guard, left).expect("lock").0;
                 }
@@ -385,29 +396,33 @@
     obj(vec![("clockMs", int(now)), ("reason", str(reason))]).write()
 }
 
-fn report(life: &Life) -> String {
+fn report(life: &Life, slowness: f64) -> String {
     let running = life.running.iter().map(|(task, execution)| {
         let percent = match execution.behaviour.work {
             Some(work) => (execution.done * 100.0 / work as f64).min(99.0).floor(),
             None => 100.0,
         };
         let figure = if execution.behaviour.tail > 0.0 {
-            (execution.behaviour.tail * tail(life, task)).round()
+            (execution.behaviour.tail * slowness * tail(life, task)).round()
         } else {
             (execution.behaviour.uses * execution.pace / 100.0).round()
         };
         let (run, percent) = (int(execution.run), num(percent));
         Json::Arr(vec![str(&**task), run, str(""), percent, num(figure)])
     });
-    let ended = life.ended.iter().map(|(number, task, run, how)| {
-        Json::Arr(vec![
-            int(*number),
-            str(&**task),
-            int(*run),
-            str(*how),
-            str(""),
-        ])
-    });
+    let ended = life
+        .ended
+        .iter()
+        .take(MAX_LISTED)
+        .map(|(number, task, run, how)| {
+            Json::Arr(vec![
+                int(*number),
+                str(&**task),
+                int(*run),
+                str(*how),
+                str(""),
+            ])
+        });
     obj(vec![
         ("clockMs", int(life.begun.elapsed().as_millis() as u64)),
         ("born", int(life.born)),
