--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -161,3 +161,79 @@
     fleet.state(path);
     Verdict::Broken
 }
+
+/// Four of 24 workers are slow for a few seconds while tasks that fill begin there.
+pub fn slow_workers(record: &Arc<Record>, has_trouble: bool) -> Verdict {
+    const SERVING: &str = "5c0e7a21d94b36f8";
+    let behave: Behave = Arc::new(|task| {
+        let is_serving = task.starts_with(SERVING);
+        Behaviour {
+            work: (!is_serving).then_some(10_000),
+            fails: false,
+            tail: if is_serving { 10.0 } else { 0.0 },
+            disturbs: if is_serving { 0.0 } else { 0.4 },
+            uses: 8_000.0,
+        }
+    });
+    let fleet = Fleet::start(Arc::clone(record), 3, 24, None, &behave);
+    fleet.configure(
+        1,
+        vec![route("r-batch", "/batch/", 3), route("r-live", "/live/", 3)],
+    );
+    if !fleet.is_served("/batch/") {
+        return Verdict::NotRun;
+    }
+    let serving = r#"{"count":24,"cpu":2000,"memMb":256,"longRunning":true,"image":"img-s","targetMs":45,"antiAffinity":1}"#;
+    let body = format!(r#"{{"taskSpec":"s","steps":[{serving}]}}"#);
+    if !fleet.submit(&format!("/live/{SERVING}"), &body) {
+        return Verdict::NotRun;
+    }
+    let is_live =
+        |fleet: &Fleet| (0..24).all(|n| fleet.find(&format!("{SERVING}.0.0.{n}")).is_some());
+    if !fleet.wait(10_000, is_live) {
+        return Verdict::NotRun;
+    }
+    pause(6_000);
+    let step = r#"{"count":4,"cpu":8000,"memMb":256,"estimateMs":10000,"fills":true,"image":"img-f","antiAffinity":1}"#;
+    let body = format!(r#"{{"taskSpec":"f","steps":[{step}]}}"#);
+    // The workers on which the first job will begin.
+    let slow = [6, 7, 8, 9].map(|n: usize| &fleet.workers[n]);
+    if has_trouble {
+        record.line("w6 to w9 turn slow: all takes 6.5 times as long");
+        for worker in slow {
+            *worker.slowness.lock().expect("lock") = 6.5;
+        }
+    }
+    let begins = |id: &str, limit: u64| {
+        let is_accepted = fleet.submit(&format!("/batch/{id}"), &body);
+        let is_begun =
+            |fleet: &Fleet| (0..4).any(|n| fleet.find(&format!("{id}.0.0.{n}")).is_some());
+        is_accepted.then(|| fleet.wait(limit, is_begun))
+    };
+    let (first, second) = ("77aa7a21d94b36f8", "88aa7a21d94b36f8");
+    if begins(first, 10_000) != Some(true) {
+        return Verdict::NotRun;
+    }
+    pause(6_000);
+    fleet.call(0, "DELETE", &format!("/batch/{first}"), "");
+    pause(800);
+    for worker in slow {
+        *worker.slowness.lock().expect("lock") = 1.0;
+    }
+    record.line("all workers are sound");
+    pause(6_000);
+    match begins(second, FINISH + IDLE) {
+        None => Verdict::NotRun,
+        Some(true) => Verdict::Held,
+        Some(false) => {
+            record.line(
+                "nothing of the second job ran for 17 s; each worker has 14 of 16 cores free",
+            );
+            let is_begun = |fleet: &Fleet| fleet.find(&format!("{second}.0.0.0")).is_some();
+            let is_begun = fleet.wait(30_000, is_begun);
+            record.line(&format!("begun within 30 s more: {is_begun}"));
+            fleet.state(&format!("/batch/{second}"));
+            Verdict::Broken
+        }
+    }
+}
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -36,6 +36,7 @@
     let play: fn(&Arc<Record>, bool) -> Verdict = match case.as_str() {
         "dropped-route" => cases::dropped_route,
         "other-kind" => cases::other_kind,
+        "slow-workers" => cases::slow_workers,
         _ => {
             eprintln!("there is no case {case}");
             std::process::exit(2);
--- a/review/lib-2/worker.rs
+++ b/review/lib-2/worker.rs
@@ -86,7 +86,7 @@
     lives: Mutex<u32>,
     /// The first label.
     pub kind: Mutex<String>,
-    /// How many times as long its tasks take that serve.
+    /// How many times as long its tasks take, also those that serve.
     pub slowness: Mutex<f64>,
 }
 
@@ -247,6 +247,7 @@
 
     /// Brings the tasks to the present.
     fn advance(&self) {
+        let slowness = *self.slowness.lock().expect("lock");
         let mut life = self.life.lock().expect("lock");
         let Some(life) = life.as_mut() else {
             return;
@@ -257,7 +258,7 @@
         let has_lapsed = now > life.lease;
         let mut over: Vec<(String, &'static str)> = Vec::new();
         for (task, execution) in &mut life.running {
-            execution.done += passed * execution.pace / 100.0;
+            execution.done += passed * execution.pace / 100.0 / slowness;
             let work = execution.behaviour.work;
             let is_finished = work.is_some_and(|work| execution.done >= work as f64);
             let how = if execution.stops_at.is_some_and(|at| now >= at) {
