review: ports of the stand-in that plays at the same time do not share

Cause: free ports were taken from those that connections get, so four of 15 scripts that ran at once could not run (exit 2).

--- a/review/lib-2/fleet.rs
+++ b/review/lib-2/fleet.rs
@@ -8,6 +8,8 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -72,9 +74,17 @@
     folder: PathBuf,
 }
 
+/// Returns a free port below those that connections get by themselves. Plays at the same time begin at
+/// different ones.
 fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address").port()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let begin = 20_000 + (std::process::id() % 700) as u16 * 16;
+    loop {
+        let port = begin + NEXT.fetch_add(1, Ordering::SeqCst) % 500;
+        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 impl Fleet {
