--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -6,8 +6,10 @@
 
 use crate::Verdict;
 use crate::fleet::Fleet;
+use crate::fleet::ranked_route;
 use crate::fleet::route;
 use crate::record::Record;
+use crate::record::unix;
 use crate::worker::Behave;
 use crate::worker::Behaviour;
 
@@ -83,6 +85,157 @@
     }
 }
 
+/// The two workers that the jobs of one queue need are lost for good. The jobs of another queue, which
+/// comes after it, run anywhere.
+pub fn behind_others(record: &Arc<Record>, has_trouble: bool) -> Verdict {
+    const TRAFFIC: u64 = 60_000;
+    const INTERVAL: u64 = 100;
+    const WATCHED: u64 = 8_000;
+    let fleet = Fleet::start(Arc::clone(record), 3, 15, None, &plain(300));
+    let labelled = &fleet.workers[..2];
+    for worker in labelled {
+        *worker.kind.lock().expect("lock") = "b".into();
+        worker.register();
+    }
+    let (first, batch) = (
+        ranked_route("r-first", "/first/", 3, 0),
+        ranked_route("r-batch", "/batch/", 3, 2),
+    );
+    fleet.configure(1, vec![first, batch]);
+    if !fleet.is_served("/batch/") {
+        return Verdict::NotRun;
+    }
+    let step = r#"{"count":1,"cpu":200,"memMb":64,"estimateMs":300,"requirements":"b"}"#;
+    let needy = format!(r#"{{"taskSpec":"b","steps":[{step},{step},{step},{step}]}}"#);
+    let mut steps = vec![r#"{"count":1,"cpu":500,"memMb":64,"estimateMs":300}"#.to_owned()];
+    steps.extend((0..4).map(|before| {
+        format!(r#"{{"count":1,"cpu":500,"memMb":64,"estimateMs":300,"after":[{before}]}}"#)
+    }));
+    let chain = format!(r#"{{"taskSpec":"a","steps":[{}]}}"#, steps.join(","));
+    let begin = record.now();
+    let mut chains = Vec::new();
+    for turn in 0..TRAFFIC / INTERVAL {
+        pause((begin + turn * INTERVAL).saturating_sub(record.now()));
+        if has_trouble && turn == 50 {
+            labelled.iter().for_each(|worker| worker.crash());
+        }
+        let is_accepted = fleet.submit(&format!("/first/{:016x}", 0xa000_0000 + turn), &needy);
+        if !is_accepted {
+            return Verdict::NotRun;
+        }
+        if turn % 20 == 10 {
+            let id = format!("{:016x}", 0xb000_0000 + turn);
+            if !fleet.submit(&format!("/batch/{id}"), &chain) {
+                return Verdict::NotRun;
+            }
+            chains.push(id);
+        }
+    }
+    record.line("the traffic ends");
+    pause(FINISH);
+    let open: Vec<&String> = chains
+        .iter()
+        .filter(|id| fleet.state(&format!("/batch/{id}")).as_deref() != Some("completed"))
+        .collect();
+    let mut since = vec![record.now(); open.len()];
+    let mut longest = vec![0; open.len()];
+    fleet.wait(WATCHED, |fleet| {
+        for ((id, since), longest) in open.iter().zip(&mut since).zip(&mut longest) {
+            if (0..5).any(|step| fleet.find(&format!("{id}.0.{step}.0")).is_some()) {
+                *since = record.now();
+            }
+            *longest = record.now().saturating_sub(*since).max(*longest);
+        }
+        false
+    });
+    let is_idle = |(id, longest): &(&&String, &u64)| {
+        let path = format!("/batch/{id}");
+        **longest >= IDLE && fleet.state(&path).as_deref() != Some("completed")
+    };
+    let idle = open.iter().zip(&longest).filter(is_idle).count();
+    record.line(&format!(
+        "of {} jobs of r-batch, which run on any worker, {} were not completed, and {idle} of these ran nothing for 3 s",
+        chains.len(),
+        open.len(),
+    ));
+    if idle > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
+}
+
+/// The two workers on which the last step of a scheduled job can run are lost for good. The other steps
+/// run anywhere.
+pub fn held_occurrences(record: &Arc<Record>, has_trouble: bool) -> Verdict {
+    const STEPS: usize = 40;
+    const OCCURRENCES: usize = 40;
+    const INTERVAL: u64 = 1_000;
+    let fleet = Fleet::start(Arc::clone(record), 3, 15, None, &plain(300));
+    let labelled = &fleet.workers[..2];
+    for worker in labelled {
+        *worker.kind.lock().expect("lock") = "b".into();
+        worker.register();
+    }
+    fleet.configure(1, vec![route("r-batch", "/batch/", 3)]);
+    if !fleet.is_served("/batch/") {
+        return Verdict::NotRun;
+    }
+    // A reading at each of 39 places, and a report of them on a worker of kind b.
+    let last = STEPS - 1;
+    let mut steps = vec![r#"{"count":1,"cpu":200,"memMb":64,"estimateMs":300}"#.to_owned(); last];
+    let after: Vec<String> = (0..last).map(|step| step.to_string()).collect();
+    steps.push(format!(
+        r#"{{"count":1,"cpu":200,"memMb":64,"estimateMs":300,"requirements":"b","after":[{}]}}"#,
+        after.join(",")
+    ));
+    let first_run = unix() + 3_000;
+    let begins_at = record.now() + 3_000;
+    let (id, path) = ("5c0e7a21d94b36f8", "/batch/5c0e7a21d94b36f8");
+    let body = format!(
+        r#"{{"taskSpec":"readings","repeatCount":{OCCURRENCES},"firstRunMs":{first_run},"intervalMs":{INTERVAL},"steps":[{}]}}"#,
+        steps.join(",")
+    );
+    if !fleet.submit(path, &body) {
+        return Verdict::NotRun;
+    }
+    let has_begun = |fleet: &Fleet, occurrence: usize| {
+        let task = format!("{id}.{occurrence}.0.0");
+        fleet.workers.iter().any(|worker| worker.has_begun(&task))
+    };
+    if !fleet.wait(20_000, |fleet| has_begun(fleet, 7)) {
+        return Verdict::NotRun;
+    }
+    if has_trouble {
+        labelled.iter().for_each(|worker| worker.crash());
+    }
+    let ends_at = begins_at + (OCCURRENCES as u64 - 1) * INTERVAL;
+    record.line(&format!(
+        "the last time is due at {}.{:03}",
+        ends_at / 1_000,
+        ends_at % 1_000
+    ));
+    pause((ends_at + FINISH).saturating_sub(record.now()));
+    let is_idle = |fleet: &Fleet| fleet.workers.iter().all(|worker| worker.runs().is_empty());
+    let waits = |fleet: &Fleet| (0..OCCURRENCES).filter(|&k| !has_begun(fleet, k)).count();
+    let is_held = |fleet: &Fleet| {
+        fleet.state(path);
+        fleet.wait(IDLE, |fleet| !is_idle(fleet) || waits(fleet) == 0)
+    };
+    if is_held(&fleet) {
+        return Verdict::Held;
+    }
+    let begun: Vec<usize> = (0..OCCURRENCES).filter(|&k| has_begun(&fleet, k)).collect();
+    record.line(&format!(
+        "nothing runs anywhere for 3 s; of {OCCURRENCES} times {} have begun ({:?} to {:?}), {} never did",
+        begun.len(),
+        begun.first(),
+        begun.last(),
+        waits(&fleet)
+    ));
+    Verdict::Broken
+}
+
 /// Two of fifteen workers begin another life, of a kind on which tasks that serve are slower, though
 /// well within their limit.
 pub fn other_kind(record: &Arc<Record>, has_trouble: bool) -> Verdict {
--- a/review/lib-2/fleet.rs
+++ b/review/lib-2/fleet.rs
@@ -270,12 +270,17 @@
 
 /// Returns a route of the configuration.
 pub fn route(name: &str, prefix: &str, attempts: u64) -> Json {
+    ranked_route(name, prefix, attempts, 0)
+}
+
+/// Returns a route of the configuration with this priority; 0 comes first.
+pub fn ranked_route(name: &str, prefix: &str, attempts: u64, priority: u64) -> Json {
     obj(vec![
         ("name", str(name)),
         ("host", str(HOST)),
         ("pathPrefix", str(prefix)),
         ("service", str(SERVICE)),
-        ("priority", int(0)),
+        ("priority", int(priority)),
         ("maxAttempts", int(attempts)),
         ("stretch", Json::Num(2.0)),
         ("targetLatencyMs", int(1_000)),
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -35,6 +35,8 @@
     record.line(&format!("case {case} trouble={}", u8::from(has_trouble)));
     let play: fn(&Arc<Record>, bool) -> Verdict = match case.as_str() {
         "dropped-route" => cases::dropped_route,
+        "behind-others" => cases::behind_others,
+        "held-occurrences" => cases::held_occurrences,
         "other-kind" => cases::other_kind,
         "slow-workers" => cases::slow_workers,
         _ => {
--- a/review/lib-2/worker.rs
+++ b/review/lib-2/worker.rs
@@ -1,6 +1,7 @@
 //! Workers, which run tasks under leases and register in the store.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
@@ -84,6 +85,8 @@
     server: Mutex<Option<Server>>,
     port: Mutex<u16>,
     lives: Mutex<u32>,
+    /// All tasks that it has begun, in any life.
+    begun: Mutex<BTreeSet<String>>,
     /// The first label.
     pub kind: Mutex<String>,
     /// How many times as long its tasks take, also those that serve.
@@ -113,6 +116,7 @@
             server: Mutex::new(None),
             port: Mutex::new(0),
             lives: Mutex::new(0),
+            begun: Mutex::new(BTreeSet::new()),
             kind: Mutex::new("a".into()),
             slowness: Mutex::new(1.0),
         });
@@ -213,6 +217,11 @@
         runs.collect()
     }
 
+    /// Returns whether it has begun a task, in any life.
+    pub fn has_begun(&self, task: &str) -> bool {
+        self.begun.lock().expect("lock").contains(task)
+    }
+
     pub fn register(&self) {
         let port = *self.port.lock().expect("lock");
         let kind = self.kind.lock().expect("lock").clone();
@@ -334,6 +343,7 @@
                     pace: 100.0,
                     stops_at: None,
                 };
+                self.begun.lock().expect("lock").insert(task.clone());
                 life.running.insert(task, execution);
                 Some((200, clock(now)))
             }
