--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -91,12 +91,8 @@
     const TRAFFIC: u64 = 60_000;
     const INTERVAL: u64 = 100;
     const WATCHED: u64 = 8_000;
-    let fleet = Fleet::start(Arc::clone(record), 3, 15, None, &plain(300));
+    let fleet = Fleet::with_kinds(Arc::clone(record), 3, 15, 2, None, &plain(300));
     let labelled = &fleet.workers[..2];
-    for worker in labelled {
-        *worker.kind.lock().expect("lock") = "b".into();
-        worker.register();
-    }
     let (first, batch) = (
         ranked_route("r-first", "/first/", 3, 0),
         ranked_route("r-batch", "/batch/", 3, 2),
@@ -171,12 +167,8 @@
     const STEPS: usize = 40;
     const OCCURRENCES: usize = 40;
     const INTERVAL: u64 = 1_000;
-    let fleet = Fleet::start(Arc::clone(record), 3, 15, None, &plain(300));
+    let fleet = Fleet::with_kinds(Arc::clone(record), 3, 15, 2, None, &plain(300));
     let labelled = &fleet.workers[..2];
-    for worker in labelled {
-        *worker.kind.lock().expect("lock") = "b".into();
-        worker.register();
-    }
     fleet.configure(1, vec![route("r-batch", "/batch/", 3)]);
     if !fleet.is_served("/batch/") {
         return Verdict::NotRun;
--- a/review/lib-2/fleet.rs
+++ b/review/lib-2/fleet.rs
@@ -94,6 +94,18 @@
         workers: usize,
         advice: Option<SocketAddr>,
         behave: &Behave,
+    ) -> Fleet {
+        Self::with_kinds(record, entries, workers, 0, advice, behave)
+    }
+
+    /// Starts a deployment in which this many of the workers are of kind b, and the others of kind a.
+    pub fn with_kinds(
+        record: Arc<Record>,
+        entries: usize,
+        workers: usize,
+        of_kind_b: usize,
+        advice: Option<SocketAddr>,
+        behave: &Behave,
     ) -> Fleet {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
@@ -104,6 +116,9 @@
                 Worker::new(name, rack, SERVICE, 16_000, &store, &record, behave)
             })
             .collect();
+        for worker in &workers[..of_kind_b] {
+            *worker.kind.lock().expect("lock") = "b".into();
+        }
         workers.iter().for_each(Worker::start);
         let entries = (0..entries).map(|n| {
             let server = store.serve();
