--- a/review/lib-2/cases.rs
+++ b/review/lib-2/cases.rs
@@ -382,3 +382,91 @@
         }
     }
 }
+
+/// Workers refuse orders on the pace of tasks for a few seconds, in which tasks that fill may go on.
+pub fn lost_pace(record: &Arc<Record>, has_trouble: bool) -> Verdict {
+    const SERVING: &str = "5c0e7a21d94b36f8";
+    const FILLING: &str = "77aa7a21d94b36f8";
+    let behave: Behave = Arc::new(|task| {
+        let is_serving = task.starts_with(SERVING);
+        Behaviour {
+            work: (!is_serving).then_some(8_000),
+            fails: false,
+            tail: if is_serving { 10.0 } else { 0.0 },
+            disturbs: if is_serving { 0.0 } else { 0.4 },
+            uses: 8_000.0,
+        }
+    });
+    let fleet = Fleet::start(Arc::clone(record), 3, 12, None, &behave);
+    fleet.configure(
+        1,
+        vec![route("r-batch", "/batch/", 3), route("r-live", "/live/", 3)],
+    );
+    if !fleet.is_served("/batch/") {
+        return Verdict::NotRun;
+    }
+    let serving = r#"{"count":12,"cpu":2000,"memMb":256,"longRunning":true,"image":"img-s","targetMs":45,"antiAffinity":1}"#;
+    let filling = r#"{"count":2,"cpu":8000,"memMb":256,"estimateMs":8000,"fills":true,"image":"img-f","antiAffinity":1}"#;
+    let body = |step: &str| format!(r#"{{"taskSpec":"x","steps":[{step}]}}"#);
+    if !fleet.submit(&format!("/live/{SERVING}"), &body(serving)) {
+        return Verdict::NotRun;
+    }
+    let is_live =
+        |fleet: &Fleet| (0..12).all(|n| fleet.find(&format!("{SERVING}.0.0.{n}")).is_some());
+    if !fleet.wait(10_000, is_live) {
+        return Verdict::NotRun;
+    }
+    pause(6_000);
+    let path = format!("/batch/{FILLING}");
+    if !fleet.submit(&path, &body(filling)) {
+        return Verdict::NotRun;
+    }
+    let paces = |fleet: &Fleet| -> Vec<(usize, f64)> {
+        let found = (0..2).filter_map(|n| {
+            let task = format!("{FILLING}.0.0.{n}");
+            let (worker, _) = fleet.find(&task)?;
+            let runs = fleet.workers[worker].runs();
+            let run = runs.into_iter().find(|run| run.0 == task)?;
+            Some((worker, run.2))
+        });
+        found.collect()
+    };
+    if !fleet.wait(5_000, |fleet| paces(fleet).len() == 2) {
+        return Verdict::NotRun;
+    }
+    pause(1_000);
+    let hosts: Vec<usize> = paces(&fleet).iter().map(|&(worker, _)| worker).collect();
+    record.line(&format!(
+        "workers {hosts:?} turn slow: all takes 6.5 times as long"
+    ));
+    for &host in &hosts {
+        *fleet.workers[host].slowness.lock().expect("lock") = 6.5;
+    }
+    let are_halted = |fleet: &Fleet| {
+        let paces = paces(fleet);
+        !paces.is_empty() && paces.iter().all(|&(_, pace)| pace == 0.0)
+    };
+    if !fleet.wait(5_000, are_halted) {
+        return Verdict::NotRun;
+    }
+    for &host in &hosts {
+        *fleet.workers[host].refuses_pace.lock().expect("lock") = has_trouble;
+    }
+    fleet.call(0, "DELETE", &format!("/live/{SERVING}"), "");
+    pause(3_000);
+    for &host in &hosts {
+        *fleet.workers[host].refuses_pace.lock().expect("lock") = false;
+        *fleet.workers[host].slowness.lock().expect("lock") = 1.0;
+    }
+    record.line("all workers are sound");
+    let is_completed = fleet.wait(60_000, |fleet| {
+        pause(2_000);
+        fleet.state(&path).as_deref() == Some("completed")
+    });
+    record.line(&format!("paces at the end: {:?}", paces(&fleet)));
+    if is_completed {
+        Verdict::Held
+    } else {
+        Verdict::Broken
+    }
+}
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -37,6 +37,7 @@
         "dropped-route" => cases::dropped_route,
         "behind-others" => cases::behind_others,
         "held-occurrences" => cases::held_occurrences,
+        "lost-pace" => cases::lost_pace,
         "other-kind" => cases::other_kind,
         "slow-workers" => cases::slow_workers,
         _ => {
--- a/review/lib-2/worker.rs
+++ b/review/lib-2/worker.rs
@@ -89,6 +89,8 @@
     begun: Mutex<BTreeSet<String>>,
     /// The first label.
     pub kind: Mutex<String>,
+    /// It refuses orders on the pace of tasks, as an unhealthy worker.
+    pub refuses_pace: Mutex<bool>,
     /// How many times as long its tasks take, also those that serve.
     pub slowness: Mutex<f64>,
 }
@@ -118,6 +120,7 @@
             lives: Mutex::new(0),
             begun: Mutex::new(BTreeSet::new()),
             kind: Mutex::new("a".into()),
+            refuses_pace: Mutex::new(false),
             slowness: Mutex::new(1.0),
         });
         let ticking = Arc::clone(&worker);
@@ -357,6 +360,11 @@
                 }
                 Some((200, clock(now)))
             }
+            "/pace" if *self.refuses_pace.lock().expect("lock") => {
+                self.record
+                    .line(&format!("worker {id} refuses the pace of {task} with 503"));
+                Some((503, clock(now)))
+            }
             "/pace" => {
                 let percent = body.get("percent").u64();
                 if let Some(execution) = life.running.get_mut(&task).filter(|it| it.run == run) {
